--- /dev/null
+++ b/include/pimentomast/ownership.h
@@ -0,0 +1,3 @@
+#pragma once
+
+#include "pimentomast/core.h"
--- /dev/null
+++ b/src/balancing/balancing.cc
@@ -0,0 +1,1 @@
+#include "pimentomast/balancing.h"
--- /dev/null
+++ b/src/command/command.cc
@@ -0,0 +1,1 @@
+#include "pimentomast/command.h"
--- /dev/null
+++ b/src/main.cc
@@ -0,0 +1,3 @@
+#include "pimentomast/command.h"
+
+int main() { return 0; }
--- /dev/null
+++ b/src/ownership/ownership.cc
@@ -0,0 +1,1 @@
+#include "pimentomast/ownership.h"
--- /dev/null
+++ b/src/peers/peers.cc
@@ -0,0 +1,1 @@
+#include "pimentomast/peers.h"
--- /dev/null
+++ b/src/platform/platform.cc
@@ -0,0 +1,1 @@
+#include "pimentomast/platform.h"
--- /dev/null
+++ b/src/proxy/proxy.cc
@@ -0,0 +1,1 @@
+#include "pimentomast/proxy.h"
--- /dev/null
+++ b/src/routing/routing.cc
@@ -0,0 +1,1 @@
+#include "pimentomast/routing.h"
--- /dev/null
+++ b/src/serve/serve.cc
@@ -0,0 +1,1 @@
+#include "pimentomast/serve.h"
--- /dev/null
+++ b/src/settings/settings.cc
@@ -0,0 +1,1 @@
+#include "pimentomast/settings.h"
--- /dev/null
+++ b/src/table/table.cc
@@ -0,0 +1,1 @@
+#include "pimentomast/table.h"
--- /dev/null
+++ b/src/telemetry/telemetry.cc
@@ -0,0 +1,1 @@
+#include "pimentomast/telemetry.h"
--- /dev/null
+++ b/support/test.sh
@@ -0,0 +1,19 @@
+#!/usr/bin/env bash
+# Sets up a fresh machine, builds, lints and runs every test. .ci/run calls this.
+# Tests named in KNOWN-RED.txt are passed over and printed; any other failure fails the run.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+support/setup.sh
+support/build.sh build
+support/lint.sh build
+known=()
+if [ -f KNOWN-RED.txt ]; then
+  echo "Known red, passed over:"
+  cat KNOWN-RED.txt
+  mapfile -t known < <(sed -n 's/^test: *//p' KNOWN-RED.txt)
+fi
+exclude=()
+if [ ${#known[@]} -gt 0 ]; then
+  exclude=(--exclude-regex "^($(IFS='|'; echo "${known[*]}"))$")
+fi
+ctest --test-dir build --output-on-failure -j 4 "${exclude[@]}"
