Add the peers library: gRPC between entry hosts by callbacks

Cause: hosts must exchange tables, assignments and epochs without a thread for each peer. Ruled out: blocking stubs (a thread for each call in flight, which a frozen peer would hold) and plain structs beside the messages (each stood twice). Tests: answered call, refusal with step and peer, absent peer, address in use.

--- a/include/pimentomast/peers.h
+++ b/include/pimentomast/peers.h
@@ -1,3 +1,76 @@
 #pragma once
 
+#include "peers.pb.h"
 #include "pimentomast/core.h"
+
+#include <functional>
+#include <memory>
+
+/// gRPC between entry hosts: one server and one client for each other host.
+namespace pimentomast::peers {
+
+/// Receives a reply, or the error that prevented it. Called once, from a gRPC thread; must not
+/// block.
+template <class Reply>
+using reply_handler = std::function<void(result<Reply>)>;
+
+/// What a host answers to its peers.
+/// Called from gRPC threads, several at once: implementations are thread-safe and do not block.
+class handler {
+public:
+    virtual ~handler() = default;
+
+    virtual wire::Update exchange(const wire::Digest& digest) = 0;
+    virtual wire::NoticeReply publish(const wire::Notice& notice) = 0;
+    virtual wire::WitnessReply witness(const wire::WitnessRequest& request) = 0;
+    virtual wire::HoldReply hold(const wire::HoldRequest& request) = 0;
+};
+
+/// Serves the peers' calls until it is destroyed.
+class server {
+public:
+    /// Listens on address; fails if it cannot be bound. receiver must outlive the server.
+    [[nodiscard]] static result<std::unique_ptr<server>> start(
+        const endpoint& address, handler& receiver);
+
+    server(const server&) = delete;
+    server& operator=(const server&) = delete;
+    /// Refuses new calls and waits for the running ones.
+    ~server();
+
+private:
+    struct state;
+    explicit server(std::unique_ptr<state> running);
+    std::unique_ptr<state> m_state;
+};
+
+/// Calls one peer. Thread-safe; calls do not block and fail once timeout has passed.
+class client {
+public:
+    /// Opens no connection yet; a lost connection is opened again by later calls.
+    [[nodiscard]] static std::shared_ptr<client> create(const endpoint& address);
+
+    client(const client&) = delete;
+    client& operator=(const client&) = delete;
+    /// Does not wait for the calls that still run; their handlers are still called.
+    ~client();
+
+    void exchange(const wire::Digest& digest, std::chrono::milliseconds timeout,
+        reply_handler<wire::Update> done);
+    void publish(const wire::Notice& notice, std::chrono::milliseconds timeout,
+        reply_handler<wire::NoticeReply> done);
+    void witness(const wire::WitnessRequest& request, std::chrono::milliseconds timeout,
+        reply_handler<wire::WitnessReply> done);
+    void hold(const wire::HoldRequest& request, std::chrono::milliseconds timeout,
+        reply_handler<wire::HoldReply> done);
+
+    /// Returns the peer's address.
+    [[nodiscard]] const endpoint& address() const noexcept;
+
+private:
+    struct state;
+    explicit client(std::unique_ptr<state> opened);
+    std::unique_ptr<state> m_state;
+};
+
+} // namespace pimentomast::peers
--- /dev/null
+++ b/src/peers/client.cc
@@ -0,0 +1,111 @@
+#include "pimentomast/peers.h"
+
+#include "peers.grpc.pb.h"
+
+#include <grpcpp/create_channel.h>
+
+namespace pimentomast::peers {
+namespace {
+
+constexpr int reconnectMinMs = 100;
+constexpr int reconnectMaxMs = 1000;
+
+/// Keeps a call's messages alive until its handler has run.
+template <class Reply>
+struct pending_call {
+    grpc::ClientContext context;
+    Reply reply;
+    reply_handler<Reply> done;
+};
+
+grpc::ChannelArguments channelArguments()
+{
+    grpc::ChannelArguments arguments;
+    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, reconnectMinMs);
+    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, reconnectMinMs);
+    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, reconnectMaxMs);
+    arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+    arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+    return arguments;
+}
+
+} // namespace
+
+struct client::state {
+    /// Starts one call; invoke passes context, reply and the completion handler to the stub.
+    template <class Reply, class Invoke>
+    void call(const char* step, std::chrono::milliseconds timeout, reply_handler<Reply> done,
+        const Invoke& invoke)
+    {
+        auto pending = std::make_shared<pending_call<Reply>>();
+        pending->context.set_deadline(std::chrono::system_clock::now() + timeout);
+        pending->done = std::move(done);
+        auto complete = [pending, step, peer = address.text()](const grpc::Status& status) {
+            if (status.ok())
+                pending->done(std::move(pending->reply));
+            else
+                pending->done(error { step, peer, status.error_message() });
+        };
+        invoke(&pending->context, &pending->reply, std::move(complete));
+    }
+
+    endpoint address;
+    std::unique_ptr<wire::Peer::Stub> stub;
+};
+
+std::shared_ptr<client> client::create(const endpoint& address)
+{
+    auto opened = std::make_unique<state>();
+    opened->address = address;
+    auto channel = grpc::CreateCustomChannel(
+        address.text(), grpc::InsecureChannelCredentials(), channelArguments());
+    opened->stub = wire::Peer::NewStub(channel);
+    return std::shared_ptr<client>(new client(std::move(opened)));
+}
+
+client::client(std::unique_ptr<state> opened)
+    : m_state(std::move(opened))
+{
+}
+
+client::~client() = default;
+
+const endpoint& client::address() const noexcept { return m_state->address; }
+
+void client::exchange(
+    const wire::Digest& digest, std::chrono::milliseconds timeout, reply_handler<wire::Update> done)
+{
+    auto invoke = [&](auto* context, auto* reply, auto complete) {
+        m_state->stub->async()->Exchange(context, &digest, reply, std::move(complete));
+    };
+    m_state->call<wire::Update>("exchange", timeout, std::move(done), invoke);
+}
+
+void client::publish(const wire::Notice& notice, std::chrono::milliseconds timeout,
+    reply_handler<wire::NoticeReply> done)
+{
+    auto invoke = [&](auto* context, auto* reply, auto complete) {
+        m_state->stub->async()->Publish(context, &notice, reply, std::move(complete));
+    };
+    m_state->call<wire::NoticeReply>("publish", timeout, std::move(done), invoke);
+}
+
+void client::witness(const wire::WitnessRequest& request, std::chrono::milliseconds timeout,
+    reply_handler<wire::WitnessReply> done)
+{
+    auto invoke = [&](auto* context, auto* reply, auto complete) {
+        m_state->stub->async()->Witness(context, &request, reply, std::move(complete));
+    };
+    m_state->call<wire::WitnessReply>("witness", timeout, std::move(done), invoke);
+}
+
+void client::hold(const wire::HoldRequest& request, std::chrono::milliseconds timeout,
+    reply_handler<wire::HoldReply> done)
+{
+    auto invoke = [&](auto* context, auto* reply, auto complete) {
+        m_state->stub->async()->Hold(context, &request, reply, std::move(complete));
+    };
+    m_state->call<wire::HoldReply>("hold", timeout, std::move(done), invoke);
+}
+
+} // namespace pimentomast::peers
--- a/src/peers/peers.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "pimentomast/peers.h"
--- /dev/null
+++ b/test/peers-test.cc
@@ -0,0 +1,98 @@
+#include "pimentomast/peers.h"
+
+#include <criterion/criterion.h>
+#include <future>
+
+using namespace pimentomast;
+
+namespace {
+
+constexpr std::chrono::milliseconds replyTimeoutMs { 20000 };
+constexpr std::chrono::milliseconds shortTimeoutMs { 200 };
+
+class echo_handler : public peers::handler {
+public:
+    peers::wire::Update exchange(const peers::wire::Digest& digest) override
+    {
+        peers::wire::Update update;
+        update.set_table_version(digest.table_version() + 1);
+        return update;
+    }
+    peers::wire::NoticeReply publish(const peers::wire::Notice&) override
+    {
+        throw failure(error { "publish", "", "unknown service" });
+    }
+    peers::wire::WitnessReply witness(const peers::wire::WitnessRequest& request) override
+    {
+        peers::wire::WitnessReply reply;
+        reply.set_epoch(request.epoch());
+        return reply;
+    }
+    peers::wire::HoldReply hold(const peers::wire::HoldRequest&) override { return {}; }
+};
+
+/// Returns a loopback address for this test process.
+endpoint testAddress(std::uint16_t offset)
+{
+    return endpoint { "127.0.0.1", static_cast<std::uint16_t>(21000 + getpid() % 9000 + offset) };
+}
+
+template <class Reply>
+struct waiter {
+    peers::reply_handler<Reply> handler()
+    {
+        return [this](result<Reply> reply) { m_promise.set_value(std::move(reply)); };
+    }
+    result<Reply> wait() { return m_promise.get_future().get(); }
+
+private:
+    std::promise<result<Reply>> m_promise;
+};
+
+} // namespace
+
+Test(peers, call_is_answered)
+{
+    echo_handler receiver;
+    const auto address = testAddress(0);
+    const auto listening = peers::server::start(address, receiver);
+    cr_assert(listening.has_value());
+    const auto caller = peers::client::create(address);
+    peers::wire::Digest digest;
+    digest.set_table_version(41);
+    waiter<peers::wire::Update> reply;
+    caller->exchange(digest, replyTimeoutMs, reply.handler());
+    cr_assert_eq(reply.wait().value().table_version(), 42);
+}
+
+Test(peers, refusal_names_step_and_peer)
+{
+    echo_handler receiver;
+    const auto address = testAddress(1);
+    const auto listening = peers::server::start(address, receiver);
+    const auto caller = peers::client::create(address);
+    waiter<peers::wire::NoticeReply> reply;
+    caller->publish({}, replyTimeoutMs, reply.handler());
+    const auto refused = reply.wait();
+    cr_assert(refused.has_error());
+    cr_assert(refused.error().step == "publish");
+    cr_assert(refused.error().peer == address.text());
+    cr_assert(refused.error().reason.find("unknown service") != std::string::npos);
+}
+
+Test(peers, absent_peer_fails_the_call)
+{
+    const auto caller = peers::client::create(testAddress(2));
+    waiter<peers::wire::WitnessReply> reply;
+    caller->witness({}, shortTimeoutMs, reply.handler());
+    cr_assert(reply.wait().has_error());
+}
+
+Test(peers, address_in_use_is_an_error)
+{
+    echo_handler receiver;
+    const auto address = testAddress(3);
+    const auto first = peers::server::start(address, receiver);
+    cr_assert(first.has_value());
+    cr_assert(peers::server::start(address, receiver).has_error());
+}
