Add membership: live hosts and freshness of the configuration

Cause: the platform's list of hosts lags and hosts may be cut off from it or from each other. Change: pure host_view (list corrected by sightings; a host that cannot be reached still counts for shares of connections) and freshness (versions only rise; confirmed by the store or a majority of peers). Ruled out: counting only live hosts for shares of connections: a partitioned host still has its connections open.

--- /dev/null
+++ b/include/pimentomast/membership.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include "pimentomast/core.h"
+#include "pimentomast/platform.h"
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <vector>
+
+/// Which hosts there are, which of them are alive, and how fresh a host's configuration is.
+///
+/// Pure: time, messages and seeds in, decisions out. Not thread-safe; callers serialize.
+namespace pimentomast::membership {
+
+struct view_options {
+    host_id self;
+    incarnation run;
+    /// Addresses of peers that are called before the platform's list has been read.
+    std::vector<endpoint> seeds;
+    /// A host that was not heard from for this long is not live.
+    std::chrono::milliseconds sightingTimeoutMs { 3000 };
+    /// A host that left the platform's list still counts for shares of connections for this long.
+    std::chrono::milliseconds departureTimeoutMs { 30000 };
+    /// Hosts called in one round of exchange.
+    unsigned fanout = 4;
+    std::uint64_t seed = 1;
+};
+
+/// One host that a peer introduced itself as, or that answered a call.
+struct sighting {
+    host_id id;
+    incarnation run;
+    endpoint peers;
+    bool leaving = false;
+};
+
+struct member {
+    host_id id;
+    incarnation run;
+    endpoint peers;
+
+    auto operator<=>(const member&) const = default;
+};
+
+/// The platform's lagging list of hosts, corrected by what the host itself hears from its peers.
+class host_view {
+public:
+    /// Fails if self is empty, the fanout is 0 or a timeout is not positive.
+    [[nodiscard]] static result<host_view> create(const view_options& options);
+
+    /// Replaces the platform's list.
+    void list(instant now, const std::vector<platform::listed_host>& hosts);
+    /// Records a message that a peer sent.
+    void sight(instant now, const sighting& seen);
+    /// Marks this host itself as leaving.
+    void leave() noexcept { m_leaving = true; }
+
+    /// Returns the hosts heard from within the sighting timeout that are not leaving, with self
+    /// unless it leaves; sorted by id.
+    [[nodiscard]] std::vector<member> live(instant now) const;
+    /// Returns how many hosts may have connections open to targets: every host that is listed, or
+    /// was listed or heard from within the departure timeout, and self. A host that cannot be
+    /// reached counts, for it may still reach the targets.
+    [[nodiscard]] unsigned connectionSharers(instant now) const;
+    /// Returns the addresses to call in this round: fanout of the known peers, drawn at random, or
+    /// the seeds while no peer is known.
+    [[nodiscard]] std::vector<endpoint> exchangePeers(instant now);
+    /// Returns the addresses of all hosts that are listed or live, without self.
+    [[nodiscard]] std::vector<endpoint> allPeers(instant now) const;
+    /// Returns the live or listed peer with this id and incarnation.
+    [[nodiscard]] std::optional<endpoint> find(const host_id& id) const;
+
+private:
+    struct entry {
+        endpoint peers;
+        incarnation run;
+        std::optional<instant> listedAt;
+        std::optional<instant> heardAt;
+        bool listed = false;
+        bool leaving = false;
+    };
+
+    explicit host_view(view_options options);
+    [[nodiscard]] bool heardRecently(const entry& known, instant now) const;
+    [[nodiscard]] bool mayBeConnected(const entry& known, instant now) const;
+    void forgetDeparted(instant now);
+
+    view_options m_options;
+    std::map<host_id, entry> m_hosts;
+    std::mt19937_64 m_random;
+    bool m_leaving = false;
+};
+
+struct freshness_options {
+    /// A host whose version is confirmed by neither the store nor a majority of its peers for this
+    /// long reports itself unhealthy.
+    std::chrono::milliseconds confirmTimeoutMs { 8000 };
+    std::chrono::milliseconds minPollMs { 500 };
+    /// Reads of the configuration row that all hosts together may cause in one second.
+    unsigned readsPerSecond = 200;
+};
+
+/// How recently the store or a majority of the peers confirmed that this host's configuration is
+/// the newest.
+class freshness {
+public:
+    /// Fails if a time or the number of reads is not positive.
+    [[nodiscard]] static result<freshness> create(const freshness_options& options);
+
+    /// Offers a version read from the store or sent by a peer. Returns whether it is higher than
+    /// the one in force and now replaces it; a lower or equal version never does.
+    [[nodiscard]] bool offer(config_version offered);
+    /// Records that the store itself returned this version for a read sent at sentAt.
+    void storeRead(instant sentAt, config_version read);
+    /// Records that a peer had this version when it answered a call sent at sentAt.
+    void peerHas(instant sentAt, const host_id& peer, config_version version);
+
+    /// Returns whether the version in force was confirmed within the confirmation timeout; peers is
+    /// the number of other hosts known. A version of 0 (no configuration yet) is never confirmed.
+    [[nodiscard]] bool confirmed(instant now, unsigned peers) const;
+    /// Returns how long to wait between reads of the configuration row, so that hosts (with this
+    /// one) stay within the reads per second.
+    [[nodiscard]] duration pollInterval(unsigned hosts) const;
+    [[nodiscard]] config_version version() const noexcept { return m_version; }
+
+private:
+    struct confirmation {
+        instant at;
+        config_version version;
+    };
+
+    explicit freshness(const freshness_options& options);
+
+    freshness_options m_options;
+    config_version m_version;
+    std::optional<confirmation> m_store;
+    std::map<host_id, confirmation> m_peers;
+};
+
+} // namespace pimentomast::membership
--- /dev/null
+++ b/src/membership/host_view.cc
@@ -0,0 +1,123 @@
+#include "pimentomast/membership.h"
+
+#include <algorithm>
+
+namespace pimentomast::membership {
+
+result<host_view> host_view::create(const view_options& options)
+{
+    const auto wrong = [](const char* reason) { return error { "create host view", "", reason }; };
+    if (options.self.value().empty())
+        return wrong("the host's id is empty");
+    if (options.fanout == 0)
+        return wrong("the fanout is 0");
+    if (options.sightingTimeoutMs.count() <= 0 || options.departureTimeoutMs.count() <= 0)
+        return wrong("a timeout is not positive");
+    return host_view(options);
+}
+
+host_view::host_view(view_options options)
+    : m_options(std::move(options))
+    , m_random(m_options.seed)
+{
+}
+
+void host_view::list(instant now, const std::vector<platform::listed_host>& hosts)
+{
+    for (auto& [id, known] : m_hosts)
+        known.listed = false;
+    for (const auto& host : hosts) {
+        if (host.id == m_options.self)
+            continue;
+        auto& known = m_hosts[host.id];
+        known.listed = true;
+        known.listedAt = now;
+        known.peers = host.peers;
+        // A peer's own word that it leaves is newer than the list, so the list never takes it back.
+        known.leaving = known.leaving || host.state == platform::host_state::Leaving;
+    }
+    forgetDeparted(now);
+}
+
+void host_view::sight(instant now, const sighting& seen)
+{
+    if (seen.id == m_options.self || seen.id.value().empty())
+        return;
+    auto& known = m_hosts[seen.id];
+    const bool restarted = known.run != seen.run;
+    known.run = seen.run;
+    known.heardAt = now;
+    known.leaving = restarted ? seen.leaving : known.leaving || seen.leaving;
+    if (seen.peers.port != 0)
+        known.peers = seen.peers;
+}
+
+bool host_view::heardRecently(const entry& known, instant now) const
+{
+    return known.heardAt && now - *known.heardAt <= m_options.sightingTimeoutMs;
+}
+
+bool host_view::mayBeConnected(const entry& known, instant now) const
+{
+    const auto recent = [&](const std::optional<instant>& at) {
+        return at && now - *at <= m_options.departureTimeoutMs;
+    };
+    return known.listed || recent(known.listedAt) || recent(known.heardAt);
+}
+
+void host_view::forgetDeparted(instant now)
+{
+    std::erase_if(m_hosts, [&](const auto& host) { return !mayBeConnected(host.second, now); });
+}
+
+std::vector<member> host_view::live(instant now) const
+{
+    std::vector<member> members;
+    if (!m_leaving)
+        members.push_back({ m_options.self, m_options.run, {} });
+    for (const auto& [id, known] : m_hosts) {
+        if (heardRecently(known, now) && !known.leaving)
+            members.push_back({ id, known.run, known.peers });
+    }
+    std::sort(members.begin(), members.end());
+    return members;
+}
+
+unsigned host_view::connectionSharers(instant now) const
+{
+    const auto sharers = std::count_if(m_hosts.begin(), m_hosts.end(),
+        [&](const auto& host) { return mayBeConnected(host.second, now); });
+    return static_cast<unsigned>(sharers) + 1;
+}
+
+std::vector<endpoint> host_view::exchangePeers(instant now)
+{
+    auto known = allPeers(now);
+    if (known.empty())
+        return m_options.seeds;
+    std::shuffle(known.begin(), known.end(), m_random);
+    if (known.size() > m_options.fanout)
+        known.resize(m_options.fanout);
+    return known;
+}
+
+std::vector<endpoint> host_view::allPeers(instant now) const
+{
+    std::vector<endpoint> peers;
+    for (const auto& [id, known] : m_hosts) {
+        const bool wanted = known.listed || heardRecently(known, now);
+        if (wanted && known.peers.port != 0)
+            peers.push_back(known.peers);
+    }
+    return peers;
+}
+
+std::optional<endpoint> host_view::find(const host_id& id) const
+{
+    const auto found = m_hosts.find(id);
+    if (found == m_hosts.end() || found->second.peers.port == 0)
+        return {};
+    return found->second.peers;
+}
+
+} // namespace pimentomast::membership
