Add route renewals and load reports to the peers' messages

Cause: hosts that forward to targets without token checks need a route lease from the coordinator, and the coordinator alone needs the load of its service: sent to it directly, load costs hosts x services messages, not hosts x hosts.

--- a/include/pimentomast/peers.h
+++ b/include/pimentomast/peers.h
@@ -24,6 +24,8 @@
     virtual wire::NoticeReply publish(const wire::Notice& notice) = 0;
     virtual wire::WitnessReply witness(const wire::WitnessRequest& request) = 0;
     virtual wire::HoldReply hold(const wire::HoldRequest& request) = 0;
+    virtual wire::RouteRenewalReply renewRoute(const wire::RouteRenewal& renewal) = 0;
+    virtual wire::LoadReply reportLoad(const wire::LoadReport& report) = 0;
 };
 
 /// Serves the peers' calls until it is destroyed.
@@ -63,6 +65,10 @@
         reply_handler<wire::WitnessReply> done);
     void hold(const wire::HoldRequest& request, std::chrono::milliseconds timeout,
         reply_handler<wire::HoldReply> done);
+    void renewRoute(const wire::RouteRenewal& renewal, std::chrono::milliseconds timeout,
+        reply_handler<wire::RouteRenewalReply> done);
+    void reportLoad(const wire::LoadReport& report, std::chrono::milliseconds timeout,
+        reply_handler<wire::LoadReply> done);
 
     /// Returns the peer's address.
     [[nodiscard]] const endpoint& address() const noexcept;
--- a/src/peers/client.cc
+++ b/src/peers/client.cc
@@ -108,4 +108,22 @@
     m_state->call<wire::HoldReply>("hold", timeout, std::move(done), invoke);
 }
 
+void client::renewRoute(const wire::RouteRenewal& renewal, std::chrono::milliseconds timeout,
+    reply_handler<wire::RouteRenewalReply> done)
+{
+    auto invoke = [&](auto* context, auto* reply, auto complete) {
+        m_state->stub->async()->RenewRoute(context, &renewal, reply, std::move(complete));
+    };
+    m_state->call<wire::RouteRenewalReply>("renew route", timeout, std::move(done), invoke);
+}
+
+void client::reportLoad(const wire::LoadReport& report, std::chrono::milliseconds timeout,
+    reply_handler<wire::LoadReply> done)
+{
+    auto invoke = [&](auto* context, auto* reply, auto complete) {
+        m_state->stub->async()->ReportLoad(context, &report, reply, std::move(complete));
+    };
+    m_state->call<wire::LoadReply>("report load", timeout, std::move(done), invoke);
+}
+
 } // namespace pimentomast::peers
--- a/src/peers/server.cc
+++ b/src/peers/server.cc
@@ -43,6 +43,18 @@
         return answer(context, [&] { *reply = m_receiver.hold(*request); });
     }
 
+    grpc::ServerUnaryReactor* RenewRoute(grpc::CallbackServerContext* context,
+        const wire::RouteRenewal* request, wire::RouteRenewalReply* reply) override
+    {
+        return answer(context, [&] { *reply = m_receiver.renewRoute(*request); });
+    }
+
+    grpc::ServerUnaryReactor* ReportLoad(grpc::CallbackServerContext* context,
+        const wire::LoadReport* request, wire::LoadReply* reply) override
+    {
+        return answer(context, [&] { *reply = m_receiver.reportLoad(*request); });
+    }
+
 private:
     template <class Call>
     static grpc::ServerUnaryReactor* answer(grpc::CallbackServerContext* context, const Call& call)
--- a/test/peers-test.cc
+++ b/test/peers-test.cc
@@ -29,6 +29,11 @@
         return reply;
     }
     peers::wire::HoldReply hold(const peers::wire::HoldRequest&) override { return {}; }
+    peers::wire::RouteRenewalReply renewRoute(const peers::wire::RouteRenewal&) override
+    {
+        return {};
+    }
+    peers::wire::LoadReply reportLoad(const peers::wire::LoadReport&) override { return {}; }
 };
 
 /// Returns a loopback address for this test process.
