--- a/include/pimentomast/membership.h
+++ b/include/pimentomast/membership.h
@@ -54,8 +54,8 @@
     void list(instant now, const std::vector<platform::listed_host>& hosts);
     /// Records a message that a peer sent.
     void sight(instant now, const sighting& seen);
-    /// Marks this host itself as leaving.
-    void leave() noexcept { m_leaving = true; }
+    /// Marks this host itself as leaving or returned.
+    void setLeaving(bool leaving) noexcept { m_leaving = leaving; }
 
     /// Returns the hosts heard from within the sighting timeout that are not leaving, with self
     /// unless it leaves; sorted by id.
--- a/include/pimentomast/peers.h
+++ b/include/pimentomast/peers.h
@@ -54,7 +54,8 @@
 
     client(const client&) = delete;
     client& operator=(const client&) = delete;
-    /// Does not wait for the calls that still run; their handlers are still called.
+    /// Waits for the calls that still run, each at most for its timeout. Must not be called from a
+    /// reply handler.
     ~client();
 
     void exchange(const wire::Digest& digest, std::chrono::milliseconds timeout,
--- a/src/peers/client.cc
+++ b/src/peers/client.cc
@@ -2,7 +2,9 @@
 
 #include "peers.grpc.pb.h"
 
+#include <condition_variable>
 #include <grpcpp/create_channel.h>
+#include <mutex>
 
 namespace pimentomast::peers {
 namespace {
@@ -10,6 +12,32 @@
 constexpr int reconnectMinMs = 100;
 constexpr int reconnectMaxMs = 1000;
 
+/// Counts the calls whose handlers have not returned yet.
+class running_calls {
+public:
+    void begin()
+    {
+        const std::lock_guard guard(m_lock);
+        ++m_count;
+    }
+    void end()
+    {
+        const std::lock_guard guard(m_lock);
+        --m_count;
+        m_ended.notify_all();
+    }
+    void wait()
+    {
+        std::unique_lock guard(m_lock);
+        m_ended.wait(guard, [this] { return m_count == 0; });
+    }
+
+private:
+    std::mutex m_lock;
+    std::condition_variable m_ended;
+    unsigned m_count = 0;
+};
+
 /// Keeps a call's messages alive until its handler has run.
 template <class Reply>
 struct pending_call {
@@ -40,16 +68,19 @@
         auto pending = std::make_shared<pending_call<Reply>>();
         pending->context.set_deadline(std::chrono::system_clock::now() + timeout);
         pending->done = std::move(done);
-        auto complete = [pending, step, peer = address.text()](const grpc::Status& status) {
+        running.begin();
+        auto complete = [this, pending, step](const grpc::Status& status) {
             if (status.ok())
                 pending->done(std::move(pending->reply));
             else
-                pending->done(error { step, peer, status.error_message() });
+                pending->done(error { step, address.text(), status.error_message() });
+            running.end();
         };
         invoke(&pending->context, &pending->reply, std::move(complete));
     }
 
     endpoint address;
+    running_calls running;
     std::unique_ptr<wire::Peer::Stub> stub;
 };
 
@@ -68,7 +99,7 @@
 {
 }
 
-client::~client() = default;
+client::~client() { m_state->running.wait(); }
 
 const endpoint& client::address() const noexcept { return m_state->address; }
 
--- /dev/null
+++ b/src/serve/announcing_store.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "pimentomast/platform.h"
+#include "pimentomast/table.h"
+
+#include <functional>
+
+namespace pimentomast::serve::detail {
+
+/// The platform's services as the administration API uses them: an accepted table is announced to
+/// all hosts at once, so that it is in force although an outage follows. Thread-safe.
+class announcing_store : public platform::services {
+public:
+    using announce_handler = std::function<void(config_version, const std::string&)>;
+
+    announcing_store(platform::services& store, announce_handler announce)
+        : m_store(store)
+        , m_announce(std::move(announce))
+    {
+    }
+
+    result<std::optional<platform::row>> read(const std::string& key) override
+    {
+        return m_store.read(key);
+    }
+
+    platform::write_outcome write(const std::string& key, row_version expected,
+        const std::string& value, const platform::write_id& id) override
+    {
+        auto outcome = m_store.write(key, expected, value, id);
+        const auto* accepted = std::get_if<platform::write_accepted>(&outcome);
+        if (accepted && key == table::configRow)
+            m_announce(config_version { accepted->version.value() }, value);
+        return outcome;
+    }
+
+    result<void> putObject(const std::string& name, const std::string& bytes) override
+    {
+        return m_store.putObject(name, bytes);
+    }
+
+    result<std::optional<std::string>> getObject(const std::string& name) override
+    {
+        return m_store.getObject(name);
+    }
+
+    result<std::vector<platform::listed_host>> hosts() override { return m_store.hosts(); }
+
+private:
+    platform::services& m_store;
+    announce_handler m_announce;
+};
+
+} // namespace pimentomast::serve::detail
--- /dev/null
+++ b/src/serve/control.cc
@@ -0,0 +1,395 @@
+#include "control.h"
+
+#include "pimentomast/telemetry.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+
+namespace pimentomast::serve::detail {
+namespace {
+
+constexpr unsigned grantsPerTarget = 3;
+constexpr std::chrono::milliseconds grantTimeoutMs { 400 };
+constexpr std::chrono::milliseconds peerTimeoutMs { 400 };
+constexpr std::chrono::milliseconds holdTimeoutMs { 50 };
+
+std::uint64_t seedFor(const control_options& options, const service_id& service)
+{
+    return options.seed ^ hashKey(service.value()).value();
+}
+
+std::vector<table::target_row> targetsOf(const table::table& rows, const service_id& service)
+{
+    std::vector<table::target_row> targets;
+    for (const auto& target : rows.targets) {
+        if (target.service == service)
+            targets.push_back(target);
+    }
+    return targets;
+}
+
+} // namespace
+
+std::string_view name(ownership::role value) noexcept
+{
+    switch (value) {
+    case ownership::role::Standby:
+        return "standby";
+    case ownership::role::Challenger:
+        return "challenger";
+    case ownership::role::TakingOver:
+        return "taking-over";
+    case ownership::role::Holder:
+        return "holder";
+    case ownership::role::Stopped:
+        return "stopped";
+    }
+    return "unknown";
+}
+
+result<std::unique_ptr<control>> control::create(const control_options& options,
+    platform::services& store, peer_book& book, directory& routes, handlers calls)
+{
+    const auto trial = ownership::coordinator::create(
+        { service_id { "trial" }, options.self, options.seed, options.times });
+    if (!trial)
+        return trial.error();
+    return std::unique_ptr<control>(new control(options, store, book, routes, std::move(calls)));
+}
+
+control::control(const control_options& options, platform::services& store, peer_book& book,
+    directory& routes, handlers calls)
+    : m_options(options)
+    , m_store(store)
+    , m_book(book)
+    , m_routes(routes)
+    , m_calls(std::move(calls))
+    , m_grants(grantTimeoutMs)
+    , m_platformPool(options.platformThreads)
+    , m_grantPool(options.grantThreads)
+{
+}
+
+control::~control()
+{
+    m_platformPool.stop();
+    m_grantPool.stop();
+    m_platformPool.join();
+    m_grantPool.join();
+}
+
+control::service_state control::makeState(const table::service_row& row) const
+{
+    const auto seed = seedFor(m_options, row.id);
+    auto core = ownership::coordinator::create({ row.id, m_options.self, seed, m_options.times });
+    auto places = placement::create(row, seed);
+    return { std::move(core).value(), std::move(places).value(), {} };
+}
+
+void control::startService(const table::service_row& row)
+{
+    const std::lock_guard guard(m_lock);
+    if (m_services.contains(row.id))
+        return;
+    auto state = makeState(row);
+    // A coordinator without members and targets asks for nothing, so there are no actions yet.
+    (void)state.core.step(monotonic_clock::now(), ownership::membership_changed { m_live });
+    if (m_stopping)
+        (void)state.core.step(monotonic_clock::now(), ownership::stop {});
+    m_services.emplace(row.id, std::move(state));
+}
+
+void control::applyTable(const table::table& rows)
+{
+    for (const auto& row : rows.services) {
+        if (!row.keyed())
+            continue;
+        startService(row);
+        auto targets = targetsOf(rows, row.id);
+        {
+            const std::lock_guard guard(m_lock);
+            m_services.at(row.id).targets = targets;
+        }
+        deliver(row.id, ownership::table_changed { std::move(targets) });
+    }
+}
+
+void control::applyMembership(const std::vector<membership::member>& live)
+{
+    std::vector<ownership::host_run> runs;
+    for (const auto& host : live)
+        runs.push_back({ host.id, host.run });
+    {
+        const std::lock_guard guard(m_lock);
+        if (m_live == runs)
+            return;
+        m_live = runs;
+    }
+    deliverToAll(ownership::membership_changed { std::move(runs) });
+}
+
+void control::tick() { deliverToAll(ownership::tick {}); }
+
+void control::rebalance()
+{
+    struct wish {
+        service_id service;
+        ownership::placement_wanted wanted;
+    };
+    std::vector<wish> wishes;
+    {
+        const std::lock_guard guard(m_lock);
+        const auto now = monotonic_clock::now();
+        for (auto& [service, state] : m_services) {
+            const auto* committed = state.core.committed();
+            if (!committed || state.core.currentRole() != ownership::role::Holder)
+                continue;
+            wishes.push_back({ service,
+                state.places.plan(now, *committed, state.core.targets(now), state.targets) });
+        }
+    }
+    for (const auto& each : wishes) {
+        if (!each.wanted.slices.empty())
+            deliver(each.service, each.wanted);
+    }
+}
+
+void control::takeLoad(const host_id& host, const wire::LoadReport& report)
+{
+    const std::lock_guard guard(m_lock);
+    const auto now = monotonic_clock::now();
+    for (const auto& load : report.loads()) {
+        const auto found = m_services.find(service_id { load.service() });
+        if (found != m_services.end())
+            found->second.places.takeLoad(now, host, load);
+    }
+}
+
+ownership::witness_answer control::answerWitness(const service_id& service, epoch asked)
+{
+    const std::lock_guard guard(m_lock);
+    const auto found = m_services.find(service);
+    if (found == m_services.end())
+        return { m_options.self.run, {} };
+    const auto todo
+        = found->second.core.step(monotonic_clock::now(), ownership::witness_asked { 0, asked });
+    for (const auto& action : todo) {
+        if (const auto* answered = std::get_if<ownership::answer_witness>(&action))
+            return answered->answer;
+    }
+    return { m_options.self.run, {} };
+}
+
+void control::stop()
+{
+    {
+        const std::lock_guard guard(m_lock);
+        m_stopping = true;
+    }
+    deliverToAll(ownership::stop {});
+}
+
+bool control::stopped() const
+{
+    const std::lock_guard guard(m_lock);
+    return std::all_of(m_services.begin(), m_services.end(), [](const auto& service) {
+        return service.second.core.currentRole() == ownership::role::Stopped;
+    });
+}
+
+std::vector<coordination_status> control::status() const
+{
+    const std::lock_guard guard(m_lock);
+    const auto now = monotonic_clock::now();
+    std::vector<coordination_status> all;
+    for (const auto& [service, state] : m_services) {
+        coordination_status one;
+        one.service = service;
+        one.role = state.core.currentRole();
+        one.number = state.core.currentEpoch();
+        one.runningMoves = state.core.runningMoves();
+        one.targets = state.core.targets(now);
+        if (const auto* committed = state.core.committed())
+            one.slices = committed->slices.size();
+        all.push_back(std::move(one));
+    }
+    return all;
+}
+
+void control::deliver(const service_id& service, const ownership::event& happened)
+{
+    std::vector<ownership::action> todo;
+    {
+        const std::lock_guard guard(m_lock);
+        const auto found = m_services.find(service);
+        if (found == m_services.end())
+            return;
+        todo = found->second.core.step(monotonic_clock::now(), happened);
+    }
+    perform(service, todo);
+}
+
+void control::deliverToAll(const ownership::event& happened)
+{
+    std::vector<service_id> services;
+    {
+        const std::lock_guard guard(m_lock);
+        for (const auto& [service, state] : m_services)
+            services.push_back(service);
+    }
+    for (const auto& service : services)
+        deliver(service, happened);
+}
+
+void control::perform(const service_id& service, const std::vector<ownership::action>& todo)
+{
+    for (const auto& action : todo)
+        std::visit([&](const auto& order) { perform(service, order); }, action);
+}
+
+void control::perform(const service_id& service, const ownership::read_row& order)
+{
+    boost::asio::post(m_platformPool, [this, service, order] {
+        const auto row = m_store.read(order.key);
+        if (row)
+            deliver(service, ownership::row_read { order.request, row.value() });
+        else
+            deliver(service, ownership::row_read_failed { order.request });
+    });
+}
+
+void control::perform(const service_id& service, const ownership::write_row& order)
+{
+    boost::asio::post(m_platformPool, [this, service, order] {
+        auto outcome = m_store.write(order.key, order.expected, order.value, order.writer);
+        deliver(service, ownership::write_finished { order.request, std::move(outcome) });
+    });
+}
+
+void control::perform(const service_id& service, const ownership::send_grant& order)
+{
+    if (!beginGrant(order.target)) {
+        boost::asio::post(m_grantPool, [this, service, order] {
+            deliver(service, ownership::target_failed { order.request, order.target });
+        });
+        return;
+    }
+    boost::asio::post(m_grantPool, [this, service, order] {
+        const auto answer = m_grants.send(order);
+        endGrant(order.target);
+        deliver(service, answer);
+        if (const auto* taken = std::get_if<ownership::target_acknowledged>(&answer))
+            m_calls.report(order.target, taken->reply.target, taken->reply.load);
+    });
+}
+
+bool control::beginGrant(const target_id& target)
+{
+    const std::lock_guard guard(m_grantLock);
+    auto& running = m_grantsRunning[target];
+    if (running >= grantsPerTarget)
+        return false;
+    ++running;
+    return true;
+}
+
+void control::endGrant(const target_id& target)
+{
+    const std::lock_guard guard(m_grantLock);
+    --m_grantsRunning[target];
+}
+
+void control::perform(const service_id& service, const ownership::ask_witness& order)
+{
+    if (order.host == m_options.self.host) {
+        const auto answer = answerWitness(service, order.asked);
+        deliver(service, ownership::witness_answered { order.request, order.host, answer });
+        return;
+    }
+    const auto peer = m_book.find(order.host);
+    if (!peer)
+        return;
+    wire::WitnessRequest request;
+    request.set_service(service.value());
+    request.set_host(m_options.self.host.value());
+    request.set_epoch(order.asked.value());
+    peer->witness(request, peerTimeoutMs, [this, service, order](result<wire::WitnessReply> reply) {
+        if (!reply)
+            return;
+        ownership::witness_answer answer { incarnation { reply.value().incarnation() }, {} };
+        if (reply.value().read())
+            answer.highest = epoch { reply.value().epoch() };
+        deliver(service, ownership::witness_answered { order.request, order.host, answer });
+    });
+}
+
+// Witnesses are answered by answerWitness(), which takes this action's answer itself.
+void control::perform(const service_id&, const ownership::answer_witness&) { }
+
+void control::perform(const service_id&, const ownership::publish_assignment& order)
+{
+    m_calls.publish(order.value);
+}
+
+void control::perform(const service_id& service, const ownership::hold_slice& order)
+{
+    const ownership::hold_answered answered { order.request, order.host };
+    if (order.host == m_options.self.host) {
+        m_routes.hold(service, order.range, order.version, monotonic_clock::now() + order.hold);
+        deliver(service, answered);
+        return;
+    }
+    const auto peer = m_book.find(order.host);
+    if (!peer) {
+        deliver(service, answered);
+        return;
+    }
+    wire::HoldRequest request;
+    request.set_service(service.value());
+    request.set_epoch(order.version.coordinator.value());
+    request.set_sequence(order.version.assignment.value());
+    request.set_first(order.range.first.value());
+    request.set_last(order.range.last.value());
+    request.set_hold_ms(static_cast<std::uint32_t>(order.hold.count()));
+    peer->hold(request, holdTimeoutMs,
+        [this, service, answered](const auto&) { deliver(service, answered); });
+}
+
+void control::renewOwnRoute(const service_id& service, const ownership::renew_route& order)
+{
+    m_routes.renewRoute(service, order);
+    const auto reading = clockUs(monotonic_clock::now());
+    deliver(service,
+        ownership::route_acknowledged {
+            order.request, order.host, m_options.self.run, reading, m_routes.version(service) });
+}
+
+void control::perform(const service_id& service, const ownership::renew_route& order)
+{
+    if (order.host == m_options.self.host) {
+        renewOwnRoute(service, order);
+        return;
+    }
+    const auto peer = m_book.find(order.host);
+    if (!peer)
+        return;
+    peer->renewRoute(toWire(service, order), peerTimeoutMs,
+        [this, service, order](result<wire::RouteRenewalReply> reply) {
+            if (!reply)
+                return;
+            const auto& answer = reply.value();
+            const token version { epoch { answer.epoch() }, sequence { answer.sequence() } };
+            deliver(service,
+                ownership::route_acknowledged { order.request, order.host,
+                    incarnation { answer.incarnation() }, answer.clock_us(), version });
+        });
+}
+
+void control::perform(const service_id& service, const ownership::role_changed& order)
+{
+    telemetry::log(telemetry::severity::Info, "role-changed",
+        { { "service", service.value() }, { "role", std::string(name(order.now)) },
+            { "epoch", std::to_string(order.number.value()) }, { "reason", order.reason } });
+}
+
+} // namespace pimentomast::serve::detail
--- /dev/null
+++ b/src/serve/control.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "directory.h"
+#include "grant_client.h"
+#include "peer_book.h"
+#include "pimentomast/ownership.h"
+#include "pimentomast/platform.h"
+#include "placement.h"
+
+#include <boost/asio/thread_pool.hpp>
+#include <functional>
+#include <map>
+#include <mutex>
+
+namespace pimentomast::serve::detail {
+
+struct control_options {
+    ownership::host_run self;
+    ownership::timings times;
+    std::uint64_t seed = 1;
+    unsigned platformThreads = 4;
+    unsigned grantThreads = 32;
+};
+
+/// Returns the role's name as it stands in logs and in the status.
+[[nodiscard]] std::string_view name(ownership::role value) noexcept;
+
+struct coordination_status {
+    service_id service;
+    ownership::role role = ownership::role::Standby;
+    epoch number;
+    std::size_t slices = 0;
+    std::size_t runningMoves = 0;
+    std::vector<ownership::target_view> targets;
+};
+
+/// Runs this host's coordinators: feeds them events and carries out their actions.
+///
+/// Thread-safe. The lock covers the coordinators' decisions only; no action is carried out and no
+/// other lock is taken while it is held.
+class control {
+public:
+    struct handlers {
+        /// Puts an assignment in force here and sends it to every other host. Must not block.
+        std::function<void(const ownership::assignment&)> publish;
+        /// Takes a target's load report. Must not block.
+        std::function<void(const target_id&, const incarnation&, const ownership::target_load&)>
+            report;
+    };
+
+    /// Fails if the times contradict each other. store, book and routes must outlive the object.
+    [[nodiscard]] static result<std::unique_ptr<control>> create(const control_options& options,
+        platform::services& store, peer_book& book, directory& routes, handlers calls);
+    control(const control&) = delete;
+    control& operator=(const control&) = delete;
+    ~control();
+
+    /// Starts coordinators for new keyed services and tells all of their targets.
+    void applyTable(const table::table& rows);
+    void applyMembership(const std::vector<membership::member>& live);
+    /// Call at least every 50 ms.
+    void tick();
+    /// Proposes better placements for the services that this host coordinates.
+    void rebalance();
+    void takeLoad(const host_id& host, const wire::LoadReport& report);
+    /// Answers as a witness of a service.
+    [[nodiscard]] ownership::witness_answer answerWitness(const service_id& service, epoch asked);
+    /// Hands every service over; stopped() tells when that is done or given up.
+    void stop();
+    [[nodiscard]] bool stopped() const;
+    [[nodiscard]] std::vector<coordination_status> status() const;
+
+private:
+    struct service_state {
+        ownership::coordinator core;
+        placement places;
+        std::vector<table::target_row> targets;
+    };
+
+    control(const control_options& options, platform::services& store, peer_book& book,
+        directory& routes, handlers calls);
+
+    [[nodiscard]] service_state makeState(const table::service_row& row) const;
+    void startService(const table::service_row& row);
+    void deliver(const service_id& service, const ownership::event& happened);
+    void deliverToAll(const ownership::event& happened);
+    void perform(const service_id& service, const std::vector<ownership::action>& todo);
+    void perform(const service_id& service, const ownership::read_row& order);
+    void perform(const service_id& service, const ownership::write_row& order);
+    void perform(const service_id& service, const ownership::send_grant& order);
+    void perform(const service_id& service, const ownership::ask_witness& order);
+    void perform(const service_id& service, const ownership::answer_witness& order);
+    void perform(const service_id& service, const ownership::publish_assignment& order);
+    void perform(const service_id& service, const ownership::hold_slice& order);
+    void perform(const service_id& service, const ownership::renew_route& order);
+    void perform(const service_id& service, const ownership::role_changed& order);
+    void renewOwnRoute(const service_id& service, const ownership::renew_route& order);
+    [[nodiscard]] bool beginGrant(const target_id& target);
+    void endGrant(const target_id& target);
+
+    control_options m_options;
+    platform::services& m_store;
+    peer_book& m_book;
+    directory& m_routes;
+    handlers m_calls;
+    mutable std::mutex m_lock;
+    std::map<service_id, service_state> m_services;
+    std::vector<ownership::host_run> m_live;
+    bool m_stopping = false;
+    std::mutex m_grantLock;
+    std::map<target_id, unsigned> m_grantsRunning;
+    grant_client m_grants;
+    boost::asio::thread_pool m_platformPool;
+    boost::asio::thread_pool m_grantPool;
+};
+
+} // namespace pimentomast::serve::detail
--- /dev/null
+++ b/src/serve/directory.cc
@@ -0,0 +1,141 @@
+#include "directory.h"
+
+#include <algorithm>
+#include <mutex>
+
+namespace pimentomast::serve::detail {
+namespace {
+
+constexpr int assignmentsPerAnswer = 4;
+
+struct owner_visitor {
+    routing::owner_answer operator()(const ownership::route& found) const
+    {
+        return routing::owned_by { found.owner, found.grant };
+    }
+    routing::owner_answer operator()(const ownership::held_route& held) const
+    {
+        return routing::held_until { held.until };
+    }
+    routing::owner_answer operator()(const ownership::no_route&) const
+    {
+        return routing::no_owner {};
+    }
+    routing::owner_answer operator()(const ownership::lapsed_route&) const
+    {
+        return routing::no_owner {};
+    }
+};
+
+bool needsRouteLease(const table::table& rows, const service_id& service)
+{
+    return std::any_of(rows.targets.begin(), rows.targets.end(),
+        [&](const auto& target) { return target.service == service && !target.checksTokens; });
+}
+
+token versionIn(const wire::Digest& digest, const service_id& service)
+{
+    for (const auto& known : digest.assignments()) {
+        if (known.service() == service.value())
+            return { epoch { known.epoch() }, sequence { known.sequence() } };
+    }
+    return {};
+}
+
+} // namespace
+
+routing::owner_answer directory::find(instant now, const service_id& service, key_hash key) const
+{
+    const std::shared_lock guard(m_lock);
+    const auto found = m_services.find(service);
+    if (found == m_services.end())
+        return routing::no_owner {};
+    return std::visit(owner_visitor {}, found->second.routes.find(key, now));
+}
+
+std::shared_ptr<const table::table> directory::rows() const
+{
+    const std::shared_lock guard(m_lock);
+    return m_rows;
+}
+
+void directory::putTable(std::shared_ptr<const table::table> rows)
+{
+    const std::unique_lock guard(m_lock);
+    m_rows = std::move(rows);
+    for (auto& [service, known] : m_services)
+        known.routes.requireLease(needsRouteLease(*m_rows, service));
+}
+
+bool directory::putAssignment(const ownership::assignment& newer, const host_id& coordinator)
+{
+    const std::unique_lock guard(m_lock);
+    auto& known = m_services[newer.service];
+    if (m_rows)
+        known.routes.requireLease(needsRouteLease(*m_rows, newer.service));
+    if (!known.routes.take(newer))
+        return false;
+    known.coordinator = coordinator;
+    return true;
+}
+
+token directory::version(const service_id& service) const
+{
+    const std::shared_lock guard(m_lock);
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? token {} : found->second.routes.version();
+}
+
+std::optional<slice> directory::sliceOf(const service_id& service, key_hash key) const
+{
+    const std::shared_lock guard(m_lock);
+    const auto found = m_services.find(service);
+    if (found == m_services.end() || !found->second.routes.current())
+        return {};
+    const auto* owned = found->second.routes.current()->find(key);
+    return owned ? std::optional(owned->range) : std::nullopt;
+}
+
+host_id directory::coordinator(const service_id& service) const
+{
+    const std::shared_lock guard(m_lock);
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? host_id {} : found->second.coordinator;
+}
+
+void directory::hold(const service_id& service, slice range, token version, instant until)
+{
+    const std::unique_lock guard(m_lock);
+    m_services[service].routes.hold(range, version, until);
+}
+
+void directory::renewRoute(const service_id& service, const ownership::renew_route& renewal)
+{
+    const std::unique_lock guard(m_lock);
+    m_services[service].routes.renew(renewal, m_self);
+}
+
+void directory::describe(wire::Digest& digest) const
+{
+    const std::shared_lock guard(m_lock);
+    for (const auto& [service, known] : m_services) {
+        const auto version = known.routes.version();
+        auto* message = digest.add_assignments();
+        message->set_service(service.value());
+        message->set_epoch(version.coordinator.value());
+        message->set_sequence(version.assignment.value());
+    }
+}
+
+void directory::addNewer(const wire::Digest& digest, wire::Update& update) const
+{
+    const std::shared_lock guard(m_lock);
+    for (const auto& [service, known] : m_services) {
+        const auto* current = known.routes.current();
+        const bool newer = current && current->version() > versionIn(digest, service);
+        if (newer && update.assignments_size() < assignmentsPerAnswer)
+            *update.add_assignments() = toWire(*current, known.coordinator);
+    }
+}
+
+} // namespace pimentomast::serve::detail
--- /dev/null
+++ b/src/serve/directory.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "pimentomast/ownership.h"
+#include "pimentomast/routing.h"
+#include "pimentomast/table.h"
+#include "wire.h"
+
+#include <map>
+#include <memory>
+#include <shared_mutex>
+#include <vector>
+
+namespace pimentomast::serve::detail {
+
+/// The configuration and the assignments that are in force on this host. Thread-safe; its lock is
+/// innermost: no other lock is taken while it is held.
+class directory : public routing::owner_lookup {
+public:
+    explicit directory(incarnation self)
+        : m_self(self)
+    {
+    }
+
+    [[nodiscard]] routing::owner_answer find(
+        instant now, const service_id& service, key_hash key) const override;
+
+    /// Returns the table in force, or null before the first one.
+    [[nodiscard]] std::shared_ptr<const table::table> rows() const;
+    /// Puts a table in force. Precondition: its version is higher than the one in force.
+    void putTable(std::shared_ptr<const table::table> rows);
+
+    /// Takes an assignment if it is newer; coordinator is the host that committed it.
+    /// Returns whether it was taken.
+    bool putAssignment(const ownership::assignment& newer, const host_id& coordinator);
+    /// Returns the version of a service's assignment, (0, 0) if there is none.
+    [[nodiscard]] token version(const service_id& service) const;
+    /// Returns the slice that holds the key, if the service has an assignment.
+    [[nodiscard]] std::optional<slice> sliceOf(const service_id& service, key_hash key) const;
+    /// Returns the host that committed the newest assignment; empty if unknown.
+    [[nodiscard]] host_id coordinator(const service_id& service) const;
+    void hold(const service_id& service, slice range, token version, instant until);
+    void renewRoute(const service_id& service, const ownership::renew_route& renewal);
+
+    /// Adds the versions of all assignments to a digest.
+    void describe(wire::Digest& digest) const;
+    /// Adds to update what the digest's sender lacks, at most a few assignments in one answer.
+    void addNewer(const wire::Digest& digest, wire::Update& update) const;
+
+private:
+    struct entry {
+        ownership::route_table routes;
+        host_id coordinator;
+    };
+
+    mutable std::shared_mutex m_lock;
+    incarnation m_self;
+    std::shared_ptr<const table::table> m_rows;
+    std::map<service_id, entry> m_services;
+};
+
+} // namespace pimentomast::serve::detail
--- /dev/null
+++ b/src/serve/grant_client.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "pimentomast/ownership.h"
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+namespace pimentomast::serve::detail {
+
+/// Sends grant messages to targets over kept connections. Thread-safe.
+class grant_client {
+public:
+    explicit grant_client(std::chrono::milliseconds timeout)
+        : m_timeout(timeout)
+    {
+    }
+
+    /// Sends the message and waits for the answer: target_acknowledged, target_refused or
+    /// target_failed, with the order's request number.
+    [[nodiscard]] ownership::event send(const ownership::send_grant& order);
+
+private:
+    using session = std::unique_ptr<Poco::Net::HTTPClientSession>;
+
+    struct answer {
+        int status = 0;
+        std::string body;
+    };
+
+    [[nodiscard]] answer exchange(const endpoint& address, const std::string& body);
+    [[nodiscard]] session take(const endpoint& address);
+    void keep(const endpoint& address, session idle);
+
+    std::chrono::milliseconds m_timeout;
+    std::mutex m_lock;
+    std::map<endpoint, std::vector<session>> m_idle;
+};
+
+} // namespace pimentomast::serve::detail
--- /dev/null
+++ b/src/serve/load.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "pimentomast/balancing.h"
+#include "wire.h"
+
+#include <map>
+#include <vector>
+
+namespace pimentomast::serve::detail {
+
+/// Counts what this host forwards for its keyed services, by slice and by key.
+/// Pure; not thread-safe.
+class load_meter {
+public:
+    /// Counts a request for a key; range is the slice that holds it.
+    void count(instant now, const service_id& service, slice range, key_hash key);
+    /// Returns the rates of one service since its last report, and starts a new interval.
+    [[nodiscard]] wire::ServiceLoad report(instant now, const service_id& service);
+    /// Returns the services that were counted at all.
+    [[nodiscard]] std::vector<service_id> services() const;
+
+private:
+    struct entry {
+        balancing::sketch keys;
+        std::map<key_hash, std::uint64_t> slices;
+        instant since;
+    };
+
+    entry& find(instant now, const service_id& service);
+
+    std::map<service_id, entry> m_services;
+};
+
+/// Adds up the hosts' reports for one service. Pure; not thread-safe.
+class load_sum {
+public:
+    /// Replaces what a host reported before.
+    void take(instant now, const host_id& host, const wire::ServiceLoad& load);
+    /// Returns the requests per second of the slice that starts at this hash.
+    [[nodiscard]] double slice(instant now, key_hash first) const;
+    [[nodiscard]] std::vector<balancing::hot_key> hotKeys(instant now) const;
+
+private:
+    struct report {
+        instant at;
+        std::map<key_hash, double> slices;
+        std::vector<balancing::hot_key> keys;
+    };
+
+    [[nodiscard]] static bool current(const report& taken, instant now);
+
+    std::map<host_id, report> m_reports;
+};
+
+} // namespace pimentomast::serve::detail
--- /dev/null
+++ b/src/serve/metrics.cc
@@ -0,0 +1,82 @@
+#include "node.h"
+
+#include <set>
+
+namespace pimentomast::serve::detail {
+namespace {
+
+using telemetry::metric;
+
+/// Raises a counter to a total that another library counts.
+void raiseTo(telemetry::counter& counted, std::uint64_t total)
+{
+    const auto shown = counted.value();
+    if (total > shown)
+        counted.add(total - shown);
+}
+
+std::set<std::string_view> exposeRouting(
+    telemetry::registry& metrics, const routing::counters& counts)
+{
+    std::set<std::string_view> names;
+    for (std::size_t i = 0; i < routing::refusalReasons; ++i) {
+        const auto label = routing::name(static_cast<routing::refusal_reason>(i));
+        names.insert(label);
+        raiseTo(metrics.count(metric::Refusals, label), counts.refusals.at(i));
+    }
+    for (std::size_t i = 0; i < routing::retryReasons; ++i) {
+        const auto label = routing::name(static_cast<routing::retry_reason>(i));
+        raiseTo(metrics.count(metric::Retries, label), counts.retries.at(i));
+    }
+    return names;
+}
+
+/// Exposes the proxy's own refusals; a reason that routing counts too is counted there.
+void exposeProxy(telemetry::registry& metrics, const proxy::counters& counts,
+    const std::set<std::string_view>& countedByRouting)
+{
+    for (std::size_t i = 0; i <= static_cast<std::size_t>(proxy::reason::Last); ++i) {
+        const auto why = static_cast<proxy::reason>(i);
+        const auto label = proxy::name(why);
+        if (!countedByRouting.contains(label))
+            raiseTo(metrics.count(metric::Refusals, label), counts.count(why));
+    }
+}
+
+} // namespace
+
+telemetry::registry& node::metrics()
+{
+    updateMetrics();
+    return m_metrics;
+}
+
+void node::updateMetrics()
+{
+    const auto names = exposeRouting(m_metrics, m_dispatch->counts());
+    exposeProxy(m_metrics, m_proxy->counts(), names);
+    const auto state = m_proxy->state();
+    m_metrics.level(metric::Connections, "callers")
+        .set(static_cast<std::int64_t>(state.connections));
+    m_metrics.level(metric::Connections, "targets")
+        .set(static_cast<std::int64_t>(state.targetConnections));
+    m_metrics.level(metric::ConfigVersion)
+        .set(static_cast<std::int64_t>(m_spread->version().value()));
+    for (const auto& service : m_control->status()) {
+        const bool holds = service.role == ownership::role::Holder;
+        m_metrics.level(metric::Coordinating, service.service.value()).set(holds ? 1 : 0);
+        const auto version = m_directory.version(service.service);
+        m_metrics.level(metric::AssignmentSequence, service.service.value())
+            .set(static_cast<std::int64_t>(version.assignment.value()));
+    }
+}
+
+void node::completed(const proxy::completion& finished)
+{
+    const auto& service = finished.service.value();
+    m_metrics.count(metric::Requests, service).add();
+    m_metrics.time(metric::ResponseTime, service).observe(finished.total);
+    m_metrics.time(metric::AddedTime, service).observe(finished.waited);
+}
+
+} // namespace pimentomast::serve::detail
--- /dev/null
+++ b/src/serve/node.cc
@@ -0,0 +1,343 @@
+#include "node.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/StreamCopier.h>
+#include <boost/asio/post.hpp>
+#include <random>
+
+#include "grant_codec.h"
+
+namespace pimentomast::serve::detail {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::chrono::milliseconds routerTickMs { 5 };
+constexpr std::chrono::milliseconds controlTickMs { 25 };
+constexpr std::chrono::milliseconds rebalanceIntervalMs { 1000 };
+constexpr std::chrono::milliseconds loadIntervalMs { 1000 };
+constexpr std::chrono::milliseconds loadTimeoutMs { 500 };
+constexpr std::chrono::milliseconds probeTimeoutMs { 500 };
+constexpr std::chrono::milliseconds handOverLimitMs { 3000 };
+constexpr unsigned probeThreads = 4;
+
+incarnation drawIncarnation()
+{
+    std::random_device device;
+    const auto high = static_cast<std::uint64_t>(device());
+    return incarnation { (high << 31U) ^ device() ^ 1U };
+}
+
+ownership::timings timingsOf(const settings::ownership_settings& values)
+{
+    ownership::timings times;
+    times.targetLease = values.targetLeaseMs;
+    times.targetRenewal = values.renewMs;
+    times.authority = values.authorityMs;
+    times.authorityRenewal = values.authorityRenewMs;
+    times.maxOutage = values.outageLimitMs;
+    times.routeLease = values.routeLeaseMs;
+    return times;
+}
+
+proxy::options proxyOptions(const settings::settings& values)
+{
+    proxy::options options;
+    options.listen = values.host.callers;
+    options.workers = values.limits.workers;
+    options.callerConnections = values.limits.connections;
+    options.headBytes = values.limits.headBytes;
+    options.headTimeout = values.limits.headTimeoutMs;
+    options.idleTimeout = values.limits.idleTimeoutMs;
+    options.bodyTimeout = values.limits.bodyTimeoutMs;
+    options.connectTimeout = values.limits.connectTimeoutMs;
+    return options;
+}
+
+routing::probe_result askHealth(const endpoint& address)
+{
+    const auto started = monotonic_clock::now();
+    try {
+        Poco::Net::HTTPClientSession session(address.ip, address.port);
+        const Poco::Timespan timeout(std::chrono::microseconds(probeTimeoutMs).count());
+        session.setTimeout(timeout, timeout, timeout);
+        Poco::Net::HTTPRequest request("GET", "/pimentomast/health", "HTTP/1.1");
+        session.sendRequest(request);
+        Poco::Net::HTTPResponse response;
+        std::string body;
+        Poco::StreamCopier::copyToString(session.receiveResponse(response), body);
+        const auto reply = parseGrantReply(body);
+        if (response.getStatus() != Poco::Net::HTTPResponse::HTTP_OK || !reply)
+            return routing::probe_failed {};
+        const auto& load = reply.value().load;
+        return routing::probe_answered { { reply.value().target, load.running, load.queued,
+                                             load.slots },
+            monotonic_clock::now() - started };
+    } catch (const Poco::Exception&) {
+        return routing::probe_failed {};
+    }
+}
+
+} // namespace
+
+node::node(const settings::settings& values)
+    : m_values(values)
+    , m_run(drawIncarnation())
+    , m_store(platform::connect({ values.platform.address, values.platform.timeoutMs }).value())
+    , m_directory(m_run)
+    , m_announcing(*m_store,
+          [this](config_version version, const std::string& value) {
+              m_spread->announce(version, value);
+          })
+    , m_probePool(probeThreads)
+{
+    createParts();
+    startListening();
+    m_routerTimer = std::thread([this] { runRouterTimer(); });
+    m_controlTimer = std::thread([this] { runControlTimer(); });
+}
+
+node::~node()
+{
+    m_stopTimers = true;
+    m_routerTimer.join();
+    m_controlTimer.join();
+    m_admin.reset();
+    m_peers.reset();
+    m_proxy.reset();
+    m_probePool.join();
+    m_book->close();
+    m_control.reset();
+    m_spread.reset();
+}
+
+void node::createParts()
+{
+    membership::view_options view;
+    view.self = m_values.host.id;
+    view.run = m_run;
+    view.seed = m_run.value();
+    m_book = std::make_unique<peer_book>(membership::host_view::create(view).value());
+
+    routing::options routes;
+    routes.seed = m_run.value();
+    routes.workers = m_values.limits.workers;
+    m_dispatch = dispatch::create(routes, m_directory,
+        { [this](const auto& target, const auto& address) { probe(target, address); },
+            [this](const auto& news) {
+                m_spread->tellCrash(news);
+            } }).value();
+
+    spread_options spreading;
+    spreading.self = m_values.host.id;
+    spreading.run = m_run;
+    spreading.peers = m_values.host.advertise;
+    spreading.freshness.minPollMs = m_values.platform.pollMs;
+    m_spread = spread::create(spreading, *m_store, *m_book, m_directory,
+        { [this](auto rows) { putTable(std::move(rows)); },
+            [this](const auto& newer, const auto& host) { putAssignment(newer, host); },
+            [this] { return m_dispatch->crashes(); },
+            [this](const auto& news) {
+                m_dispatch->heard(monotonic_clock::now(), news);
+            } }).value();
+
+    control_options controlling;
+    controlling.self = { m_values.host.id, m_run };
+    controlling.times = timingsOf(m_values.ownership);
+    controlling.seed = m_run.value();
+    m_control = control::create(controlling, *m_store, *m_book, m_directory,
+        { [this](const auto& value) {
+             putAssignment(value, m_values.host.id);
+             m_spread->publish(value);
+         },
+            [this](const auto& target, const auto& run, const auto& load) {
+                m_dispatch->report(
+                    monotonic_clock::now(), target, { run, load.running, load.queued, load.slots });
+            } }).value();
+}
+
+void node::startListening()
+{
+    m_proxy = proxy::server::start(proxyOptions(m_values), *m_dispatch, *this).value();
+    m_proxy->setHealthy(false);
+    m_peers = peers::server::start(m_values.host.peers, *this).value();
+    m_admin = admin::server::start({ m_values.host.admin, m_values.admin.token }, *this).value();
+}
+
+void node::putTable(std::shared_ptr<const table::table> rows)
+{
+    const auto now = monotonic_clock::now();
+    m_directory.putTable(rows);
+    m_proxy->setTable(rows);
+    m_dispatch->applyTable(now, rows);
+    m_control->applyTable(*rows);
+    telemetry::log(telemetry::severity::Info, "table-in-force",
+        { { "version", std::to_string(rows->version.value()) }, { "editor", rows->editor } });
+}
+
+void node::putAssignment(const ownership::assignment& newer, const host_id& coordinator)
+{
+    if (m_directory.putAssignment(newer, coordinator))
+        m_dispatch->ownersChanged(monotonic_clock::now(), newer.service);
+}
+
+void node::probe(const target_id& target, const endpoint& address)
+{
+    boost::asio::post(m_probePool, [this, target, address] {
+        const auto ended = askHealth(address);
+        m_dispatch->probed(monotonic_clock::now(), target, ended);
+    });
+}
+
+void node::runRouterTimer()
+{
+    while (!m_stopTimers) {
+        m_dispatch->tick(monotonic_clock::now());
+        std::this_thread::sleep_for(routerTickMs);
+    }
+}
+
+void node::runControlTimer()
+{
+    instant nextRebalance {};
+    instant nextLoad {};
+    while (!m_stopTimers) {
+        const auto now = monotonic_clock::now();
+        m_book->setLeaving(markedLeaving());
+        m_spread->setLeaving(markedLeaving());
+        m_spread->tick(now);
+        m_control->applyMembership(m_book->live(now));
+        m_control->tick();
+        m_dispatch->applyLiveHosts(now, m_book->connectionSharers(now));
+        m_proxy->setHealthy(health().accepting);
+        if (now >= nextLoad) {
+            nextLoad = now + loadIntervalMs;
+            reportLoads(now);
+        }
+        if (now >= nextRebalance) {
+            nextRebalance = now + rebalanceIntervalMs;
+            m_control->rebalance();
+        }
+        std::this_thread::sleep_for(controlTickMs);
+    }
+}
+
+void node::reportLoads(instant now)
+{
+    std::map<host_id, wire::LoadReport> reports;
+    for (auto& load : m_dispatch->takeLoads(now)) {
+        const auto host = m_directory.coordinator(service_id { load.service() });
+        auto& report = reports[host];
+        report.set_host(m_values.host.id.value());
+        *report.add_loads() = std::move(load);
+    }
+    for (const auto& [host, report] : reports) {
+        if (host == m_values.host.id)
+            m_control->takeLoad(host, report);
+        else if (const auto peer = m_book->find(host))
+            peer->reportLoad(report, loadTimeoutMs, [](const auto&) {});
+    }
+}
+
+bool node::markedLeaving() const
+{
+    const auto rows = m_directory.rows();
+    const auto* row = rows ? rows->host(m_values.host.id) : nullptr;
+    return m_draining || (row && row->state == table::mark::Leaving);
+}
+
+void node::drain()
+{
+    m_draining = true;
+    m_proxy->setHealthy(false);
+    telemetry::log(telemetry::severity::Info, "draining", {});
+    m_control->stop();
+    const auto started = monotonic_clock::now();
+    m_proxy->drain(m_values.drain.acceptMs);
+    while (!m_control->stopped() && monotonic_clock::now() - started < handOverLimitMs)
+        std::this_thread::sleep_for(controlTickMs);
+    telemetry::log(telemetry::severity::Info, "drained", {});
+}
+
+admin::health node::health() const
+{
+    if (m_draining)
+        return { false, "stopping" };
+    if (markedLeaving())
+        return { false, "leaving" };
+    if (m_spread->version() == config_version {})
+        return { false, "no-table" };
+    if (!m_spread->confirmed(monotonic_clock::now()))
+        return { false, "table-unconfirmed" };
+    return { true, "" };
+}
+
+bool node::pardon(std::uint64_t fingerprint)
+{
+    const routing::fingerprint print { fingerprint };
+    const auto crashes = m_dispatch->crashes();
+    const bool known = std::any_of(
+        crashes.begin(), crashes.end(), [&](const auto& news) { return news.print == print; });
+    m_dispatch->pardon(monotonic_clock::now(), print);
+    return known;
+}
+
+peers::wire::Update node::exchange(const peers::wire::Digest& digest)
+{
+    return m_spread->exchange(digest);
+}
+
+peers::wire::NoticeReply node::publish(const peers::wire::Notice& notice)
+{
+    return m_spread->take(notice);
+}
+
+peers::wire::WitnessReply node::witness(const peers::wire::WitnessRequest& request)
+{
+    const auto answer
+        = m_control->answerWitness(service_id { request.service() }, epoch { request.epoch() });
+    peers::wire::WitnessReply reply;
+    reply.set_incarnation(answer.run.value());
+    reply.set_read(answer.highest.has_value());
+    if (answer.highest)
+        reply.set_epoch(answer.highest->value());
+    return reply;
+}
+
+peers::wire::HoldReply node::hold(const peers::wire::HoldRequest& request)
+{
+    const service_id service { request.service() };
+    const slice range { key_hash { request.first() }, key_hash { request.last() } };
+    const token version { epoch { request.epoch() }, sequence { request.sequence() } };
+    const auto now = monotonic_clock::now();
+    m_directory.hold(service, range, version, now + std::chrono::milliseconds(request.hold_ms()));
+    if (request.hold_ms() == 0)
+        m_dispatch->ownersChanged(now, service);
+    peers::wire::HoldReply reply;
+    reply.set_incarnation(m_run.value());
+    return reply;
+}
+
+peers::wire::RouteRenewalReply node::renewRoute(const peers::wire::RouteRenewal& renewal)
+{
+    const service_id service { renewal.service() };
+    m_directory.renewRoute(service, fromWire(renewal));
+    const auto version = m_directory.version(service);
+    peers::wire::RouteRenewalReply reply;
+    reply.set_incarnation(m_run.value());
+    reply.set_clock_us(clockUs(monotonic_clock::now()));
+    reply.set_epoch(version.coordinator.value());
+    reply.set_sequence(version.assignment.value());
+    return reply;
+}
+
+peers::wire::LoadReply node::reportLoad(const peers::wire::LoadReport& report)
+{
+    m_control->takeLoad(host_id { report.host() }, report);
+    return {};
+}
+
+} // namespace pimentomast::serve::detail
--- /dev/null
+++ b/src/serve/node.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "announcing_store.h"
+#include "control.h"
+#include "directory.h"
+#include "dispatch.h"
+#include "peer_book.h"
+#include "pimentomast/admin.h"
+#include "pimentomast/peers.h"
+#include "pimentomast/proxy.h"
+#include "pimentomast/settings.h"
+#include "pimentomast/telemetry.h"
+#include "spread.h"
+
+#include <atomic>
+#include <memory>
+#include <thread>
+
+namespace pimentomast::serve::detail {
+
+/// All parts of one entry host, joined. Its own threads are two timers; all other work runs on the
+/// parts' pools. Thread-safe where it implements an interface.
+class node final : public admin::node, public peers::handler, public proxy::observer {
+public:
+    /// Starts the host. Throws failure if a part cannot start.
+    explicit node(const settings::settings& values);
+    node(const node&) = delete;
+    node& operator=(const node&) = delete;
+    ~node() override;
+
+    /// Drains the host; returns once every request has ended.
+    void drain();
+
+    // admin::node
+    [[nodiscard]] admin::health health() const override;
+    [[nodiscard]] std::string statusJson() const override;
+    bool pardon(std::uint64_t fingerprint) override;
+    [[nodiscard]] platform::services& platform() override { return m_announcing; }
+    [[nodiscard]] telemetry::registry& metrics() override;
+
+    // peers::handler
+    peers::wire::Update exchange(const peers::wire::Digest& digest) override;
+    peers::wire::NoticeReply publish(const peers::wire::Notice& notice) override;
+    peers::wire::WitnessReply witness(const peers::wire::WitnessRequest& request) override;
+    peers::wire::HoldReply hold(const peers::wire::HoldRequest& request) override;
+    peers::wire::RouteRenewalReply renewRoute(const peers::wire::RouteRenewal& renewal) override;
+    peers::wire::LoadReply reportLoad(const peers::wire::LoadReport& report) override;
+
+    // proxy::observer
+    void completed(const proxy::completion& finished) override;
+
+private:
+    void createParts();
+    void startListening();
+    void putTable(std::shared_ptr<const table::table> rows);
+    void putAssignment(const ownership::assignment& newer, const host_id& coordinator);
+    void probe(const target_id& target, const endpoint& address);
+    void runRouterTimer();
+    void runControlTimer();
+    void reportLoads(instant now);
+    void updateMetrics();
+    [[nodiscard]] bool markedLeaving() const;
+
+    settings::settings m_values;
+    incarnation m_run;
+    telemetry::registry m_metrics;
+    std::unique_ptr<platform::services> m_store;
+    directory m_directory;
+    std::unique_ptr<peer_book> m_book;
+    std::unique_ptr<dispatch> m_dispatch;
+    std::unique_ptr<spread> m_spread;
+    std::unique_ptr<control> m_control;
+    announcing_store m_announcing;
+    boost::asio::thread_pool m_probePool;
+    std::unique_ptr<proxy::server> m_proxy;
+    std::unique_ptr<peers::server> m_peers;
+    std::unique_ptr<admin::server> m_admin;
+    std::atomic<bool> m_draining { false };
+    std::atomic<bool> m_stopTimers { false };
+    std::thread m_routerTimer;
+    std::thread m_controlTimer;
+};
+
+} // namespace pimentomast::serve::detail
--- /dev/null
+++ b/src/serve/placement.cc
@@ -0,0 +1,121 @@
+#include "placement.h"
+
+#include <algorithm>
+
+namespace pimentomast::serve::detail {
+namespace {
+
+balancing::target_state stateOf(const ownership::target_view& view, const table::target_row& row)
+{
+    if (!view.reachable)
+        return view.leaseOver ? balancing::target_state::Lost : balancing::target_state::Suspect;
+    if (row.state == table::mark::Leaving)
+        return balancing::target_state::Leaving;
+    return balancing::target_state::Ready;
+}
+
+const ownership::target_view* find(
+    const std::vector<ownership::target_view>& views, const target_id& id)
+{
+    const auto found
+        = std::find_if(views.begin(), views.end(), [&](const auto& view) { return view.id == id; });
+    return found == views.end() ? nullptr : &*found;
+}
+
+} // namespace
+
+result<placement> placement::create(const table::service_row& service, std::uint64_t seed)
+{
+    balancing::planner_options options;
+    options.seed = seed;
+    options.churnPrice = service.churnPrice;
+    auto planner = balancing::planner::create(options);
+    if (!planner)
+        return planner.error();
+    return placement(std::move(planner).value());
+}
+
+placement::placement(balancing::planner planner)
+    : m_planner(std::move(planner))
+{
+}
+
+void placement::takeLoad(instant now, const host_id& host, const wire::ServiceLoad& load)
+{
+    m_load.take(now, host, load);
+}
+
+ownership::placement_wanted placement::plan(instant now, const ownership::assignment& committed,
+    const std::vector<ownership::target_view>& views, const std::vector<table::target_row>& rows)
+{
+    followOwners(now, committed);
+    followTargets(now, views);
+    const balancing::plan_input input { now, slices(now, committed), targets(views, rows),
+        m_load.hotKeys(now) };
+    ownership::placement_wanted wanted;
+    for (const auto& proposal : m_planner.plan(input)) {
+        if (const auto* move = std::get_if<balancing::move_slice>(&proposal))
+            wanted.slices.push_back({ move->keys, move->to });
+    }
+    return wanted;
+}
+
+void placement::followOwners(instant now, const ownership::assignment& committed)
+{
+    std::map<key_hash, tenure> current;
+    for (const auto& owned : committed.slices) {
+        const auto known = m_tenures.find(owned.range.first);
+        const bool stays = known != m_tenures.end() && known->second.owner == owned.owner;
+        current[owned.range.first] = { owned.owner, stays ? known->second.since : now };
+    }
+    m_tenures = std::move(current);
+}
+
+void placement::followTargets(instant now, const std::vector<ownership::target_view>& targets)
+{
+    for (const auto& view : targets) {
+        if (!view.reachable)
+            m_readySince.erase(view.id);
+        else
+            m_readySince.try_emplace(view.id, now);
+    }
+}
+
+std::vector<balancing::placed_slice> placement::slices(
+    instant now, const ownership::assignment& committed) const
+{
+    std::vector<balancing::placed_slice> placed;
+    for (const auto& owned : committed.slices) {
+        balancing::placed_slice part;
+        part.keys = owned.range;
+        part.owner = owned.owner;
+        part.load = m_load.slice(now, owned.range.first);
+        part.moved = m_tenures.at(owned.range.first).since;
+        placed.push_back(part);
+    }
+    return placed;
+}
+
+std::vector<balancing::placement_target> placement::targets(
+    const std::vector<ownership::target_view>& views,
+    const std::vector<table::target_row>& rows) const
+{
+    std::vector<balancing::placement_target> all;
+    for (const auto& row : rows) {
+        const auto* view = find(views, row.id);
+        if (!view)
+            continue;
+        const auto ready = m_readySince.find(row.id);
+        balancing::placement_target target;
+        target.id = row.id;
+        target.domain = row.domain;
+        target.weight = row.weight;
+        target.state = stateOf(*view, row);
+        if (ready != m_readySince.end())
+            target.readySince = ready->second;
+        all.push_back(target);
+    }
+    return all;
+}
+
+} // namespace pimentomast::serve::detail
--- /dev/null
+++ b/src/serve/placement.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "load.h"
+#include "pimentomast/balancing.h"
+#include "pimentomast/ownership.h"
+#include "pimentomast/table.h"
+
+#include <map>
+
+namespace pimentomast::serve::detail {
+
+/// Turns what a coordinator knows of its service into the planner's input, and the planner's
+/// proposals into wanted owners. Pure; not thread-safe.
+class placement {
+public:
+    /// Fails if the service's churn price is out of the planner's range.
+    [[nodiscard]] static result<placement> create(
+        const table::service_row& service, std::uint64_t seed);
+
+    void takeLoad(instant now, const host_id& host, const wire::ServiceLoad& load);
+    /// Returns the owners that the planner wants; empty if all is well.
+    [[nodiscard]] ownership::placement_wanted plan(instant now,
+        const ownership::assignment& committed, const std::vector<ownership::target_view>& targets,
+        const std::vector<table::target_row>& rows);
+
+private:
+    /// Since when a slice has its owner.
+    struct tenure {
+        target_id owner;
+        instant since;
+    };
+
+    explicit placement(balancing::planner planner);
+    void followOwners(instant now, const ownership::assignment& committed);
+    void followTargets(instant now, const std::vector<ownership::target_view>& targets);
+    [[nodiscard]] std::vector<balancing::placed_slice> slices(
+        instant now, const ownership::assignment& committed) const;
+    [[nodiscard]] std::vector<balancing::placement_target> targets(
+        const std::vector<ownership::target_view>& views,
+        const std::vector<table::target_row>& rows) const;
+
+    balancing::planner m_planner;
+    load_sum m_load;
+    std::map<key_hash, tenure> m_tenures;
+    std::map<target_id, instant> m_readySince;
+};
+
+} // namespace pimentomast::serve::detail
--- /dev/null
+++ b/src/serve/spread.cc
@@ -0,0 +1,270 @@
+#include "spread.h"
+
+#include "pimentomast/telemetry.h"
+
+#include <boost/asio/post.hpp>
+
+namespace pimentomast::serve::detail {
+namespace {
+
+constexpr std::chrono::milliseconds peerTimeoutMs { 800 };
+constexpr unsigned poolThreads = 2;
+
+void logBadTable(config_version version, const error& cause)
+{
+    telemetry::log(telemetry::severity::Error, "table-refused",
+        { { "version", std::to_string(version.value()) }, { "reason", cause.text() } });
+}
+
+/// Clears the flag when the work that it marks as running has ended.
+class running_guard {
+public:
+    explicit running_guard(std::atomic<bool>& flag)
+        : m_flag(flag)
+    {
+    }
+    running_guard(const running_guard&) = delete;
+    running_guard& operator=(const running_guard&) = delete;
+    ~running_guard() { m_flag = false; }
+
+private:
+    std::atomic<bool>& m_flag;
+};
+
+} // namespace
+
+result<std::unique_ptr<spread>> spread::create(const spread_options& options,
+    platform::services& store, peer_book& book, const directory& routes, handlers calls)
+{
+    auto fresh = membership::freshness::create(options.freshness);
+    if (!fresh)
+        return fresh.error();
+    return std::unique_ptr<spread>(
+        new spread(options, std::move(fresh).value(), store, book, routes, std::move(calls)));
+}
+
+spread::spread(const spread_options& options, membership::freshness fresh,
+    platform::services& store, peer_book& book, const directory& routes, handlers calls)
+    : m_options(options)
+    , m_store(store)
+    , m_book(book)
+    , m_routes(routes)
+    , m_calls(std::move(calls))
+    , m_fresh(std::move(fresh))
+    , m_pool(poolThreads)
+{
+}
+
+spread::~spread()
+{
+    m_pool.stop();
+    m_pool.join();
+}
+
+bool spread::due(instant& next, instant now, duration interval) const
+{
+    if (now < next)
+        return false;
+    next = now + interval;
+    return true;
+}
+
+void spread::tick(instant now)
+{
+    const auto hosts = m_book.connectionSharers(now);
+    const bool readConfigNow
+        = due(m_nextConfig, now, m_fresh.pollInterval(hosts)) && !m_readingConfig.exchange(true);
+    if (readConfigNow)
+        boost::asio::post(m_pool, [this] { readConfig(); });
+    const bool readHostsNow
+        = due(m_nextHosts, now, m_options.hostsIntervalMs) && !m_readingHosts.exchange(true);
+    if (readHostsNow)
+        boost::asio::post(m_pool, [this] { readHosts(); });
+    if (!due(m_nextExchange, now, m_options.exchangeIntervalMs))
+        return;
+    for (const auto& peer : m_book.exchangePeers(now))
+        exchangeWith(peer);
+}
+
+void spread::readConfig()
+{
+    const running_guard running(m_readingConfig);
+    const auto sentAt = monotonic_clock::now();
+    const auto row = m_store.read(std::string(table::configRow));
+    if (!row || !row.value())
+        return;
+    const config_version version { row.value()->version.value() };
+    takeTable(version, row.value()->value);
+    const std::lock_guard guard(m_lock);
+    m_fresh.storeRead(sentAt, version);
+}
+
+void spread::readHosts()
+{
+    const running_guard running(m_readingHosts);
+    const auto listed = m_store.hosts();
+    if (listed)
+        m_book.list(monotonic_clock::now(), listed.value());
+}
+
+void spread::takeTable(config_version version, const std::string& value)
+{
+    // Held until the table is in force, so that an older one is never put over a newer one.
+    const std::lock_guard applying(m_applyLock);
+    if (version <= this->version())
+        return;
+    auto decoded = table::decode(version, value);
+    if (!decoded) {
+        logBadTable(version, decoded.error());
+        return;
+    }
+    {
+        const std::lock_guard guard(m_lock);
+        if (!m_fresh.offer(version))
+            return;
+        m_table.set_version(version.value());
+        m_table.set_value(value);
+    }
+    m_calls.putTable(std::make_shared<const table::table>(std::move(decoded).value()));
+}
+
+void spread::takeAssignment(const wire::Assignment& message)
+{
+    const auto value = fromWire(message);
+    if (!value)
+        throw failure(value.error());
+    m_calls.putAssignment(value.value(), host_id { message.coordinator() });
+}
+
+wire::Digest spread::digest(instant now) const
+{
+    wire::Digest digest;
+    digest.set_host(m_options.self.value());
+    digest.set_incarnation(m_options.run.value());
+    digest.set_leaving(m_leaving);
+    digest.set_ip(m_options.peers.ip);
+    digest.set_port(m_options.peers.port);
+    digest.set_table_version(version().value());
+    m_routes.describe(digest);
+    for (const auto& news : m_calls.crashes())
+        *digest.add_crashes() = toWire(news, now);
+    return digest;
+}
+
+void spread::exchangeWith(const peer_book::client_pointer& peer)
+{
+    const auto sentAt = monotonic_clock::now();
+    const auto address = peer->address();
+    peer->exchange(digest(sentAt), peerTimeoutMs, [this, sentAt, address](auto reply) {
+        if (!reply)
+            return;
+        const auto& update = reply.value();
+        m_book.sight(monotonic_clock::now(),
+            { host_id { update.host() }, incarnation { update.incarnation() }, address,
+                update.leaving() });
+        boost::asio::post(m_pool, [this, sentAt, update] { takeUpdate(sentAt, update); });
+    });
+}
+
+void spread::takeUpdate(instant sentAt, const wire::Update& update)
+{
+    if (update.has_table())
+        takeTable(config_version { update.table().version() }, update.table().value());
+    {
+        const std::lock_guard guard(m_lock);
+        m_fresh.peerHas(
+            sentAt, host_id { update.host() }, config_version { update.table_version() });
+    }
+    const auto now = monotonic_clock::now();
+    for (const auto& news : update.crashes())
+        m_calls.heard(fromWire(news, now));
+    try {
+        for (const auto& message : update.assignments())
+            takeAssignment(message);
+    } catch (const failure& caught) {
+        telemetry::log(telemetry::severity::Error, "assignment-refused",
+            { { "peer", update.host() }, { "reason", caught.cause().text() } });
+    }
+}
+
+wire::Update spread::exchange(const wire::Digest& digest)
+{
+    const auto now = monotonic_clock::now();
+    const endpoint peers { digest.ip(), static_cast<std::uint16_t>(digest.port()) };
+    m_book.sight(now,
+        { host_id { digest.host() }, incarnation { digest.incarnation() }, peers,
+            digest.leaving() });
+    for (const auto& news : digest.crashes())
+        m_calls.heard(fromWire(news, now));
+    wire::Update update;
+    update.set_host(m_options.self.value());
+    update.set_incarnation(m_options.run.value());
+    update.set_leaving(m_leaving);
+    for (const auto& news : m_calls.crashes())
+        *update.add_crashes() = toWire(news, now);
+    m_routes.addNewer(digest, update);
+    const std::lock_guard guard(m_lock);
+    update.set_table_version(m_fresh.version().value());
+    if (m_fresh.version().value() > digest.table_version())
+        *update.mutable_table() = m_table;
+    return update;
+}
+
+wire::NoticeReply spread::take(const wire::Notice& notice)
+{
+    if (notice.has_table())
+        takeTable(config_version { notice.table().version() }, notice.table().value());
+    for (const auto& message : notice.assignments())
+        takeAssignment(message);
+    wire::NoticeReply reply;
+    reply.set_incarnation(m_options.run.value());
+    reply.set_table_version(version().value());
+    return reply;
+}
+
+void spread::publish(const ownership::assignment& value)
+{
+    wire::Notice notice;
+    notice.set_host(m_options.self.value());
+    *notice.add_assignments() = toWire(value, m_options.self);
+    notifyAll(notice);
+}
+
+void spread::announce(config_version version, const std::string& value)
+{
+    takeTable(version, value);
+    wire::Notice notice;
+    notice.set_host(m_options.self.value());
+    notice.mutable_table()->set_version(version.value());
+    notice.mutable_table()->set_value(value);
+    notifyAll(notice);
+}
+
+void spread::tellCrash(const routing::crash& news)
+{
+    wire::Digest message = digest(monotonic_clock::now());
+    *message.add_crashes() = toWire(news, monotonic_clock::now());
+    for (const auto& peer : m_book.all(monotonic_clock::now()))
+        peer->exchange(message, peerTimeoutMs, [](const auto&) {});
+}
+
+void spread::notifyAll(const wire::Notice& notice)
+{
+    for (const auto& peer : m_book.all(monotonic_clock::now()))
+        peer->publish(notice, peerTimeoutMs, [](const auto&) {});
+}
+
+bool spread::confirmed(instant now) const
+{
+    const auto peers = m_book.connectionSharers(now) - 1;
+    const std::lock_guard guard(m_lock);
+    return m_fresh.confirmed(now, peers);
+}
+
+config_version spread::version() const
+{
+    const std::lock_guard guard(m_lock);
+    return m_fresh.version();
+}
+
+} // namespace pimentomast::serve::detail
--- /dev/null
+++ b/src/serve/spread.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "directory.h"
+#include "peer_book.h"
+#include "pimentomast/membership.h"
+#include "pimentomast/peers.h"
+#include "pimentomast/platform.h"
+
+#include <atomic>
+#include <boost/asio/thread_pool.hpp>
+#include <functional>
+#include <mutex>
+
+namespace pimentomast::serve::detail {
+
+struct spread_options {
+    host_id self;
+    incarnation run;
+    /// Where this host listens for peers, as the others see it.
+    endpoint peers;
+    membership::freshness_options freshness;
+    std::chrono::milliseconds exchangeIntervalMs { 500 };
+    std::chrono::milliseconds hostsIntervalMs { 1000 };
+};
+
+/// Spreads tables, assignments and crashes between the hosts, and reads the platform's rows.
+///
+/// Thread-safe. Lock order: apply lock, then the lock of freshness and raw table. The apply lock is
+/// held while a table is put in force; the other one is never held while another object is called.
+class spread {
+public:
+    struct handlers {
+        /// Puts a newer table in force. Must not block on the network.
+        std::function<void(std::shared_ptr<const table::table>)> putTable;
+        /// Puts a newer assignment in force.
+        std::function<void(const ownership::assignment&, const host_id&)> putAssignment;
+        std::function<std::vector<routing::crash>()> crashes;
+        std::function<void(const routing::crash&)> heard;
+    };
+
+    /// Fails if a time is not positive. store, book and routes must outlive the object.
+    [[nodiscard]] static result<std::unique_ptr<spread>> create(const spread_options& options,
+        platform::services& store, peer_book& book, const directory& routes, handlers calls);
+    spread(const spread&) = delete;
+    spread& operator=(const spread&) = delete;
+    ~spread();
+
+    /// Starts what is due: reads of the store, rounds of exchange. Call at least every 100 ms.
+    void tick(instant now);
+    void setLeaving(bool leaving) noexcept { m_leaving = leaving; }
+
+    /// Sends an assignment that this host committed to every other host.
+    void publish(const ownership::assignment& value);
+    /// Sends news of a crash to every other host.
+    void tellCrash(const routing::crash& news);
+
+    /// Puts a table in force that was read from or written to the store, and sends it to every
+    /// other host.
+    void announce(config_version version, const std::string& value);
+
+    [[nodiscard]] wire::Update exchange(const wire::Digest& digest);
+    [[nodiscard]] wire::NoticeReply take(const wire::Notice& notice);
+
+    /// Whether the version in force was confirmed lately by the store or a majority of peers.
+    [[nodiscard]] bool confirmed(instant now) const;
+    [[nodiscard]] config_version version() const;
+
+private:
+    spread(const spread_options& options, membership::freshness fresh, platform::services& store,
+        peer_book& book, const directory& routes, handlers calls);
+
+    void readConfig();
+    void readHosts();
+    void exchangeWith(const peer_book::client_pointer& peer);
+    void takeUpdate(instant sentAt, const wire::Update& update);
+    void takeTable(config_version version, const std::string& value);
+    void takeAssignment(const wire::Assignment& message);
+    void notifyAll(const wire::Notice& notice);
+    [[nodiscard]] wire::Digest digest(instant now) const;
+    [[nodiscard]] bool due(instant& next, instant now, duration interval) const;
+
+    spread_options m_options;
+    platform::services& m_store;
+    peer_book& m_book;
+    const directory& m_routes;
+    handlers m_calls;
+    std::atomic<bool> m_leaving { false };
+    std::atomic<bool> m_readingConfig { false };
+    std::atomic<bool> m_readingHosts { false };
+    instant m_nextConfig {};
+    instant m_nextHosts {};
+    instant m_nextExchange {};
+    std::mutex m_applyLock;
+    mutable std::mutex m_lock;
+    membership::freshness m_fresh;
+    wire::Table m_table;
+    boost::asio::thread_pool m_pool;
+};
+
+} // namespace pimentomast::serve::detail
--- /dev/null
+++ b/src/serve/status.cc
@@ -0,0 +1,73 @@
+#include "node.h"
+
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+#include <sstream>
+
+namespace pimentomast::serve::detail {
+namespace {
+
+using Poco::JSON::Array;
+using Poco::JSON::Object;
+using telemetry::metric;
+
+Object::Ptr describe(const coordination_status& service)
+{
+    Object::Ptr object = new Object;
+    object->set("service", service.service.value());
+    object->set("role", std::string(name(service.role)));
+    object->set("epoch", service.number.value());
+    object->set("slices", static_cast<unsigned>(service.slices));
+    object->set("moves", static_cast<unsigned>(service.runningMoves));
+    Array::Ptr unreachable = new Array;
+    for (const auto& target : service.targets) {
+        if (!target.reachable)
+            unreachable->add(target.id.value());
+    }
+    object->set("unreachable_targets", unreachable);
+    return object;
+}
+
+Object::Ptr describe(const routing::target_view& target)
+{
+    Object::Ptr object = new Object;
+    object->set("target", target.target.value());
+    object->set("service", target.service.value());
+    object->set("outstanding", target.outstanding);
+    object->set("queued", target.queued);
+    object->set("window", target.window);
+    object->set("ejected", target.ejected);
+    return object;
+}
+
+} // namespace
+
+std::string node::statusJson() const
+{
+    const auto now = monotonic_clock::now();
+    const auto healthy = health();
+    Object status;
+    status.set("host", m_values.host.id.value());
+    status.set("domain", m_values.host.domain.value());
+    status.set("incarnation", std::to_string(m_run.value()));
+    status.set("accepting", healthy.accepting);
+    status.set("reason", healthy.reason);
+    status.set("table_version", m_spread->version().value());
+    Array::Ptr hosts = new Array;
+    for (const auto& member : m_book->live(now))
+        hosts->add(member.id.value());
+    status.set("live_hosts", hosts);
+    Array::Ptr services = new Array;
+    for (const auto& service : m_control->status())
+        services->add(describe(service));
+    status.set("services", services);
+    Array::Ptr targets = new Array;
+    for (const auto& target : m_dispatch->targets())
+        targets->add(describe(target));
+    status.set("targets", targets);
+    std::ostringstream text;
+    status.stringify(text, 2);
+    return text.str();
+}
+
+} // namespace pimentomast::serve::detail
--- /dev/null
+++ b/src/serve/wire.cc
@@ -0,0 +1,105 @@
+#include "wire.h"
+
+namespace pimentomast::serve::detail {
+namespace {
+
+void fill(wire::Slice& message, const ownership::owned_slice& owned)
+{
+    message.set_first(owned.range.first.value());
+    message.set_last(owned.range.last.value());
+    message.set_owner(owned.owner.value());
+    message.set_token_epoch(owned.grant.coordinator.value());
+    message.set_token_sequence(owned.grant.assignment.value());
+    if (owned.standby)
+        message.set_standby(owned.standby->value());
+}
+
+ownership::owned_slice readSlice(const wire::Slice& message)
+{
+    ownership::owned_slice owned;
+    owned.range = { key_hash { message.first() }, key_hash { message.last() } };
+    owned.owner = target_id { message.owner() };
+    owned.grant = { epoch { message.token_epoch() }, sequence { message.token_sequence() } };
+    if (!message.standby().empty())
+        owned.standby = target_id { message.standby() };
+    return owned;
+}
+
+} // namespace
+
+wire::Assignment toWire(const ownership::assignment& value, const host_id& coordinator)
+{
+    wire::Assignment message;
+    message.set_service(value.service.value());
+    message.set_epoch(value.coordinator.value());
+    message.set_sequence(value.number.value());
+    message.set_coordinator(coordinator.value());
+    for (const auto& owned : value.slices)
+        fill(*message.add_slices(), owned);
+    return message;
+}
+
+result<ownership::assignment> fromWire(const wire::Assignment& message)
+{
+    ownership::assignment value;
+    value.service = service_id { message.service() };
+    value.coordinator = epoch { message.epoch() };
+    value.number = sequence { message.sequence() };
+    for (const auto& owned : message.slices())
+        value.slices.push_back(readSlice(owned));
+    if (auto checked = ownership::check(value); !checked)
+        return checked.error();
+    return value;
+}
+
+wire::Crash toWire(const routing::crash& news, instant now)
+{
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - news.at);
+    wire::Crash message;
+    message.set_fingerprint(news.print.value());
+    message.set_target(news.target.value());
+    message.set_target_incarnation(news.run.value());
+    message.set_age_ms(static_cast<std::uint64_t>(std::max<std::int64_t>(age.count(), 0)));
+    message.set_forgiven(news.forgiven);
+    return message;
+}
+
+routing::crash fromWire(const wire::Crash& message, instant now)
+{
+    routing::crash news;
+    news.print = routing::fingerprint { message.fingerprint() };
+    news.target = target_id { message.target() };
+    news.run = incarnation { message.target_incarnation() };
+    news.at = now - std::chrono::milliseconds(message.age_ms());
+    news.forgiven = message.forgiven();
+    return news;
+}
+
+wire::RouteRenewal toWire(const service_id& service, const ownership::renew_route& renewal)
+{
+    wire::RouteRenewal message;
+    message.set_service(service.value());
+    message.set_incarnation(renewal.run.value());
+    message.set_epoch(renewal.version.coordinator.value());
+    message.set_sequence(renewal.version.assignment.value());
+    message.set_echo_us(renewal.echoUs);
+    message.set_lease_ms(static_cast<std::uint32_t>(renewal.lease.count()));
+    return message;
+}
+
+ownership::renew_route fromWire(const wire::RouteRenewal& message)
+{
+    ownership::renew_route renewal;
+    renewal.run = incarnation { message.incarnation() };
+    renewal.version = { epoch { message.epoch() }, sequence { message.sequence() } };
+    renewal.echoUs = message.echo_us();
+    renewal.lease = std::chrono::milliseconds(message.lease_ms());
+    return renewal;
+}
+
+std::uint64_t clockUs(instant now) noexcept
+{
+    return static_cast<std::uint64_t>(now.time_since_epoch().count());
+}
+
+} // namespace pimentomast::serve::detail
--- /dev/null
+++ b/src/serve/wire.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "peers.pb.h"
+#include "pimentomast/ownership.h"
+#include "pimentomast/routing.h"
+
+/// Conversions between the peers' messages and the types of the pure libraries.
+namespace pimentomast::serve::detail {
+
+namespace wire = peers::wire;
+
+[[nodiscard]] wire::Assignment toWire(
+    const ownership::assignment& value, const host_id& coordinator);
+/// Returns the assignment, checked whole. Fails if its slices do not cover the hash space once.
+[[nodiscard]] result<ownership::assignment> fromWire(const wire::Assignment& message);
+
+[[nodiscard]] wire::Crash toWire(const routing::crash& news, instant now);
+[[nodiscard]] routing::crash fromWire(const wire::Crash& message, instant now);
+
+[[nodiscard]] wire::RouteRenewal toWire(
+    const service_id& service, const ownership::renew_route& renewal);
+[[nodiscard]] ownership::renew_route fromWire(const wire::RouteRenewal& message);
+
+/// Returns the clock's reading in microseconds, as route leases carry it.
+[[nodiscard]] std::uint64_t clockUs(instant now) noexcept;
+
+} // namespace pimentomast::serve::detail
