--- a/src/platform/platform.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "pimentomast/platform.h"
--- /dev/null
+++ b/src/platform/session-pool.cc
@@ -0,0 +1,69 @@
+#include "session-pool.h"
+
+namespace pimentomast::platform::detail {
+
+namespace {
+Poco::Timespan timespan(std::chrono::milliseconds span)
+{
+    return Poco::Timespan(std::chrono::microseconds(span).count());
+}
+} // namespace
+
+session::session(const endpoint& address)
+    : HTTPClientSession(address.ip, address.port)
+{
+    setKeepAlive(true);
+}
+
+void session::open(std::chrono::milliseconds timeout)
+{
+    setTimeout(timespan(timeout));
+    reconnect();
+    socket().setNoDelay(true);
+}
+
+void session::bound(std::chrono::milliseconds timeout)
+{
+    socket().setReceiveTimeout(timespan(timeout));
+    socket().setSendTimeout(timespan(timeout));
+}
+
+bool session::reusable()
+{
+    if (!connected())
+        return false;
+    return !socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
+}
+
+session_pool::session_pool(endpoint address)
+    : m_address(std::move(address))
+{
+}
+
+std::unique_ptr<session> session_pool::takeIdle()
+{
+    const std::lock_guard lock(m_mutex);
+    while (!m_idle.empty()) {
+        auto last = std::move(m_idle.back());
+        m_idle.pop_back();
+        if (last->reusable())
+            return last;
+    }
+    return nullptr;
+}
+
+std::unique_ptr<session> session_pool::openNew(std::chrono::milliseconds timeout) const
+{
+    auto opened = std::make_unique<session>(m_address);
+    opened->open(timeout);
+    return opened;
+}
+
+void session_pool::giveBack(std::unique_ptr<session> idle)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_idle.size() < maxIdle)
+        m_idle.push_back(std::move(idle));
+}
+
+} // namespace pimentomast::platform::detail
--- /dev/null
+++ b/src/platform/session-pool.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "pimentomast/platform.h"
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+namespace pimentomast::platform::detail {
+
+/// HTTP session that never opens a connection behind its user's back.
+class session : public Poco::Net::HTTPClientSession {
+public:
+    explicit session(const endpoint& address);
+
+    /// Opens the connection. Throws a Poco exception if it cannot be made within the timeout.
+    void open(std::chrono::milliseconds timeout);
+    /// Bounds each following receive and send.
+    void bound(std::chrono::milliseconds timeout);
+    /// Returns whether an idle connection is still open and has received nothing.
+    [[nodiscard]] bool reusable();
+
+protected:
+    [[nodiscard]] bool mustReconnect() const override { return false; }
+};
+
+/// Idle connections to one server. Thread-safe.
+class session_pool {
+public:
+    explicit session_pool(endpoint address);
+
+    /// Returns an idle connection that is still usable, or nothing.
+    [[nodiscard]] std::unique_ptr<session> takeIdle();
+    /// Returns a connection opened now. Throws a Poco exception if none can be made.
+    [[nodiscard]] std::unique_ptr<session> openNew(std::chrono::milliseconds timeout) const;
+    /// Keeps a connection whose last answer was read to its end.
+    void giveBack(std::unique_ptr<session> idle);
+
+private:
+    static constexpr std::size_t maxIdle = 16;
+
+    endpoint m_address;
+    std::mutex m_mutex;
+    std::vector<std::unique_ptr<session>> m_idle;
+};
+
+} // namespace pimentomast::platform::detail
