Add thin settings, telemetry, table and administration API

The entry host needs their public headers. Settings are a typed struct checked whole; the table is parsed by libcsv, merged by row and column and kept by compare-and-set with a bounded history of rows; the administration API answers over POCO's HTTP server. Not yet tested.

--- a/include/pimentomast/settings.h
+++ b/include/pimentomast/settings.h
@@ -1,3 +1,138 @@
 #pragma once
 
 #include "pimentomast/core.h"
+
+#include <span>
+#include <variant>
+#include <vector>
+
+/// Settings of a process, read from an INI file and checked whole before anything starts.
+namespace pimentomast::settings {
+
+using milliseconds = std::chrono::milliseconds;
+
+struct host_settings {
+    host_id id;
+    domain_id domain;
+    /// Where callers connect.
+    endpoint callers;
+    /// Where the other entry hosts connect (gRPC).
+    endpoint peers;
+    /// Where operators and the balancer's health check connect (HTTP).
+    endpoint admin;
+    /// Address of `peers` as the other hosts see it; equals `peers` unless set.
+    endpoint advertise;
+};
+
+struct platform_settings {
+    endpoint address;
+    milliseconds timeoutMs { 500 };
+    /// Time between two reads of the configuration's version.
+    milliseconds pollMs { 500 };
+};
+
+struct admin_settings {
+    /// Bearer token of the administration API. Secret: never logged or shown.
+    std::string token;
+};
+
+struct limit_settings {
+    unsigned workers = 32;
+    unsigned connections = 8192;
+    unsigned headBytes = 32768;
+    milliseconds headTimeoutMs { 10000 };
+    milliseconds bodyTimeoutMs { 30000 };
+    milliseconds idleTimeoutMs { 60000 };
+    milliseconds connectTimeoutMs { 1000 };
+    /// Requests that may wait on this host, all services together.
+    unsigned queue = 1024;
+};
+
+struct ownership_settings {
+    milliseconds targetLeaseMs { 1500 };
+    milliseconds renewMs { 250 };
+    milliseconds authorityMs { 900 };
+    milliseconds authorityRenewMs { 200 };
+    milliseconds routeLeaseMs { 1000 };
+    /// For how long a coordinator may go on while the platform's store is out.
+    milliseconds outageLimitMs { 3600000 };
+};
+
+enum class log_level {
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+enum class log_sink {
+    Console,
+    File,
+};
+enum class log_format {
+    Text,
+    Json,
+};
+
+struct log_settings {
+    log_level level = log_level::Info;
+    log_sink sink = log_sink::Console;
+    /// Path of the log file; required for the file sink.
+    std::string file;
+    log_format format = log_format::Text;
+};
+
+struct drain_settings {
+    /// For how long a leaving host still accepts connections after it reports itself unhealthy.
+    milliseconds acceptMs { 3000 };
+};
+
+struct settings {
+    host_settings host;
+    platform_settings platform;
+    admin_settings admin;
+    limit_settings limits;
+    ownership_settings ownership;
+    log_settings log;
+    drain_settings drain;
+};
+
+/// One fault of a settings file. An empty key means the whole section.
+struct problem {
+    std::string section;
+    std::string key;
+    std::string reason;
+
+    /// Returns "[section] key: reason".
+    [[nodiscard]] std::string text() const;
+    bool operator==(const problem&) const = default;
+};
+
+/// The settings, or every fault that was found.
+using checked = std::variant<settings, std::vector<problem>>;
+
+/// Checks the text of an INI file whole. No fault text holds the value of a secret.
+/// Thread-safe.
+[[nodiscard]] checked check(const std::string& text);
+
+/// Returns the settings of the text; the error's reason lists every fault, one a line.
+/// Thread-safe.
+[[nodiscard]] result<settings> parse(const std::string& text);
+
+/// Reads and parses a file. The error names the file. Thread-safe.
+[[nodiscard]] result<settings> load(const std::string& path);
+
+/// What is known of one key, for the checks and the documentation.
+struct key_description {
+    std::string section;
+    std::string key;
+    bool required = false;
+    bool secret = false;
+};
+
+/// Returns every key that a settings file may have. Thread-safe.
+[[nodiscard]] std::vector<key_description> describeKeys();
+
+/// Returns "[section] key = value" lines of all settings, secrets replaced by "(set)".
+[[nodiscard]] std::string describe(const settings& values);
+
+} // namespace pimentomast::settings
--- a/include/pimentomast/table.h
+++ b/include/pimentomast/table.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "pimentomast/core.h"
+#include "pimentomast/platform.h"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <set>
 #include <string>
@@ -99,4 +101,203 @@
 /// Returns the CSV form, which parse() reads back to an equal table.
 [[nodiscard]] std::string format(const table& rows);
 
+/// Name and meaning of a column, and the kinds of row that use it.
+struct column_description {
+    std::string name;
+    std::string usedBy;
+    std::string meaning;
+};
+
+/// Returns all columns in the order of format(). Thread-safe.
+[[nodiscard]] const std::vector<column_description>& columns();
+
+enum class row_kind {
+    Service,
+    Target,
+    Host,
+};
+
+/// Names a row across versions of the table.
+struct row_name {
+    row_kind kind = row_kind::Service;
+    std::string id;
+
+    /// Returns for example "target w1".
+    [[nodiscard]] std::string text() const;
+    auto operator<=>(const row_name&) const = default;
+};
+
+/// One cell that differs. A whole row that was added or removed has an empty column, and an empty
+/// before or after.
+struct change {
+    row_name row;
+    std::string column;
+    std::string before;
+    std::string after;
+
+    /// Returns for example "target w1, weight: 1 -> 2".
+    [[nodiscard]] std::string text() const;
+    auto operator<=>(const change&) const = default;
+};
+
+/// Returns what turns one table into the other, sorted by row. Thread-safe.
+[[nodiscard]] std::vector<change> difference(const table& before, const table& after);
+
+/// One cell (or, with an empty column, one row) that two editors set to different values.
+/// An empty value stands for a row that is not there.
+struct cell_conflict {
+    row_name row;
+    std::string column;
+    std::string base;
+    std::string mine;
+    std::string theirs;
+
+    bool operator==(const cell_conflict&) const = default;
+};
+
+/// Both edits together, and what each of them changed.
+struct merged {
+    table rows;
+    std::vector<change> mine;
+    std::vector<change> theirs;
+};
+
+/// Two edits that do not go together.
+struct conflict {
+    std::string myEditor;
+    std::string theirEditor;
+    config_version theirVersion;
+    std::vector<cell_conflict> cells;
+    /// Set if no cell conflicts but both edits together are not a valid table.
+    std::string invalid;
+
+    /// Returns one line for each cell, with editors and values.
+    [[nodiscard]] std::string text() const;
+};
+
+using merge_outcome = std::variant<merged, conflict>;
+
+/// Merges two edits of one base, by row and column. The same new value on both sides is no
+/// conflict; a row removed on one side and changed on the other is one. The result carries the
+/// version of theirs and the editor of mine. Thread-safe.
+[[nodiscard]] merge_outcome merge(const table& base, const table& mine, const table& theirs);
+
+/// One name and value of the query, both decoded.
+struct query_value {
+    std::string name;
+    std::string value;
+};
+
+/// What classification reads of a request.
+struct request_head {
+    std::string method;
+    /// Segments of the path, each decoded after splitting: /weights/g%2F17 is "weights", "g/17".
+    std::vector<std::string> segments;
+    std::vector<query_value> query;
+    /// Returns all values of a header field; its name is compared without regard to case.
+    std::function<std::vector<std::string>(const std::string& name)> header;
+};
+
+/// The service of a request and what its row makes of it. Lives as long as the table.
+struct classified {
+    const service_row* service = nullptr;
+    /// Empty for unkeyed services.
+    std::optional<std::string> key;
+    /// Empty if the request names no caller; all such requests share one caller's share.
+    caller_id caller;
+    bool repeatable = false;
+};
+
+enum class unclassified {
+    /// No service has a prefix of the path.
+    NoService,
+    /// The service is keyed and the request names no key.
+    NoKey,
+    /// The request names several keys or callers.
+    Ambiguous,
+};
+
+using classification = std::variant<classified, unclassified>;
+
+/// Finds service, key and caller of a request. A prefix matches whole segments only.
+/// Precondition: the table outlives the result. Thread-safe.
+[[nodiscard]] classification classify(const table& rows, const request_head& head);
+
+/// Key of the platform's row that holds the table.
+inline constexpr std::string_view configRow = "config";
+/// Number of older versions that the history keeps.
+inline constexpr unsigned historyLength = 64;
+
+/// An edit of the table, as an operator hands it in.
+struct edit {
+    std::string editor;
+    /// Version that the edit started from; 0: there was no table.
+    config_version base;
+    std::string csv;
+    /// Time of the edit for the history, ISO 8601.
+    std::string at;
+};
+
+/// The edit is in the store as this version.
+struct applied {
+    config_version version;
+    /// What the edit changed, in comparison with the version that it replaced.
+    std::vector<change> changes;
+    /// What others had changed since the base; not empty if the edit was merged with it.
+    std::vector<change> mergedWith;
+    std::string theirEditor;
+};
+/// The edit is no valid table; nothing changed.
+struct invalid {
+    error cause;
+};
+/// The store certainly does not hold the edit.
+struct not_applied {
+    error cause;
+};
+/// Whether the store holds the edit could not be found out.
+struct apply_unknown {
+    error cause;
+};
+using apply_outcome = std::variant<applied, conflict, invalid, not_applied, apply_unknown>;
+
+/// Checks an edit, merges it with what came since its base, and writes it by compare-and-set; a
+/// lost race is merged again. Nothing changes unless the whole edit is taken. Thread-safe.
+[[nodiscard]] apply_outcome apply(platform::services& store, const edit& wanted);
+
+/// Adds or changes the mark of a target or host; everything else stays. Thread-safe.
+/// Fails with not_applied if there is no such target. A returning host's row is removed.
+struct mark_edit {
+    std::string editor;
+    row_name row;
+    mark state = mark::Active;
+    std::string at;
+};
+[[nodiscard]] apply_outcome apply(platform::services& store, const mark_edit& wanted);
+
+/// Reads the table from the store; an empty optional if none was ever applied. Thread-safe.
+[[nodiscard]] result<std::optional<table>> readCurrent(platform::services& store);
+
+/// Builds the table of a row read from the store (or received from a peer). Thread-safe.
+[[nodiscard]] result<table> decode(config_version version, const std::string& value);
+
+/// One version in the history, newest first, and how it differs from the one before it.
+struct history_entry {
+    config_version version;
+    std::string editor;
+    std::string at;
+    std::vector<change> changes;
+    /// The version before it is no longer kept, so changes is empty.
+    bool oldest = false;
+};
+
+/// Returns up to `limit` versions, newest first. Thread-safe.
+[[nodiscard]] result<std::vector<history_entry>> history(platform::services& store, unsigned limit);
+
+/// JSON forms of the above, for the administration API and the command line. Thread-safe.
+[[nodiscard]] std::string toJson(const table& rows);
+[[nodiscard]] std::string toJson(const std::vector<change>& changes);
+[[nodiscard]] std::string toJson(const apply_outcome& outcome);
+[[nodiscard]] std::string toJson(const std::vector<history_entry>& entries);
+
 } // namespace pimentomast::table
--- /dev/null
+++ b/src/admin/answers.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "pimentomast/admin.h"
+
+/// What the administration API answers, apart from HTTP transport.
+namespace pimentomast::admin::detail {
+
+struct request {
+    std::string method;
+    /// Path without the query.
+    std::string path;
+    std::string query;
+    /// Value of the Authorization header; empty if there is none.
+    std::string authorization;
+    std::string body;
+};
+
+struct answer {
+    unsigned status = 200;
+    std::string body;
+    std::string contentType = "application/json";
+};
+
+/// Answers a request; every path but /health needs the token. Thread-safe.
+[[nodiscard]] answer respond(node& node, const std::string& token, const request& request);
+
+} // namespace pimentomast::admin::detail
--- /dev/null
+++ b/src/admin/server.cc
@@ -0,0 +1,152 @@
+#include "answers.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/ThreadPool.h>
+#include <Poco/Timespan.h>
+#include <array>
+#include <istream>
+#include <optional>
+
+namespace pimentomast::admin {
+namespace {
+
+namespace net = Poco::Net;
+
+constexpr std::size_t maxBodyBytes = 8 * 1024 * 1024;
+constexpr int maxQueuedConnections = 64;
+constexpr long ioTimeoutMs = 5000;
+
+struct shared {
+    node& host;
+    std::string token;
+};
+
+/// Reads a whole body; an empty optional if it is too long.
+std::optional<std::string> readBody(std::istream& in)
+{
+    std::string body;
+    std::array<char, 16384> chunk {};
+    while (in.read(chunk.data(), chunk.size()) || in.gcount() > 0) {
+        body.append(chunk.data(), static_cast<std::size_t>(in.gcount()));
+        if (body.size() > maxBodyBytes)
+            return std::nullopt;
+    }
+    return body;
+}
+
+class handler : public net::HTTPRequestHandler {
+public:
+    explicit handler(const shared& context)
+        : m_context(context)
+    {
+    }
+
+    void handleRequest(net::HTTPServerRequest& in, net::HTTPServerResponse& out) override
+    {
+        const auto answer = makeAnswer(in);
+        m_context.host.metrics()
+            .count(telemetry::metric::AdminRequests, std::to_string(answer.status))
+            .add();
+        out.setStatus(net::HTTPResponse::HTTPStatus(answer.status));
+        out.setReason(net::HTTPResponse::getReasonForStatus(out.getStatus()));
+        out.setContentType(answer.contentType);
+        if (answer.status == 401)
+            out.set("WWW-Authenticate", "Bearer");
+        out.setContentLength64(static_cast<Poco::Int64>(answer.body.size()));
+        out.send() << answer.body;
+    }
+
+private:
+    detail::answer makeAnswer(net::HTTPServerRequest& in)
+    {
+        const auto uri = in.getURI();
+        const auto question = uri.find('?');
+        detail::request request {
+            in.getMethod(),
+            uri.substr(0, question),
+            question == uri.npos ? "" : uri.substr(question + 1),
+            in.get("Authorization", ""),
+            "",
+        };
+        auto body = readBody(in.stream());
+        if (!body)
+            return { 413, R"({"reason":"the body is too long"})" };
+        request.body = std::move(*body);
+        return detail::respond(m_context.host, m_context.token, request);
+    }
+
+    const shared& m_context;
+};
+
+class factory : public net::HTTPRequestHandlerFactory {
+public:
+    explicit factory(const shared& context)
+        : m_context(context)
+    {
+    }
+    net::HTTPRequestHandler* createRequestHandler(const net::HTTPServerRequest&) override
+    {
+        return new handler(m_context);
+    }
+
+private:
+    const shared& m_context;
+};
+
+net::HTTPServerParams::Ptr makeParameters(unsigned threads)
+{
+    net::HTTPServerParams::Ptr parameters(new net::HTTPServerParams);
+    parameters->setMaxThreads(static_cast<int>(threads));
+    parameters->setMaxQueued(maxQueuedConnections);
+    parameters->setTimeout(Poco::Timespan(0, ioTimeoutMs * 1000));
+    parameters->setKeepAlive(false);
+    return parameters;
+}
+
+class http_server : public server {
+public:
+    http_server(const options& options, node& node)
+        : m_context { node, options.token }
+        , m_threads("admin", 1, static_cast<int>(options.threads))
+        , m_socket(net::SocketAddress(options.address.ip, options.address.port))
+        , m_server(new factory(m_context), m_threads, m_socket, makeParameters(options.threads))
+    {
+        m_server.start();
+    }
+
+    ~http_server() override { m_server.stopAll(); }
+
+    [[nodiscard]] endpoint address() const override
+    {
+        const auto bound = m_socket.address();
+        return { bound.host().toString(), bound.port() };
+    }
+
+private:
+    shared m_context;
+    Poco::ThreadPool m_threads;
+    net::ServerSocket m_socket;
+    net::HTTPServer m_server;
+};
+
+} // namespace
+
+result<std::unique_ptr<server>> server::start(const options& options, node& node)
+{
+    if (options.token.empty())
+        return error { "start administration API", options.address.text(), "the token is empty" };
+    try {
+        return std::unique_ptr<server>(new http_server(options, node));
+    } catch (const Poco::Exception& caught) {
+        return error { "start administration API", options.address.text(), caught.displayText() };
+    }
+}
+
+} // namespace pimentomast::admin
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -1,1 +1,208 @@
 #include "pimentomast/settings.h"
+
+#include "keys.h"
+
+#include <Poco/AutoPtr.h>
+#include <Poco/String.h>
+#include <Poco/Util/IniFileConfiguration.h>
+#include <algorithm>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+namespace pimentomast::settings {
+namespace {
+
+using problems = std::vector<problem>;
+using ini = Poco::Util::IniFileConfiguration;
+
+bool isKnownSection(const std::string& section)
+{
+    const auto& rules = detail::keyRules();
+    return std::any_of(rules.begin(), rules.end(),
+        [&](const auto& rule) { return rule.description.section == section; });
+}
+
+bool isKnownKey(const std::string& section, const std::string& key)
+{
+    const auto& rules = detail::keyRules();
+    return std::any_of(rules.begin(), rules.end(), [&](const auto& rule) {
+        return rule.description.section == section && rule.description.key == key;
+    });
+}
+
+/// Finds what the INI library hides: sections and keys that are written twice, empty sections,
+/// and lines that are neither. POCO compares names without regard to case.
+class line_check {
+public:
+    problems run(const std::string& text)
+    {
+        std::istringstream lines(text);
+        std::string line;
+        while (std::getline(lines, line))
+            checkLine(Poco::trim(line));
+        return std::move(m_found);
+    }
+
+private:
+    void checkLine(const std::string& line)
+    {
+        if (line.empty() || line.front() == ';')
+            return;
+        if (line.front() == '[')
+            checkSection(line);
+        else
+            checkKey(line);
+    }
+
+    void checkSection(const std::string& line)
+    {
+        const auto end = line.find(']');
+        m_section = Poco::trim(line.substr(1, end == std::string::npos ? end : end - 1));
+        if (end != line.size() - 1)
+            m_found.push_back({ m_section, "", "the section's line does not end with ']'" });
+        if (!isKnownSection(m_section))
+            m_found.push_back({ m_section, "", "unknown section" });
+        if (!m_sections.insert(Poco::toLower(m_section)).second)
+            m_found.push_back({ m_section, "", "duplicate section" });
+    }
+
+    void checkKey(const std::string& line)
+    {
+        const auto equals = line.find('=');
+        const auto key = Poco::trim(line.substr(0, equals));
+        const bool known = isKnownKey(m_section, key);
+        // A line that holds no known key may be a mistyped secret, so it is not shown.
+        if (equals == std::string::npos && !known) {
+            m_found.push_back({ m_section, "", "a line is not of the form key = value" });
+            return;
+        }
+        if (!known && isKnownSection(m_section))
+            m_found.push_back({ m_section, key, "unknown key" });
+        if (!known && m_section.empty())
+            m_found.push_back({ m_section, key, "key outside of any section" });
+        if (!m_keys.insert(Poco::toLower(m_section + "." + key)).second)
+            m_found.push_back({ m_section, key, "duplicate key" });
+    }
+
+    problems m_found;
+    std::string m_section;
+    std::set<std::string> m_sections;
+    std::set<std::string> m_keys;
+};
+
+void readKey(const ini& file, const detail::key_rule& rule, settings& out, problems& found)
+{
+    const auto& description = rule.description;
+    const auto fullKey = description.section + "." + description.key;
+    if (!file.hasProperty(fullKey)) {
+        if (description.required)
+            found.push_back({ description.section, description.key, "missing" });
+        return;
+    }
+    if (const auto fault = rule.read(out, file.getRawString(fullKey)))
+        found.push_back({ description.section, description.key, *fault });
+}
+
+void requireLess(problems& found, const problem& fault, milliseconds lower, milliseconds higher)
+{
+    if (lower >= higher)
+        found.push_back(fault);
+}
+
+void findContradictions(const settings& all, problems& found)
+{
+    const auto& ownership = all.ownership;
+    requireLess(found, { "ownership", "renew_ms", "must be less than half of target_lease_ms" },
+        ownership.renewMs * 2, ownership.targetLeaseMs);
+    requireLess(found, { "ownership", "authority_renew_ms", "must be less than half of authority_ms" },
+        ownership.authorityRenewMs * 2, ownership.authorityMs);
+    requireLess(found, { "ownership", "authority_ms", "must be less than target_lease_ms" },
+        ownership.authorityMs, ownership.targetLeaseMs);
+    requireLess(found, { "ownership", "outage_limit_ms", "must be more than authority_ms" },
+        ownership.authorityMs, ownership.outageLimitMs);
+    if (all.log.sink == log_sink::File && all.log.file.empty())
+        found.push_back({ "log", "file", "missing, since sink is file" });
+    if (all.log.sink == log_sink::Console && !all.log.file.empty())
+        found.push_back({ "log", "file", "contradicts sink = console" });
+    if (all.limits.queue > all.limits.connections)
+        found.push_back({ "limits", "queue", "must not be more than connections" });
+}
+
+bool shared(const endpoint& one, const endpoint& other) { return one.port != 0 && one == other; }
+
+void findSharedAddresses(const host_settings& host, problems& found)
+{
+    if (shared(host.peers, host.callers))
+        found.push_back({ "host", "peers", "is the same address as callers" });
+    if (shared(host.admin, host.callers) || shared(host.admin, host.peers))
+        found.push_back({ "host", "admin", "is the same address as callers or peers" });
+}
+
+} // namespace
+
+std::string problem::text() const
+{
+    const auto place = "[" + section + "]" + (key.empty() ? "" : " " + key);
+    return place + ": " + reason;
+}
+
+checked check(const std::string& text)
+{
+    auto found = line_check().run(text);
+    std::istringstream stream(text);
+    const Poco::AutoPtr<ini> file(new ini(stream));
+    settings values;
+    for (const auto& rule : detail::keyRules())
+        readKey(*file, rule, values, found);
+    if (!file->hasProperty("host.advertise"))
+        values.host.advertise = values.host.peers;
+    findSharedAddresses(values.host, found);
+    findContradictions(values, found);
+    if (!found.empty())
+        return found;
+    return values;
+}
+
+result<settings> parse(const std::string& text)
+{
+    auto outcome = check(text);
+    if (auto* values = std::get_if<settings>(&outcome))
+        return std::move(*values);
+    std::string reasons;
+    for (const auto& each : std::get<problems>(outcome))
+        reasons += (reasons.empty() ? "" : "\n") + each.text();
+    return error { "check settings", "", reasons };
+}
+
+result<settings> load(const std::string& path)
+{
+    std::ifstream file(path, std::ios::binary);
+    std::ostringstream text;
+    if (!file || !(text << file.rdbuf()))
+        return error { "read settings", path, "the file cannot be read or is empty" };
+    auto values = parse(text.str());
+    if (!values)
+        return error { values.error().step, path, values.error().reason };
+    return values;
+}
+
+std::vector<key_description> describeKeys()
+{
+    std::vector<key_description> keys;
+    for (const auto& rule : detail::keyRules())
+        keys.push_back(rule.description);
+    return keys;
+}
+
+std::string describe(const settings& values)
+{
+    std::string lines;
+    for (const auto& rule : detail::keyRules()) {
+        const auto value = rule.description.secret ? "(set)" : rule.write(values);
+        lines += "[" + rule.description.section + "] " + rule.description.key + " = " + value + "\n";
+    }
+    return lines;
+}
+
+} // namespace pimentomast::settings
--- /dev/null
+++ b/src/table/csv.cc
@@ -0,0 +1,168 @@
+#include "cells.h"
+
+#include <algorithm>
+#include <csv.h>
+#include <memory>
+
+namespace pimentomast::table::detail {
+namespace {
+
+constexpr std::size_t maxBytes = 4 * 1024 * 1024;
+constexpr std::string_view byteOrderMark = "\xEF\xBB\xBF";
+
+using record = std::vector<std::string>;
+
+struct parser_deleter {
+    void operator()(csv_parser* parser) const
+    {
+        csv_free(parser);
+        delete parser;
+    }
+};
+using parser_pointer = std::unique_ptr<csv_parser, parser_deleter>;
+
+/// Collects the records of a text; empty lines give empty records, so that numbers stay right.
+struct collector {
+    std::vector<record> records;
+    record current;
+    bool afterReturn = false;
+
+    static void onField(void* text, std::size_t size, void* self)
+    {
+        auto& fields = static_cast<collector*>(self)->current;
+        fields.emplace_back(static_cast<const char*>(text), size);
+    }
+
+    static void onRow(int terminator, void* self)
+    {
+        auto& all = *static_cast<collector*>(self);
+        const bool secondOfPair = terminator == '\n' && all.afterReturn && all.current.empty();
+        all.afterReturn = terminator == '\r';
+        if (secondOfPair)
+            return;
+        all.records.push_back(std::move(all.current));
+        all.current.clear();
+    }
+};
+
+error csvError(const std::string& label, const std::string& reason)
+{
+    return { "read table", "", label + ": " + reason };
+}
+
+result<std::vector<record>> split(std::string_view csv)
+{
+    parser_pointer parser(new csv_parser);
+    if (csv_init(parser.get(), CSV_STRICT | CSV_STRICT_FINI | CSV_REPALL_NL) != 0)
+        return error { "read table", "", "the CSV library could not be set up" };
+    collector found;
+    const auto read = csv_parse(parser.get(), csv.data(), csv.size(), &collector::onField,
+        &collector::onRow, &found);
+    const bool whole = read == csv.size()
+        && csv_fini(parser.get(), &collector::onField, &collector::onRow, &found) == 0;
+    if (!whole) {
+        const auto row = "row " + std::to_string(found.records.size() + 1);
+        const auto column = "column " + std::to_string(found.current.size() + 1);
+        return csvError(row + ", " + column, csv_strerror(csv_error(parser.get())));
+    }
+    return std::move(found.records);
+}
+
+bool isColumn(const std::string& name)
+{
+    return std::any_of(columns().begin(), columns().end(),
+        [&](const auto& column) { return column.name == name; });
+}
+
+std::string headerFault(const record& header)
+{
+    std::string faults;
+    const auto add = [&](const std::string& column, const std::string& reason) {
+        faults += (faults.empty() ? "" : "\n") + std::string("row 1, column ") + column + ": " + reason;
+    };
+    for (auto name = header.begin(); name != header.end(); ++name) {
+        if (!isColumn(*name))
+            add("'" + *name + "'", "unknown column");
+        else if (std::find(header.begin(), name, *name) != name)
+            add(*name, "the column appears twice");
+    }
+    for (const auto* needed : { "kind", "id" }) {
+        if (std::find(header.begin(), header.end(), needed) == header.end())
+            add(needed, "the column is missing");
+    }
+    return faults;
+}
+
+raw_row toRow(const record& header, const record& fields, const std::string& label)
+{
+    raw_row row { label, {} };
+    for (std::size_t index = 0; index < fields.size() && index < header.size(); ++index) {
+        if (!fields[index].empty())
+            row.values[header[index]] = fields[index];
+    }
+    return row;
+}
+
+std::string quote(const std::string& value)
+{
+    std::string quoted(value.size() * 2 + 2, '\0');
+    quoted.resize(csv_write(quoted.data(), quoted.size(), value.data(), value.size()));
+    return quoted;
+}
+
+std::string writeField(const std::string& value)
+{
+    const bool plain = value.find_first_of(",\"\r\n \t") == std::string::npos;
+    return plain ? value : quote(value);
+}
+
+} // namespace
+
+result<std::vector<raw_row>> readCsv(const std::string& csv)
+{
+    if (csv.size() > maxBytes)
+        return csvError("table", "is larger than " + std::to_string(maxBytes) + " bytes");
+    std::string_view text = csv;
+    if (text.starts_with(byteOrderMark))
+        text.remove_prefix(byteOrderMark.size());
+    auto records = split(text);
+    if (!records)
+        return records.error();
+    if (records.value().empty() || records.value().front().empty())
+        return csvError("row 1", "the header with the names of the columns is missing");
+    const auto header = records.value().front();
+    if (const auto fault = headerFault(header); !fault.empty())
+        return error { "read table", "", fault };
+    std::vector<raw_row> rows;
+    for (std::size_t index = 1; index < records.value().size(); ++index) {
+        const auto& fields = records.value()[index];
+        const auto label = "row " + std::to_string(index + 1);
+        if (fields.size() > header.size())
+            return csvError(label + ", column " + std::to_string(header.size() + 1),
+                "the row has more cells than the header");
+        if (!fields.empty())
+            rows.push_back(toRow(header, fields, label));
+    }
+    return rows;
+}
+
+std::string writeCsv(const cell_rows& rows)
+{
+    std::string text;
+    for (const auto& column : columns())
+        text += (text.empty() ? "" : ",") + column.name;
+    text += "\n";
+    for (const auto& [name, values] : rows) {
+        std::string line;
+        for (const auto& column : columns()) {
+            const auto found = values.find(column.name);
+            if (&column != &columns().front())
+                line += ",";
+            line += found == values.end() ? "" : writeField(found->second);
+        }
+        text += line + "\n";
+    }
+    return text;
+}
+
+} // namespace pimentomast::table::detail
--- /dev/null
+++ b/src/table/history.cc
@@ -0,0 +1,240 @@
+#include "history.h"
+
+#include <Poco/Exception.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+#include <sstream>
+
+namespace pimentomast::table {
+namespace {
+
+using detail::stored_version;
+using object_pointer = Poco::JSON::Object::Ptr;
+
+constexpr unsigned maxAttempts = 4;
+
+/// The decoded value of a `config` row.
+struct config_value {
+    std::string editor;
+    std::string csv;
+    std::string at;
+    config_version previous;
+};
+
+object_pointer parseObject(const std::string& text)
+{
+    return Poco::JSON::Parser().parse(text).extract<object_pointer>();
+}
+
+std::string text(const Poco::JSON::Object& object)
+{
+    std::ostringstream out;
+    object.stringify(out);
+    return out.str();
+}
+
+result<config_value> decodeValue(const std::string& value)
+{
+    try {
+        const auto object = parseObject(value);
+        return config_value {
+            object->getValue<std::string>("editor"),
+            object->getValue<std::string>("csv"),
+            object->optValue<std::string>("at", ""),
+            config_version { object->optValue<Poco::UInt64>("previous", 0) },
+        };
+    } catch (const Poco::Exception& caught) {
+        return error { "decode table", "platform", caught.displayText() };
+    }
+}
+
+std::string slotName(config_version version)
+{
+    return "config-history/" + std::to_string(version.value() % historyLength);
+}
+
+result<stored_version> decodeSlot(const std::string& value)
+{
+    try {
+        const auto object = parseObject(value);
+        return stored_version { config_version { object->getValue<Poco::UInt64>("version") },
+            object->getValue<std::string>("value") };
+    } catch (const Poco::Exception& caught) {
+        return error { "decode history", "platform", caught.displayText() };
+    }
+}
+
+struct slot_state {
+    row_version row;
+    std::optional<stored_version> kept;
+};
+
+result<slot_state> readSlot(platform::services& store, config_version version)
+{
+    const auto row = store.read(slotName(version));
+    if (!row)
+        return row.error();
+    if (!row.value())
+        return slot_state {};
+    const auto kept = decodeSlot(row.value()->value);
+    if (!kept)
+        return kept.error();
+    return slot_state { row.value()->version, kept.value() };
+}
+
+std::string encodeSlot(const stored_version& kept)
+{
+    Poco::JSON::Object object;
+    object.set("version", kept.version.value());
+    object.set("value", kept.value);
+    return text(object);
+}
+
+result<table> parseValue(const config_value& value, config_version version)
+{
+    auto rows = parse(value.csv);
+    if (!rows)
+        return rows.error();
+    rows.value().version = version;
+    rows.value().editor = value.editor;
+    return rows;
+}
+
+/// Reads the newest version; version 0 if there is none.
+result<stored_version> readNewest(platform::services& store)
+{
+    const auto row = store.read(std::string(configRow));
+    if (!row)
+        return row.error();
+    if (!row.value())
+        return stored_version {};
+    return stored_version { config_version { row.value()->version.value() }, row.value()->value };
+}
+
+/// Walks from a version to the ones before it.
+class history_walk {
+public:
+    history_walk(platform::services& store, stored_version newest)
+        : m_store(store)
+        , m_next(std::move(newest))
+    {
+    }
+
+    [[nodiscard]] bool done() const { return !m_next; }
+
+    result<history_entry> step()
+    {
+        const auto version = m_next->version;
+        const auto value = decodeValue(m_next->value);
+        if (!value)
+            return value.error();
+        const auto after = parseValue(value.value(), version);
+        if (!after)
+            return after.error();
+        auto before = readBefore(value.value());
+        if (!before)
+            return before.error();
+        history_entry entry { version, value.value().editor, value.value().at, {}, false };
+        entry.oldest = !before.value();
+        if (before.value())
+            entry.changes = difference(*before.value(), after.value());
+        return entry;
+    }
+
+private:
+    /// Moves on to the previous version; an empty optional if it is not kept.
+    result<std::optional<table>> readBefore(const config_value& value)
+    {
+        m_next.reset();
+        if (value.previous.value() == 0)
+            return std::optional<table> { table {} };
+        const auto kept = detail::readVersion(m_store, value.previous);
+        if (!kept)
+            return kept.error();
+        if (!kept.value())
+            return std::optional<table> {};
+        m_next = kept.value();
+        const auto rows = decode(m_next->version, m_next->value);
+        if (!rows)
+            return rows.error();
+        return std::optional<table> { rows.value() };
+    }
+
+    platform::services& m_store;
+    std::optional<stored_version> m_next;
+};
+
+} // namespace
+
+namespace detail {
+
+std::string encode(const table& rows, config_version previous, const std::string& at)
+{
+    Poco::JSON::Object object;
+    object.set("editor", rows.editor);
+    object.set("csv", format(rows));
+    object.set("at", at);
+    object.set("previous", previous.value());
+    return text(object);
+}
+
+result<void> keepVersion(platform::services& store, const stored_version& kept)
+{
+    for (unsigned tries = 0; tries < maxAttempts; ++tries) {
+        const auto slot = readSlot(store, kept.version);
+        if (!slot)
+            return slot.error();
+        const auto& state = slot.value();
+        if (state.kept && state.kept->version >= kept.version)
+            return boost::outcome_v2::success();
+        const auto outcome = platform::writeSettled(store, slotName(kept.version), state.row,
+            encodeSlot(kept), platform::newWriteId());
+        if (std::holds_alternative<platform::write_accepted>(outcome))
+            return boost::outcome_v2::success();
+        if (const auto* refused = std::get_if<platform::write_refused>(&outcome))
+            return refused->cause;
+    }
+    return error { "keep history", "platform", "the history could not be written" };
+}
+
+result<std::optional<stored_version>> readVersion(
+    platform::services& store, config_version version)
+{
+    const auto slot = readSlot(store, version);
+    if (!slot)
+        return slot.error();
+    const auto& kept = slot.value().kept;
+    if (!kept || kept->version != version)
+        return std::optional<stored_version> {};
+    return kept;
+}
+
+} // namespace detail
+
+result<table> decode(config_version version, const std::string& value)
+{
+    const auto decoded = decodeValue(value);
+    if (!decoded)
+        return decoded.error();
+    return parseValue(decoded.value(), version);
+}
+
+result<std::vector<history_entry>> history(platform::services& store, unsigned limit)
+{
+    const auto newest = readNewest(store);
+    if (!newest)
+        return newest.error();
+    std::vector<history_entry> entries;
+    if (newest.value().version.value() == 0)
+        return entries;
+    history_walk walk(store, newest.value());
+    while (!walk.done() && entries.size() < limit) {
+        auto entry = walk.step();
+        if (!entry)
+            return entry.error();
+        entries.push_back(std::move(entry.value()));
+    }
+    return entries;
+}
+
+} // namespace pimentomast::table
--- /dev/null
+++ b/src/table/history.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "pimentomast/table.h"
+
+/// Older versions of the table in the platform's table service.
+///
+/// Version N is kept in row config-history/<N mod historyLength> before version N+1 is written, so
+/// the history has no gap and takes a bounded number of rows.
+namespace pimentomast::table::detail {
+
+/// A version of the `config` row: its number and its value.
+struct stored_version {
+    config_version version;
+    std::string value;
+};
+
+/// Returns the JSON value of the `config` row.
+[[nodiscard]] std::string encode(
+    const table& rows, config_version previous, const std::string& at);
+
+/// Keeps a version; keeping it again, also from elsewhere at the same time, changes nothing.
+[[nodiscard]] result<void> keepVersion(platform::services& store, const stored_version& kept);
+
+/// Reads a kept version; an empty optional if it is not kept (any more).
+[[nodiscard]] result<std::optional<stored_version>> readVersion(
+    platform::services& store, config_version version);
+
+} // namespace pimentomast::table::detail
--- /dev/null
+++ b/src/table/store.cc
@@ -0,0 +1,179 @@
+#include "history.h"
+
+#include "cells.h"
+
+namespace pimentomast::table {
+namespace {
+
+using detail::stored_version;
+
+constexpr unsigned maxAttempts = 8;
+constexpr std::size_t maxEditorBytes = 64;
+
+/// The table in the store and the text that it was read from.
+struct current_state {
+    table rows;
+    std::optional<stored_version> stored;
+};
+
+result<current_state> readState(platform::services& store)
+{
+    const auto row = store.read(std::string(configRow));
+    if (!row)
+        return row.error();
+    if (!row.value())
+        return current_state {};
+    const auto version = config_version { row.value()->version.value() };
+    auto rows = decode(version, row.value()->value);
+    if (!rows)
+        return rows.error();
+    return current_state { rows.value(), stored_version { version, row.value()->value } };
+}
+
+result<table> readBase(
+    platform::services& store, const current_state& current, config_version base)
+{
+    if (base == current.rows.version)
+        return current.rows;
+    if (base.value() == 0)
+        return table {};
+    const auto kept = detail::readVersion(store, base);
+    if (!kept)
+        return kept.error();
+    if (!kept.value())
+        return error { "read base of edit", "platform",
+            "version " + std::to_string(base.value()) + " is not in the history" };
+    return decode(base, kept.value()->value);
+}
+
+/// Result of one attempt to write; an empty optional means that the race was lost.
+using attempt = std::optional<apply_outcome>;
+
+struct write_result {
+    const merged& both;
+    const current_state& current;
+
+    attempt operator()(const platform::write_accepted& accepted) const
+    {
+        const config_version version { accepted.version.value() };
+        return applied { version, difference(current.rows, both.rows), both.theirs,
+            both.theirs.empty() ? "" : current.rows.editor };
+    }
+    attempt operator()(const platform::write_conflict&) const { return std::nullopt; }
+    attempt operator()(const platform::write_refused& refused) const
+    {
+        return not_applied { refused.cause };
+    }
+    attempt operator()(const platform::write_unknown& unknown) const
+    {
+        return apply_unknown { unknown.cause };
+    }
+};
+
+/// Writes a merged edit over the version that it was merged with.
+attempt write(platform::services& store, const current_state& current, const merged& both,
+    const std::string& at)
+{
+    if (current.stored) {
+        if (const auto kept = detail::keepVersion(store, *current.stored); !kept)
+            return not_applied { kept.error() };
+    }
+    const auto value = detail::encode(both.rows, current.rows.version, at);
+    const row_version expected { current.rows.version.value() };
+    const auto outcome = platform::writeSettled(
+        store, std::string(configRow), expected, value, platform::newWriteId());
+    return std::visit(write_result { both, current }, outcome);
+}
+
+bool isEditor(const std::string& name)
+{
+    return !name.empty() && name.size() <= maxEditorBytes
+        && std::all_of(
+            name.begin(), name.end(), [](unsigned char letter) { return std::isgraph(letter); });
+}
+
+attempt applyOnce(platform::services& store, const edit& wanted, const table& mine)
+{
+    const auto current = readState(store);
+    if (!current)
+        return not_applied { current.error() };
+    const auto& now = current.value();
+    if (wanted.base > now.rows.version)
+        return not_applied { { "read base of edit", "platform",
+            "version " + std::to_string(wanted.base.value()) + " does not exist yet" } };
+    const auto base = readBase(store, now, wanted.base);
+    if (!base)
+        return not_applied { base.error() };
+    const auto outcome = merge(base.value(), mine, now.rows);
+    if (const auto* refused = std::get_if<conflict>(&outcome))
+        return *refused;
+    const auto& both = std::get<merged>(outcome);
+    const bool first = now.rows.version.value() == 0;
+    if (!first && difference(now.rows, both.rows).empty())
+        return applied { now.rows.version, {}, both.theirs, now.rows.editor };
+    return write(store, now, both, wanted.at);
+}
+
+void setMark(std::vector<host_row>& hosts, const mark_edit& wanted)
+{
+    const host_id id { wanted.row.id };
+    std::erase_if(hosts, [&](const auto& row) { return row.id == id; });
+    if (wanted.state == mark::Leaving)
+        hosts.push_back({ id, mark::Leaving });
+}
+
+bool setMark(table& rows, const mark_edit& wanted)
+{
+    if (wanted.row.kind == row_kind::Host) {
+        setMark(rows.hosts, wanted);
+        return true;
+    }
+    for (auto& row : rows.targets) {
+        if (wanted.row.kind == row_kind::Target && row.id.value() == wanted.row.id) {
+            row.state = wanted.state;
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+result<std::optional<table>> readCurrent(platform::services& store)
+{
+    const auto current = readState(store);
+    if (!current)
+        return current.error();
+    if (!current.value().stored)
+        return std::optional<table> {};
+    return std::optional<table> { current.value().rows };
+}
+
+apply_outcome apply(platform::services& store, const edit& wanted)
+{
+    if (!isEditor(wanted.editor))
+        return invalid { { "check edit", "", "the editor's name must be 1 to 64 visible letters" } };
+    auto mine = parse(wanted.csv);
+    if (!mine)
+        return invalid { mine.error() };
+    mine.value().editor = wanted.editor;
+    for (unsigned tries = 0; tries < maxAttempts; ++tries) {
+        if (auto outcome = applyOnce(store, wanted, mine.value()))
+            return *outcome;
+    }
+    return not_applied { { "write table", "platform", "lost the race to other editors too often" } };
+}
+
+apply_outcome apply(platform::services& store, const mark_edit& wanted)
+{
+    const auto current = readCurrent(store);
+    if (!current)
+        return not_applied { current.error() };
+    auto rows = current.value().value_or(table {});
+    const auto base = rows.version;
+    if (!setMark(rows, wanted))
+        return not_applied { { "mark", wanted.row.text(), "the table has no such row" } };
+    return apply(store, edit { wanted.editor, base, format(rows), wanted.at });
+}
+
+} // namespace pimentomast::table
--- /dev/null
+++ b/src/telemetry/latency.cc
@@ -0,0 +1,74 @@
+#include "pimentomast/telemetry.h"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/p_square_quantile.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/tail_quantile.hpp>
+
+namespace pimentomast::telemetry {
+namespace {
+
+namespace acc = boost::accumulators;
+
+constexpr std::size_t windowSize = 100000;
+/// Holds the highest 1 % of a window, and one more.
+constexpr std::size_t tailSize = 1024;
+static_assert(windowSize / 100 < tailSize);
+
+using accumulator = acc::accumulator_set<double,
+    acc::stats<acc::tag::count, acc::tag::p_square_quantile, acc::tag::tail_quantile<acc::right>>>;
+
+} // namespace
+
+struct latency::window {
+    accumulator values { acc::quantile_probability = 0.5,
+        acc::tag::tail<acc::right>::cache_size = tailSize };
+
+    [[nodiscard]] std::size_t size() const { return acc::count(values); }
+
+    [[nodiscard]] double fromTail(double probability) const
+    {
+        return acc::quantile(values, acc::quantile_probability = probability);
+    }
+
+    [[nodiscard]] latency_summary summary() const
+    {
+        latency_summary result;
+        if (size() == 0)
+            return result;
+        result.p99Seconds = fromTail(0.99);
+        result.p50Seconds = size() <= tailSize ? fromTail(0.5) : acc::p_square_quantile(values);
+        return result;
+    }
+};
+
+latency::latency()
+    : m_window(std::make_unique<window>())
+{
+}
+latency::~latency() = default;
+
+void latency::observe(duration taken)
+{
+    const double seconds = std::chrono::duration<double>(taken).count();
+    const std::lock_guard guard(m_lock);
+    ++m_count;
+    m_sumSeconds += seconds;
+    m_window->values(seconds);
+    if (m_window->size() < windowSize)
+        return;
+    m_last = m_window->summary();
+    m_window = std::make_unique<window>();
+}
+
+latency_summary latency::summary() const
+{
+    const std::lock_guard guard(m_lock);
+    auto result = m_last ? *m_last : m_window->summary();
+    result.count = m_count;
+    result.sumSeconds = m_sumSeconds;
+    return result;
+}
+
+} // namespace pimentomast::telemetry
--- a/src/telemetry/telemetry.cc
+++ b/src/telemetry/telemetry.cc
@@ -1,1 +1,186 @@
 #include "pimentomast/telemetry.h"
+
+#include <stdexcept>
+
+namespace pimentomast::telemetry {
+namespace {
+
+constexpr std::array catalogue {
+    family { metric::Requests, kind::Counter, "pimentomast_requests_total", "service",
+        "Requests whose head was read and classified." },
+    family { metric::Answers, kind::Counter, "pimentomast_answers_total", "outcome",
+        "Requests by outcome: answered, not-run or unknown." },
+    family { metric::Refusals, kind::Counter, "pimentomast_refusals_total", "reason",
+        "Requests that pimentomast itself refused." },
+    family { metric::Retries, kind::Counter, "pimentomast_retries_total", "reason",
+        "Requests that were sent to a target once more." },
+    family { metric::ResponseTime, kind::Latency, "pimentomast_response_seconds", "service",
+        "Time from the request's head to the end of the answer." },
+    family { metric::AddedTime, kind::Latency, "pimentomast_added_seconds", "service",
+        "Part of the response time that was not spent waiting for a target." },
+    family { metric::Running, kind::Gauge, "pimentomast_requests_running", "service",
+        "Requests that are at a target." },
+    family { metric::Queued, kind::Gauge, "pimentomast_requests_queued", "service",
+        "Requests that wait on this host." },
+    family { metric::Connections, kind::Gauge, "pimentomast_connections", "side",
+        "Open connections, to callers or to targets." },
+    family { metric::BrokenAnswers, kind::Counter, "pimentomast_broken_answers_total", "reason",
+        "Answers that were visibly broken off." },
+    family { metric::ConfigVersion, kind::Gauge, "pimentomast_config_version", "",
+        "Version of the table in force." },
+    family { metric::AssignmentSequence, kind::Gauge, "pimentomast_assignment_sequence", "service",
+        "Sequence number of the newest committed assignment." },
+    family { metric::Coordinating, kind::Gauge, "pimentomast_coordinating", "service",
+        "1 while this host coordinates the service." },
+    family { metric::Moves, kind::Counter, "pimentomast_moves_total", "service",
+        "Slices that this host moved to another target." },
+    family { metric::TargetsHealthy, kind::Gauge, "pimentomast_targets_healthy", "service",
+        "Targets that this host considers healthy." },
+    family { metric::PlatformCalls, kind::Counter, "pimentomast_platform_calls_total", "result",
+        "Calls to the platform's services." },
+    family { metric::PeerCalls, kind::Counter, "pimentomast_peer_calls_total", "result",
+        "Calls to other entry hosts." },
+    family { metric::AdminRequests, kind::Counter, "pimentomast_admin_requests_total", "status",
+        "Requests to the administration API by HTTP status." },
+};
+
+constexpr std::size_t maxLabelValues = 1000;
+constexpr std::string_view overflowLabel = "other";
+
+const family& describe(metric id) { return catalogue.at(static_cast<std::size_t>(id)); }
+
+void require(metric id, kind type)
+{
+    if (describe(id).type != type)
+        throw std::logic_error("metric " + std::string(describe(id).name) + " is of another kind");
+}
+
+std::string escape(std::string_view text)
+{
+    std::string escaped;
+    for (const char letter : text) {
+        if (letter == '\\' || letter == '"')
+            escaped += '\\';
+        if (letter == '\n')
+            escaped += "\\n";
+        else
+            escaped += letter;
+    }
+    return escaped;
+}
+
+/// Builds the lines of one metric.
+class exposition_writer {
+public:
+    void head(const family& described)
+    {
+        const auto type = described.type == kind::Counter ? "counter"
+            : described.type == kind::Gauge               ? "gauge"
+                                                          : "summary";
+        const std::string name(described.name);
+        m_text += "# HELP " + name + " " + std::string(described.help) + "\n";
+        m_text += "# TYPE " + name + " " + type + "\n";
+    }
+
+    void line(const family& described, std::string_view suffix, std::string_view labelValue,
+        const std::string& value, std::string_view quantile = {})
+    {
+        std::string labels;
+        if (!described.label.empty())
+            labels = std::string(described.label) + "=\"" + escape(labelValue) + "\"";
+        if (!quantile.empty())
+            labels += (labels.empty() ? "" : ",") + std::string("quantile=\"") + std::string(quantile)
+                + "\"";
+        m_text += std::string(described.name) + std::string(suffix);
+        m_text += (labels.empty() ? "" : "{" + labels + "}") + " " + value + "\n";
+    }
+
+    void value(const family& described, const std::string& label, const counter& shown)
+    {
+        line(described, "", label, std::to_string(shown.value()));
+    }
+    void value(const family& described, const std::string& label, const gauge& shown)
+    {
+        line(described, "", label, std::to_string(shown.value()));
+    }
+    void value(const family& described, const std::string& label, const latency& shown)
+    {
+        const auto summary = shown.summary();
+        line(described, "", label, std::to_string(summary.p50Seconds), "0.5");
+        line(described, "", label, std::to_string(summary.p99Seconds), "0.99");
+        line(described, "_sum", label, std::to_string(summary.sumSeconds));
+        line(described, "_count", label, std::to_string(summary.count));
+    }
+
+    template <class Shelf>
+    void values(const family& described, const Shelf& shelf)
+    {
+        const auto found = shelf.values.find(described.id);
+        if (found == shelf.values.end())
+            return;
+        for (const auto& [label, shown] : found->second)
+            value(described, label, *shown);
+    }
+
+    [[nodiscard]] std::string text() && { return std::move(m_text); }
+
+private:
+    std::string m_text;
+};
+
+} // namespace
+
+std::span<const family> families() { return catalogue; }
+
+registry::registry() = default;
+registry::~registry() = default;
+
+template <class Value>
+Value& registry::shelf<Value>::find(metric id, std::string_view labelValue)
+{
+    auto& byLabel = values[id];
+    auto found = byLabel.find(labelValue);
+    if (found == byLabel.end() && byLabel.size() >= maxLabelValues) {
+        labelValue = overflowLabel;
+        found = byLabel.find(labelValue);
+    }
+    if (found == byLabel.end())
+        found = byLabel.emplace(std::string(labelValue), std::make_unique<Value>()).first;
+    return *found->second;
+}
+
+counter& registry::count(metric id, std::string_view labelValue)
+{
+    require(id, kind::Counter);
+    const std::lock_guard guard(m_lock);
+    return m_counters.find(id, labelValue);
+}
+
+gauge& registry::level(metric id, std::string_view labelValue)
+{
+    require(id, kind::Gauge);
+    const std::lock_guard guard(m_lock);
+    return m_gauges.find(id, labelValue);
+}
+
+latency& registry::time(metric id, std::string_view labelValue)
+{
+    require(id, kind::Latency);
+    const std::lock_guard guard(m_lock);
+    return m_latencies.find(id, labelValue);
+}
+
+std::string registry::exposition() const
+{
+    const std::lock_guard guard(m_lock);
+    exposition_writer writer;
+    for (const auto& described : catalogue) {
+        writer.head(described);
+        writer.values(described, m_counters);
+        writer.values(described, m_gauges);
+        writer.values(described, m_latencies);
+    }
+    return std::move(writer).text();
+}
+
+} // namespace pimentomast::telemetry
