--- a/include/pimentomast/ownership.h
+++ b/include/pimentomast/ownership.h
@@ -1,3 +1,472 @@
 #pragma once
 
 #include "pimentomast/core.h"
+#include "pimentomast/platform.h"
+#include "pimentomast/table.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// Decides which target owns which keys: coordinator authority, grants, takeover and moves.
+///
+/// Everything here is pure: time and messages in, actions out. No object is thread-safe; calls to
+/// one object must be serialised by its user.
+namespace pimentomast::ownership {
+
+// ---- Rows of the platform ----
+
+/// A range of keys, the target that owns it and the token of that grant.
+struct owned_slice {
+    slice range;
+    target_id owner;
+    /// Raised whenever the slice changes its owner, and only then.
+    token grant;
+    std::optional<target_id> standby;
+
+    bool operator==(const owned_slice&) const = default;
+};
+
+/// The committed owners of all keys of one service; value of the row assignment/<service>.
+struct assignment {
+    service_id service;
+    epoch coordinator;
+    sequence number;
+    /// Sorted, without gaps or overlaps, from hash 0 to the highest one.
+    std::vector<owned_slice> slices;
+
+    /// Returns epoch and sequence, by which assignments are ordered.
+    [[nodiscard]] token version() const noexcept { return { coordinator, number }; }
+    /// Returns the slice that contains the hash, or null if there is none (binary search).
+    [[nodiscard]] const owned_slice* find(key_hash hash) const noexcept;
+    bool operator==(const assignment&) const = default;
+};
+
+/// Checks that the slices cover the whole hash space once, in order, and that each has an owner and
+/// a token no higher than the assignment's own version.
+[[nodiscard]] result<void> check(const assignment& value);
+/// Returns the JSON text of the row.
+[[nodiscard]] std::string format(const assignment& value);
+/// Parses and checks the JSON text of the row.
+[[nodiscard]] result<assignment> parseAssignment(const std::string& text);
+/// Returns the key of the row, assignment/<service>.
+[[nodiscard]] std::string assignmentKey(const service_id& service);
+
+/// One run of an entry host.
+struct host_run {
+    host_id host;
+    incarnation run;
+
+    auto operator<=>(const host_run&) const = default;
+};
+
+/// Who coordinates a service; value of the row coordinator/<service>.
+struct coordinator_row {
+    service_id service;
+    epoch number;
+    host_run holder;
+    /// Raised by each renewal of the holder's authority.
+    std::uint64_t renewals = 0;
+    /// The holder gave its authority up; anyone may take over at once.
+    bool released = false;
+    /// Hosts that were live when the holder last wrote the row.
+    std::vector<host_run> witnesses;
+    /// Witnesses of earlier epochs whose holders may still go on without the store.
+    std::vector<std::vector<host_run>> earlier;
+
+    bool operator==(const coordinator_row&) const = default;
+};
+
+/// Returns the JSON text of the row.
+[[nodiscard]] std::string format(const coordinator_row& value);
+/// Parses the JSON text of the row.
+[[nodiscard]] result<coordinator_row> parseCoordinatorRow(const std::string& text);
+/// Returns the key of the row, coordinator/<service>.
+[[nodiscard]] std::string coordinatorKey(const service_id& service);
+
+// ---- Which host coordinates ----
+
+/// Ranks the hosts for a service, the preferred one first, by rendezvous hashing: the score of a
+/// host is the hash of service and host. Duplicates are dropped.
+[[nodiscard]] std::vector<host_id> rankCoordinators(
+    const service_id& service, std::span<const host_id> live);
+/// Returns the first host of that ranking, or nothing if no host is live.
+[[nodiscard]] std::optional<host_id> preferredCoordinator(
+    const service_id& service, std::span<const host_id> live);
+
+// ---- Witness ----
+
+/// What a host answers when asked as a witness.
+struct witness_answer {
+    incarnation run;
+    /// Highest epoch that this run itself read from the store; nothing if it has read none.
+    std::optional<epoch> highest;
+};
+
+/// Remembers the highest coordinator epoch of one service that this run read from the store.
+class witness {
+public:
+    explicit witness(incarnation run)
+        : m_answer { run, {} }
+    {
+    }
+
+    /// Records an epoch read from the store itself. Precondition: it was not heard from a peer.
+    void recordRead(epoch seen) noexcept;
+    [[nodiscard]] witness_answer answer() const noexcept { return m_answer; }
+
+private:
+    witness_answer m_answer;
+};
+
+// ---- Messages to targets ----
+
+struct granted_slice {
+    slice range;
+    token grant;
+
+    bool operator==(const granted_slice&) const = default;
+};
+
+/// Body of POST /pimentomast/grants.
+struct grant_message {
+    service_id service;
+    host_id host;
+    epoch coordinator;
+    sequence number;
+    /// 0 while the target's incarnation is not known.
+    incarnation target;
+    /// The target's clock reading, in microseconds, from which the lease runs.
+    std::uint64_t echoUs = 0;
+    std::chrono::milliseconds lease { 0 };
+    /// Only installs the epoch; what the target holds stays as it is.
+    bool adopt = false;
+    std::vector<granted_slice> slices;
+};
+
+struct held_slice {
+    slice range;
+    token grant;
+    bool draining = false;
+};
+
+struct target_load {
+    unsigned running = 0;
+    unsigned queued = 0;
+    unsigned slots = 0;
+};
+
+/// A target's answer to a grant message.
+struct grant_reply {
+    incarnation target;
+    std::uint64_t clockUs = 0;
+    epoch highest;
+    std::vector<held_slice> held;
+    target_load load;
+};
+
+// ---- Events ----
+
+/// Identifies a request among the actions; its answer carries the same number.
+using request_number = strong<struct request_number_tag, std::uint64_t>;
+
+/// Time has passed. Send one at least every 50 ms.
+struct tick { };
+/// Answer to read_row.
+struct row_read {
+    request_number request;
+    std::optional<platform::row> row;
+};
+struct row_read_failed {
+    request_number request;
+};
+/// Answer to write_row.
+struct write_finished {
+    request_number request;
+    platform::write_outcome outcome;
+};
+/// Answer to send_grant: the target took the message (200).
+struct target_acknowledged {
+    request_number request;
+    target_id target;
+    grant_reply reply;
+};
+/// Answer to send_grant: the target refused the message (409). A refusal because of a higher epoch
+/// carries that epoch; fields that the answer lacked stay at 0.
+struct target_refused {
+    request_number request;
+    target_id target;
+    grant_reply reply;
+};
+/// Answer to send_grant: no connection, no answer in time, or an answer that makes no sense.
+struct target_failed {
+    request_number request;
+    target_id target;
+};
+/// Answer to ask_witness.
+struct witness_answered {
+    request_number request;
+    host_id host;
+    witness_answer answer;
+};
+/// Another host asks this one; answered by answer_witness with the same query number.
+struct witness_asked {
+    std::uint64_t query = 0;
+    epoch asked;
+};
+/// Answer to hold_slice. Send it too when the host could not be reached: holds are advisory.
+struct hold_answered {
+    request_number request;
+    host_id host;
+};
+/// Answer to renew_route: the host's run, its own clock, and the newest assignment that it has.
+struct route_acknowledged {
+    request_number request;
+    host_id host;
+    incarnation run;
+    std::uint64_t clockUs = 0;
+    token version;
+};
+/// The targets of the service, from the operators' table.
+struct table_changed {
+    std::vector<table::target_row> targets;
+};
+/// The entry hosts that are live as far as known.
+struct membership_changed {
+    std::vector<host_run> live;
+};
+struct wanted_slice {
+    slice range;
+    target_id owner;
+};
+/// Owners proposed by the balancing library. Ranges that are not named stay as they are.
+struct placement_wanted {
+    std::vector<wanted_slice> slices;
+};
+/// This host shuts down: gives up authority and takes none again.
+struct stop { };
+
+using event = std::variant<tick, row_read, row_read_failed, write_finished, target_acknowledged,
+    target_refused, target_failed, witness_answered, witness_asked, hold_answered,
+    route_acknowledged, table_changed, membership_changed, placement_wanted, stop>;
+
+// ---- Actions ----
+
+/// Read a row of the platform; answered by row_read or row_read_failed.
+struct read_row {
+    request_number request;
+    std::string key;
+};
+/// Write a row once, without retries; answered by write_finished.
+struct write_row {
+    request_number request;
+    std::string key;
+    row_version expected;
+    std::string value;
+    platform::write_id writer;
+};
+/// Send a grant message; answered by target_acknowledged, target_refused or target_failed.
+struct send_grant {
+    request_number request;
+    target_id target;
+    endpoint address;
+    grant_message message;
+};
+/// Ask a host for the highest epoch that it read; answered by witness_answered, or not at all.
+struct ask_witness {
+    request_number request;
+    host_id host;
+    epoch asked;
+};
+struct answer_witness {
+    std::uint64_t query = 0;
+    witness_answer answer;
+};
+/// Give the assignment to this host's route table and to every other host.
+struct publish_assignment {
+    assignment value;
+};
+/// Ask a host (this one too) to hold new requests for a slice; answered by hold_answered. A hold of
+/// 0 ms releases the slice again.
+struct hold_slice {
+    request_number request;
+    host_id host;
+    slice range;
+    token version;
+    std::chrono::milliseconds hold { 0 };
+};
+/// Renew a host's route lease (this host's too), for services with targets that do not check
+/// tokens; answered by route_acknowledged, or not at all. Hosts pass it to route_table::renew.
+struct renew_route {
+    request_number request;
+    host_id host;
+    /// 0 while the host's incarnation is not known.
+    incarnation run;
+    token version;
+    /// The host's clock reading, in microseconds, from which the lease runs.
+    std::uint64_t echoUs = 0;
+    std::chrono::milliseconds lease { 0 };
+};
+
+enum class role {
+    Standby,
+    /// Has written, or is about to write, a higher epoch.
+    Challenger,
+    /// Its epoch is in the row; the assignment is being taken over.
+    TakingOver,
+    Holder,
+    Stopped,
+};
+
+/// The role changed; for logs and counters. Stopped: the hand-over is done, or given up.
+struct role_changed {
+    role now = role::Standby;
+    epoch number;
+    std::string reason;
+};
+
+using action = std::variant<read_row, write_row, send_grant, ask_witness, answer_witness,
+    publish_assignment, hold_slice, renew_route, role_changed>;
+
+// ---- Coordinator ----
+
+/// Times of the protocol. All hosts of one installation must use the same values.
+struct timings {
+    /// A target's lease, from the echoed reading of its own clock.
+    std::chrono::milliseconds targetLease { 1500 };
+    std::chrono::milliseconds targetRenewal { 150 };
+    /// Authority of a coordinator, from before its last successful write was sent.
+    std::chrono::milliseconds authority { 700 };
+    std::chrono::milliseconds authorityRenewal { 200 };
+    /// How often the first challengers read the row; the others read it at slowPoll.
+    std::chrono::milliseconds fastPoll { 75 };
+    std::chrono::milliseconds slowPoll { 500 };
+    /// Delay of each further challenger behind the one before it.
+    std::chrono::milliseconds stagger { 200 };
+    /// Between two rounds of questions to the witnesses.
+    std::chrono::milliseconds witnessRound { 150 };
+    /// How long a holder may go on without the store at most.
+    std::chrono::milliseconds maxOutage { 600000 };
+    /// Added to every wait for somebody else's lease: bounds the drift between two clocks.
+    std::chrono::milliseconds clockMargin { 20 };
+    /// A planned move waits this long for the hosts' answers, and for the old owner to drain.
+    std::chrono::milliseconds holdAnswer { 50 };
+    std::chrono::milliseconds drain { 1000 };
+    std::chrono::milliseconds retryMove { 5000 };
+    /// A host's route lease, from the echoed reading of its own clock.
+    std::chrono::milliseconds routeLease { 1500 };
+    /// Reads and writes of the store are given up after this.
+    std::chrono::milliseconds storeTimeout { 1000 };
+};
+
+struct coordinator_options {
+    service_id service;
+    host_run self;
+    /// Start of the counter that write ids are drawn from; differs for each run of a host.
+    std::uint64_t seed = 0;
+    timings times;
+};
+
+/// What the coordinator knows of a target.
+struct target_view {
+    target_id id;
+    /// Acknowledged a message lately.
+    bool reachable = false;
+    /// No grant that it was given can still run.
+    bool leaseOver = true;
+    incarnation run;
+    target_load load;
+};
+
+/// One host's part in coordinating one service: standby, challenger or holder.
+class coordinator {
+public:
+    /// Fails if a time is not positive or the times contradict each other.
+    [[nodiscard]] static result<coordinator> create(const coordinator_options& options);
+
+    coordinator(coordinator&&) noexcept;
+    coordinator& operator=(coordinator&&) noexcept;
+    ~coordinator();
+
+    /// Takes an event and returns what is to be done, in this order. Precondition: now is read
+    /// after the event arrived, and never goes back; actions are sent after the call returned.
+    [[nodiscard]] std::vector<action> step(instant now, const event& happened);
+
+    [[nodiscard]] role currentRole() const noexcept;
+    /// Whether grants may be sent at this moment.
+    [[nodiscard]] bool hasAuthority(instant now) const noexcept;
+    /// The epoch that this host holds, or the highest that it read.
+    [[nodiscard]] epoch currentEpoch() const noexcept;
+    /// The committed assignment, or null if this host does not hold the service.
+    [[nodiscard]] const assignment* committed() const noexcept;
+    /// The targets as this holder sees them; empty in any other role.
+    [[nodiscard]] std::vector<target_view> targets(instant now) const;
+    [[nodiscard]] std::size_t runningMoves() const noexcept;
+
+private:
+    class impl;
+    explicit coordinator(std::unique_ptr<impl> state);
+    std::unique_ptr<impl> m_impl;
+};
+
+// ---- Routes of a host ----
+
+/// Where a request for a key goes.
+struct route {
+    target_id owner;
+    token grant;
+};
+/// Nothing is known of the service's keys.
+struct no_route { };
+/// The key is about to move; ask again when the hold ends or a newer assignment arrives.
+struct held_route {
+    instant until;
+};
+/// The targets do not check tokens and this host's route lease has run out.
+struct lapsed_route { };
+using route_outcome = std::variant<route, no_route, held_route, lapsed_route>;
+
+/// The newest assignment of one service on one host, with holds and the route lease.
+class route_table {
+public:
+    /// Takes an assignment if its version is higher than the current one. A taken assignment ends
+    /// the holds of lower versions.
+    bool take(const assignment& newer);
+    /// Returns the newest assignment, or null if there is none.
+    [[nodiscard]] const assignment* current() const noexcept;
+    /// Returns the version of the newest assignment, (0, 0) if there is none.
+    [[nodiscard]] token version() const noexcept;
+
+    /// Holds the slice until the given moment, unless an assignment of a version higher than the
+    /// given one is already here. A moment that has passed releases the slice.
+    void hold(slice range, token version, instant until);
+
+    /// Whether requests need a route lease: some target of the service does not check tokens.
+    void requireLease(bool required) noexcept { m_leaseRequired = required; }
+    /// Extends the route lease. It covers the slices whose token is not above its version. It is
+    /// ignored if it is for another run of this host, an older epoch, or an assignment not yet
+    /// here.
+    void renew(const renew_route& message, incarnation self);
+
+    /// Finds the owner of a key.
+    [[nodiscard]] route_outcome find(key_hash hash, instant now) const;
+
+private:
+    struct held {
+        slice range;
+        token version;
+        instant until;
+    };
+
+    std::optional<assignment> m_current;
+    std::vector<held> m_holds;
+    bool m_leaseRequired = false;
+    token m_leaseVersion;
+    instant m_leaseUntil {};
+};
+
+} // namespace pimentomast::ownership
--- /dev/null
+++ b/src/ownership/authority.cc
@@ -0,0 +1,245 @@
+#include "coordinator_impl.h"
+
+#include <algorithm>
+
+namespace pimentomast::ownership {
+
+namespace {
+constexpr std::size_t fastChallengers = 2;
+constexpr std::chrono::milliseconds renewalRetryMs { 50 };
+} // namespace
+
+// Standing by.
+
+void coordinator::impl::tickStandby(instant now)
+{
+    const bool timedOut = m_pollRequest && now - m_pollSent >= m_options.times.storeTimeout;
+    if (timedOut) {
+        m_pollRequest.reset();
+        forgetObservation();
+    }
+    if (!m_pollRequest && now >= m_nextPoll)
+        poll(now);
+}
+
+void coordinator::impl::poll(instant now)
+{
+    m_pollRequest = m_numbers.nextRequest();
+    m_pollSent = now;
+    const bool fast = challengeRank() < fastChallengers;
+    m_nextPoll = now + (fast ? m_options.times.fastPoll : m_options.times.slowPoll);
+    m_todo.push_back(read_row { *m_pollRequest, coordinatorKey(m_options.service) });
+}
+
+std::optional<coordinator_row> coordinator::impl::recordRow(const std::optional<platform::row>& row)
+{
+    if (!row)
+        return {};
+    auto parsed = parseCoordinatorRow(row->value);
+    if (!parsed)
+        return {};
+    m_witness.recordRead(parsed.value().number);
+    return std::move(parsed).value();
+}
+
+void coordinator::impl::answerQueries()
+{
+    for (const auto query : m_queries)
+        m_todo.push_back(answer_witness { query, m_witness.answer() });
+    m_queries.clear();
+}
+
+void coordinator::impl::observe(instant now, const std::optional<platform::row>& row)
+{
+    auto parsed = recordRow(row);
+    answerQueries();
+    if (m_role == role::TakingOver || m_role == role::Holder) {
+        if (parsed && m_row.number < parsed->number)
+            stepDown(now, "another host took over");
+        return;
+    }
+    if (m_role != role::Standby)
+        return;
+    const auto version = row ? row->version : row_version {};
+    if (!m_observing || version != m_observedVersion)
+        m_observedSince = now;
+    m_observing = !row || parsed.has_value();
+    m_observedVersion = version;
+    m_observedRow = std::move(parsed);
+    m_lastRead = now;
+    if (mayChallenge(now))
+        challenge(now);
+}
+
+std::size_t coordinator::impl::challengeRank() const
+{
+    std::vector<host_id> candidates;
+    for (const auto& each : m_live) {
+        const bool holds = m_observedRow && !m_observedRow->released
+            && m_observedRow->holder.host == each.host && each != m_options.self;
+        if (!holds)
+            candidates.push_back(each.host);
+    }
+    const auto ranked = rankCoordinators(m_options.service, candidates);
+    const auto self = std::find(ranked.begin(), ranked.end(), m_options.self.host);
+    return static_cast<std::size_t>(self - ranked.begin());
+}
+
+bool coordinator::impl::mayChallenge(instant now) const
+{
+    if (!m_observing || m_stopping || m_rows.empty())
+        return false;
+    const auto& times = m_options.times;
+    duration wait = times.stagger * static_cast<std::int64_t>(challengeRank());
+    if (m_observedRow && !m_observedRow->released)
+        wait += times.authority + times.clockMargin;
+    return now - m_observedSince >= wait;
+}
+
+void coordinator::impl::challenge(instant now)
+{
+    m_openRow = {};
+    m_openRow.service = m_options.service;
+    m_openRow.holder = m_options.self;
+    m_openRow.witnesses = liveWitnesses();
+    m_earlierWitnesses.clear();
+    if (m_observedRow) {
+        m_openRow.earlier = m_observedRow->earlier;
+        m_earlierWitnesses = m_observedRow->earlier;
+        m_earlierWitnesses.push_back(m_observedRow->witnesses);
+        if (!m_observedRow->released)
+            m_openRow.earlier.push_back(m_observedRow->witnesses);
+    }
+    const auto observed = m_observedRow ? m_observedRow->number.value() : 0;
+    m_openRow.number = epoch { observed + 1 };
+    become(role::Challenger, "no renewal was seen");
+    forgetObservation();
+    m_rowWriter.start(now, m_observedVersion, format(m_openRow), m_numbers, m_todo);
+}
+
+void coordinator::impl::become(role next, const std::string& reason)
+{
+    m_role = next;
+    m_todo.push_back(role_changed { next, currentEpoch(), reason });
+}
+
+void coordinator::impl::stepDown(instant now, const std::string& reason)
+{
+    m_rowWriter.abandon();
+    m_assignmentWriter.abandon();
+    m_assignmentRead.reset();
+    m_assignment.reset();
+    m_targets.clear();
+    m_moves.clear();
+    m_rounds.clear();
+    m_routes.clear();
+    m_awaitedGrants.clear();
+    m_publicationDue = false;
+    m_authorityUntil = {};
+    forgetObservation();
+    m_nextPoll = now;
+    become(m_stopping ? role::Stopped : role::Standby, reason);
+}
+
+// Holding.
+
+bool coordinator::impl::hasAuthority(instant now) const noexcept
+{
+    const bool holds = m_role == role::TakingOver || m_role == role::Holder;
+    return holds && !m_releasing && now < m_authorityUntil;
+}
+
+std::vector<host_run> coordinator::impl::liveWitnesses() const
+{
+    std::vector<host_run> witnesses { m_options.self };
+    for (const auto& each : m_live) {
+        if (each.host != m_options.self.host)
+            witnesses.push_back(each);
+    }
+    std::sort(witnesses.begin(), witnesses.end());
+    return witnesses;
+}
+
+std::vector<host_run> coordinator::impl::namedWitnesses(instant now) const
+{
+    auto witnesses = liveWitnesses();
+    for (const auto& [host, state] : m_routes) {
+        const bool named = std::any_of(witnesses.begin(), witnesses.end(),
+            [&](const auto& each) { return each.host == host; });
+        if (!named && now < state.leaseEnds)
+            witnesses.push_back({ host, state.run });
+    }
+    std::sort(witnesses.begin(), witnesses.end());
+    return witnesses;
+}
+
+coordinator_row coordinator::impl::nextRow(instant now) const
+{
+    auto row = m_row;
+    row.renewals++;
+    row.witnesses = namedWitnesses(now);
+    if (m_earlierSeen && now >= m_earlierAuthorityEnds)
+        row.earlier.clear();
+    return row;
+}
+
+void coordinator::impl::renew(instant now)
+{
+    if (m_rowWriter.isOpen() || m_releasing || now < m_nextRenewal)
+        return;
+    m_openRow = nextRow(now);
+    m_nextRenewal = now + m_options.times.authorityRenewal;
+    m_rowWriter.start(now, m_rowVersion, format(m_openRow), m_numbers, m_todo);
+}
+
+void coordinator::impl::takeCoordinatorWrite(instant now, const detail::write_state& state)
+{
+    if (const auto* done = std::get_if<detail::write_settled>(&state)) {
+        coordinatorWritten(now, *done);
+    } else if (const auto* lost = std::get_if<detail::write_lost>(&state)) {
+        recordRow(lost->current);
+        stepDown(now, "another host wrote the coordinator row");
+    } else if (std::holds_alternative<detail::write_dropped>(state)) {
+        m_nextRenewal = now + renewalRetryMs;
+        if (m_role == role::Challenger)
+            stepDown(now, "the store refused the write");
+    }
+}
+
+void coordinator::impl::coordinatorWritten(instant now, const detail::write_settled& done)
+{
+    m_row = m_openRow;
+    m_rowVersion = done.version;
+    m_authorityUntil = std::max(m_authorityUntil, done.firstSent + m_options.times.authority);
+    m_storeConfirmed = done.firstSent;
+    m_witness.recordRead(m_row.number);
+    if (m_role == role::Challenger)
+        takenOver(now);
+    if (m_row.released)
+        stepDown(now, "handed over");
+}
+
+// Stopping.
+
+void coordinator::impl::release(instant now)
+{
+    m_releasing = true;
+    m_openRow = nextRow(now);
+    m_openRow.released = true;
+    m_rowWriter.start(now, m_rowVersion, format(m_openRow), m_numbers, m_todo);
+}
+
+void coordinator::impl::tickStopping(instant now)
+{
+    if (m_role == role::Stopped)
+        return;
+    if (now - m_stopBegan >= 2 * m_options.times.storeTimeout) {
+        stepDown(now, "stopped without a hand-over");
+        return;
+    }
+    const bool holds = m_role == role::TakingOver || m_role == role::Holder;
+    if (holds && !m_rowWriter.isOpen() && !m_assignmentWriter.isOpen())
+        release(now);
+}
+
+} // namespace pimentomast::ownership
--- /dev/null
+++ b/src/ownership/coordinator.cc
@@ -0,0 +1,183 @@
+#include "coordinator_impl.h"
+
+namespace pimentomast::ownership {
+
+namespace {
+std::vector<std::chrono::milliseconds> allTimes(const timings& times)
+{
+    return { times.targetLease, times.targetRenewal, times.authority, times.authorityRenewal,
+        times.fastPoll, times.slowPoll, times.stagger, times.witnessRound, times.maxOutage,
+        times.clockMargin, times.holdAnswer, times.drain, times.retryMove, times.routeLease,
+        times.storeTimeout };
+}
+
+result<void> checkTimes(const timings& times)
+{
+    const std::string step = "check timings";
+    for (const auto each : allTimes(times)) {
+        if (each.count() <= 0)
+            return error { step, "", "a time is not positive" };
+    }
+    if (times.authorityRenewal * 2 > times.authority)
+        return error { step, "", "authority must last two renewals" };
+    if (times.targetRenewal * 3 > times.targetLease)
+        return error { step, "", "a target's lease must last three renewals" };
+    if (times.targetLease <= times.authority)
+        return error { step, "", "a target's lease must outlast authority" };
+    return boost::outcome_v2::success();
+}
+} // namespace
+
+coordinator::coordinator(std::unique_ptr<impl> state)
+    : m_impl(std::move(state))
+{
+}
+
+coordinator::coordinator(coordinator&&) noexcept = default;
+coordinator& coordinator::operator=(coordinator&&) noexcept = default;
+coordinator::~coordinator() = default;
+
+result<coordinator> coordinator::create(const coordinator_options& options)
+{
+    if (options.service.value().empty() || options.self.host.value().empty())
+        return error { "create coordinator", options.service.value(), "service or host is empty" };
+    if (const auto checked = checkTimes(options.times); !checked)
+        return checked.error();
+    return coordinator(std::make_unique<impl>(options));
+}
+
+std::vector<action> coordinator::step(instant now, const event& happened)
+{
+    m_impl->step(now, happened);
+    return m_impl->takeActions();
+}
+
+role coordinator::currentRole() const noexcept { return m_impl->currentRole(); }
+bool coordinator::hasAuthority(instant now) const noexcept { return m_impl->hasAuthority(now); }
+epoch coordinator::currentEpoch() const noexcept { return m_impl->currentEpoch(); }
+const assignment* coordinator::committed() const noexcept { return m_impl->committed(); }
+std::size_t coordinator::runningMoves() const noexcept { return m_impl->runningMoves(); }
+
+std::vector<target_view> coordinator::targets(instant now) const { return m_impl->targets(now); }
+
+coordinator::impl::impl(const coordinator_options& options)
+    : m_options(options)
+    , m_numbers(options.self, options.service, options.seed)
+    , m_witness(options.self.run)
+    , m_rowWriter(coordinatorKey(options.service))
+    , m_assignmentWriter(assignmentKey(options.service))
+{
+}
+
+void coordinator::impl::step(instant now, const event& happened)
+{
+    std::visit([&](const auto& each) { on(now, each); }, happened);
+}
+
+epoch coordinator::impl::currentEpoch() const noexcept
+{
+    const bool holds = m_role == role::Holder || m_role == role::TakingOver;
+    return holds ? m_row.number : m_witness.answer().highest.value_or(epoch {});
+}
+
+const assignment* coordinator::impl::committed() const noexcept
+{
+    return m_role == role::Holder && m_assignment ? &*m_assignment : nullptr;
+}
+
+std::vector<target_view> coordinator::impl::targets(instant now) const
+{
+    std::vector<target_view> views;
+    for (const auto& [id, state] : m_targets)
+        views.push_back({ id, isReachable(state), leaseEnd(state) <= now, state.run, state.load });
+    return views;
+}
+
+void coordinator::impl::on(instant now, const tick&)
+{
+    m_rowWriter.tick(now, m_options.times.storeTimeout, m_numbers, m_todo);
+    m_assignmentWriter.tick(now, m_options.times.storeTimeout, m_numbers, m_todo);
+    switch (m_role) {
+    case role::Standby:
+        tickStandby(now);
+        break;
+    case role::Challenger:
+    case role::Stopped:
+        break;
+    case role::TakingOver:
+        renew(now);
+        tickWitnessRounds(now);
+        tickTakeover(now);
+        break;
+    case role::Holder:
+        renew(now);
+        tickWitnessRounds(now);
+        tickTargets(now);
+        tickMoves(now);
+        tickPublication(now);
+        tickRoutes(now);
+        break;
+    }
+    if (m_stopping)
+        tickStopping(now);
+}
+
+void coordinator::impl::on(instant now, const row_read& happened)
+{
+    if (m_pollRequest == happened.request) {
+        m_pollRequest.reset();
+        observe(now, happened.row);
+    } else if (m_assignmentRead == happened.request) {
+        m_assignmentRead.reset();
+        takeAssignmentRow(now, happened.row);
+    } else {
+        takeCoordinatorWrite(now, m_rowWriter.take(now, happened));
+        takeAssignmentWrite(now, m_assignmentWriter.take(now, happened));
+    }
+}
+
+void coordinator::impl::on(instant now, const row_read_failed& happened)
+{
+    if (m_pollRequest == happened.request) {
+        m_pollRequest.reset();
+        forgetObservation();
+        answerQueries();
+    } else if (m_assignmentRead == happened.request) {
+        m_assignmentRead.reset();
+    } else {
+        m_rowWriter.take(now, happened);
+        m_assignmentWriter.take(now, happened);
+    }
+}
+
+void coordinator::impl::on(instant now, const write_finished& happened)
+{
+    takeCoordinatorWrite(now, m_rowWriter.take(now, happened));
+    takeAssignmentWrite(now, m_assignmentWriter.take(now, happened));
+}
+
+void coordinator::impl::on(instant now, const table_changed& happened)
+{
+    m_rows = happened.targets;
+    if (m_role == role::Holder)
+        refreshTargets(now);
+}
+
+void coordinator::impl::on(instant, const membership_changed& happened) { m_live = happened.live; }
+
+void coordinator::impl::on(instant, const placement_wanted& happened)
+{
+    m_wanted = happened.slices;
+}
+
+void coordinator::impl::on(instant now, const stop&)
+{
+    m_stopping = true;
+    m_stopBegan = now;
+    if (m_role == role::Standby)
+        become(role::Stopped, "stopped");
+    else
+        tickStopping(now);
+}
+
+} // namespace pimentomast::ownership
--- /dev/null
+++ b/src/ownership/coordinator_impl.h
@@ -0,0 +1,305 @@
+#pragma once
+
+#include "row_writer.h"
+
+#include <deque>
+#include <set>
+
+namespace pimentomast::ownership {
+
+namespace detail {
+
+/// A grant message whose answer is awaited.
+struct sent_grant {
+    request_number request;
+    bool adopt = false;
+};
+
+/// What the holder knows of one target.
+struct target_state {
+    table::target_row row;
+    bool listed = false;
+    incarnation run;
+    /// Acknowledged this epoch, so it refuses lower ones.
+    bool adopted = false;
+    std::uint64_t clockUs = 0;
+    /// When the answer with that reading arrived.
+    instant clockReceived {};
+    /// Highest request answered.
+    request_number answered;
+    /// When every grant that it was given has run out, if the previous holder gave it none.
+    instant leaseEnds {};
+    std::vector<held_slice> held;
+    target_load load;
+    std::deque<sent_grant> outstanding;
+    instant nextSend {};
+    /// First message since the last answer, and their count.
+    instant unansweredSince {};
+    unsigned unanswered = 0;
+};
+
+enum class move_phase {
+    Holding,
+    Draining,
+    /// The old owner holds the range no more.
+    Cleared,
+    Committing,
+};
+
+struct move {
+    slice range;
+    target_id from;
+    target_id to;
+    move_phase phase = move_phase::Holding;
+    instant since {};
+    /// Never given back to the old owner, because it is leaving or lost.
+    bool forced = false;
+    /// Cleared because the old owner's lease has run out, not because it drained.
+    bool byLoss = false;
+    /// First message to the old owner without the range.
+    request_number drainRequest;
+    std::set<request_number> holds;
+    /// Given back to the old owner; about to be erased.
+    bool givenUp = false;
+};
+
+/// Questions to the witnesses, sent at one moment.
+struct witness_round {
+    instant sent {};
+    std::map<request_number, host_id> asked;
+    std::set<host_run> agreed;
+};
+
+/// A planned move that was given up is not tried again before a moment.
+struct postponed {
+    slice range;
+    instant until {};
+};
+
+/// Route lease of one host.
+struct route_state {
+    incarnation run;
+    std::uint64_t clockUs = 0;
+    instant clockReceived {};
+    request_number answered;
+    /// Newest assignment that the host has.
+    token confirmed;
+    /// When every route lease that it was given has run out.
+    instant leaseEnds {};
+    instant nextSend {};
+};
+
+[[nodiscard]] bool overlap(const slice& left, const slice& right) noexcept;
+/// Returns the parts of the range that none of the holes covers.
+[[nodiscard]] std::vector<slice> subtract(const slice& range, const std::vector<slice>& holes);
+/// Returns a first assignment: the hash space in shares by weight. Precondition: not empty.
+[[nodiscard]] std::vector<owned_slice> splitByWeight(
+    const std::vector<table::target_row>& targets, token grant);
+/// Gives the ranges of the moves to their new owners with the given token.
+[[nodiscard]] std::vector<owned_slice> applyMoves(
+    const std::vector<owned_slice>& slices, const std::vector<move>& moves, token grant);
+
+} // namespace detail
+
+class coordinator::impl {
+public:
+    using actions = detail::actions;
+
+    explicit impl(const coordinator_options& options);
+
+    void step(instant now, const event& happened);
+    actions takeActions() { return std::exchange(m_todo, {}); }
+
+    role currentRole() const noexcept { return m_role; }
+    bool hasAuthority(instant now) const noexcept;
+    epoch currentEpoch() const noexcept;
+    const assignment* committed() const noexcept;
+    std::vector<target_view> targets(instant now) const;
+    std::size_t runningMoves() const noexcept { return m_moves.size(); }
+
+private:
+    // Events.
+    void on(instant now, const tick& happened);
+    void on(instant now, const row_read& happened);
+    void on(instant now, const row_read_failed& happened);
+    void on(instant now, const write_finished& happened);
+    void on(instant now, const target_acknowledged& happened);
+    void on(instant now, const target_refused& happened);
+    void on(instant now, const target_failed& happened);
+    void on(instant now, const witness_answered& happened);
+    void on(instant now, const witness_asked& happened);
+    void on(instant now, const hold_answered& happened);
+    void on(instant now, const route_acknowledged& happened);
+    void on(instant now, const table_changed& happened);
+    void on(instant now, const membership_changed& happened);
+    void on(instant now, const placement_wanted& happened);
+    void on(instant now, const stop& happened);
+
+    // Standby (authority.cc).
+    void tickStandby(instant now);
+    void poll(instant now);
+    void observe(instant now, const std::optional<platform::row>& row);
+    void forgetObservation() noexcept { m_observing = false; }
+    std::optional<coordinator_row> recordRow(const std::optional<platform::row>& row);
+    void answerQueries();
+    std::size_t challengeRank() const;
+    bool mayChallenge(instant now) const;
+    void challenge(instant now);
+    void become(role next, const std::string& reason);
+    void stepDown(instant now, const std::string& reason);
+
+    // Authority (authority.cc).
+    coordinator_row nextRow(instant now) const;
+    std::vector<host_run> liveWitnesses() const;
+    /// The live hosts, and those whose route lease still runs.
+    std::vector<host_run> namedWitnesses(instant now) const;
+    void takeCoordinatorWrite(instant now, const detail::write_state& state);
+    void coordinatorWritten(instant now, const detail::write_settled& done);
+    void renew(instant now);
+    void release(instant now);
+    void tickStopping(instant now);
+
+    // Witnesses (witness_rounds.cc).
+    void tickWitnessRounds(instant now);
+    void askWitnesses(instant now, const std::vector<std::vector<host_run>>& sets);
+    std::vector<std::vector<host_run>> ownSets() const;
+    bool majorities(
+        const std::vector<std::vector<host_run>>& sets, const std::set<host_run>& agreed) const;
+    void countRound(instant now, const detail::witness_round& round);
+    void earlierSeen(instant now);
+    bool storeInDoubt(instant now) const;
+    /// When no grant of an earlier holder can still run.
+    instant earlierLeasesEnd() const;
+
+    // Takeover (takeover.cc).
+    void takenOver(instant now);
+    void tickTakeover(instant now);
+    void readAssignment(instant now);
+    void takeAssignmentRow(instant now, const std::optional<platform::row>& row);
+    void fence(instant now, const std::optional<platform::row>& row);
+    void takeAssignmentWrite(instant now, const detail::write_state& state);
+    void startHolding(instant now);
+
+    // Grants (grants.cc).
+    void tickTargets(instant now);
+    void refreshTargets(instant now);
+    detail::target_state& targetState(instant now, const target_id& id);
+    /// Returns the number of the message, or nothing if none could be sent.
+    std::optional<request_number> sendGrant(instant now, detail::target_state& target);
+    std::vector<granted_slice> slicesFor(const target_id& id) const;
+    std::vector<slice> withheldFrom(const target_id& id) const;
+    std::optional<detail::sent_grant> takeOutstanding(
+        detail::target_state& target, request_number request);
+    /// Returns false if a later message was answered before.
+    bool takeReply(instant now, detail::target_state& target, request_number request,
+        const grant_reply& reply);
+    void adopted(instant now, detail::target_state& target);
+    bool isReachable(const detail::target_state& target) const;
+    bool isLost(instant now, const detail::target_state& target) const;
+    instant leaseEnd(const detail::target_state& target) const;
+
+    // Moves (moves.cc).
+    void tickMoves(instant now);
+    void planLost(instant now);
+    void planWanted(instant now);
+    void planMove(
+        instant now, const slice& range, const target_id& from, const target_id& to, bool forced);
+    bool mayMoveByConsent(instant now) const;
+    void planLeaving(
+        instant now, const owned_slice& each, const std::map<target_id, double>& shares);
+    bool isMoving(const slice& range) const;
+    bool isPostponed(instant now, const slice& range) const;
+    bool canOwn(const target_id& id) const;
+    std::map<target_id, double> sharesPerWeight() const;
+    std::optional<target_id> newOwner(
+        const slice& range, const target_id& from, const std::map<target_id, double>& shares) const;
+    void advance(instant now, detail::move& each);
+    void startDrain(instant now, detail::move& each);
+    bool isDrained(const detail::move& each, request_number request) const;
+    void noteDrained(instant now, const target_id& from, request_number request);
+    void giveBack(instant now, detail::move& each);
+    void sendHolds(
+        const slice& range, std::chrono::milliseconds hold, std::set<request_number>& requests);
+
+    // Commit (commit.cc).
+    void commit(instant now);
+    bool decideOwner(detail::move& each, std::map<target_id, double>& shares) const;
+    void committedMoves(instant now);
+    void dropMoves(instant now);
+    void noteGranted(const target_id& id, request_number request);
+    void tickPublication(instant now);
+
+    // Route leases (routes.cc).
+    bool needsRoutes() const;
+    void startRoutes(instant now);
+    void tickRoutes(instant now);
+    bool allRoutesConfirmed(instant now) const;
+    void renewRoute(instant now, const host_run& host);
+
+    coordinator_options m_options;
+    detail::numbering m_numbers;
+    witness m_witness;
+    actions m_todo;
+    role m_role = role::Standby;
+    bool m_stopping = false;
+    instant m_stopBegan {};
+    std::vector<table::target_row> m_rows;
+    std::vector<host_run> m_live;
+    std::vector<wanted_slice> m_wanted;
+
+    // Observation of the row while standing by.
+    std::optional<request_number> m_pollRequest;
+    instant m_pollSent {};
+    instant m_nextPoll {};
+    bool m_observing = false;
+    instant m_observedSince {};
+    instant m_lastRead {};
+    row_version m_observedVersion;
+    std::optional<coordinator_row> m_observedRow;
+    std::vector<std::uint64_t> m_queries;
+
+    // The row as this host last wrote it, and as the open write would make it.
+    coordinator_row m_row;
+    coordinator_row m_openRow;
+    row_version m_rowVersion;
+    detail::row_writer m_rowWriter;
+    instant m_authorityUntil {};
+    instant m_storeConfirmed {};
+    instant m_nextRenewal {};
+    bool m_releasing = false;
+
+    // Earlier holders.
+    instant m_takenAt {};
+    /// Witnesses of every earlier holder that may still run, as read when taking over.
+    std::vector<std::vector<host_run>> m_earlierWitnesses;
+    bool m_earlierSeen = false;
+    instant m_earlierAuthorityEnds {};
+
+    std::deque<detail::witness_round> m_rounds;
+    instant m_nextRound {};
+
+    // The assignment row.
+    std::optional<request_number> m_assignmentRead;
+    instant m_assignmentReadSent {};
+    instant m_nextAssignmentRead {};
+    detail::row_writer m_assignmentWriter;
+    row_version m_assignmentVersion;
+    std::optional<assignment> m_assignment;
+    assignment m_proposed;
+    instant m_nextCommit {};
+
+    std::map<target_id, detail::target_state> m_targets;
+    sequence m_messageNumber;
+    std::vector<detail::move> m_moves;
+    std::vector<detail::postponed> m_postponed;
+    bool m_publicationDue = false;
+    instant m_publishAt {};
+    std::map<target_id, request_number> m_awaitedGrants;
+
+    std::map<host_id, detail::route_state> m_routes;
+    /// Hosts that an earlier holder may have given route leases.
+    std::set<host_id> m_earlierRoutes;
+    token m_leasable;
+};
+
+} // namespace pimentomast::ownership
--- /dev/null
+++ b/src/ownership/moves.cc
@@ -0,0 +1,250 @@
+#include "coordinator_impl.h"
+
+#include <algorithm>
+
+namespace pimentomast::ownership {
+
+using detail::move;
+using detail::move_phase;
+
+namespace {
+constexpr std::size_t mostMoves = 32;
+
+double size(const slice& range)
+{
+    return static_cast<double>(range.last.value() - range.first.value()) + 1;
+}
+
+slice common(const slice& left, const slice& right)
+{
+    return { std::max(left.first, right.first), std::min(left.last, right.last) };
+}
+} // namespace
+
+void coordinator::impl::tickMoves(instant now)
+{
+    if (!hasAuthority(now))
+        return;
+    std::erase_if(m_postponed, [&](const auto& each) { return each.until <= now; });
+    planLost(now);
+    planWanted(now);
+    for (auto& each : m_moves)
+        advance(now, each);
+    std::erase_if(m_moves, [](const auto& each) { return each.givenUp; });
+    commit(now);
+}
+
+bool coordinator::impl::isMoving(const slice& range) const
+{
+    return std::any_of(m_moves.begin(), m_moves.end(),
+        [&](const auto& each) { return detail::overlap(each.range, range); });
+}
+
+bool coordinator::impl::isPostponed(instant now, const slice& range) const
+{
+    return std::any_of(m_postponed.begin(), m_postponed.end(),
+        [&](const auto& each) { return now < each.until && detail::overlap(each.range, range); });
+}
+
+bool coordinator::impl::canOwn(const target_id& id) const
+{
+    const auto found = m_targets.find(id);
+    if (found == m_targets.end())
+        return false;
+    const auto& state = found->second;
+    const bool takesWork = state.listed && state.row.state == table::mark::Active;
+    return takesWork && state.row.weight > 0 && isReachable(state);
+}
+
+std::map<target_id, double> coordinator::impl::sharesPerWeight() const
+{
+    std::map<target_id, double> shares;
+    for (const auto& [id, state] : m_targets) {
+        if (canOwn(id))
+            shares[id] = 0;
+    }
+    const auto add = [&](const target_id& id, const slice& range) {
+        const auto found = shares.find(id);
+        if (found != shares.end())
+            found->second += size(range) / m_targets.at(id).row.weight;
+    };
+    for (const auto& each : m_assignment->slices)
+        add(each.owner, each.range);
+    for (const auto& each : m_moves)
+        add(each.to, each.range);
+    return shares;
+}
+
+std::optional<target_id> coordinator::impl::newOwner(
+    const slice& range, const target_id& from, const std::map<target_id, double>& shares) const
+{
+    for (const auto& each : m_wanted) {
+        const bool covers = each.range.first <= range.first && range.last <= each.range.last;
+        if (covers && each.owner != from && canOwn(each.owner))
+            return each.owner;
+    }
+    std::optional<target_id> best;
+    for (const auto& [id, share] : shares) {
+        if (id != from && (!best || share < shares.at(*best)))
+            best = id;
+    }
+    return best;
+}
+
+void coordinator::impl::planLost(instant now)
+{
+    for (auto& each : m_moves) {
+        const bool waits = each.phase == move_phase::Holding || each.phase == move_phase::Draining;
+        const auto from = m_targets.find(each.from);
+        if (waits && from != m_targets.end() && isLost(now, from->second)) {
+            each.phase = move_phase::Cleared;
+            each.forced = true;
+            each.byLoss = true;
+        }
+    }
+    for (const auto& each : m_assignment->slices) {
+        const auto& owner = m_targets.at(each.owner);
+        if (!isLost(now, owner) || isMoving(each.range))
+            continue;
+        move lost;
+        lost.range = each.range;
+        lost.from = each.owner;
+        lost.phase = move_phase::Cleared;
+        lost.since = now;
+        lost.forced = true;
+        lost.byLoss = true;
+        m_moves.push_back(std::move(lost));
+    }
+}
+
+bool coordinator::impl::mayMoveByConsent(instant now) const
+{
+    const bool earlierEnded = m_earlierSeen && now >= m_earlierAuthorityEnds;
+    const bool storeAnswers = now - m_storeConfirmed < m_options.times.authority;
+    return earlierEnded && storeAnswers && !m_stopping && m_moves.size() < mostMoves;
+}
+
+void coordinator::impl::planWanted(instant now)
+{
+    if (!mayMoveByConsent(now))
+        return;
+    const auto shares = sharesPerWeight();
+    for (const auto& each : m_assignment->slices)
+        planLeaving(now, each, shares);
+    for (const auto& wanted : m_wanted) {
+        if (!canOwn(wanted.owner))
+            continue;
+        for (const auto& each : m_assignment->slices) {
+            if (each.owner != wanted.owner && detail::overlap(each.range, wanted.range))
+                planMove(now, common(each.range, wanted.range), each.owner, wanted.owner, false);
+        }
+    }
+}
+
+void coordinator::impl::planLeaving(
+    instant now, const owned_slice& each, const std::map<target_id, double>& shares)
+{
+    const auto& owner = m_targets.at(each.owner);
+    if (owner.listed && owner.row.state == table::mark::Active)
+        return;
+    const auto to = newOwner(each.range, each.owner, shares);
+    if (to)
+        planMove(now, each.range, each.owner, *to, true);
+}
+
+void coordinator::impl::planMove(
+    instant now, const slice& range, const target_id& from, const target_id& to, bool forced)
+{
+    const bool full = m_moves.size() >= mostMoves;
+    if (full || !isReachable(m_targets.at(from)) || isMoving(range) || isPostponed(now, range))
+        return;
+    move planned;
+    planned.range = range;
+    planned.from = from;
+    planned.to = to;
+    planned.since = now;
+    planned.forced = forced;
+    const auto& times = m_options.times;
+    sendHolds(range, times.holdAnswer + times.drain + times.storeTimeout, planned.holds);
+    m_moves.push_back(std::move(planned));
+}
+
+void coordinator::impl::sendHolds(
+    const slice& range, std::chrono::milliseconds hold, std::set<request_number>& requests)
+{
+    for (const auto& each : liveWitnesses()) {
+        const auto request = m_numbers.nextRequest();
+        requests.insert(request);
+        m_todo.push_back(hold_slice { request, each.host, range, m_assignment->version(), hold });
+    }
+}
+
+void coordinator::impl::on(instant now, const hold_answered& happened)
+{
+    for (auto& each : m_moves) {
+        each.holds.erase(happened.request);
+        if (m_role == role::Holder && hasAuthority(now))
+            advance(now, each);
+    }
+    std::erase_if(m_moves, [](const auto& each) { return each.givenUp; });
+}
+
+void coordinator::impl::advance(instant now, move& each)
+{
+    const auto& times = m_options.times;
+    const auto waited = now - each.since;
+    if (each.phase == move_phase::Holding) {
+        if (each.holds.empty() || waited >= times.holdAnswer)
+            startDrain(now, each);
+    } else if (each.phase == move_phase::Draining) {
+        if (each.drainRequest == request_number {})
+            startDrain(now, each);
+        else if (!each.forced && waited >= times.drain)
+            giveBack(now, each);
+    }
+}
+
+void coordinator::impl::startDrain(instant now, move& each)
+{
+    if (each.phase == move_phase::Holding)
+        each.since = now;
+    each.phase = move_phase::Draining;
+    auto& from = m_targets.at(each.from);
+    const auto request = sendGrant(now, from);
+    if (request && !from.outstanding.back().adopt)
+        each.drainRequest = *request;
+}
+
+bool coordinator::impl::isDrained(const move& each, request_number request) const
+{
+    const bool asked = each.drainRequest != request_number {} && each.drainRequest <= request;
+    if (each.phase != move_phase::Draining || !asked)
+        return false;
+    const auto& held = m_targets.at(each.from).held;
+    return std::none_of(held.begin(), held.end(),
+        [&](const auto& one) { return detail::overlap(one.range, each.range); });
+}
+
+void coordinator::impl::noteDrained(instant now, const target_id& from, request_number request)
+{
+    bool cleared = false;
+    for (auto& each : m_moves) {
+        if (each.from != from || !isDrained(each, request))
+            continue;
+        each.phase = move_phase::Cleared;
+        cleared = true;
+    }
+    if (cleared && hasAuthority(now))
+        commit(now);
+}
+
+void coordinator::impl::giveBack(instant now, move& each)
+{
+    each.givenUp = true;
+    m_postponed.push_back({ each.range, now + m_options.times.retryMove });
+    std::set<request_number> ignored;
+    sendHolds(each.range, std::chrono::milliseconds { 0 }, ignored);
+    m_targets.at(each.from).nextSend = now;
+}
+
+} // namespace pimentomast::ownership
--- a/src/ownership/ownership.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "pimentomast/ownership.h"
--- /dev/null
+++ b/src/ownership/slices.cc
@@ -0,0 +1,97 @@
+#include "coordinator_impl.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace pimentomast::ownership::detail {
+
+namespace {
+constexpr std::uint64_t highestHash = std::numeric_limits<std::uint64_t>::max();
+
+key_hash next(key_hash hash) { return key_hash { hash.value() + 1 }; }
+key_hash previous(key_hash hash) { return key_hash { hash.value() - 1 }; }
+
+std::vector<slice> subtractOne(const slice& range, const slice& hole)
+{
+    if (!overlap(range, hole))
+        return { range };
+    std::vector<slice> rest;
+    if (range.first < hole.first)
+        rest.push_back({ range.first, previous(hole.first) });
+    if (hole.last < range.last)
+        rest.push_back({ next(hole.last), range.last });
+    return rest;
+}
+
+bool comesFirst(const owned_slice& left, const owned_slice& right)
+{
+    return left.range.first < right.range.first;
+}
+} // namespace
+
+bool overlap(const slice& left, const slice& right) noexcept
+{
+    return left.first <= right.last && right.first <= left.last;
+}
+
+std::vector<slice> subtract(const slice& range, const std::vector<slice>& holes)
+{
+    std::vector<slice> parts { range };
+    for (const auto& hole : holes) {
+        std::vector<slice> rest;
+        for (const auto& part : parts) {
+            const auto pieces = subtractOne(part, hole);
+            rest.insert(rest.end(), pieces.begin(), pieces.end());
+        }
+        parts = std::move(rest);
+    }
+    return parts;
+}
+
+std::vector<owned_slice> splitByWeight(const std::vector<table::target_row>& targets, token grant)
+{
+    std::vector<table::target_row> owners;
+    for (const auto& each : targets) {
+        if (each.state == table::mark::Active && each.weight > 0)
+            owners.push_back(each);
+    }
+    if (owners.empty())
+        owners.push_back(targets.front());
+    double total = 0;
+    for (const auto& each : owners)
+        total += each.weight;
+    std::vector<owned_slice> slices;
+    double sum = 0;
+    std::uint64_t first = 0;
+    for (const auto& each : owners) {
+        sum += each.weight;
+        const bool isLast = &each == &owners.back();
+        const auto share = static_cast<long double>(sum / total);
+        const auto last
+            = isLast ? highestHash : static_cast<std::uint64_t>(share * (highestHash - 1));
+        if (last < first)
+            continue;
+        slices.push_back({ { key_hash { first }, key_hash { last } }, each.id, grant, {} });
+        first = last + 1;
+    }
+    return slices;
+}
+
+std::vector<owned_slice> applyMoves(
+    const std::vector<owned_slice>& slices, const std::vector<move>& moves, token grant)
+{
+    std::vector<slice> ranges;
+    std::vector<owned_slice> result;
+    for (const auto& each : moves) {
+        ranges.push_back(each.range);
+        result.push_back({ each.range, each.to, grant, {} });
+    }
+    for (const auto& each : slices) {
+        for (const auto& part : subtract(each.range, ranges))
+            result.push_back({ part, each.owner, each.grant, each.standby });
+    }
+    std::sort(result.begin(), result.end(), comesFirst);
+    return result;
+}
+
+} // namespace pimentomast::ownership::detail
--- /dev/null
+++ b/src/ownership/takeover.cc
@@ -0,0 +1,107 @@
+#include "coordinator_impl.h"
+
+namespace pimentomast::ownership {
+
+namespace {
+constexpr std::chrono::milliseconds assignmentRetryMs { 50 };
+} // namespace
+
+void coordinator::impl::takenOver(instant now)
+{
+    m_takenAt = now;
+    m_nextRenewal = now + m_options.times.authorityRenewal;
+    m_releasing = false;
+    m_earlierSeen = m_row.earlier.empty();
+    m_earlierAuthorityEnds = now;
+    m_messageNumber = {};
+    m_nextRound = now;
+    become(role::TakingOver, "wrote the next epoch");
+    tickWitnessRounds(now);
+    readAssignment(now);
+}
+
+void coordinator::impl::readAssignment(instant now)
+{
+    m_assignmentRead = m_numbers.nextRequest();
+    m_assignmentReadSent = now;
+    m_nextAssignmentRead = now + assignmentRetryMs;
+    m_todo.push_back(read_row { *m_assignmentRead, assignmentKey(m_options.service) });
+}
+
+void coordinator::impl::tickTakeover(instant now)
+{
+    if (m_assignmentRead && now - m_assignmentReadSent >= m_options.times.storeTimeout)
+        m_assignmentRead.reset();
+    const bool waits = m_assignmentRead || m_assignmentWriter.isOpen();
+    if (!waits && now >= m_nextAssignmentRead)
+        readAssignment(now);
+}
+
+void coordinator::impl::takeAssignmentRow(instant now, const std::optional<platform::row>& row)
+{
+    if (m_role == role::TakingOver && !m_assignmentWriter.isOpen())
+        fence(now, row);
+}
+
+void coordinator::impl::fence(instant now, const std::optional<platform::row>& row)
+{
+    m_assignmentVersion = row ? row->version : row_version {};
+    if (row) {
+        const auto parsed = parseAssignment(row->value);
+        if (!parsed) {
+            m_todo.push_back(role_changed { m_role, m_row.number, parsed.error().text() });
+            m_nextAssignmentRead = now + m_options.times.storeTimeout;
+            return;
+        }
+        if (m_row.number < parsed.value().coordinator) {
+            stepDown(now, "the assignment has a higher epoch");
+            return;
+        }
+        m_proposed = parsed.value();
+        m_proposed.number = sequence { m_proposed.number.value() + 1 };
+    } else {
+        const token first { m_row.number, sequence { 1 } };
+        m_proposed = { m_options.service, m_row.number, first.assignment,
+            detail::splitByWeight(m_rows, first) };
+    }
+    m_proposed.coordinator = m_row.number;
+    m_assignmentWriter.start(now, m_assignmentVersion, format(m_proposed), m_numbers, m_todo);
+}
+
+void coordinator::impl::takeAssignmentWrite(instant now, const detail::write_state& state)
+{
+    const bool takingOver = m_role == role::TakingOver;
+    if (const auto* done = std::get_if<detail::write_settled>(&state)) {
+        m_assignmentVersion = done->version;
+        m_assignment = m_proposed;
+        if (takingOver)
+            startHolding(now);
+        else
+            committedMoves(now);
+    } else if (std::holds_alternative<detail::write_lost>(state)) {
+        if (takingOver)
+            readAssignment(now);
+        else
+            stepDown(now, "another host wrote the assignment");
+    } else if (std::holds_alternative<detail::write_dropped>(state) && !takingOver) {
+        dropMoves(now);
+    }
+}
+
+void coordinator::impl::startHolding(instant now)
+{
+    become(role::Holder, "took the assignment over");
+    m_targets.clear();
+    m_moves.clear();
+    m_postponed.clear();
+    m_awaitedGrants.clear();
+    m_nextCommit = now;
+    refreshTargets(now);
+    startRoutes(now);
+    m_publicationDue = true;
+    m_publishAt = now;
+    tickPublication(now);
+    tickTargets(now);
+}
+
+} // namespace pimentomast::ownership
--- /dev/null
+++ b/src/ownership/witness_rounds.cc
@@ -0,0 +1,134 @@
+#include "coordinator_impl.h"
+
+#include <algorithm>
+
+namespace pimentomast::ownership {
+
+namespace {
+constexpr std::size_t keptRounds = 8;
+
+bool isMajority(const std::vector<host_run>& set, const std::set<host_run>& agreed)
+{
+    const auto count = std::count_if(
+        set.begin(), set.end(), [&](const auto& each) { return agreed.contains(each); });
+    return 2 * static_cast<std::size_t>(count) > set.size();
+}
+} // namespace
+
+bool coordinator::impl::majorities(
+    const std::vector<std::vector<host_run>>& sets, const std::set<host_run>& agreed) const
+{
+    return std::all_of(
+        sets.begin(), sets.end(), [&](const auto& each) { return isMajority(each, agreed); });
+}
+
+std::vector<std::vector<host_run>> coordinator::impl::ownSets() const
+{
+    std::vector<std::vector<host_run>> sets { m_row.witnesses };
+    // A write whose outcome is not known may have put its witnesses into the row.
+    if (m_rowWriter.isOpen())
+        sets.push_back(m_openRow.witnesses);
+    return sets;
+}
+
+bool coordinator::impl::storeInDoubt(instant now) const
+{
+    return now + m_options.times.authority / 2 >= m_authorityUntil;
+}
+
+void coordinator::impl::tickWitnessRounds(instant now)
+{
+    const auto& times = m_options.times;
+    const auto outageEnds = m_takenAt + times.maxOutage + times.authority + times.clockMargin;
+    if (!m_earlierSeen && now >= outageEnds)
+        earlierSeen(now);
+    if (now < m_nextRound)
+        return;
+    std::vector<std::vector<host_run>> sets;
+    if (storeInDoubt(now))
+        sets = ownSets();
+    if (!m_earlierSeen)
+        sets.insert(sets.end(), m_row.earlier.begin(), m_row.earlier.end());
+    if (sets.empty())
+        return;
+    m_nextRound = now + times.witnessRound;
+    askWitnesses(now, sets);
+}
+
+void coordinator::impl::askWitnesses(instant now, const std::vector<std::vector<host_run>>& sets)
+{
+    std::set<host_id> hosts;
+    for (const auto& set : sets) {
+        for (const auto& each : set)
+            hosts.insert(each.host);
+    }
+    detail::witness_round round;
+    round.sent = now;
+    if (m_witness.answer().highest == m_row.number)
+        round.agreed.insert(m_options.self);
+    for (const auto& each : hosts) {
+        if (each == m_options.self.host)
+            continue;
+        const auto request = m_numbers.nextRequest();
+        round.asked.emplace(request, each);
+        m_todo.push_back(ask_witness { request, each, m_row.number });
+    }
+    m_rounds.push_back(std::move(round));
+    if (m_rounds.size() > keptRounds)
+        m_rounds.pop_front();
+    countRound(now, m_rounds.back());
+}
+
+void coordinator::impl::on(instant now, const witness_answered& happened)
+{
+    const auto round = std::find_if(m_rounds.begin(), m_rounds.end(), [&](const auto& each) {
+        const auto asked = each.asked.find(happened.request);
+        return asked != each.asked.end() && asked->second == happened.host;
+    });
+    if (round == m_rounds.end() || !happened.answer.highest)
+        return;
+    if (m_row.number < *happened.answer.highest) {
+        stepDown(now, "a witness read a higher epoch");
+        return;
+    }
+    if (*happened.answer.highest != m_row.number)
+        return;
+    round->agreed.insert({ happened.host, happened.answer.run });
+    countRound(now, *round);
+}
+
+void coordinator::impl::countRound(instant now, const detail::witness_round& round)
+{
+    if (!m_earlierSeen && majorities(m_row.earlier, round.agreed))
+        earlierSeen(now);
+    const auto& times = m_options.times;
+    const bool tooLong = round.sent >= m_storeConfirmed + times.maxOutage;
+    if (!tooLong && majorities(ownSets(), round.agreed))
+        m_authorityUntil = std::max(m_authorityUntil, round.sent + times.authority);
+}
+
+void coordinator::impl::earlierSeen(instant now)
+{
+    m_earlierSeen = true;
+    m_earlierAuthorityEnds = now + m_options.times.authority + m_options.times.clockMargin;
+}
+
+instant coordinator::impl::earlierLeasesEnd() const
+{
+    const auto& times = m_options.times;
+    const auto lease = times.targetLease + times.clockMargin;
+    if (m_earlierSeen)
+        return m_earlierAuthorityEnds + lease;
+    return m_takenAt + times.maxOutage + times.authority + lease;
+}
+
+void coordinator::impl::on(instant now, const witness_asked& happened)
+{
+    m_queries.push_back(happened.query);
+    if (m_witness.answer().highest >= happened.asked)
+        answerQueries();
+    else if (!m_pollRequest)
+        poll(now);
+}
+
+} // namespace pimentomast::ownership
