--- a/src/serve/announcing_store.h
+++ b/src/serve/announcing_store.h
@@ -8,7 +8,8 @@
 namespace pimentomast::serve::detail {
 
 /// The platform's services as the administration API uses them: an accepted table is announced to
-/// all hosts at once, so that it is in force although an outage follows. Thread-safe.
+/// all hosts at once, so that it is in force although an outage follows. A table that is read is
+/// announced too: a write whose reply was lost is settled by reading it back. Thread-safe.
 class announcing_store : public platform::services {
 public:
     using announce_handler = std::function<void(config_version, const std::string&)>;
@@ -21,7 +22,10 @@
 
     result<std::optional<platform::row>> read(const std::string& key) override
     {
-        return m_store.read(key);
+        auto found = m_store.read(key);
+        if (found && found.value() && key == table::configRow)
+            announce(found.value()->version, found.value()->value);
+        return found;
     }
 
     platform::write_outcome write(const std::string& key, row_version expected,
@@ -30,7 +34,7 @@
         auto outcome = m_store.write(key, expected, value, id);
         const auto* accepted = std::get_if<platform::write_accepted>(&outcome);
         if (accepted && key == table::configRow)
-            m_announce(config_version { accepted->version.value() }, value);
+            announce(accepted->version, value);
         return outcome;
     }
 
@@ -47,6 +51,11 @@
     result<std::vector<platform::listed_host>> hosts() override { return m_store.hosts(); }
 
 private:
+    void announce(row_version version, const std::string& value) const
+    {
+        m_announce(config_version { version.value() }, value);
+    }
+
     platform::services& m_store;
     announce_handler m_announce;
 };
--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -212,7 +212,7 @@
         m_control->applyMembership(m_book->live(now));
         m_control->tick();
         m_dispatch->applyLiveHosts(now, m_book->connectionSharers(now));
-        m_proxy->setHealthy(health().accepting);
+        m_proxy->setHealthy(currentHealth().accepting);
         if (now >= nextLoad) {
             nextLoad = now + loadIntervalMs;
             reportLoads(now);
@@ -262,7 +262,7 @@
     telemetry::log(telemetry::severity::Info, "drained", {});
 }
 
-admin::health node::health() const
+admin::health node::currentHealth() const
 {
     if (m_draining)
         return { false, "stopping" };
--- a/src/serve/node.h
+++ b/src/serve/node.h
@@ -32,7 +32,7 @@
     void drain();
 
     // admin::node
-    [[nodiscard]] admin::health health() const override;
+    [[nodiscard]] admin::health currentHealth() const override;
     [[nodiscard]] std::string statusJson() const override;
     bool pardon(std::uint64_t fingerprint) override;
     [[nodiscard]] platform::services& platform() override { return m_announcing; }
--- a/src/serve/spread.cc
+++ b/src/serve/spread.cc
@@ -232,6 +232,8 @@
 
 void spread::announce(config_version version, const std::string& value)
 {
+    if (version <= this->version())
+        return;
     takeTable(version, value);
     wire::Notice notice;
     notice.set_host(m_options.self.value());
--- a/src/serve/status.cc
+++ b/src/serve/status.cc
@@ -45,7 +45,7 @@
 std::string node::statusJson() const
 {
     const auto now = monotonic_clock::now();
-    const auto healthy = health();
+    const auto healthy = currentHealth();
     Object status;
     status.set("host", m_values.host.id.value());
     status.set("domain", m_values.host.domain.value());
