--- a/include/pimentomast/proxy.h
+++ b/include/pimentomast/proxy.h
@@ -1,3 +1,276 @@
 #pragma once
 
 #include "pimentomast/core.h"
+#include "pimentomast/table.h"
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+/// HTTP/1.1 between callers and targets.
+///
+/// Poller threads watch callers' connections that carry no running request; a bounded pool of
+/// workers runs the exchanges that were dispatched to a target. Lock order, outermost first:
+/// exchange registry, poller, worker queue, target pools. No lock is held during a call of the
+/// dispatcher, the observer or a socket.
+namespace pimentomast::proxy {
+
+/// Number of a request, unique within one run of a host.
+using request_id = strong<struct request_id_tag, std::uint64_t>;
+
+/// Why the proxy refused or ended a request. Each has a counter.
+enum class reason {
+    BareLineEnding,
+    HeadTooLarge,
+    LineTooLong,
+    TooManyFields,
+    HeadTimeout,
+    MalformedHead,
+    FoldedField,
+    UnknownMethod,
+    BadTarget,
+    ReservedPath,
+    BadVersion,
+    BadHost,
+    BadLength,
+    RepeatedLength,
+    LengthAndEncoding,
+    UnsupportedEncoding,
+    ReservedField,
+    BadConnectionField,
+    UnsupportedExpectation,
+    TooManyConnections,
+    NoService,
+    NoKey,
+    NoCaller,
+    ShuttingDown,
+    MalformedBody,
+    BodyTimeout,
+    Deadline,
+    CallerGone,
+    ConnectFailed,
+    NoConnection,
+    TargetClosed,
+    TargetTimeout,
+    TargetAnswerMalformed,
+    TargetAnswerUnframed,
+    AnswerBroken,
+    TargetShed,
+    TargetNotOwner,
+    TargetDraining,
+    ConnectionSuspect,
+    BodyNotReplayable,
+    Internal,
+    Last = Internal,
+};
+
+/// Returns the reason's name as it stands in answers, logs and metrics ("bare-line-ending").
+[[nodiscard]] std::string_view name(reason why) noexcept;
+
+/// What is certain about a request that got no answer from a target.
+enum class certainty {
+    /// No target ran the request and none will.
+    NotRun,
+    /// A target may have run the request.
+    Unknown,
+};
+
+/// What routing needs to know of a request.
+struct request_facts {
+    request_id id;
+    service_id service;
+    /// Empty for a service without keys.
+    std::optional<key_hash> key;
+    caller_id caller;
+    bool repeatable = false;
+    /// Same for each sending of the same method, path, key and caller.
+    std::uint64_t fingerprint = 0;
+    instant arrived;
+    instant deadline;
+};
+
+/// Where the next attempt of a request goes.
+struct destination {
+    target_id target;
+    endpoint address;
+    /// Fencing token of the key's grant; empty for a service without keys.
+    std::optional<token> grant;
+    /// Connections that this host may have to the target.
+    unsigned connections = 8;
+};
+
+/// An answer that the dispatcher has the proxy make.
+struct refusal {
+    certainty outcome = certainty::NotRun;
+    /// HTTP status, such as 503.
+    int status = 503;
+    /// Reason as callers and metrics see it.
+    std::string reason;
+    /// Seconds after which the caller may try again; 0: not said.
+    unsigned retryAfterS = 0;
+};
+
+/// The target's answer was handed to the caller whole.
+struct attempt_answered {
+    int status = 200;
+};
+/// No byte could have reached the target, or it said that it refused before running.
+struct attempt_not_run {
+    proxy::reason why = reason::Internal;
+};
+/// The target may have run the request; the caller has seen nothing of an answer.
+struct attempt_unknown {
+    proxy::reason why = reason::Internal;
+};
+/// The answer broke off after the caller had seen a part of it. Nothing can be repeated.
+struct attempt_broken {
+    proxy::reason why = reason::AnswerBroken;
+};
+/// The caller went away; the target's connection was closed.
+struct attempt_cancelled { };
+using attempt_result = std::variant<attempt_answered, attempt_not_run, attempt_unknown,
+    attempt_broken, attempt_cancelled>;
+
+/// One finished attempt.
+struct attempt {
+    request_id id;
+    target_id target;
+    attempt_result result;
+    /// False if the request's body was consumed and is no longer held: it can't be sent again.
+    bool replayable = true;
+    duration connecting { 0 };
+    /// From the request's first byte sent until the answer's first byte.
+    duration firstByte { 0 };
+    duration total { 0 };
+};
+
+/// Takes decisions about submitted requests. Implemented by the server; thread-safe. Calls for
+/// an id that is no longer waiting have no effect.
+class dispatch_sink {
+public:
+    virtual ~dispatch_sink() = default;
+    /// Sends the waiting request to the target.
+    virtual void forward(request_id id, const destination& to) = 0;
+    /// Ends the waiting request with an answer of the proxy's own.
+    virtual void refuse(request_id id, const refusal& answer) = 0;
+};
+
+/// Decides where requests go. Implementations are thread-safe and may call the sink during a call
+/// or later, from any thread.
+class dispatcher {
+public:
+    virtual ~dispatcher() = default;
+    /// A request waits for a decision; exactly one call of the sink answers it.
+    virtual void submit(const request_facts& facts, dispatch_sink& sink) = 0;
+    /// An attempt has ended. After not_run or unknown the request waits for another decision;
+    /// otherwise it is over.
+    virtual void ended(const attempt& finished, dispatch_sink& sink) = 0;
+    /// The caller of a waiting request has gone; no decision is needed any more.
+    virtual void cancelled(request_id id) = 0;
+    /// The first byte of an answer is late on a connection that was used before, and a probe on a
+    /// new connection was answered. Returns whether to give up the attempt as unknown.
+    virtual bool abandon(request_id id, const target_id& target) = 0;
+};
+
+/// One finished request.
+struct completion {
+    service_id service;
+    int status = 0;
+    unsigned attempts = 0;
+    /// From the complete head until the answer's last byte was handed to the kernel.
+    duration total { 0 };
+    /// Part of total spent waiting for dispatch.
+    duration waited { 0 };
+};
+
+/// Told of finished requests. Implementations are thread-safe and quick.
+class observer {
+public:
+    virtual ~observer() = default;
+    virtual void completed(const completion& finished) = 0;
+};
+
+/// Counters by reason. Reads are thread-safe at any time.
+class counters {
+public:
+    void add(reason why) noexcept
+    {
+        m_counts[static_cast<std::size_t>(why)].fetch_add(1, std::memory_order_relaxed);
+    }
+    [[nodiscard]] std::uint64_t count(reason why) const noexcept
+    {
+        return m_counts[static_cast<std::size_t>(why)].load(std::memory_order_relaxed);
+    }
+
+private:
+    std::array<std::atomic<std::uint64_t>, static_cast<std::size_t>(reason::Last) + 1> m_counts {};
+};
+
+/// Present state, for status and metrics.
+struct gauges {
+    std::size_t connections = 0;
+    std::size_t waiting = 0;
+    std::size_t running = 0;
+    std::size_t targetConnections = 0;
+};
+
+struct options {
+    /// Address for callers; port 0 takes a free one.
+    endpoint listen { "127.0.0.1", 0 };
+    /// Begins each request's id, so that ids of different hosts differ.
+    std::string requestPrefix;
+    unsigned pollers = 1;
+    unsigned workers = 128;
+    std::size_t callerConnections = 10000;
+    std::size_t headBytes = 16384;
+    std::size_t lineBytes = 8192;
+    std::size_t fields = 100;
+    /// Bytes of a request's body that are held so that it can be sent again.
+    std::size_t replayBytes = 65536;
+    std::chrono::milliseconds headTimeout { 10000 };
+    std::chrono::milliseconds idleTimeout { 75000 };
+    /// Longest pause within a body, in either direction.
+    std::chrono::milliseconds bodyTimeout { 30000 };
+    std::chrono::milliseconds connectTimeout { 500 };
+    /// Wait for the first byte of an answer after which a used connection is checked.
+    std::chrono::milliseconds lateAfter { 1000 };
+    /// Age at which an unused connection to a target is closed.
+    std::chrono::milliseconds pooledIdle { 20000 };
+};
+
+/// Accepts callers' connections and forwards their requests.
+class server {
+public:
+    server() = default;
+    server(const server&) = delete;
+    server& operator=(const server&) = delete;
+    /// Closes every connection at once; drain() first if requests may be in flight.
+    virtual ~server() = default;
+
+    /// Returns the address for callers, with the port that was taken. Thread-safe.
+    [[nodiscard]] virtual endpoint address() const = 0;
+    /// Sets the table by which requests are classified; until then each is refused. Thread-safe.
+    virtual void setTable(std::shared_ptr<const table::table> rows) = 0;
+    /// Sets what GET /pimentomast/health answers to the balancer: 200 or 503. Thread-safe.
+    virtual void setHealthy(bool healthy) = 0;
+    /// Goes on accepting for the given time while each answer closes its connection, then stops
+    /// accepting and returns once every exchange has ended, however long it takes. Call once.
+    virtual void drain(duration accepting) = 0;
+    /// Returns the counters, which live as long as the server. Thread-safe.
+    [[nodiscard]] virtual const counters& counts() const = 0;
+    /// Returns the present state. Thread-safe.
+    [[nodiscard]] virtual gauges state() const = 0;
+
+    /// Starts listening. The dispatcher and the observer must outlive the server.
+    /// Fails if the address can't be bound.
+    [[nodiscard]] static result<std::unique_ptr<server>> start(
+        const options& settings, dispatcher& decisions, observer& watcher);
+};
+
+} // namespace pimentomast::proxy
--- /dev/null
+++ b/src/proxy/exchange.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "head.h"
+#include "io.h"
+#include "pimentomast/proxy.h"
+
+#include <atomic>
+#include <memory>
+#include <string>
+
+namespace pimentomast::proxy::detail {
+
+/// A caller's connection. Owned by one party at a time: a poller, a waiting exchange or a worker.
+struct caller_connection {
+    enum class phase {
+        /// Nothing of a next request has arrived.
+        Idle,
+        /// A part of a head has arrived.
+        Head,
+        /// A request waits for its dispatch.
+        Waiting,
+        /// The last answer was sent; what still arrives is discarded until the caller closes.
+        Lingering,
+    };
+
+    Poco::Net::StreamSocket socket;
+    std::string peerIp;
+    std::string input;
+    std::size_t scanned = 0;
+    std::size_t discarded = 0;
+    std::atomic<phase> state = phase::Idle;
+    /// Start of the present phase.
+    instant since;
+    request_id waiting;
+};
+
+/// One request on its way, with what is needed to send it again.
+struct exchange {
+    request_facts facts;
+    std::shared_ptr<caller_connection> caller;
+    checked_head head;
+    unsigned attempts = 0;
+    /// Body bytes taken from the caller so far, while they are few enough to be held.
+    std::string held;
+    bool replayable = true;
+    bool bodyDone = false;
+    bool continueSent = false;
+    /// Set once a byte of an answer (not 1xx) was handed to the caller.
+    bool answerStarted = false;
+    duration waited { 0 };
+    instant submitted;
+};
+
+} // namespace pimentomast::proxy::detail
--- /dev/null
+++ b/src/proxy/host.cc
@@ -0,0 +1,287 @@
+#include "host.h"
+
+#include "reason.h"
+
+#include <Poco/Exception.h>
+
+namespace pimentomast::proxy::detail {
+namespace {
+
+using phase = caller_connection::phase;
+
+constexpr std::string_view healthPath = "/pimentomast/health";
+constexpr std::chrono::seconds lingerTime { 2 };
+
+std::string refusalText(reason why, bool withBody)
+{
+    own_answer answer;
+    answer.status = statusOf(why);
+    answer.reason = name(why);
+    answer.step = "accept request";
+    answer.withBody = withBody;
+    return ownAnswer(answer);
+}
+
+} // namespace
+
+host::host(const options& settings, dispatcher& decisions, observer& watcher,
+    Poco::Net::ServerSocket listener)
+    : m_options(settings)
+    , m_decisions(decisions)
+    , m_observer(watcher)
+    , m_listener(std::move(listener))
+    , m_targets(settings.connectTimeout, settings.pooledIdle)
+{
+    const poller_events events {
+        [this](const caller_pointer& caller) { onInput(caller); },
+        [this](const caller_pointer& caller) { onGone(caller); },
+        [this](const caller_pointer& caller) { onHeadLate(caller); },
+        [this] { onClosed(); },
+    };
+    const poller_timeouts timeouts { settings.headTimeout, settings.idleTimeout, lingerTime };
+    m_workers = std::make_unique<worker_pool<job>>(
+        settings.workers, [this](job work) { run(std::move(work)); });
+    for (unsigned i = 0; i < settings.pollers; ++i)
+        m_pollers.push_back(std::make_unique<poller>(events, timeouts));
+    m_pollers.front()->listen(m_listener, [this] { accept(); });
+}
+
+host::~host()
+{
+    m_aborting = true;
+    for (const auto& watcher : m_pollers)
+        watcher->stop();
+    m_workers.reset();
+}
+
+endpoint host::address() const
+{
+    const auto bound = m_listener.address();
+    return { bound.host().toString(), bound.port() };
+}
+
+void host::setTable(std::shared_ptr<const table::table> rows) { m_rows.store(std::move(rows)); }
+
+void host::setHealthy(bool healthy) { m_healthy = healthy; }
+
+std::shared_ptr<const table::table> host::rows() const { return m_rows.load(); }
+
+gauges host::state() const
+{
+    gauges now;
+    {
+        const std::lock_guard lock(m_closedMutex);
+        now.connections = m_connections;
+    }
+    now.waiting = m_registry.size();
+    now.running = m_running;
+    now.targetConnections = m_targets.size();
+    return now;
+}
+
+poller& host::pollerOf(const caller_connection& caller)
+{
+    return *m_pollers[static_cast<std::size_t>(descriptor(caller.socket)) % m_pollers.size()];
+}
+
+head_limits host::limits() const
+{
+    return { m_options.headBytes, m_options.lineBytes, m_options.fields };
+}
+
+void host::accept()
+{
+    while (peekAcceptable(m_listener)) {
+        try {
+            adopt(m_listener.acceptConnection());
+        } catch (const Poco::Exception&) {
+            return;
+        }
+    }
+}
+
+void host::adopt(const Poco::Net::StreamSocket& socket)
+{
+    auto caller = std::make_shared<caller_connection>();
+    caller->socket = socket;
+    caller->socket.setNoDelay(true);
+    caller->peerIp = socket.peerAddress().host().toString();
+    caller->since = monotonic_clock::now();
+    if (countOpened() <= m_options.callerConnections)
+        return pollerOf(*caller).watch(caller);
+    refuseHead(caller, reason::TooManyConnections);
+}
+
+std::size_t host::countOpened()
+{
+    const std::lock_guard lock(m_closedMutex);
+    return ++m_connections;
+}
+
+void host::onClosed()
+{
+    const std::lock_guard lock(m_closedMutex);
+    --m_connections;
+    if (m_connections == 0)
+        m_allClosed.notify_all();
+}
+
+void host::onInput(const caller_pointer& caller)
+{
+    const auto extent = findHead(caller->input, caller->scanned, limits());
+    if (const auto* partial = std::get_if<head_partial>(&extent)) {
+        caller->scanned = partial->scanned;
+        if (caller->state == phase::Idle) {
+            caller->state = phase::Head;
+            caller->since = monotonic_clock::now();
+        }
+        return pollerOf(*caller).watch(caller);
+    }
+    if (const auto* why = std::get_if<reason>(&extent))
+        return refuseHead(caller, *why);
+    const std::size_t bytes = std::get<head_complete>(extent).bytes;
+    auto checked = checkHead(std::string_view(caller->input).substr(0, bytes), limits());
+    caller->input.erase(0, bytes);
+    caller->scanned = 0;
+    if (const auto* why = std::get_if<reason>(&checked))
+        return refuseHead(caller, *why);
+    begin(caller, std::move(std::get<checked_head>(checked)));
+}
+
+void host::onGone(const caller_pointer& caller)
+{
+    const auto request = m_registry.take(caller->waiting);
+    if (!request)
+        return;
+    m_counts.add(reason::CallerGone);
+    m_decisions.cancelled(request->facts.id);
+    finishCaller(caller, false, false);
+}
+
+void host::onHeadLate(const caller_pointer& caller) { refuseHead(caller, reason::HeadTimeout); }
+
+void host::begin(const caller_pointer& caller, checked_head head)
+{
+    if (head.target == healthPath)
+        return answerHealth(caller, head);
+    if (isReservedPath(head.target))
+        return refuseRequest(caller, head, reason::ReservedPath);
+    const auto current = rows();
+    if (!current)
+        return refuseRequest(caller, head, reason::NoService);
+    const auto found = classify(*current, head, caller->peerIp);
+    if (const auto* why = std::get_if<reason>(&found))
+        return refuseRequest(caller, head, *why);
+    submit(caller, std::move(head), std::get<classification>(found));
+}
+
+void host::submit(const caller_pointer& caller, checked_head head, const classification& found)
+{
+    auto request = std::make_unique<exchange>();
+    request_facts& facts = request->facts;
+    facts.id = request_id { m_nextId.fetch_add(1, std::memory_order_relaxed) };
+    facts.service = found.service->id;
+    if (found.key)
+        facts.key = hashKey(*found.key);
+    facts.caller = found.caller;
+    facts.repeatable = found.repeatable;
+    facts.fingerprint = fingerprint(head, found);
+    facts.arrived = monotonic_clock::now();
+    facts.deadline = facts.arrived + found.service->deadline;
+    request->caller = caller;
+    request->head = std::move(head);
+    request->submitted = facts.arrived;
+    caller->state = phase::Waiting;
+    caller->waiting = facts.id;
+    const request_facts submitted = facts;
+    m_registry.add(std::move(request));
+    m_decisions.submit(submitted, *this);
+    watchWhileWaiting(caller, submitted.id);
+}
+
+void host::watchWhileWaiting(const caller_pointer& caller, request_id id)
+{
+    m_registry.ifWaiting(id, [&] { pollerOf(*caller).watch(caller); });
+}
+
+void host::answerHealth(const caller_pointer& caller, const checked_head& head)
+{
+    const bool healthy = m_healthy && !m_draining;
+    const std::string body = healthy ? "healthy\n" : "unhealthy\n";
+    std::string text = healthy ? "HTTP/1.1 200 OK\r\n" : "HTTP/1.1 503 Service Unavailable\r\n";
+    text += "Content-Type: text/plain\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
+    const bool closes = !head.keepAlive || head.hasBody || m_draining;
+    text += closes ? "Connection: close\r\n\r\n" : "\r\n";
+    if (head.parser->get().method() != http::verb::head)
+        text += body;
+    send(caller, text, closes);
+}
+
+void host::refuseHead(const caller_pointer& caller, reason why)
+{
+    m_counts.add(why);
+    send(caller, refusalText(why, true), true);
+}
+
+void host::refuseRequest(const caller_pointer& caller, const checked_head& head, reason why)
+{
+    m_counts.add(why);
+    send(caller, refusalText(why, head.parser->get().method() != http::verb::head), true);
+}
+
+void host::send(const caller_pointer& caller, const std::string& text, bool closes)
+{
+    const bool whole = sendSome(caller->socket, text).bytes == text.size();
+    finishCaller(caller, whole && !closes, !whole);
+}
+
+void host::finishCaller(const caller_pointer& caller, bool reusable, bool broken)
+{
+    if (broken) {
+        closeConnection(caller->socket);
+        return onClosed();
+    }
+    caller->since = monotonic_clock::now();
+    caller->scanned = 0;
+    caller->waiting = {};
+    caller->state = reusable ? phase::Idle : phase::Lingering;
+    if (!reusable) {
+        caller->input.clear();
+        endSending(caller->socket);
+    }
+    pollerOf(*caller).watch(caller);
+}
+
+void host::drain(duration accepting)
+{
+    m_draining = true;
+    std::this_thread::sleep_for(accepting);
+    accept();
+    m_pollers.front()->stopListening();
+    m_listener.close();
+    for (const auto& watcher : m_pollers)
+        watcher->closeIdle();
+    std::unique_lock lock(m_closedMutex);
+    m_allClosed.wait(lock, [this] { return m_connections == 0; });
+}
+
+} // namespace pimentomast::proxy::detail
+
+namespace pimentomast::proxy {
+
+result<std::unique_ptr<server>> server::start(
+    const options& settings, dispatcher& decisions, observer& watcher)
+{
+    constexpr int backlog = 4096;
+    try {
+        Poco::Net::ServerSocket listener;
+        listener.bind(Poco::Net::SocketAddress(settings.listen.ip, settings.listen.port), true);
+        listener.listen(backlog);
+        listener.setBlocking(false);
+        return std::make_unique<detail::host>(settings, decisions, watcher, listener);
+    } catch (const Poco::Exception& fault) {
+        return error { "listen for callers", settings.listen.text(), fault.displayText() };
+    }
+}
+
+} // namespace pimentomast::proxy
--- /dev/null
+++ b/src/proxy/host.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "classify.h"
+#include "poller.h"
+#include "registry.h"
+#include "relay.h"
+#include "worker-pool.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <condition_variable>
+
+namespace pimentomast::proxy::detail {
+
+/// A dispatched request.
+struct job {
+    std::unique_ptr<exchange> request;
+    destination to;
+};
+
+/// The server: accepts, checks, classifies, submits and runs requests.
+class host final : public server, public dispatch_sink {
+public:
+    host(const options& settings, dispatcher& decisions, observer& watcher,
+        Poco::Net::ServerSocket listener);
+    host(const host&) = delete;
+    host& operator=(const host&) = delete;
+    ~host() override;
+
+    [[nodiscard]] endpoint address() const override;
+    void setTable(std::shared_ptr<const table::table> rows) override;
+    void setHealthy(bool healthy) override;
+    void drain(duration accepting) override;
+    [[nodiscard]] const counters& counts() const override { return m_counts; }
+    [[nodiscard]] gauges state() const override;
+
+    void forward(request_id id, const destination& to) override;
+    void refuse(request_id id, const refusal& answer) override;
+
+private:
+    void accept();
+    void adopt(const Poco::Net::StreamSocket& socket);
+    void onInput(const caller_pointer& caller);
+    void onGone(const caller_pointer& caller);
+    void onHeadLate(const caller_pointer& caller);
+    void onClosed();
+    [[nodiscard]] std::size_t countOpened();
+
+    void begin(const caller_pointer& caller, checked_head head);
+    void submit(const caller_pointer& caller, checked_head head, const classification& found);
+    void answerHealth(const caller_pointer& caller, const checked_head& head);
+    void refuseHead(const caller_pointer& caller, reason why);
+    void refuseRequest(const caller_pointer& caller, const checked_head& head, reason why);
+    void send(const caller_pointer& caller, const std::string& text, bool closes);
+    void watchWhileWaiting(const caller_pointer& caller, request_id id);
+
+    void run(job work);
+    void conclude(job& work, const relay_result& ended, attempt finished);
+    void waitAgain(std::unique_ptr<exchange> request, const attempt& finished);
+    void breakOff(const exchange& request);
+    void answerFault(const exchange& request, std::optional<reason> fault);
+    void complete(const exchange& request, int status);
+    void finishCaller(const caller_pointer& caller, bool reusable, bool broken);
+    [[nodiscard]] relay_context context(const job& work);
+
+    [[nodiscard]] poller& pollerOf(const caller_connection& caller);
+    [[nodiscard]] head_limits limits() const;
+    [[nodiscard]] std::shared_ptr<const table::table> rows() const;
+
+    options m_options;
+    dispatcher& m_decisions;
+    observer& m_observer;
+    Poco::Net::ServerSocket m_listener;
+    counters m_counts;
+    std::atomic<std::shared_ptr<const table::table>> m_rows;
+    std::atomic<bool> m_healthy { false };
+    std::atomic<bool> m_draining { false };
+    std::atomic<bool> m_aborting { false };
+    std::atomic<std::uint64_t> m_nextId { 1 };
+    std::atomic<std::size_t> m_running { 0 };
+    mutable std::mutex m_closedMutex;
+    std::condition_variable m_allClosed;
+    std::size_t m_connections = 0;
+    registry m_registry;
+    target_pool m_targets;
+    std::vector<std::unique_ptr<poller>> m_pollers;
+    std::unique_ptr<worker_pool<job>> m_workers;
+};
+
+} // namespace pimentomast::proxy::detail
--- /dev/null
+++ b/src/proxy/io.cc
@@ -0,0 +1,86 @@
+#include "io.h"
+
+#include <Poco/Exception.h>
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <poll.h>
+#include <sys/socket.h>
+
+namespace pimentomast::proxy::detail {
+namespace {
+
+constexpr std::size_t receiveBytes = 65536;
+
+io_state stateOfError(int code)
+{
+    return code == EAGAIN || code == EWOULDBLOCK || code == EINTR ? io_state::Blocked
+                                                                  : io_state::Failed;
+}
+
+} // namespace
+
+io_result receiveInto(const Poco::Net::Socket& socket, std::string& buffer, std::size_t limit)
+{
+    thread_local std::array<char, receiveBytes> space;
+    const std::size_t room = std::min(limit, space.size());
+    const ssize_t got = ::recv(descriptor(socket), space.data(), room, MSG_DONTWAIT);
+    if (got > 0) {
+        buffer.append(space.data(), static_cast<std::size_t>(got));
+        return { io_state::Ready, static_cast<std::size_t>(got) };
+    }
+    if (got == 0)
+        return { io_state::Ended, 0 };
+    return { stateOfError(errno), 0 };
+}
+
+io_result sendSome(const Poco::Net::Socket& socket, std::string_view bytes)
+{
+    const ssize_t sent
+        = ::send(descriptor(socket), bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (sent >= 0)
+        return { io_state::Ready, static_cast<std::size_t>(sent) };
+    return { stateOfError(errno), 0 };
+}
+
+io_state peekState(const Poco::Net::Socket& socket)
+{
+    char byte = 0;
+    const ssize_t got = ::recv(descriptor(socket), &byte, 1, MSG_DONTWAIT | MSG_PEEK);
+    if (got > 0)
+        return io_state::Ready;
+    return got == 0 ? io_state::Ended : stateOfError(errno);
+}
+
+bool peekAcceptable(const Poco::Net::Socket& listener)
+{
+    pollfd watched { descriptor(listener), POLLIN, 0 };
+    return ::poll(&watched, 1, 0) == 1 && (watched.revents & POLLIN) != 0;
+}
+
+void endSending(Poco::Net::StreamSocket& socket) noexcept
+{
+    ::shutdown(descriptor(socket), SHUT_WR);
+}
+
+void resetConnection(Poco::Net::StreamSocket& socket) noexcept
+{
+    try {
+        socket.setLinger(true, 0);
+    } catch (const Poco::Exception&) {
+        closeConnection(socket);
+        return;
+    }
+    closeConnection(socket);
+}
+
+void closeConnection(Poco::Net::StreamSocket& socket) noexcept
+{
+    try {
+        socket.close();
+    } catch (const Poco::Exception&) {
+        return;
+    }
+}
+
+} // namespace pimentomast::proxy::detail
--- /dev/null
+++ b/src/proxy/message.cc
@@ -0,0 +1,168 @@
+#include "message.h"
+
+#include <Poco/JSONString.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/NumberFormatter.h>
+#include <algorithm>
+
+namespace pimentomast::proxy::detail {
+namespace {
+
+std::string_view view(boost::beast::string_view text) { return { text.data(), text.size() }; }
+
+void appendField(std::string& head, std::string_view field, std::string_view value)
+{
+    head += field;
+    head += ": ";
+    head += value;
+    head += "\r\n";
+}
+
+bool isNamed(const std::vector<std::string>& names, std::string_view field)
+{
+    return std::any_of(names.begin(), names.end(),
+        [field](const std::string& own) { return equalNames(own, field); });
+}
+
+void appendContract(
+    std::string& head, const exchange& request, const destination& to, const std::string& id, instant now)
+{
+    if (to.grant) {
+        const std::string text = std::to_string(to.grant->coordinator.value()) + "."
+            + std::to_string(to.grant->assignment.value());
+        appendField(head, "Pimentomast-Token", text);
+    }
+    if (request.facts.key)
+        appendField(head, "Pimentomast-Key-Hash",
+            Poco::NumberFormatter::formatHex(
+                static_cast<Poco::UInt64>(request.facts.key->value()), 16));
+    const auto left
+        = std::chrono::duration_cast<std::chrono::milliseconds>(request.facts.deadline - now);
+    appendField(head, "Pimentomast-Deadline-Ms", std::to_string(std::max<long>(left.count(), 1)));
+    appendField(head, "Pimentomast-Caller", request.facts.caller.value());
+    appendField(head, "Pimentomast-Request-Id", id);
+}
+
+std::vector<std::string> connectionNames(const response_parser& answer)
+{
+    std::vector<std::string> names;
+    const auto fields = answer.get().equal_range(http::field::connection);
+    for (auto field = fields.first; field != fields.second; ++field) {
+        for (const std::string_view option : listElements(view(field->value())))
+            names.emplace_back(option);
+    }
+    return names;
+}
+
+std::string statusLine(int status, std::string_view phrase)
+{
+    std::string line = "HTTP/1.1 " + std::to_string(status) + " ";
+    line += phrase;
+    return line + "\r\n";
+}
+
+void appendAnswerFields(std::string& head, const response_parser& answer)
+{
+    const std::vector<std::string> named = connectionNames(answer);
+    for (const auto& field : answer.get()) {
+        const std::string_view fieldName = view(field.name_string());
+        if (isHopByHop(fieldName) || isReservedField(fieldName) || isNamed(named, fieldName))
+            continue;
+        appendField(head, fieldName, view(field.value()));
+    }
+}
+
+} // namespace
+
+std::string requestHead(
+    const exchange& request, const destination& to, const std::string& requestId, instant now)
+{
+    const auto& fields = request.head.parser->get();
+    std::string head(view(fields.method_string()));
+    head += " " + request.head.target + " HTTP/1.1\r\n";
+    appendField(head, "Host", request.head.host.empty() ? to.address.text() : request.head.host);
+    for (const auto& field : fields) {
+        const std::string_view fieldName = view(field.name_string());
+        const bool dropped = field.name() == http::field::host || isHopByHop(fieldName)
+            || isNamed(request.head.connectionNames, fieldName)
+            || (field.name() == http::field::expect && request.continueSent);
+        if (!dropped)
+            appendField(head, fieldName, view(field.value()));
+    }
+    if (request.head.parser->chunked())
+        appendField(head, "Transfer-Encoding", "chunked");
+    appendField(head, "Via", "1.1 pimentomast");
+    appendContract(head, request, to, requestId, now);
+    return head + "\r\n";
+}
+
+framing answerFraming(const response_parser& answer, const checked_head& request)
+{
+    const unsigned status = answer.get().result_int();
+    const bool bodiless = request.parser->get().method() == http::verb::head || status == 204
+        || status == 304;
+    if (bodiless)
+        return framing::None;
+    if (!answer.chunked())
+        return framing::Length;
+    return request.http10 ? framing::Close : framing::Chunked;
+}
+
+std::string answerHead(
+    const response_parser& answer, const checked_head& request, framing body, bool closes)
+{
+    std::string head = statusLine(static_cast<int>(answer.get().result_int()), view(answer.get().reason()));
+    appendAnswerFields(head, answer);
+    if (body == framing::Chunked)
+        appendField(head, "Transfer-Encoding", "chunked");
+    if (closes || body == framing::Close)
+        appendField(head, "Connection", "close");
+    else if (request.http10)
+        appendField(head, "Connection", "keep-alive");
+    return head + "\r\n";
+}
+
+std::string interimHead(const response_parser& answer)
+{
+    std::string head = statusLine(static_cast<int>(answer.get().result_int()), view(answer.get().reason()));
+    appendAnswerFields(head, answer);
+    return head + "\r\n";
+}
+
+std::optional<reason> notRunReason(const response_parser& answer)
+{
+    if (view(answer.get()["Pimentomast-Outcome"]) != "not-run")
+        return std::nullopt;
+    switch (answer.get().result_int()) {
+    case 503:
+        return reason::TargetShed;
+    case 421:
+        return reason::TargetNotOwner;
+    case 425:
+        return reason::TargetDraining;
+    default:
+        return std::nullopt;
+    }
+}
+
+std::string ownAnswer(const own_answer& answer)
+{
+    const std::string outcome = answer.outcome == certainty::NotRun ? "not-run" : "unknown";
+    const std::string body = "{\"outcome\":\"" + outcome + "\",\"reason\":"
+        + Poco::toJSON(answer.reason) + ",\"step\":" + Poco::toJSON(answer.step)
+        + ",\"peer\":" + Poco::toJSON(answer.peer) + "}\n";
+    std::string text = statusLine(answer.status,
+        Poco::Net::HTTPResponse::getReasonForStatus(
+            static_cast<Poco::Net::HTTPResponse::HTTPStatus>(answer.status)));
+    appendField(text, "Content-Type", "application/json");
+    appendField(text, "Content-Length", std::to_string(body.size()));
+    appendField(text, "Pimentomast-Outcome", outcome);
+    if (answer.retryAfterS > 0)
+        appendField(text, "Retry-After", std::to_string(answer.retryAfterS));
+    if (answer.closes)
+        appendField(text, "Connection", "close");
+    text += "\r\n";
+    return answer.withBody ? text + body : text;
+}
+
+} // namespace pimentomast::proxy::detail
--- /dev/null
+++ b/src/proxy/message.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "body.h"
+#include "exchange.h"
+
+namespace pimentomast::proxy::detail {
+
+/// Returns the head that goes to the target, with the contract's fields.
+[[nodiscard]] std::string requestHead(
+    const exchange& request, const destination& to, const std::string& requestId, instant now);
+
+/// How the body of an answer is framed towards the caller.
+enum class framing {
+    None,
+    Length,
+    Chunked,
+    /// Ends with the connection: for HTTP/1.0 callers of an answer of unknown length.
+    Close,
+};
+
+/// Returns how the answer goes to the caller.
+[[nodiscard]] framing answerFraming(const response_parser& answer, const checked_head& request);
+
+/// Returns the head that goes to the caller.
+[[nodiscard]] std::string answerHead(
+    const response_parser& answer, const checked_head& request, framing body, bool closes);
+
+/// Returns an interim (1xx) answer's head as it goes to the caller.
+[[nodiscard]] std::string interimHead(const response_parser& answer);
+
+/// Tells whether the target says that it refused the request before running it, and why.
+[[nodiscard]] std::optional<reason> notRunReason(const response_parser& answer);
+
+/// An answer of the proxy's own.
+struct own_answer {
+    int status = 500;
+    certainty outcome = certainty::NotRun;
+    std::string reason;
+    std::string step;
+    std::string peer;
+    unsigned retryAfterS = 0;
+    bool withBody = true;
+    bool closes = true;
+};
+
+/// Returns the whole answer.
+[[nodiscard]] std::string ownAnswer(const own_answer& answer);
+
+} // namespace pimentomast::proxy::detail
--- /dev/null
+++ b/src/proxy/poller.cc
@@ -0,0 +1,238 @@
+#include "poller.h"
+
+#include <Poco/Net/SocketAddress.h>
+
+namespace pimentomast::proxy::detail {
+namespace {
+
+constexpr std::chrono::milliseconds pollInterval { 100 };
+constexpr std::size_t receiveBytes = 16384;
+constexpr std::size_t lingerBytes = 4194304;
+
+using phase = caller_connection::phase;
+
+/// The poller whose thread this is.
+thread_local const poller* currentPoller = nullptr;
+
+} // namespace
+
+poller::poller(poller_events events, poller_timeouts timeouts)
+    : m_events(std::move(events))
+    , m_timeouts(timeouts)
+    , m_wake(Poco::Net::SocketAddress("127.0.0.1", 0), false)
+{
+    m_wake.connect(m_wake.address());
+    m_set.add(m_wake, Poco::Net::PollSet::POLL_READ);
+    m_thread = std::thread([this] { run(); });
+}
+
+poller::~poller() { stop(); }
+
+void poller::stop()
+{
+    m_stopped = true;
+    wake();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+void poller::wake()
+{
+    const char byte = 0;
+    (void)sendSome(m_wake, std::string_view(&byte, 1));
+}
+
+void poller::watch(const caller_pointer& connection)
+{
+    const bool receives = connection->state == phase::Idle || connection->state == phase::Head;
+    if (receives && !connection->input.empty() && connection->scanned == 0) {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_ready.push_back(connection);
+        }
+        if (currentPoller != this)
+            wake();
+        return;
+    }
+    const Poco::Net::StreamSocket socket = connection->socket;
+    const std::lock_guard lock(m_mutex);
+    m_watched[descriptor(socket)] = connection;
+    m_set.add(socket, Poco::Net::PollSet::POLL_READ);
+}
+
+bool poller::unwatch(const caller_pointer& connection)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_watched.find(descriptor(connection->socket));
+    if (found == m_watched.end() || found->second != connection)
+        return false;
+    m_watched.erase(found);
+    m_set.remove(connection->socket);
+    return true;
+}
+
+void poller::closeIdle()
+{
+    m_closesIdle = true;
+    wake();
+}
+
+void poller::listen(const Poco::Net::ServerSocket& listener, std::function<void()> accept)
+{
+    const std::lock_guard lock(m_mutex);
+    m_listener = std::make_unique<Poco::Net::ServerSocket>(listener);
+    m_accept = std::move(accept);
+    m_set.add(*m_listener, Poco::Net::PollSet::POLL_READ);
+}
+
+void poller::stopListening()
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_listener)
+        m_set.remove(*m_listener);
+    m_listener.reset();
+}
+
+void poller::run()
+{
+    currentPoller = this;
+    while (!m_stopped) {
+        const auto events = m_set.poll(Poco::Timespan(duration(pollInterval).count()));
+        for (const auto& [socket, mode] : events) {
+            if (const auto connection = find(socket))
+                handle(connection);
+        }
+        takeReady();
+        const instant now = monotonic_clock::now();
+        if (now - m_swept >= pollInterval)
+            sweep(now);
+    }
+}
+
+caller_pointer poller::find(const Poco::Net::Socket& socket)
+{
+    if (socket == m_wake) {
+        std::string ignored;
+        (void)receiveInto(m_wake, ignored, receiveBytes);
+        return nullptr;
+    }
+    std::function<void()> accept;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_listener && socket == *m_listener) {
+            accept = m_accept;
+        } else {
+            const auto found = m_watched.find(descriptor(socket));
+            return found == m_watched.end() || found->second->socket != socket ? nullptr
+                                                                               : found->second;
+        }
+    }
+    accept();
+    return nullptr;
+}
+
+void poller::handle(const caller_pointer& connection)
+{
+    switch (connection->state) {
+    case phase::Lingering:
+        return handleLingering(connection);
+    case phase::Waiting:
+        return handleWaiting(connection);
+    case phase::Idle:
+    case phase::Head:
+        return handleInput(connection);
+    }
+}
+
+void poller::handleLingering(const caller_pointer& connection)
+{
+    std::string ignored;
+    const auto got = receiveInto(connection->socket, ignored, receiveBytes);
+    connection->discarded += got.bytes;
+    const bool ended = got.state == io_state::Ended || got.state == io_state::Failed;
+    if ((ended || connection->discarded > lingerBytes) && unwatch(connection))
+        drop(connection);
+}
+
+void poller::handleWaiting(const caller_pointer& connection)
+{
+    const io_state state = peekState(connection->socket);
+    if (state == io_state::Blocked || !unwatch(connection))
+        return;
+    if (state != io_state::Ready)
+        m_events.gone(connection);
+}
+
+void poller::handleInput(const caller_pointer& connection)
+{
+    if (!unwatch(connection))
+        return;
+    const auto got = receiveInto(connection->socket, connection->input, receiveBytes);
+    if (got.state == io_state::Blocked)
+        return watch(connection);
+    if (got.state != io_state::Ready)
+        return drop(connection);
+    m_events.input(connection);
+}
+
+void poller::takeReady()
+{
+    std::vector<caller_pointer> ready;
+    {
+        const std::lock_guard lock(m_mutex);
+        ready.swap(m_ready);
+    }
+    for (const caller_pointer& connection : ready)
+        m_events.input(connection);
+}
+
+bool poller::expired(const caller_connection& connection, instant now) const
+{
+    switch (connection.state) {
+    case phase::Idle:
+        return m_closesIdle || now >= connection.since + m_timeouts.idle;
+    case phase::Head:
+        return now >= connection.since + m_timeouts.head;
+    case phase::Lingering:
+        return now >= connection.since + m_timeouts.linger;
+    case phase::Waiting:
+        return false;
+    }
+    return false;
+}
+
+void poller::sweep(instant now)
+{
+    m_swept = now;
+    std::vector<caller_pointer> over;
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const auto& [handle, connection] : m_watched) {
+            if (expired(*connection, now))
+                over.push_back(connection);
+        }
+    }
+    for (const caller_pointer& connection : over)
+        expire(connection);
+}
+
+void poller::expire(const caller_pointer& connection)
+{
+    const bool idle = connection->state == phase::Idle;
+    if (idle && peekState(connection->socket) == io_state::Ready)
+        return;
+    if (!unwatch(connection))
+        return;
+    if (connection->state == phase::Head)
+        m_events.headLate(connection);
+    else
+        drop(connection);
+}
+
+void poller::drop(const caller_pointer& connection)
+{
+    closeConnection(connection->socket);
+    m_events.closed();
+}
+
+} // namespace pimentomast::proxy::detail
--- a/src/proxy/proxy.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "pimentomast/proxy.h"
--- /dev/null
+++ b/src/proxy/relay.cc
@@ -0,0 +1,242 @@
+#include "relay.h"
+
+#include <algorithm>
+#include <array>
+#include <poll.h>
+
+namespace pimentomast::proxy::detail {
+namespace {
+
+constexpr std::size_t bufferBytes = 65536;
+constexpr long pollLimitMs = 1000;
+
+} // namespace
+
+relay::relay(exchange& request, target_connection& target, const destination& to,
+    const relay_context& context)
+    : m_request(request)
+    , m_target(target)
+    , m_to(to)
+    , m_context(context)
+    , m_started(monotonic_clock::now())
+    , m_progress(m_started)
+    , m_answerBy(request.facts.deadline)
+    , m_lateAt(m_started + context.settings.lateAfter)
+{
+}
+
+relay_result relay::run()
+{
+    startUpload();
+    while (true) {
+        if (const auto result = step())
+            return finish(*result);
+    }
+}
+
+std::optional<attempt_result> relay::step()
+{
+    if (const auto result = pumpUpload())
+        return result;
+    if (const auto result = pumpDownload())
+        return result;
+    return wait();
+}
+
+void relay::startUpload()
+{
+    const std::string id = m_context.requestPrefix + std::to_string(m_request.facts.id.value());
+    m_upload = requestHead(m_request, m_to, id, m_started);
+    const std::string held = std::move(m_request.held);
+    m_request.held.clear();
+    addToUpload(held);
+    if (!m_request.head.hasBody)
+        m_request.bodyDone = true;
+    else if (m_request.bodyDone && m_request.head.parser->chunked())
+        appendLastChunk(m_upload);
+}
+
+void relay::addToUpload(std::string_view piece)
+{
+    if (m_request.head.parser->chunked())
+        appendChunk(m_upload, piece);
+    else
+        m_upload += piece;
+    if (m_request.held.size() + piece.size() > m_context.settings.replayBytes) {
+        m_request.replayable = false;
+        m_request.held.clear();
+    }
+    if (m_request.replayable)
+        m_request.held += piece;
+}
+
+bool relay::uploadSent() const { return m_request.bodyDone && m_uploadOffset == m_upload.size(); }
+
+std::optional<attempt_result> relay::pumpUpload()
+{
+    if (m_uploadBroken)
+        return std::nullopt;
+    if (!m_request.bodyDone && m_upload.size() - m_uploadOffset < bufferBytes) {
+        if (const auto result = takeFromCaller())
+            return result;
+    }
+    return m_uploadOffset < m_upload.size() ? sendUpload() : std::nullopt;
+}
+
+std::optional<attempt_result> relay::takeFromCaller()
+{
+    caller_connection& caller = *m_request.caller;
+    if (caller.input.empty()) {
+        const auto got = receiveInto(caller.socket, caller.input, bufferBytes);
+        if (got.state == io_state::Ended || got.state == io_state::Failed)
+            return attempt_cancelled {};
+        if (got.bytes > 0)
+            m_progress = monotonic_clock::now();
+    }
+    std::string piece;
+    const auto state = decodeBody(*m_request.head.parser, caller.input, piece, bufferBytes);
+    if (state == body_state::Bad || caller.input.size() >= bufferBytes)
+        return callerFault(reason::MalformedBody);
+    m_upload.erase(0, m_uploadOffset);
+    m_uploadOffset = 0;
+    addToUpload(piece);
+    m_request.bodyDone = state == body_state::Done;
+    if (m_request.bodyDone && m_request.head.parser->chunked())
+        appendLastChunk(m_upload);
+    return std::nullopt;
+}
+
+std::optional<attempt_result> relay::sendUpload()
+{
+    const auto sent = sendSome(m_target.socket, std::string_view(m_upload).substr(m_uploadOffset));
+    if (sent.state == io_state::Failed) {
+        m_uploadBroken = true;
+        if (m_bytesSent == 0)
+            return attempt_not_run { reason::TargetClosed };
+        return std::nullopt;
+    }
+    if (sent.bytes > 0)
+        m_progress = monotonic_clock::now();
+    m_bytesSent += sent.bytes;
+    m_uploadOffset += sent.bytes;
+    if (m_uploadOffset == m_upload.size()) {
+        m_upload.clear();
+        m_uploadOffset = 0;
+    }
+    if (uploadSent())
+        m_answerBy = m_request.facts.deadline + (m_progress - m_started);
+    return std::nullopt;
+}
+
+std::optional<attempt_result> relay::callerFault(reason why)
+{
+    if (m_request.answerStarted)
+        return attempt_broken { why };
+    m_fault = why;
+    return attempt_cancelled {};
+}
+
+std::optional<attempt_result> relay::wait()
+{
+    const bool wantsCaller = !m_request.bodyDone && !m_uploadBroken
+        && m_upload.size() - m_uploadOffset < bufferBytes;
+    const bool wantsTarget
+        = m_answerState != answer_state::Done && m_download.size() < bufferBytes && !m_targetEnded;
+    std::array<pollfd, 2> watched { {
+        { descriptor(m_request.caller->socket), POLLRDHUP, 0 },
+        { descriptor(m_target.socket), 0, 0 },
+    } };
+    if (wantsCaller)
+        watched[0].events |= POLLIN;
+    if (!m_download.empty())
+        watched[0].events |= POLLOUT;
+    if (wantsTarget)
+        watched[1].events |= POLLIN;
+    if (!m_uploadBroken && m_uploadOffset < m_upload.size())
+        watched[1].events |= POLLOUT;
+    if (watched[1].events == 0)
+        watched[1].fd = -1;
+    const auto left = nextTimer() - monotonic_clock::now();
+    const auto leftMs = std::chrono::ceil<std::chrono::milliseconds>(left).count();
+    ::poll(watched.data(), watched.size(), static_cast<int>(std::clamp<long>(leftMs, 0, pollLimitMs)));
+    if ((watched[0].revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0)
+        return attempt_cancelled {};
+    if (m_context.aborting)
+        return attempt_cancelled {};
+    return checkTime(monotonic_clock::now());
+}
+
+instant relay::nextTimer() const
+{
+    const instant pause = m_progress + m_context.settings.bodyTimeout;
+    if (m_answerState != answer_state::Awaited || !uploadSent())
+        return pause;
+    return std::min(m_answerBy, m_lateAt);
+}
+
+std::optional<attempt_result> relay::checkTime(instant now)
+{
+    const bool pausing = m_answerState != answer_state::Awaited || !uploadSent();
+    if (pausing && now >= m_progress + m_context.settings.bodyTimeout) {
+        const bool callerPauses = (!m_request.bodyDone && m_upload.empty()) || !m_download.empty();
+        return callerPauses ? callerFault(reason::BodyTimeout) : failed(reason::TargetTimeout);
+    }
+    if (pausing)
+        return std::nullopt;
+    if (now >= m_answerBy)
+        return failed(reason::Deadline);
+    return now >= m_lateAt ? checkLate(now) : std::nullopt;
+}
+
+std::optional<attempt_result> relay::checkLate(instant now)
+{
+    m_lateAt = instant::max();
+    if (!m_target.used || !probeAnswered())
+        return std::nullopt;
+    m_context.pool.closeOlder(m_target.address(), now);
+    if (m_context.abandon())
+        return failed(reason::ConnectionSuspect);
+    return std::nullopt;
+}
+
+bool relay::probeAnswered()
+{
+    auto socket = m_context.pool.open(m_target.address());
+    if (!socket)
+        return false;
+    const std::string probe = "GET /pimentomast/health HTTP/1.1\r\nHost: "
+        + m_target.address().text() + "\r\nConnection: close\r\n\r\n";
+    if (sendSome(*socket, probe).bytes != probe.size())
+        return false;
+    pollfd watched { descriptor(*socket), POLLIN, 0 };
+    const auto timeout = static_cast<int>(m_context.settings.connectTimeout.count());
+    ::poll(&watched, 1, timeout);
+    const bool answered = peekState(*socket) == io_state::Ready;
+    closeConnection(*socket);
+    return answered;
+}
+
+attempt_result relay::failed(reason why) const
+{
+    if (m_request.answerStarted)
+        return attempt_broken { reason::AnswerBroken };
+    return attempt_unknown { why };
+}
+
+bool relay::reusableTarget() const
+{
+    return m_answerState == answer_state::Done && uploadSent() && !m_uploadBroken && !m_targetEnded
+        && m_targetInput.empty() && m_answer->keep_alive();
+}
+
+relay_result relay::finish(const attempt_result& result)
+{
+    relay_result ended { result, false, m_fault, m_firstByte };
+    if (reusableTarget())
+        m_target.giveBack();
+    const bool answered = std::holds_alternative<attempt_answered>(result);
+    ended.callerReusable = answered && m_request.bodyDone && !m_closesCaller;
+    return ended;
+}
+
+} // namespace pimentomast::proxy::detail
--- /dev/null
+++ b/src/proxy/relay.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "message.h"
+#include "target-pool.h"
+
+#include <functional>
+
+/// One attempt of a request over one connection to a target.
+namespace pimentomast::proxy::detail {
+
+struct relay_context {
+    const options& settings;
+    target_pool& pool;
+    std::string requestPrefix;
+    /// Tells whether to give up an attempt whose connection is suspect.
+    std::function<bool()> abandon;
+    /// Tells whether answers should close the caller's connection.
+    std::function<bool()> closing;
+    /// Set when the server is destroyed.
+    const std::atomic<bool>& aborting;
+};
+
+/// How an attempt ended.
+struct relay_result {
+    attempt_result result;
+    /// The caller's connection can carry another request.
+    bool callerReusable = false;
+    /// The request itself was at fault; the caller is told by an answer of the proxy's own.
+    std::optional<reason> fault;
+    duration firstByte { 0 };
+};
+
+/// Streams both bodies until the answer is whole or the attempt has failed. Runs on one worker's
+/// thread and owns both connections for the time.
+class relay {
+public:
+    relay(exchange& request, target_connection& target, const destination& to,
+        const relay_context& context);
+
+    [[nodiscard]] relay_result run();
+
+private:
+    enum class answer_state {
+        Awaited,
+        Body,
+        Done,
+    };
+
+    [[nodiscard]] std::optional<attempt_result> step();
+    void startUpload();
+    [[nodiscard]] std::optional<attempt_result> takeFromCaller();
+    [[nodiscard]] std::optional<attempt_result> sendUpload();
+    [[nodiscard]] std::optional<attempt_result> callerFault(reason why);
+    void addToUpload(std::string_view piece);
+    [[nodiscard]] std::optional<attempt_result> pumpUpload();
+    [[nodiscard]] std::optional<attempt_result> pumpDownload();
+    [[nodiscard]] std::optional<attempt_result> readTarget();
+    [[nodiscard]] std::optional<attempt_result> readAnswerHead();
+    [[nodiscard]] std::optional<attempt_result> beginAnswer();
+    [[nodiscard]] std::optional<attempt_result> checkAnswerFraming();
+    void sendInterim();
+    [[nodiscard]] attempt_result endNotRun(reason why);
+    [[nodiscard]] std::optional<attempt_result> decodeAnswer();
+    void addToDownload(std::string_view piece);
+    [[nodiscard]] std::optional<attempt_result> flushToCaller();
+    [[nodiscard]] std::optional<attempt_result> wait();
+    [[nodiscard]] std::optional<attempt_result> checkTime(instant now);
+    [[nodiscard]] bool probeAnswered();
+    [[nodiscard]] attempt_result failed(reason why) const;
+    [[nodiscard]] std::optional<attempt_result> checkLate(instant now);
+    [[nodiscard]] bool uploadSent() const;
+    [[nodiscard]] bool reusableTarget() const;
+    [[nodiscard]] instant nextTimer() const;
+    [[nodiscard]] relay_result finish(const attempt_result& result);
+
+    exchange& m_request;
+    target_connection& m_target;
+    const destination& m_to;
+    const relay_context& m_context;
+
+    std::string m_upload;
+    std::size_t m_uploadOffset = 0;
+    std::size_t m_bytesSent = 0;
+    bool m_uploadBroken = false;
+    std::optional<reason> m_fault;
+
+    std::string m_targetInput;
+    bool m_targetEnded = false;
+    std::unique_ptr<response_parser> m_answer;
+    answer_state m_answerState = answer_state::Awaited;
+    framing m_framing = framing::None;
+    bool m_closesCaller = false;
+    std::string m_download;
+    std::size_t m_downloadOffset = 0;
+
+    instant m_started;
+    instant m_progress;
+    /// Time by which the answer's head must have come; time spent on the body does not count.
+    instant m_answerBy;
+    instant m_lateAt;
+    duration m_firstByte { 0 };
+};
+
+} // namespace pimentomast::proxy::detail
--- /dev/null
+++ b/src/proxy/target-pool.cc
@@ -0,0 +1,141 @@
+#include "target-pool.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <algorithm>
+
+namespace pimentomast::proxy::detail {
+
+target_connection::target_connection(target_pool& pool, endpoint address)
+    : m_pool(pool)
+    , m_address(std::move(address))
+{
+}
+
+target_connection::~target_connection()
+{
+    if (m_givenBack)
+        return;
+    closeConnection(socket);
+    m_pool.release(m_address);
+}
+
+void target_connection::giveBack()
+{
+    m_givenBack = true;
+    m_pool.keep(m_address, socket, opened);
+}
+
+target_pool::target_pool(duration connectTimeout, duration idleTimeout)
+    : m_connectTimeout(connectTimeout)
+    , m_idleTimeout(idleTimeout)
+{
+}
+
+acquired target_pool::acquire(const endpoint& address, unsigned limit)
+{
+    while (auto idle = takeIdle(address)) {
+        auto connection = std::make_unique<target_connection>(*this, address);
+        connection->socket = idle->socket;
+        connection->opened = idle->opened;
+        connection->used = true;
+        if (peekState(idle->socket) == io_state::Blocked)
+            return connection;
+    }
+    if (!reserve(address, limit))
+        return reason::NoConnection;
+    auto connection = std::make_unique<target_connection>(*this, address);
+    connection->opened = monotonic_clock::now();
+    const auto socket = open(address);
+    if (!socket)
+        return reason::ConnectFailed;
+    connection->socket = *socket;
+    return connection;
+}
+
+std::optional<Poco::Net::StreamSocket> target_pool::open(const endpoint& address) const
+{
+    try {
+        Poco::Net::StreamSocket socket;
+        socket.connect(Poco::Net::SocketAddress(address.ip, address.port),
+            Poco::Timespan(m_connectTimeout.count()));
+        socket.setNoDelay(true);
+        return socket;
+    } catch (const Poco::Exception&) {
+        return std::nullopt;
+    }
+}
+
+void target_pool::closeOlder(const endpoint& address, instant before)
+{
+    const std::lock_guard lock(m_mutex);
+    target_entry& entry = m_targets[address];
+    entry.trustedSince = std::max(entry.trustedSince, before);
+    entry.open -= std::erase_if(entry.idle, [before](const idle_connection& connection) {
+        return connection.opened < before;
+    });
+}
+
+void target_pool::closeIdle(instant now)
+{
+    const std::lock_guard lock(m_mutex);
+    for (auto& [address, entry] : m_targets) {
+        entry.open -= std::erase_if(entry.idle, [&](const idle_connection& connection) {
+            return connection.since + m_idleTimeout < now
+                || peekState(connection.socket) != io_state::Blocked;
+        });
+    }
+    std::erase_if(m_targets, [](const auto& item) { return item.second.open == 0; });
+}
+
+std::size_t target_pool::size() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::size_t open = 0;
+    for (const auto& [address, entry] : m_targets)
+        open += entry.open;
+    return open;
+}
+
+std::optional<target_pool::idle_connection> target_pool::takeIdle(const endpoint& address)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_targets.find(address);
+    if (found == m_targets.end() || found->second.idle.empty())
+        return std::nullopt;
+    idle_connection connection = found->second.idle.back();
+    found->second.idle.pop_back();
+    return connection;
+}
+
+bool target_pool::reserve(const endpoint& address, unsigned limit)
+{
+    const std::lock_guard lock(m_mutex);
+    target_entry& entry = m_targets[address];
+    if (entry.open >= limit)
+        return false;
+    ++entry.open;
+    return true;
+}
+
+void target_pool::release(const endpoint& address)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_targets.find(address);
+    if (found != m_targets.end() && found->second.open > 0)
+        --found->second.open;
+}
+
+void target_pool::keep(
+    const endpoint& address, const Poco::Net::StreamSocket& socket, instant opened)
+{
+    const std::lock_guard lock(m_mutex);
+    target_entry& entry = m_targets[address];
+    if (opened < entry.trustedSince) {
+        --entry.open;
+        return;
+    }
+    entry.idle.push_back({ socket, opened, monotonic_clock::now() });
+}
+
+} // namespace pimentomast::proxy::detail
--- /dev/null
+++ b/test/stand-ins/control.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+#include <atomic>
+#include <cstdint>
+#include <istream>
+#include <mutex>
+#include <string>
+
+/// What a test can change in a running target: PUT /control with any of these members.
+namespace stand_in {
+
+struct behaviour {
+    unsigned slots = 4;
+    /// Time that each request takes.
+    unsigned serviceMs = 0;
+    /// Extra time of the first request for a key.
+    unsigned coldMs = 0;
+    bool shed = false;
+    /// Keep running after the caller has closed its connection.
+    bool ignoreCancel = false;
+    /// Answer before the request's body was read.
+    bool earlyAnswer = false;
+    /// Close the connection in order after each answer without saying so.
+    bool closeSilently = false;
+    /// Leave out the length of the answer.
+    bool unframed = false;
+    /// The process ends at a request whose path contains this.
+    std::string crashPath;
+    /// "none", "before" running, "during" the answer, "after" running without an answer, or
+    /// "upload": within the request's body.
+    std::string reset = "none";
+    /// Requests that are reset before the switch turns itself off.
+    unsigned resetCount = 0;
+    /// Load to report in place of the real one; negative: report the real one.
+    int wrongRunning = -1;
+    int wrongQueued = -1;
+    /// Grants and probes are answered only until this is set.
+    bool deafToGrants = false;
+};
+
+/// Thread-safe.
+class control {
+public:
+    explicit control(const behaviour& initial)
+        : m_behaviour(initial)
+    {
+    }
+
+    [[nodiscard]] behaviour get() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_behaviour;
+    }
+
+    void change(std::istream& json)
+    {
+        const auto object
+            = Poco::JSON::Parser().parse(json).extract<Poco::JSON::Object::Ptr>();
+        const std::lock_guard lock(m_mutex);
+        behaviour& now = m_behaviour;
+        now.slots = object->optValue("slots", now.slots);
+        now.serviceMs = object->optValue("service_ms", now.serviceMs);
+        now.coldMs = object->optValue("cold_ms", now.coldMs);
+        now.shed = object->optValue("shed", now.shed);
+        now.ignoreCancel = object->optValue("ignore_cancel", now.ignoreCancel);
+        now.earlyAnswer = object->optValue("early_answer", now.earlyAnswer);
+        now.closeSilently = object->optValue("close_silently", now.closeSilently);
+        now.unframed = object->optValue("unframed", now.unframed);
+        now.crashPath = object->optValue("crash_path", now.crashPath);
+        now.reset = object->optValue("reset", now.reset);
+        now.resetCount = object->optValue("reset_count", now.resetCount);
+        now.wrongRunning = object->optValue("wrong_running", now.wrongRunning);
+        now.wrongQueued = object->optValue("wrong_queued", now.wrongQueued);
+        now.deafToGrants = object->optValue("deaf_to_grants", now.deafToGrants);
+        m_freezeMs = object->optValue("freeze_ms", 0U);
+    }
+
+    /// Returns the time for which the process should stand still, once.
+    unsigned takeFreezeMs() { return m_freezeMs.exchange(0); }
+
+    /// Tells whether this request is to be reset in the given way.
+    bool takeReset(const std::string& kind)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_behaviour.reset != kind || m_behaviour.resetCount == 0)
+            return false;
+        --m_behaviour.resetCount;
+        return true;
+    }
+
+private:
+    mutable std::mutex m_mutex;
+    behaviour m_behaviour;
+    std::atomic<unsigned> m_freezeMs { 0 };
+};
+
+} // namespace stand_in
--- /dev/null
+++ b/test/stand-ins/target-admin.h
@@ -0,0 +1,165 @@
+#pragma once
+
+#include "target-state.h"
+
+#include <Poco/JSON/Array.h>
+#include <Poco/NumberParser.h>
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+
+/// Handlers of grants, health, control and record.
+namespace stand_in {
+
+namespace net = Poco::Net;
+
+inline void sendText(net::HTTPServerResponse& response, int status, const std::string& type,
+    const std::string& text)
+{
+    response.setStatusAndReason(static_cast<net::HTTPResponse::HTTPStatus>(status));
+    response.setContentType(type);
+    response.sendBuffer(text.data(), text.size());
+}
+
+inline grant_message readGrant(std::istream& in)
+{
+    const auto object = Poco::JSON::Parser().parse(in).extract<Poco::JSON::Object::Ptr>();
+    grant_message message;
+    message.epoch = object->getValue<Poco::UInt64>("epoch");
+    message.sequence = object->getValue<Poco::UInt64>("sequence");
+    message.incarnation = object->optValue<Poco::UInt64>("incarnation", 0);
+    message.echoUs = object->optValue<Poco::Int64>("echo_us", 0);
+    message.leaseMs = object->optValue<Poco::Int64>("lease_ms", 0);
+    message.adopt = object->optValue("adopt", false);
+    const auto slices = object->getArray("slices");
+    for (std::size_t i = 0; slices && i < slices->size(); ++i) {
+        const auto entry = slices->getObject(static_cast<unsigned>(i));
+        granted_slice slice;
+        slice.range.first = pm::key_hash {
+            Poco::NumberParser::parseHex64(entry->getValue<std::string>("first")) };
+        slice.range.last = pm::key_hash {
+            Poco::NumberParser::parseHex64(entry->getValue<std::string>("last")) };
+        slice.grant.coordinator = pm::epoch { entry->getValue<Poco::UInt64>("epoch") };
+        slice.grant.assignment = pm::sequence { entry->getValue<Poco::UInt64>("sequence") };
+        message.slices.push_back(slice);
+    }
+    return message;
+}
+
+inline Poco::JSON::Object reportedLoad(target_state& state)
+{
+    const behaviour now = state.switches.get();
+    Poco::JSON::Object load;
+    load.set("running", now.wrongRunning >= 0 ? now.wrongRunning : static_cast<int>(state.running()));
+    load.set("queued", std::max(now.wrongQueued, 0));
+    load.set("slots", now.slots);
+    return load;
+}
+
+inline std::string grantAnswer(target_state& state, std::int64_t receivedUs)
+{
+    const grant_book book = state.book();
+    Poco::JSON::Array held;
+    for (const held_slice& slice : book.held()) {
+        Poco::JSON::Object entry;
+        entry.set("first", hex16(slice.slice.range.first.value()));
+        entry.set("last", hex16(slice.slice.range.last.value()));
+        entry.set("epoch", slice.slice.grant.coordinator.value());
+        entry.set("sequence", slice.slice.grant.assignment.value());
+        entry.set("draining", slice.draining);
+        held.add(entry);
+    }
+    Poco::JSON::Object answer;
+    answer.set("incarnation", book.incarnation());
+    answer.set("clock_us", receivedUs);
+    answer.set("epoch", book.epoch());
+    answer.set("held", held);
+    answer.set("load", reportedLoad(state));
+    return line(answer);
+}
+
+class grant_handler : public net::HTTPRequestHandler {
+public:
+    explicit grant_handler(target_state& state)
+        : m_state(state)
+    {
+    }
+
+    void handleRequest(net::HTTPServerRequest& request, net::HTTPServerResponse& response) override
+    {
+        if (m_state.switches.get().deafToGrants)
+            return;
+        m_state.passFreeze();
+        const std::int64_t receivedUs = nowUs();
+        const grant_answer answer = m_state.receive(readGrant(request.stream()), receivedUs);
+        if (answer == grant_answer::OldEpoch) {
+            const std::string highest
+                = "{\"epoch\":" + std::to_string(m_state.book().epoch()) + "}\n";
+            return sendText(response, 409, "application/json", highest);
+        }
+        const int status = answer == grant_answer::Accepted ? 200 : 409;
+        sendText(response, status, "application/json", grantAnswer(m_state, receivedUs));
+    }
+
+private:
+    target_state& m_state;
+};
+
+class health_handler : public net::HTTPRequestHandler {
+public:
+    explicit health_handler(target_state& state)
+        : m_state(state)
+    {
+    }
+
+    void handleRequest(net::HTTPServerRequest&, net::HTTPServerResponse& response) override
+    {
+        m_state.passFreeze();
+        Poco::JSON::Object answer;
+        answer.set("incarnation", m_state.book().incarnation());
+        answer.set("load", reportedLoad(m_state));
+        sendText(response, 200, "application/json", line(answer));
+    }
+
+private:
+    target_state& m_state;
+};
+
+class control_handler : public net::HTTPRequestHandler {
+public:
+    explicit control_handler(target_state& state)
+        : m_state(state)
+    {
+    }
+
+    void handleRequest(net::HTTPServerRequest& request, net::HTTPServerResponse& response) override
+    {
+        m_state.switches.change(request.stream());
+        sendText(response, 200, "application/json", "{}\n");
+    }
+
+private:
+    target_state& m_state;
+};
+
+class record_handler : public net::HTTPRequestHandler {
+public:
+    explicit record_handler(target_state& state)
+        : m_state(state)
+    {
+    }
+
+    void handleRequest(net::HTTPServerRequest&, net::HTTPServerResponse& response) override
+    {
+        const grant_book book = m_state.book();
+        std::string text = m_state.runs.requests();
+        for (const held_interval& interval : book.intervals())
+            text += line(m_state.settings.id, book.incarnation(), interval);
+        sendText(response, 200, "application/x-ndjson", text);
+    }
+
+private:
+    target_state& m_state;
+};
+
+} // namespace stand_in
--- /dev/null
+++ b/test/stand-ins/target-state.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include "control.h"
+#include "grants.h"
+#include "record.h"
+
+#include <atomic>
+#include <set>
+#include <shared_mutex>
+#include <thread>
+
+/// State of a stand-in target that its handlers share.
+namespace stand_in {
+
+inline std::int64_t nowUs() { return pm::monotonic_clock::now().time_since_epoch().count(); }
+
+struct target_settings {
+    std::string id = "target";
+    std::string recordFile;
+    bool checksTokens = true;
+    /// Refuse requests without a key.
+    bool keyed = false;
+    behaviour initial;
+};
+
+/// Why a request is not run.
+enum class admission {
+    Admitted,
+    Shed,
+    NotOwner,
+    Draining,
+};
+
+/// Thread-safe.
+class target_state {
+public:
+    explicit target_state(const target_settings& initial)
+        : settings(initial)
+        , switches(initial.initial)
+        , runs(initial.id, initial.recordFile)
+        , m_book(static_cast<std::uint64_t>(nowUs()))
+    {
+    }
+
+    const target_settings settings;
+    control switches;
+    record runs;
+
+    grant_answer receive(const grant_message& message, std::int64_t atUs)
+    {
+        const std::lock_guard lock(m_mutex);
+        const grant_answer answer = m_book.receive(message, atUs);
+        runs.held(m_book.incarnation(), m_book.intervals());
+        return answer;
+    }
+
+    /// Takes a slot, and the key's slice if there is a key.
+    admission admit(const std::optional<pm::key_hash>& key,
+        const std::optional<pm::token>& presented, std::optional<std::uint64_t>& sliceId)
+    {
+        const behaviour now = switches.get();
+        const std::lock_guard lock(m_mutex);
+        if (!key && settings.keyed)
+            return admission::NotOwner;
+        if (now.shed || m_running >= now.slots)
+            return admission::Shed;
+        if (key && (settings.checksTokens || presented)) {
+            if (settings.checksTokens && !presented)
+                return admission::NotOwner;
+            sliceId = m_book.begin(
+                *key, settings.checksTokens ? presented : std::nullopt, nowUs());
+            if (!sliceId && settings.checksTokens)
+                return m_book.drains(*key) ? admission::Draining : admission::NotOwner;
+        }
+        ++m_running;
+        return admission::Admitted;
+    }
+
+    void leave(const std::optional<std::uint64_t>& sliceId)
+    {
+        const std::lock_guard lock(m_mutex);
+        --m_running;
+        if (sliceId)
+            m_book.end(*sliceId, nowUs());
+        runs.held(m_book.incarnation(), m_book.intervals());
+    }
+
+    /// Tells whether the key was not served before.
+    bool firstTime(pm::key_hash key)
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_warm.insert(key).second;
+    }
+
+    grant_book book()
+    {
+        const std::lock_guard lock(m_mutex);
+        m_book.expire(nowUs());
+        return m_book;
+    }
+
+    unsigned running()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_running;
+    }
+
+    /// Waits while the target stands still.
+    void passFreeze()
+    {
+        if (const unsigned freezeMs = switches.takeFreezeMs(); freezeMs > 0)
+            m_frozenUntilUs = nowUs() + std::int64_t { freezeMs } * 1000;
+        while (nowUs() < m_frozenUntilUs)
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+
+private:
+    std::mutex m_mutex;
+    grant_book m_book;
+    unsigned m_running = 0;
+    std::set<pm::key_hash> m_warm;
+    std::atomic<std::int64_t> m_frozenUntilUs { 0 };
+};
+
+} // namespace stand_in
