--- a/include/pimentomast/settings.h
+++ b/include/pimentomast/settings.h
@@ -132,7 +132,17 @@
 /// Returns every key that a settings file may have. Thread-safe.
 [[nodiscard]] std::vector<key_description> describeKeys();
 
-/// Returns "[section] key = value" lines of all settings, secrets replaced by "(set)".
+/// A setting as it may be shown; a secret's value is "(set)".
+struct shown_value {
+    std::string section;
+    std::string key;
+    std::string value;
+};
+
+/// Returns all settings in the order of the file. Thread-safe.
+[[nodiscard]] std::vector<shown_value> show(const settings& values);
+
+/// Returns show() as an INI text. Thread-safe.
 [[nodiscard]] std::string describe(const settings& values);
 
 } // namespace pimentomast::settings
--- a/include/pimentomast/telemetry.h
+++ b/include/pimentomast/telemetry.h
@@ -76,10 +76,7 @@
 class gauge {
 public:
     void set(std::int64_t value) noexcept { m_value.store(value, std::memory_order_relaxed); }
-    void add(std::int64_t amount) noexcept
-    {
-        m_value.fetch_add(amount, std::memory_order_relaxed);
-    }
+    void add(std::int64_t amount) noexcept { m_value.fetch_add(amount, std::memory_order_relaxed); }
     [[nodiscard]] std::int64_t value() const noexcept
     {
         return m_value.load(std::memory_order_relaxed);
--- a/src/admin/answers.cc
+++ b/src/admin/answers.cc
@@ -47,8 +47,7 @@
 
 std::string now()
 {
-    return Poco::DateTimeFormatter::format(
-        Poco::Timestamp(), Poco::DateTimeFormat::ISO8601_FORMAT);
+    return Poco::DateTimeFormatter::format(Poco::Timestamp(), Poco::DateTimeFormat::ISO8601_FORMAT);
 }
 
 bool authorized(const request& request, const std::string& token)
--- /dev/null
+++ b/src/command/subcommands.cc
@@ -0,0 +1,129 @@
+#include "subcommands.h"
+
+#include "pimentomast/table.h"
+
+namespace pimentomast::command::detail {
+namespace {
+
+constexpr unsigned defaultHistoryEntries = 10;
+
+/// Builds the options of one subcommand.
+class option_list {
+public:
+    option_list& flag(const char* name, const char* meaning)
+    {
+        m_all.add_options()(name, meaning);
+        return *this;
+    }
+    option_list& text(const char* name, const char* meaning)
+    {
+        m_all.add_options()(name, options::value<std::string>(), meaning);
+        return *this;
+    }
+    option_list& required(const char* name, const char* meaning)
+    {
+        m_all.add_options()(name, options::value<std::string>()->required(), meaning);
+        return *this;
+    }
+    option_list& number(const char* name, const char* meaning)
+    {
+        m_all.add_options()(name, options::value<std::uint64_t>()->required(), meaning);
+        return *this;
+    }
+    option_list& number(const char* name, std::uint64_t standard, const char* meaning)
+    {
+        m_all.add_options()(
+            name, options::value<std::uint64_t>()->default_value(standard), meaning);
+        return *this;
+    }
+    option_list& settings() { return required("settings", "INI file with the settings"); }
+    option_list& platform()
+    {
+        text("settings", "INI file whose [platform] section names the platform");
+        return text("platform", "ip:port of the platform, in place of --settings");
+    }
+    option_list& editor()
+    {
+        return required("editor", "name of the operator, kept in the history");
+    }
+    options::options_description done()
+    {
+        text("format", "text (standard) or json");
+        flag("help", "shows this help");
+        return m_all;
+    }
+
+private:
+    options::options_description m_all { "Options" };
+};
+
+option_list markOptions()
+{
+    option_list all;
+    all.platform().editor();
+    return all;
+}
+
+std::vector<subcommand> makeSubcommands()
+{
+    return {
+        { "serve", "Runs an entry host.", option_list().settings().done(), "", &serve },
+        { "check-settings", "Checks a settings file and shows what would be in force.",
+            option_list().settings().done(), "", &checkSettings },
+        { "status", "Shows the state of the entry host that the settings describe.",
+            option_list().settings().done(), "", &status },
+        { "table show", "Shows the table in force; its version goes to standard error.",
+            option_list().platform().done(), "", &tableShow },
+        { "table check", "Checks a table without applying it, and compares it if asked to.",
+            option_list().required("file", "CSV file with the table").platform().done(), "file",
+            &tableCheck },
+        { "table apply", "Applies an edited table.",
+            option_list()
+                .required("file", "CSV file with the table")
+                .number("base", "version that the edit started from; 0 for the first table")
+                .platform()
+                .editor()
+                .done(),
+            "file", &tableApply },
+        { "table history", "Shows who changed which rows and when, newest first.",
+            option_list()
+                .number("limit", defaultHistoryEntries, "number of versions to show")
+                .platform()
+                .done(),
+            "", &tableHistory },
+        { "target leave", "Marks a target as leaving.",
+            markOptions().required("id", "id of the target").done(), "id", &targetLeave },
+        { "target return", "Marks a target as active.",
+            markOptions().required("id", "id of the target").done(), "id", &targetReturn },
+        { "target list", "Lists the targets of the table.", option_list().platform().done(), "",
+            &targetList },
+        { "host leave", "Marks an entry host as leaving.",
+            markOptions().required("id", "id of the host").done(), "id", &hostLeave },
+        { "host return", "Removes the mark of an entry host.",
+            markOptions().required("id", "id of the host").done(), "id", &hostReturn },
+        { "host list", "Lists the platform's hosts and the operators' marks.",
+            option_list().platform().done(), "", &hostList },
+    };
+}
+
+} // namespace
+
+const std::vector<subcommand>& subcommands()
+{
+    static const std::vector<subcommand> all = makeSubcommands();
+    return all;
+}
+
+bool invocation::json() const { return text("format") == "json"; }
+
+std::string invocation::text(const std::string& option) const
+{
+    return values.count(option) ? values[option].as<std::string>() : "";
+}
+
+settings::settings loadSettings(const invocation& call)
+{
+    return settings::load(call.text("settings")).value();
+}
+
+} // namespace pimentomast::command::detail
--- /dev/null
+++ b/src/command/subcommands.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "pimentomast/command.h"
+#include "pimentomast/platform.h"
+#include "pimentomast/settings.h"
+
+#include <boost/program_options.hpp>
+#include <memory>
+#include <optional>
+#include <ostream>
+
+/// The subcommands behind command::run.
+namespace pimentomast::command::detail {
+
+namespace options = boost::program_options;
+
+/// Everything that a subcommand works with.
+struct invocation {
+    options::variables_map values;
+    std::ostream& out;
+    std::ostream& err;
+
+    [[nodiscard]] bool json() const;
+    [[nodiscard]] std::string text(const std::string& option) const;
+};
+
+struct subcommand {
+    std::string words;
+    std::string meaning;
+    options::options_description accepted;
+    /// Name of the option that a word without a dash sets; empty: no such word is accepted.
+    std::string positional;
+    exit_code (*run)(const invocation&);
+};
+
+/// Returns all subcommands in the order of the help. Thread-safe.
+[[nodiscard]] const std::vector<subcommand>& subcommands();
+
+/// Throws failure if the settings are refused.
+[[nodiscard]] settings::settings loadSettings(const invocation& call);
+
+/// Connects to the platform that --platform or --settings names. Throws failure.
+[[nodiscard]] std::unique_ptr<platform::services> connectPlatform(const invocation& call);
+
+exit_code serve(const invocation& call);
+exit_code checkSettings(const invocation& call);
+exit_code status(const invocation& call);
+exit_code tableShow(const invocation& call);
+exit_code tableCheck(const invocation& call);
+exit_code tableApply(const invocation& call);
+exit_code tableHistory(const invocation& call);
+exit_code targetLeave(const invocation& call);
+exit_code targetReturn(const invocation& call);
+exit_code targetList(const invocation& call);
+exit_code hostLeave(const invocation& call);
+exit_code hostReturn(const invocation& call);
+exit_code hostList(const invocation& call);
+
+} // namespace pimentomast::command::detail
--- /dev/null
+++ b/src/command/table_commands.cc
@@ -0,0 +1,311 @@
+#include "subcommands.h"
+
+#include "pimentomast/table.h"
+
+#include <Poco/DateTimeFormat.h>
+#include <Poco/DateTimeFormatter.h>
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Timestamp.h>
+#include <fstream>
+#include <sstream>
+
+/// Subcommands that read or edit the table. They talk to the platform directly, so that they work
+/// while no entry host runs.
+namespace pimentomast::command::detail {
+namespace {
+
+std::string now()
+{
+    return Poco::DateTimeFormatter::format(Poco::Timestamp(), Poco::DateTimeFormat::ISO8601_FORMAT);
+}
+
+std::string readFile(const std::string& path)
+{
+    std::ifstream file(path, std::ios::binary);
+    std::ostringstream text;
+    if (!file || !(text << file.rdbuf()))
+        throw failure({ "read table", path, "the file cannot be read or is empty" });
+    return text.str();
+}
+
+void printChanges(
+    std::ostream& out, const std::string& title, const std::vector<table::change>& changes)
+{
+    if (changes.empty())
+        return;
+    out << title << "\n";
+    for (const auto& each : changes)
+        out << "  " << each.text() << "\n";
+}
+
+/// Prints an outcome as text and returns its exit code.
+struct outcome_printer {
+    const invocation& call;
+
+    exit_code operator()(const table::applied& done) const
+    {
+        call.out << "version " << done.version.value() << " is accepted\n";
+        printChanges(call.out, "changed:", done.changes);
+        printChanges(
+            call.out, "merged with the edits of " + done.theirEditor + ":", done.mergedWith);
+        return exit_code::Success;
+    }
+    exit_code operator()(const table::conflict& refused) const
+    {
+        call.err << "conflict with version " << refused.theirVersion.value() << " of "
+                 << refused.theirEditor << "; nothing changed\n"
+                 << refused.text();
+        return exit_code::Conflict;
+    }
+    exit_code operator()(const table::invalid& refused) const
+    {
+        call.err << refused.cause.text() << "\nnothing changed\n";
+        return exit_code::Refused;
+    }
+    exit_code operator()(const table::not_applied& failed) const
+    {
+        call.err << failed.cause.text() << "\nnothing changed\n";
+        return exit_code::Failed;
+    }
+    exit_code operator()(const table::apply_unknown& unknown) const
+    {
+        call.err << unknown.cause.text()
+                 << "\nit is not known whether the edit was applied: see `table history`\n";
+        return exit_code::Unknown;
+    }
+};
+
+exit_code report(const invocation& call, const table::apply_outcome& outcome)
+{
+    if (!call.json())
+        return std::visit(outcome_printer { call }, outcome);
+    call.out << table::toJson(outcome) << "\n";
+    std::ostringstream unused;
+    return std::visit(outcome_printer { { call.values, unused, unused } }, outcome);
+}
+
+table::table readCurrent(const invocation& call)
+{
+    const auto store = connectPlatform(call);
+    return table::readCurrent(*store).value().value_or(table::table {});
+}
+
+exit_code setMark(const invocation& call, table::row_kind kind, table::mark state)
+{
+    const auto store = connectPlatform(call);
+    const table::mark_edit wanted { call.text("editor"), { kind, call.text("id") }, state, now() };
+    return report(call, table::apply(*store, wanted));
+}
+
+std::string markName(table::mark state)
+{
+    return state == table::mark::Active ? "active" : "leaving";
+}
+
+Poco::JSON::Object toObject(const table::target_row& row)
+{
+    Poco::JSON::Object object(Poco::JSON_PRESERVE_KEY_ORDER);
+    object.set("id", row.id.value());
+    object.set("service", row.service.value());
+    object.set("address", row.address.text());
+    object.set("domain", row.domain.value());
+    object.set("state", markName(row.state));
+    return object;
+}
+
+/// An entry host as the platform and the operators' table have it.
+struct shown_host {
+    std::string id;
+    std::string domain;
+    std::string platformState;
+    std::string mark;
+};
+
+std::vector<shown_host> hostsOf(
+    const std::vector<platform::listed_host>& listed, const table::table& rows)
+{
+    std::vector<shown_host> all;
+    std::set<host_id> seen;
+    for (const auto& each : listed) {
+        const auto* row = rows.host(each.id);
+        const bool live = each.state == platform::host_state::Live;
+        all.push_back({ each.id.value(), each.domain.value(), live ? "live" : "leaving",
+            markName(row ? row->state : table::mark::Active) });
+        seen.insert(each.id);
+    }
+    for (const auto& row : rows.hosts) {
+        if (!seen.contains(row.id))
+            all.push_back({ row.id.value(), "", "not listed", markName(row.state) });
+    }
+    return all;
+}
+
+Poco::JSON::Object toObject(const shown_host& host)
+{
+    Poco::JSON::Object object(Poco::JSON_PRESERVE_KEY_ORDER);
+    object.set("id", host.id);
+    object.set("domain", host.domain);
+    object.set("platform_state", host.platformState);
+    object.set("mark", host.mark);
+    return object;
+}
+
+template <class Item>
+void printJson(std::ostream& out, const std::vector<Item>& items)
+{
+    Poco::JSON::Array array;
+    for (const auto& item : items)
+        array.add(toObject(item));
+    array.stringify(out);
+    out << "\n";
+}
+
+void printEntry(std::ostream& out, const table::history_entry& entry)
+{
+    out << "version " << entry.version.value() << " by " << entry.editor << " at " << entry.at
+        << "\n";
+    if (entry.oldest)
+        out << "  (the version before it is no longer kept)\n";
+    for (const auto& each : entry.changes)
+        out << "  " << each.text() << "\n";
+}
+
+endpoint platformAddress(const std::string& text)
+{
+    try {
+        const Poco::Net::SocketAddress address(text);
+        return { address.host().toString(), address.port() };
+    } catch (const Poco::Exception&) {
+        throw failure({ "read --platform", text, "must be ip:port" });
+    }
+}
+
+} // namespace
+
+std::unique_ptr<platform::services> connectPlatform(const invocation& call)
+{
+    platform::client_options options;
+    if (const auto address = call.text("platform"); !address.empty()) {
+        options.address = platformAddress(address);
+    } else if (!call.text("settings").empty()) {
+        const auto values = loadSettings(call);
+        options.address = values.platform.address;
+        options.timeout = values.platform.timeoutMs;
+    } else {
+        throw options::error("one of --platform and --settings is needed");
+    }
+    return platform::connect(options).value();
+}
+
+exit_code tableShow(const invocation& call)
+{
+    const auto rows = readCurrent(call);
+    if (call.json()) {
+        call.out << table::toJson(rows) << "\n";
+        return exit_code::Success;
+    }
+    call.err << "version " << rows.version.value() << " by " << rows.editor << "\n";
+    call.out << table::format(rows);
+    return exit_code::Success;
+}
+
+exit_code tableCheck(const invocation& call)
+{
+    const auto rows = table::parse(readFile(call.text("file")));
+    if (!rows) {
+        call.err << rows.error().text() << "\n";
+        return exit_code::Refused;
+    }
+    const bool compared = !call.text("platform").empty() || !call.text("settings").empty();
+    std::vector<table::change> changes;
+    if (compared)
+        changes = table::difference(readCurrent(call), rows.value());
+    if (call.json()) {
+        call.out << table::toJson(changes) << "\n";
+        return exit_code::Success;
+    }
+    call.out << "the table is valid: " << rows.value().services.size() << " services, "
+             << rows.value().targets.size() << " targets, " << rows.value().hosts.size()
+             << " marked hosts\n";
+    printChanges(call.out, "it would change:", changes);
+    return exit_code::Success;
+}
+
+exit_code tableApply(const invocation& call)
+{
+    const table::edit wanted {
+        call.text("editor"),
+        config_version { call.values["base"].as<std::uint64_t>() },
+        readFile(call.text("file")),
+        now(),
+    };
+    const auto store = connectPlatform(call);
+    return report(call, table::apply(*store, wanted));
+}
+
+exit_code tableHistory(const invocation& call)
+{
+    const auto store = connectPlatform(call);
+    const auto limit
+        = std::min<std::uint64_t>(call.values["limit"].as<std::uint64_t>(), table::historyLength);
+    const auto entries = table::history(*store, static_cast<unsigned>(limit)).value();
+    if (call.json()) {
+        call.out << table::toJson(entries) << "\n";
+        return exit_code::Success;
+    }
+    for (const auto& entry : entries)
+        printEntry(call.out, entry);
+    return exit_code::Success;
+}
+
+exit_code targetLeave(const invocation& call)
+{
+    return setMark(call, table::row_kind::Target, table::mark::Leaving);
+}
+
+exit_code targetReturn(const invocation& call)
+{
+    return setMark(call, table::row_kind::Target, table::mark::Active);
+}
+
+exit_code targetList(const invocation& call)
+{
+    const auto rows = readCurrent(call);
+    if (call.json()) {
+        printJson(call.out, rows.targets);
+        return exit_code::Success;
+    }
+    for (const auto& row : rows.targets)
+        call.out << row.id << " " << row.service << " " << row.address.text() << " " << row.domain
+                 << " " << markName(row.state) << "\n";
+    return exit_code::Success;
+}
+
+exit_code hostLeave(const invocation& call)
+{
+    return setMark(call, table::row_kind::Host, table::mark::Leaving);
+}
+
+exit_code hostReturn(const invocation& call)
+{
+    return setMark(call, table::row_kind::Host, table::mark::Active);
+}
+
+exit_code hostList(const invocation& call)
+{
+    const auto store = connectPlatform(call);
+    const auto rows = table::readCurrent(*store).value().value_or(table::table {});
+    const auto hosts = hostsOf(store->hosts().value(), rows);
+    if (call.json()) {
+        printJson(call.out, hosts);
+        return exit_code::Success;
+    }
+    for (const auto& host : hosts)
+        call.out << host.id << " " << (host.domain.empty() ? "-" : host.domain)
+                 << " platform=" << host.platformState << " mark=" << host.mark << "\n";
+    return exit_code::Success;
+}
+
+} // namespace pimentomast::command::detail
--- a/src/main.cc
+++ b/src/main.cc
@@ -1,3 +1,8 @@
 #include "pimentomast/command.h"
 
-int main() { return 0; }
+#include <iostream>
+
+int main(int argc, char** argv)
+{
+    return pimentomast::command::run({ argv + 1, argv + argc }, std::cout, std::cerr);
+}
--- a/src/settings/keys.cc
+++ b/src/settings/keys.cc
@@ -23,7 +23,8 @@
     const Value& of(const settings& all) const { return all.*section.*value; }
 };
 
-std::optional<std::string> readNumber(const std::string& text, const range& allowed, std::uint64_t& out)
+std::optional<std::string> readNumber(
+    const std::string& text, const range& allowed, std::uint64_t& out)
 {
     const bool digits = !text.empty() && std::all_of(text.begin(), text.end(), [](char letter) {
         return letter >= '0' && letter <= '9';
@@ -80,15 +81,13 @@
     std::string section, std::string key, bool required, member<Section, endpoint> place)
 {
     return { { std::move(section), std::move(key), required, false },
-        [place](settings& all, const std::string& text) {
-            return readEndpoint(text, place.of(all));
-        },
+        [place](
+            settings& all, const std::string& text) { return readEndpoint(text, place.of(all)); },
         [place](const settings& all) { return place.of(all).text(); } };
 }
 
 template <class Section>
-key_rule count(
-    std::string section, std::string key, range allowed, member<Section, unsigned> place)
+key_rule count(std::string section, std::string key, range allowed, member<Section, unsigned> place)
 {
     return { { std::move(section), std::move(key), false, false },
         [place, allowed](settings& all, const std::string& text) {
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -115,7 +115,8 @@
     const auto& ownership = all.ownership;
     requireLess(found, { "ownership", "renew_ms", "must be less than half of target_lease_ms" },
         ownership.renewMs * 2, ownership.targetLeaseMs);
-    requireLess(found, { "ownership", "authority_renew_ms", "must be less than half of authority_ms" },
+    requireLess(found,
+        { "ownership", "authority_renew_ms", "must be less than half of authority_ms" },
         ownership.authorityRenewMs * 2, ownership.authorityMs);
     requireLess(found, { "ownership", "authority_ms", "must be less than target_lease_ms" },
         ownership.authorityMs, ownership.targetLeaseMs);
@@ -195,14 +196,27 @@
     return keys;
 }
 
-std::string describe(const settings& values)
+std::vector<shown_value> show(const settings& values)
 {
-    std::string lines;
+    std::vector<shown_value> all;
     for (const auto& rule : detail::keyRules()) {
-        const auto value = rule.description.secret ? "(set)" : rule.write(values);
-        lines += "[" + rule.description.section + "] " + rule.description.key + " = " + value + "\n";
+        const auto& [section, key, required, secret] = rule.description;
+        all.push_back({ section, key, secret ? "(set)" : rule.write(values) });
+    }
+    return all;
+}
+
+std::string describe(const settings& values)
+{
+    std::string text;
+    std::string section;
+    for (const auto& shown : show(values)) {
+        if (shown.section != section)
+            text += (text.empty() ? "[" : "\n[") + shown.section + "]\n";
+        section = shown.section;
+        text += shown.key + " = " + shown.value + "\n";
     }
-    return lines;
+    return text;
 }
 
 } // namespace pimentomast::settings
--- a/src/table/build.cc
+++ b/src/table/build.cc
@@ -182,8 +182,8 @@
             return {};
         const Poco::StringTokenizer words(value, " ", Poco::StringTokenizer::TOK_IGNORE_EMPTY);
         for (const auto& word : words) {
-            const bool upper = std::all_of(
-                word.begin(), word.end(), [](unsigned char letter) { return std::isupper(letter); });
+            const bool upper = std::all_of(word.begin(), word.end(),
+                [](unsigned char letter) { return std::isupper(letter); });
             if (!upper)
                 fault("repeatable", "must be none or methods like GET HEAD, separated by spaces");
         }
@@ -217,7 +217,8 @@
     std::vector<std::string>& m_faults;
 };
 
-const std::map<std::string, mark> marks { { "active", mark::Active }, { "leaving", mark::Leaving } };
+const std::map<std::string, mark> marks { { "active", mark::Active },
+    { "leaving", mark::Leaving } };
 const std::map<std::string, bool> answers { { "yes", true }, { "no", false } };
 
 service_row readService(row_reader& cells)
--- a/src/table/csv.cc
+++ b/src/table/csv.cc
@@ -56,8 +56,8 @@
     if (csv_init(parser.get(), CSV_STRICT | CSV_STRICT_FINI | CSV_REPALL_NL) != 0)
         return error { "read table", "", "the CSV library could not be set up" };
     collector found;
-    const auto read = csv_parse(parser.get(), csv.data(), csv.size(), &collector::onField,
-        &collector::onRow, &found);
+    const auto read = csv_parse(
+        parser.get(), csv.data(), csv.size(), &collector::onField, &collector::onRow, &found);
     const bool whole = read == csv.size()
         && csv_fini(parser.get(), &collector::onField, &collector::onRow, &found) == 0;
     if (!whole) {
@@ -78,7 +78,8 @@
 {
     std::string faults;
     const auto add = [&](const std::string& column, const std::string& reason) {
-        faults += (faults.empty() ? "" : "\n") + std::string("row 1, column ") + column + ": " + reason;
+        faults += (faults.empty() ? "" : "\n") + std::string("row 1, column ") + column + ": "
+            + reason;
     };
     for (auto name = header.begin(); name != header.end(); ++name) {
         if (!isColumn(*name))
--- a/src/table/history.cc
+++ b/src/table/history.cc
@@ -187,8 +187,8 @@
         const auto& state = slot.value();
         if (state.kept && state.kept->version >= kept.version)
             return boost::outcome_v2::success();
-        const auto outcome = platform::writeSettled(store, slotName(kept.version), state.row,
-            encodeSlot(kept), platform::newWriteId());
+        const auto outcome = platform::writeSettled(
+            store, slotName(kept.version), state.row, encodeSlot(kept), platform::newWriteId());
         if (std::holds_alternative<platform::write_accepted>(outcome))
             return boost::outcome_v2::success();
         if (const auto* refused = std::get_if<platform::write_refused>(&outcome))
@@ -197,8 +197,7 @@
     return error { "keep history", "platform", "the history could not be written" };
 }
 
-result<std::optional<stored_version>> readVersion(
-    platform::services& store, config_version version)
+result<std::optional<stored_version>> readVersion(platform::services& store, config_version version)
 {
     const auto slot = readSlot(store, version);
     if (!slot)
--- a/src/table/history.h
+++ b/src/table/history.h
@@ -15,8 +15,7 @@
 };
 
 /// Returns the JSON value of the `config` row.
-[[nodiscard]] std::string encode(
-    const table& rows, config_version previous, const std::string& at);
+[[nodiscard]] std::string encode(const table& rows, config_version previous, const std::string& at);
 
 /// Keeps a version; keeping it again, also from elsewhere at the same time, changes nothing.
 [[nodiscard]] result<void> keepVersion(platform::services& store, const stored_version& kept);
--- a/src/table/merge.cc
+++ b/src/table/merge.cc
@@ -95,8 +95,7 @@
             rows[name] = *row;
     }
 
-    void mergeCells(
-        const row_name& name, const cells* base, const cells& mine, const cells& theirs)
+    void mergeCells(const row_name& name, const cells* base, const cells& mine, const cells& theirs)
     {
         for (const auto& column : columns()) {
             const auto old = find(base, column.name);
@@ -129,9 +128,9 @@
     std::string lines;
     for (const auto& cell : cells) {
         const auto column = cell.column.empty() ? "whole row" : cell.column;
-        lines += cell.row.text() + ", " + column + ": " + myEditor + " has " + shown(cell.mine) + ", "
-            + theirEditor + " has " + shown(cell.theirs) + ", before it was " + shown(cell.base)
-            + "\n";
+        lines += cell.row.text() + ", " + column + ": " + myEditor + " has " + shown(cell.mine)
+            + ", " + theirEditor + " has " + shown(cell.theirs) + ", before it was "
+            + shown(cell.base) + "\n";
     }
     if (!invalid.empty())
         lines += "the edits of " + myEditor + " and " + theirEditor
--- a/src/table/store.cc
+++ b/src/table/store.cc
@@ -30,8 +30,7 @@
     return current_state { rows.value(), stored_version { version, row.value()->value } };
 }
 
-result<table> readBase(
-    platform::services& store, const current_state& current, config_version base)
+result<table> readBase(platform::services& store, const current_state& current, config_version base)
 {
     if (base == current.rows.version)
         return current.rows;
@@ -152,7 +151,8 @@
 apply_outcome apply(platform::services& store, const edit& wanted)
 {
     if (!isEditor(wanted.editor))
-        return invalid { { "check edit", "", "the editor's name must be 1 to 64 visible letters" } };
+        return invalid { { "check edit", "",
+            "the editor's name must be 1 to 64 visible letters" } };
     auto mine = parse(wanted.csv);
     if (!mine)
         return invalid { mine.error() };
@@ -161,7 +161,8 @@
         if (auto outcome = applyOnce(store, wanted, mine.value()))
             return *outcome;
     }
-    return not_applied { { "write table", "platform", "lost the race to other editors too often" } };
+    return not_applied { { "write table", "platform",
+        "lost the race to other editors too often" } };
 }
 
 apply_outcome apply(platform::services& store, const mark_edit& wanted)
--- a/src/telemetry/log.cc
+++ b/src/telemetry/log.cc
@@ -92,7 +92,7 @@
 boost::shared_ptr<std::ostream> openStream(const std::string& path)
 {
     if (path.empty())
-        return { &std::clog, [](std::ostream*) { } };
+        return { &std::clog, [](std::ostream*) {} };
     auto file = boost::make_shared<std::ofstream>(path, std::ios::app);
     if (!*file)
         throw failure({ "open log file", path, "cannot be opened for appending" });
--- a/src/telemetry/telemetry.cc
+++ b/src/telemetry/telemetry.cc
@@ -89,8 +89,8 @@
         if (!described.label.empty())
             labels = std::string(described.label) + "=\"" + escape(labelValue) + "\"";
         if (!quantile.empty())
-            labels += (labels.empty() ? "" : ",") + std::string("quantile=\"") + std::string(quantile)
-                + "\"";
+            labels += (labels.empty() ? "" : ",") + std::string("quantile=\"")
+                + std::string(quantile) + "\"";
         m_text += std::string(described.name) + std::string(suffix);
         m_text += (labels.empty() ? "" : "{" + labels + "}") + " " + value + "\n";
     }
