--- a/src/balancing/balancing.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "pimentomast/balancing.h"
--- /dev/null
+++ b/src/balancing/planning.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "pimentomast/balancing.h"
+
+#include <map>
+#include <set>
+
+namespace pimentomast::balancing {
+
+/// One round of a planner: works on a copy of the slices and collects proposals.
+class planning {
+public:
+    planning(const planner_options& settings, const plan_input& input);
+
+    /// New owners for slices that nobody serves.
+    void placeOrphans();
+    /// Planned moves away from leaving targets.
+    void drainLeaving();
+    /// Cuts hot keys of overloaded targets into slices of their own.
+    void cutHotKeys();
+    /// Moves slices off overloaded targets while a move pays for itself.
+    void rebalance();
+    /// Joins slices that no longer need to be apart.
+    void mergeCold();
+
+    [[nodiscard]] std::vector<proposal> proposals() && { return std::move(m_proposals); }
+
+private:
+    struct seat {
+        placement_target target;
+        /// Weight with slow start; 0 unless ready.
+        double weight = 0;
+        double load = 0;
+    };
+    struct candidate {
+        std::size_t slice = 0;
+        target_id to;
+        double saved = 0;
+    };
+
+    void computeShares();
+    [[nodiscard]] double effectiveWeight(const placement_target& target) const;
+    /// Load that the target would have if all were even.
+    [[nodiscard]] double evenShare(const seat& of) const;
+    [[nodiscard]] double meanLoad() const;
+    [[nodiscard]] double excess(const seat& of, double extra) const;
+    [[nodiscard]] bool domainAllows(const seat& to, double extra) const;
+    [[nodiscard]] std::uint64_t rank(const target_id& id, const slice& keys) const;
+    [[nodiscard]] std::optional<target_id> leastLoaded(const placed_slice& moving) const;
+    [[nodiscard]] std::optional<candidate> bestMove() const;
+    [[nodiscard]] double price(const placed_slice& moving) const;
+    [[nodiscard]] bool isSingleKey(const placed_slice& one) const;
+    [[nodiscard]] bool isOverloaded(const target_id& id) const;
+    void cut(const hot_key& key);
+    void propose(const proposal& change);
+    void move(std::size_t index, const target_id& to, bool planned);
+    [[nodiscard]] bool mayMerge(const placed_slice& first, const placed_slice& second) const;
+
+    const planner_options& m_settings;
+    const plan_input& m_input;
+    std::vector<placed_slice> m_slices;
+    std::map<target_id, seat> m_seats;
+    double m_totalLoad = 0;
+    double m_totalWeight = 0;
+    std::vector<proposal> m_proposals;
+};
+
+} // namespace pimentomast::balancing
--- /dev/null
+++ b/src/balancing/rebalancing.cc
@@ -0,0 +1,113 @@
+#include "planning.h"
+
+#include <algorithm>
+
+namespace pimentomast::balancing {
+
+bool planning::isSingleKey(const placed_slice& one) const
+{
+    return one.keys.first == one.keys.last;
+}
+
+bool planning::isOverloaded(const target_id& id) const
+{
+    const auto found = m_seats.find(id);
+    return found != m_seats.end() && excess(found->second, 0) > 0;
+}
+
+void planning::cutHotKeys()
+{
+    const double hot = m_settings.hotShare * meanLoad();
+    for (const hot_key& key : m_input.hotKeys)
+        if (key.rate - key.error > hot && m_slices.size() + 2 <= m_settings.slicesMax)
+            cut(key);
+}
+
+void planning::cut(const hot_key& key)
+{
+    const auto found = std::find_if(m_slices.begin(), m_slices.end(),
+        [&](const placed_slice& each) { return each.keys.contains(key.hash); });
+    if (found == m_slices.end() || isSingleKey(*found) || !found->owner
+        || !isOverloaded(*found->owner))
+        return;
+    const placed_slice whole = *found;
+    slice rest = whole.keys;
+    if (key.hash > rest.first) {
+        propose(split_slice { rest, key.hash });
+        rest.first = key.hash;
+    }
+    if (key.hash < rest.last)
+        propose(split_slice { rest, key_hash { key.hash.value() + 1 } });
+    const double rate = std::min(key.rate, whole.load);
+    for (placed_slice& part : m_slices) {
+        if (part.keys.first < whole.keys.first || part.keys.last > whole.keys.last)
+            continue;
+        const bool isKey = part.keys.contains(key.hash);
+        part.load = isKey ? rate : part.load * (whole.load - rate) / std::max(whole.load, 1e-9);
+        part.keysInUse = isKey ? 1 : part.keysInUse;
+    }
+}
+
+double planning::price(const placed_slice& moving) const
+{
+    const double keys = isSingleKey(moving) ? 1 : std::max(1.0, moving.keysInUse);
+    return m_settings.churnPrice * keys;
+}
+
+std::optional<planning::candidate> planning::bestMove() const
+{
+    std::optional<candidate> best;
+    double bestNet = 0;
+    for (std::size_t i = 0; i < m_slices.size(); ++i) {
+        const placed_slice& moving = m_slices[i];
+        const bool mayMove = moving.owner && m_seats.contains(*moving.owner) && moving.load > 0
+            && moving.moved + m_settings.minimumStay <= m_input.now;
+        if (!mayMove || !isOverloaded(*moving.owner))
+            continue;
+        const auto to = leastLoaded(moving);
+        if (!to || !domainAllows(m_seats.at(*to), moving.load))
+            continue;
+        const seat& from = m_seats.at(*moving.owner);
+        const seat& next = m_seats.at(*to);
+        const double before = excess(from, 0) + excess(next, 0);
+        const double after = excess(from, -moving.load) + excess(next, moving.load);
+        const double net = before - after - price(moving);
+        if (net <= bestNet)
+            continue;
+        bestNet = net;
+        best = candidate { i, *to, before - after };
+    }
+    return best;
+}
+
+void planning::rebalance()
+{
+    for (unsigned moved = 0; moved < m_settings.movesPerRound; ++moved) {
+        const auto best = bestMove();
+        if (!best)
+            return;
+        move(best->slice, best->to, true);
+    }
+}
+
+bool planning::mayMerge(const placed_slice& first, const placed_slice& second) const
+{
+    if (!first.owner || first.owner != second.owner)
+        return false;
+    const double cold = m_settings.coldShare * meanLoad();
+    const bool firstCold = isSingleKey(first) && first.load < cold;
+    const bool secondCold = isSingleKey(second) && second.load < cold;
+    return firstCold || secondCold;
+}
+
+void planning::mergeCold()
+{
+    for (std::size_t i = 0; i + 1 < m_slices.size();) {
+        if (mayMerge(m_slices[i], m_slices[i + 1]))
+            propose(merge_slices { m_slices[i].keys, m_slices[i + 1].keys });
+        else
+            ++i;
+    }
+}
+
+} // namespace pimentomast::balancing
--- /dev/null
+++ b/src/routing/dispatching.cc
@@ -0,0 +1,241 @@
+#include "engine.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pimentomast::routing {
+
+namespace {
+
+constexpr duration isolationMax = std::chrono::seconds(2);
+constexpr double drainGain = 0.1;
+constexpr double successFloor = 0.1;
+constexpr double slowFactor = 2;
+
+} // namespace
+
+void engine::pumpAll()
+{
+    for (auto& [id, service] : m_services)
+        pump(service);
+}
+
+void engine::pump(service_state& service)
+{
+    if (service.row.keyed()) {
+        for (const target_id& id : service.targets)
+            pumpTarget(m_targets.at(id));
+        return;
+    }
+    while (!service.waiting.empty() && dispatchNextUnkeyed(service)) { }
+}
+
+void engine::pumpTarget(target_state& target)
+{
+    while (!target.waiting.empty() && dispatchNextKeyed(target)) { }
+}
+
+bool engine::dispatchNextUnkeyed(service_state& service)
+{
+    const auto number = nextIn(service.waiting);
+    if (!number || !workerFree(service))
+        return false;
+    pending& waiting = m_requests.at(*number);
+    const auto chosen = chooseTarget(service, waiting);
+    if (!chosen)
+        return false;
+    takeFrom(service.waiting, *number);
+    start(waiting, m_targets.at(*chosen), std::nullopt);
+    return true;
+}
+
+bool engine::dispatchNextKeyed(target_state& target)
+{
+    const auto number = nextIn(target.waiting);
+    if (!number)
+        return false;
+    pending& waiting = m_requests.at(*number);
+    const owner_answer answer
+        = m_owners.find(m_now, waiting.taken.service, waiting.taken.key.value_or(key_hash {}));
+    const auto* owned = std::get_if<owned_by>(&answer);
+    if (owned == nullptr || owned->target != target.row.id) {
+        takeFrom(target.waiting, *number);
+        place(waiting);
+        return true;
+    }
+    if (!workerFree(*findService(target.row.service)) || !eligible(target, waiting))
+        return false;
+    takeFrom(target.waiting, *number);
+    start(waiting, target, owned->grant);
+    return true;
+}
+
+std::optional<request_number> engine::nextIn(lane& in)
+{
+    for (const request_number number : in.retries)
+        if (mayRetry(m_requests.at(number)))
+            return number;
+    return in.fresh.front();
+}
+
+void engine::takeFrom(lane& in, request_number number)
+{
+    if (m_requests.at(number).where == phase::RetryReady)
+        std::erase(in.retries, number);
+    else
+        in.fresh.pop();
+}
+
+bool engine::mayRetry(const pending& waiting)
+{
+    const retry_budget& service = findService(waiting.taken.service)->budget;
+    const auto [caller, added] = m_callerBudgets.try_emplace(
+        waiting.taken.caller, m_settings.retryRatio, m_settings.retryBurst);
+    return service.allows() && caller->second.allows();
+}
+
+// Each service is left an equal part of half the workers; the rest goes to whoever needs it.
+bool engine::workerFree(const service_state& service) const
+{
+    const auto guaranteed = static_cast<unsigned>(m_settings.workers / (2 * m_services.size()));
+    if (service.inFlight < guaranteed)
+        return m_inFlight < m_settings.workers;
+    unsigned reserved = 0;
+    for (const auto& [id, other] : m_services)
+        if (&other != &service && other.inFlight < guaranteed)
+            reserved += guaranteed - other.inFlight;
+    return m_inFlight + reserved < m_settings.workers;
+}
+
+bool engine::eligible(const target_state& target, const pending& waiting) const
+{
+    if (target.health.ejected() || m_now < target.shedUntil)
+        return false;
+    const auto outstanding = static_cast<unsigned>(target.inFlight.size());
+    const unsigned usable = std::max(1U, target.connections - 1);
+    if (outstanding >= usable)
+        return false;
+    if (target.isolated && m_now < target.isolatedUntil)
+        return false;
+    const auto verdict = m_quarantine.judge(waiting.taken.print);
+    const bool isSuspect = verdict == quarantine::verdict::Suspected;
+    if (isSuspect && (outstanding > 0 || m_inFlightPrints.contains(waiting.taken.print)))
+        return false;
+    return windowAllows(target, waiting);
+}
+
+bool engine::windowAllows(const target_state& target, const pending& waiting) const
+{
+    const auto outstanding = static_cast<unsigned>(target.inFlight.size());
+    const duration latency = target.health.latency().usual(firstLatencyGuess);
+    if (target.window.allows(m_now, outstanding, latency))
+        return true;
+    const service_state& service = m_services.at(target.row.service);
+    return outstanding < std::ceil(target.window.size()) + 1 && outstanding < target.row.slots
+        && isQuiet(service, waiting.taken.caller);
+}
+
+// A caller is quiet while it has less in flight than an equal share for each busy caller.
+bool engine::isQuiet(const service_state& service, const caller_id& caller) const
+{
+    const auto found = service.inFlightByCaller.find(caller);
+    const unsigned own = found == service.inFlightByCaller.end() ? 0 : found->second;
+    const std::size_t busy = service.inFlightByCaller.size() + (own == 0 ? 1 : 0);
+    return busy > 1 && (own + 1) * busy <= service.inFlight + 1;
+}
+
+std::optional<target_id> engine::chooseTarget(service_state& service, const pending& waiting)
+{
+    std::vector<weighted_choice::candidate> fresh;
+    std::vector<weighted_choice::candidate> tried;
+    for (const target_id& id : service.targets) {
+        const target_state& target = m_targets.at(id);
+        if (target.row.state != table::mark::Active || !eligible(target, waiting))
+            continue;
+        const bool wasTried
+            = std::find(waiting.tried.begin(), waiting.tried.end(), id) != waiting.tried.end();
+        (wasTried ? tried : fresh)
+            .push_back({ id, effectiveWeight(target, service), believedLoad(target) });
+    }
+    const auto& candidates = fresh.empty() ? tried : fresh;
+    const auto index = service.choice.choose(candidates);
+    if (!index)
+        return std::nullopt;
+    return candidates[*index].id;
+}
+
+// What the target reports beyond this host's own requests, bounded, trusted and faded.
+double engine::believedLoad(const target_state& target) const
+{
+    const auto own = static_cast<double>(target.inFlight.size());
+    if (!target.report)
+        return own;
+    const double reported = target.report->running + target.report->queued;
+    const double others = std::clamp(reported - own, 0.0, static_cast<double>(target.row.slots));
+    const double age = std::chrono::duration<double>(m_now - target.reportedAt)
+        / std::chrono::duration<double>(m_settings.reportAge);
+    return own + others * target.reportTrust * std::exp(-age);
+}
+
+double engine::effectiveWeight(const target_state& target, const service_state& service) const
+{
+    const double success = std::max(successFloor, target.health.successShare());
+    const double weight
+        = std::max(1e-3, target.row.weight) * target.health.warm(m_now) * success * success;
+    const double usual = static_cast<double>(service.firstByte.usual({}).count());
+    const double own = static_cast<double>(target.health.firstByte().usual({}).count());
+    const double slowness = usual > 0 ? own / (slowFactor * usual) : 1;
+    return weight / std::max(1.0, slowness);
+}
+
+void engine::start(pending& waiting, target_state& target, std::optional<token> grant)
+{
+    service_state& service = *findService(waiting.taken.service);
+    const request& taken = waiting.taken;
+    uncountWaiting(waiting);
+    retry_budget& caller
+        = m_callerBudgets.try_emplace(taken.caller, m_settings.retryRatio, m_settings.retryBurst)
+              .first->second;
+    if (waiting.retry) {
+        service.budget.onRetry();
+        caller.onRetry();
+        ++m_counts.retries.at(static_cast<std::size_t>(*waiting.retry));
+    } else {
+        service.budget.onFirstAttempt();
+        caller.onFirstAttempt();
+    }
+    const auto outstanding = static_cast<unsigned>(target.inFlight.size());
+    target.window.onDispatch(m_now, outstanding);
+    if (m_quarantine.judge(taken.print) == quarantine::verdict::Suspected) {
+        target.isolated = taken.number;
+        target.isolatedUntil = m_now + isolationMax;
+    }
+    const bool afterSilence = waiting.retry == retry_reason::ConnectionSilent;
+    waiting.where = phase::InFlight;
+    waiting.attempt = attempt_number { waiting.attempt.value() + 1 };
+    waiting.target = target.row.id;
+    waiting.run = target.run.value_or(incarnation {});
+    waiting.tried.push_back(target.row.id);
+    waiting.dispatched = m_now;
+    waiting.wasSent = false;
+    waiting.responded = false;
+    target.inFlight.insert(taken.number);
+    ++service.inFlight;
+    ++service.inFlightByCaller[taken.caller];
+    ++m_inFlightPrints[taken.print];
+    ++m_inFlight;
+    ++m_counts.dispatched;
+    noteDrain(service, m_now);
+    m_out.emplace_back(dispatch { taken.number, waiting.attempt, target.row.id, grant,
+        taken.deadline, afterSilence || !taken.repeatable });
+}
+
+void engine::noteDrain(service_state& service, instant now)
+{
+    const std::chrono::duration<double> gap = now - service.lastDrain;
+    const double rate = 1 / std::max(gap.count(), 1e-5);
+    service.lastDrain = now;
+    service.drainRate += drainGain * (rate - service.drainRate);
+}
+
+} // namespace pimentomast::routing
--- /dev/null
+++ b/src/routing/engine.cc
@@ -0,0 +1,261 @@
+#include "engine.h"
+
+#include <algorithm>
+
+namespace pimentomast::routing {
+
+namespace {
+
+// The unit of cost is a microsecond of a target's time.
+constexpr double quantumUs = 5000;
+
+target_health::limits healthLimits(const options& settings)
+{
+    return { settings.probeInterval, settings.backgroundProbeInterval, settings.probeTimeout,
+        settings.ejectionMin, settings.ejectionMax, settings.slowStart };
+}
+
+window::limits windowLimits(const options& settings)
+{
+    return { settings.windowIncrease, settings.windowDecrease, settings.windowMin, 1 };
+}
+
+quarantine::limits quarantineLimits(const options& settings)
+{
+    quarantine::limits limits;
+    limits.crashes = settings.quarantineCrashes;
+    limits.expiry = settings.quarantineExpiry;
+    return limits;
+}
+
+std::optional<std::string> fault(const options& settings)
+{
+    if (settings.workers == 0)
+        return "workers must be at least 1";
+    if (settings.assumedHosts == 0)
+        return "assumedHosts must be at least 1";
+    if (settings.retryRatio < 0 || settings.retryBurst < 0)
+        return "retryRatio and retryBurst must not be negative";
+    if (settings.windowMin <= 0 || settings.windowDecrease <= 0 || settings.windowDecrease >= 1)
+        return "windowMin must be positive and windowDecrease between 0 and 1";
+    if (settings.ejectedMax < 0 || settings.ejectedMax >= 1)
+        return "ejectedMax must be at least 0 and below 1";
+    if (settings.quarantineCrashes == 0)
+        return "quarantineCrashes must be at least 1";
+    return std::nullopt;
+}
+
+} // namespace
+
+result<std::unique_ptr<router>> router::create(const options& settings, const owner_lookup& owners)
+{
+    if (const auto reason = fault(settings))
+        return error { "create router", "", *reason };
+    std::unique_ptr<router> made = std::make_unique<engine>(settings, owners);
+    return made;
+}
+
+lane::lane(double quantum)
+    : fresh(quantum)
+{
+}
+
+target_state::target_state(const table::target_row& from, const target_health::limits& healthLimits,
+    const window::limits& windowLimits, double quantum, instant coldSince)
+    : row(from)
+    , health(healthLimits, coldSince)
+    , window(windowLimits)
+    , waiting(quantum)
+{
+}
+
+service_state::service_state(
+    const table::service_row& from, const options& settings, double quantum, std::uint64_t seed)
+    : row(from)
+    , waiting(quantum)
+    , choice(seed, settings.loadBias)
+    , budget(settings.retryRatio, settings.retryBurst)
+{
+}
+
+engine::engine(const options& settings, const owner_lookup& owners)
+    : m_settings(settings)
+    , m_owners(owners)
+    , m_healthLimits(healthLimits(settings))
+    , m_windowLimits(windowLimits(settings))
+    , m_hosts(settings.assumedHosts, settings.hostCountLag)
+    , m_quarantine(quarantineLimits(settings))
+    , m_random(settings.seed)
+{
+}
+
+actions engine::applyTable(instant now, const table::table& rows)
+{
+    m_now = now;
+    applyServices(rows);
+    applyTargets(rows);
+    m_hasTable = true;
+    updateConnections();
+    for (auto& [id, service] : m_services)
+        retryUnowned(service);
+    pumpAll();
+    return taken();
+}
+
+void engine::applyServices(const table::table& rows)
+{
+    std::vector<request_number> homeless;
+    for (const auto& [number, each] : m_requests)
+        if (each.where != phase::InFlight && rows.service(each.taken.service) == nullptr)
+            homeless.push_back(number);
+    for (const request_number number : homeless)
+        end(m_requests.at(number), outcome::NotRun, refusal_reason::UnknownService);
+    std::erase_if(
+        m_services, [&](const auto& each) { return rows.service(each.first) == nullptr; });
+    for (const table::service_row& row : rows.services) {
+        const auto [found, added]
+            = m_services.try_emplace(row.id, row, m_settings, quantumUs, m_random());
+        found->second.row = row;
+        found->second.targets.clear();
+    }
+}
+
+void engine::applyTargets(const table::table& rows)
+{
+    std::vector<target_id> gone;
+    for (const auto& [id, target] : m_targets) {
+        const table::target_row* row = rows.target(id);
+        if (row == nullptr || row->service != target.row.service)
+            gone.push_back(id);
+    }
+    for (const target_id& id : gone)
+        dropTarget(id);
+    const instant coldSince = m_hasTable ? m_now : m_now - m_settings.slowStart;
+    for (const table::target_row& row : rows.targets) {
+        const auto [found, added] = m_targets.try_emplace(
+            row.id, row, m_healthLimits, m_windowLimits, quantumUs, coldSince);
+        target_state& target = found->second;
+        if (!added && row.state == table::mark::Active && target.row.state != row.state)
+            target.health.restart(m_now);
+        target.row = row;
+        target.window.limitTo(row.slots);
+        if (service_state* service = findService(row.service))
+            service->targets.push_back(row.id);
+    }
+}
+
+void engine::dropTarget(const target_id& id)
+{
+    std::vector<request_number> moving;
+    for (const auto& [number, each] : m_requests) {
+        const bool inLane = each.where == phase::Queued || each.where == phase::RetryReady;
+        if (inLane && each.lane == id)
+            moving.push_back(number);
+    }
+    for (const request_number number : moving)
+        unplace(m_requests.at(number));
+    m_targets.erase(id);
+    for (const request_number number : moving)
+        place(m_requests.at(number));
+}
+
+void engine::updateConnections()
+{
+    for (auto& [id, target] : m_targets) {
+        const unsigned share = m_hosts.share(m_now, target.row.connections);
+        if (share == target.connections)
+            continue;
+        target.connections = share;
+        m_out.emplace_back(limit_connections { id, share });
+    }
+}
+
+actions engine::applyLiveHosts(instant now, std::optional<unsigned> count)
+{
+    m_now = now;
+    m_hosts.update(now, count);
+    updateConnections();
+    pumpAll();
+    return taken();
+}
+
+actions engine::ownersChanged(instant now, const service_id& service)
+{
+    m_now = now;
+    if (service_state* found = findService(service)) {
+        retryUnowned(*found);
+        pump(*found);
+    }
+    return taken();
+}
+
+actions engine::cancel(instant now, request_number number)
+{
+    m_now = now;
+    pending* known = find(number);
+    if (known == nullptr)
+        return taken();
+    if (known->where == phase::InFlight) {
+        known->callerGone = true;
+        return taken();
+    }
+    ++m_counts.cancelled;
+    unplace(*known);
+    forget(number);
+    return taken();
+}
+
+actions engine::stop(instant now)
+{
+    m_now = now;
+    m_stopping = true;
+    std::vector<request_number> waiting;
+    for (const auto& [number, each] : m_requests)
+        if (each.where != phase::InFlight)
+            waiting.push_back(number);
+    std::sort(waiting.begin(), waiting.end());
+    for (const request_number number : waiting)
+        end(m_requests.at(number), outcome::NotRun, refusal_reason::HostStopping);
+    return taken();
+}
+
+std::vector<crash> engine::crashes() const { return m_quarantine.all(); }
+
+std::vector<target_view> engine::targets() const
+{
+    std::vector<target_view> views;
+    for (const auto& [id, target] : m_targets) {
+        target_view view;
+        view.target = id;
+        view.service = target.row.service;
+        view.outstanding = static_cast<unsigned>(target.inFlight.size());
+        view.queued
+            = static_cast<unsigned>(target.waiting.fresh.size() + target.waiting.retries.size());
+        view.window = target.window.size();
+        view.ejected = target.health.ejected();
+        view.warm = target.health.warm(m_now);
+        view.latency = target.health.latency().usual({});
+        views.push_back(view);
+    }
+    return views;
+}
+
+target_state* engine::findTarget(const target_id& id)
+{
+    const auto found = m_targets.find(id);
+    return found == m_targets.end() ? nullptr : &found->second;
+}
+
+service_state* engine::findService(const service_id& id)
+{
+    const auto found = m_services.find(id);
+    return found == m_services.end() ? nullptr : &found->second;
+}
+
+pending* engine::find(request_number number)
+{
+    const auto found = m_requests.find(number);
+    return found == m_requests.end() ? nullptr : &found->second;
+}
+
+} // namespace pimentomast::routing
--- /dev/null
+++ b/src/routing/engine.h
@@ -0,0 +1,266 @@
+#pragma once
+
+#include "fair_queue.h"
+#include "host_count.h"
+#include "pimentomast/routing.h"
+#include "quarantine.h"
+#include "retry_budget.h"
+#include "target_health.h"
+#include "weighted_choice.h"
+#include "window.h"
+
+#include <deque>
+#include <map>
+#include <random>
+#include <set>
+#include <unordered_map>
+
+namespace pimentomast::routing {
+
+/// Taken as the latency of a target or service that has not answered yet.
+inline constexpr duration firstLatencyGuess = std::chrono::milliseconds(10);
+
+/// Where a known request is.
+enum class phase {
+    /// In a lane's fair queue.
+    Queued,
+    /// Failed before it ran; waits for its backoff.
+    BackingOff,
+    /// In a lane's list of retries.
+    RetryReady,
+    /// Its key has no owner at the moment.
+    Unowned,
+    InFlight,
+};
+
+/// A request that has not ended yet.
+struct pending {
+    request taken;
+    phase where = phase::Queued;
+    attempt_number attempt;
+    /// Keyed services: the target in whose lane it waits.
+    target_id lane;
+    /// Target of the last attempt, and its run when the attempt started.
+    target_id target;
+    incarnation run;
+    std::vector<target_id> tried;
+    instant dispatched;
+    instant sent;
+    bool wasSent = false;
+    bool reusedConnection = false;
+    bool responded = false;
+    bool callerGone = false;
+    /// An earlier attempt may have run.
+    bool mayHaveRun = false;
+    /// Set by the last attempt's failure.
+    std::optional<retry_reason> retry;
+    refusal_reason failure = refusal_reason::DeadlineBeforeDispatch;
+    duration retryAfter {};
+    instant notBefore;
+    instant heldUntil;
+};
+
+/// Requests that wait for the same targets.
+struct lane {
+    explicit lane(double quantum);
+
+    fair_queue fresh;
+    std::deque<request_number> retries;
+
+    [[nodiscard]] bool empty() const noexcept { return fresh.empty() && retries.empty(); }
+};
+
+/// A request that was in flight on a run of a target when its connection broke.
+struct lost_attempt {
+    fingerprint print;
+    incarnation run;
+    instant at;
+};
+
+struct target_state {
+    target_state(const table::target_row& from, const target_health::limits& healthLimits,
+        const window::limits& windowLimits, double quantum, instant coldSince);
+
+    table::target_row row;
+    target_health health;
+    routing::window window;
+    /// Keyed services only.
+    lane waiting;
+    std::set<request_number> inFlight;
+    std::vector<lost_attempt> lost;
+    std::optional<incarnation> run;
+    std::optional<load_report> report;
+    instant reportedAt {};
+    double reportTrust = 1;
+    instant shedUntil {};
+    unsigned connections = 1;
+    /// The only request that may be in flight: it is suspected of crashing targets.
+    std::optional<request_number> isolated;
+    instant isolatedUntil {};
+    /// Requests whose connection broke; retried once a probe has told whether the target crashed.
+    std::vector<request_number> awaitingProbe;
+    bool runSeen = false;
+
+    /// Trusts the reports less after the target shed while it reported free slots.
+    void distrustIfIdle();
+    void noteLost(const lost_attempt& attempt, duration kept);
+};
+
+struct service_state {
+    service_state(const table::service_row& from, const options& settings, double quantum,
+        std::uint64_t seed);
+
+    table::service_row row;
+    std::vector<target_id> targets;
+    /// Unkeyed services only.
+    lane waiting;
+    weighted_choice choice;
+    retry_budget budget;
+    std::deque<request_number> unowned;
+    std::map<caller_id, std::set<request_number>> waitingByCaller;
+    std::size_t waitingCount = 0;
+    std::map<caller_id, unsigned> inFlightByCaller;
+    unsigned inFlight = 0;
+    latency_estimate latency;
+    latency_estimate firstByte;
+    std::unordered_map<caller_id, latency_estimate> callerLatency;
+    /// Requests that left the queue for a target, smoothed, per second.
+    double drainRate = 0;
+    instant lastDrain {};
+};
+
+class engine final : public router {
+public:
+    engine(const options& settings, const owner_lookup& owners);
+
+    actions applyTable(instant now, const table::table& rows) override;
+    actions applyLiveHosts(instant now, std::optional<unsigned> count) override;
+    actions ownersChanged(instant now, const service_id& service) override;
+    actions arrive(instant now, const request& taken) override;
+    actions cancel(instant now, request_number number) override;
+    actions sent(instant now, request_number number, attempt_number attempt,
+        instant connectionOpened) override;
+    actions responded(instant now, request_number number, attempt_number attempt) override;
+    actions finish(instant now, request_number number, attempt_number attempt,
+        const attempt_result& ended) override;
+    actions report(instant now, const target_id& target, const load_report& load) override;
+    actions probed(instant now, const target_id& target, const probe_result& ended) override;
+    actions heard(instant now, const crash& news) override;
+    actions pardon(instant now, fingerprint print) override;
+    actions stop(instant now) override;
+    actions tick(instant now) override;
+    [[nodiscard]] instant nextDue() const override;
+    [[nodiscard]] std::vector<crash> crashes() const override;
+    [[nodiscard]] const counters& counts() const noexcept override { return m_counts; }
+    [[nodiscard]] std::vector<target_view> targets() const override;
+
+private:
+    friend struct finish_visitor;
+
+    [[nodiscard]] actions taken() { return std::exchange(m_out, {}); }
+
+    // engine.cc: table and hosts
+    void applyServices(const table::table& rows);
+    void applyTargets(const table::table& rows);
+    void dropTarget(const target_id& id);
+    void updateConnections();
+
+    // waiting.cc: requests that are not in flight
+    [[nodiscard]] std::optional<refusal_reason> refusalAtArrival(const request& taken);
+    [[nodiscard]] bool unreachable(const request& taken, const service_state& service) const;
+    bool makeRoom(service_state& service, const caller_id& arriving);
+    void place(pending& waiting);
+    void placeInLane(pending& waiting, lane& in);
+    void placeUnowned(pending& waiting);
+    void unplace(pending& waiting);
+    void retryUnowned(service_state& service);
+    void countWaiting(const pending& waiting);
+    void uncountWaiting(const pending& waiting);
+    [[nodiscard]] double cost(const service_state& service, const caller_id& caller) const;
+    void end(pending& ended, outcome certainty, refusal_reason reason);
+    void forget(request_number number);
+
+    // dispatching.cc: from waiting to in flight
+    void pumpAll();
+    void pump(service_state& service);
+    void pumpTarget(target_state& target);
+    bool dispatchNextUnkeyed(service_state& service);
+    bool dispatchNextKeyed(target_state& target);
+    [[nodiscard]] std::optional<request_number> nextIn(lane& in);
+    void takeFrom(lane& in, request_number number);
+    [[nodiscard]] bool mayRetry(const pending& waiting);
+    [[nodiscard]] bool workerFree(const service_state& service) const;
+    [[nodiscard]] bool eligible(const target_state& target, const pending& waiting) const;
+    [[nodiscard]] bool windowAllows(const target_state& target, const pending& waiting) const;
+    [[nodiscard]] bool isQuiet(const service_state& service, const caller_id& caller) const;
+    [[nodiscard]] std::optional<target_id> chooseTarget(
+        service_state& service, const pending& waiting);
+    [[nodiscard]] double believedLoad(const target_state& target) const;
+    [[nodiscard]] double effectiveWeight(
+        const target_state& target, const service_state& service) const;
+    void start(pending& waiting, target_state& target, std::optional<token> grant);
+    static void noteDrain(service_state& service, instant now);
+
+    // attempts.cc: ends of attempts
+    [[nodiscard]] pending* current(request_number number, attempt_number attempt);
+    target_state* leaveTarget(pending& ended);
+    void retryOrEnd(pending& failed, retry_reason retry, refusal_reason reason);
+    void backOff(pending& failed);
+    void awaitProbe(pending& failed);
+    void clearSuspect(const pending& ended);
+    void noteLatency(const request& taken, const answered& result);
+
+    // health.cc: probes, ejection, crashes, silent connections
+    void noteRun(target_state& target, incarnation run);
+    void blameCrash(target_state& target, incarnation run);
+    void learnCrash(const crash& news);
+    void ejectIfFailing(target_state& target);
+    void ejectErrorOutlier(target_state& target);
+    void eject(target_state& target);
+    [[nodiscard]] bool mayEject(const target_state& target) const;
+    void startDueProbes();
+    void checkLate(target_state& target);
+    [[nodiscard]] instant lateAt(const pending& inFlight) const;
+    void endSilent(target_state& target, instant probeStarted);
+    void endFrozen(target_state& target);
+    void releaseAwaiting(target_state& target);
+    void refuseQuarantined();
+    void noteReport(target_state& target, const load_report& load);
+    void onRunEnded(target_state& target);
+    void abandonAttempt(pending& inFlight, retry_reason retry, refusal_reason reason);
+
+    // tick.cc
+    void endBackoffs();
+    void endDeadlines();
+    [[nodiscard]] refusal_reason reasonAtDeadline(const pending& late);
+    [[nodiscard]] instant nextDue(const target_state& target) const;
+    [[nodiscard]] instant nextDue(const service_state& service) const;
+    [[nodiscard]] instant opensAt(const target_state& target) const;
+
+    [[nodiscard]] target_state* findTarget(const target_id& id);
+    [[nodiscard]] service_state* findService(const service_id& id);
+    [[nodiscard]] pending* find(request_number number);
+
+    options m_settings;
+    const owner_lookup& m_owners;
+    target_health::limits m_healthLimits;
+    window::limits m_windowLimits;
+    instant m_now {};
+    actions m_out;
+    bool m_stopping = false;
+    bool m_hasTable = false;
+    std::map<service_id, service_state> m_services;
+    std::map<target_id, target_state> m_targets;
+    std::unordered_map<request_number, pending> m_requests;
+    std::unordered_map<caller_id, retry_budget> m_callerBudgets;
+    std::set<std::pair<instant, request_number>> m_backoffs;
+    std::set<std::pair<instant, request_number>> m_deadlines;
+    std::map<fingerprint, unsigned> m_inFlightPrints;
+    host_count m_hosts;
+    quarantine m_quarantine;
+    std::mt19937_64 m_random;
+    unsigned m_inFlight = 0;
+    counters m_counts;
+};
+
+} // namespace pimentomast::routing
--- /dev/null
+++ b/src/routing/fair_queue.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "pimentomast/routing.h"
+
+#include <deque>
+#include <list>
+#include <unordered_map>
+
+namespace pimentomast::routing {
+
+/// Queue that serves callers by deficit round robin (M. Shreedhar, G. Varghese, "Efficient fair
+/// queuing using deficit round robin", SIGCOMM 1995). As in RFC 8290, a caller that had nothing
+/// queued is served before those that wait for their next turn, once: when its requests are served
+/// it keeps its place among the others until its next turn would have come.
+///
+/// Costs are in any one unit; a caller gets one quantum of it per turn.
+class fair_queue {
+public:
+    explicit fair_queue(double quantum);
+
+    /// Appends a request of the caller. cost must be positive.
+    void push(request_number number, const caller_id& caller, double cost);
+    /// Returns the request whose turn it is, or nothing if the queue is empty.
+    [[nodiscard]] std::optional<request_number> front();
+    /// Removes the request that front() returns. The queue must not be empty.
+    void pop();
+    /// Removes a request wherever it stands; false if it is not queued under this caller.
+    bool erase(request_number number, const caller_id& caller);
+
+    [[nodiscard]] std::size_t size() const noexcept { return m_size; }
+    [[nodiscard]] bool empty() const noexcept { return m_size == 0; }
+    /// Requests of the caller that wait.
+    [[nodiscard]] std::size_t waiting(const caller_id& caller) const;
+    /// Callers that have a request waiting.
+    [[nodiscard]] std::size_t callers() const noexcept { return m_activeCallers; }
+
+private:
+    struct item {
+        request_number number;
+        double cost = 0;
+    };
+    struct flow {
+        std::deque<item> items;
+        double deficit = 0;
+    };
+    using turn_list = std::list<caller_id>;
+
+    [[nodiscard]] turn_list& currentTurns() noexcept;
+    void endTurn();
+    void skipIdle();
+    void removed(const flow& from);
+
+    double m_quantum;
+    std::size_t m_size = 0;
+    std::size_t m_activeCallers = 0;
+    std::unordered_map<caller_id, flow> m_flows;
+    turn_list m_newTurns;
+    turn_list m_oldTurns;
+};
+
+} // namespace pimentomast::routing
--- /dev/null
+++ b/src/routing/health.cc
@@ -0,0 +1,309 @@
+#include "engine.h"
+
+#include <algorithm>
+
+namespace pimentomast::routing {
+
+namespace {
+
+constexpr double errorShareToEject = 0.5;
+constexpr double errorShareUsualMax = 0.2;
+constexpr unsigned errorSamplesMin = 10;
+constexpr double trustLossOnShed = 0.8;
+constexpr double trustLossOnUnderReport = 0.9;
+
+} // namespace
+
+void target_state::distrustIfIdle()
+{
+    if (report && report->running + report->queued < row.slots)
+        reportTrust *= trustLossOnShed;
+}
+
+void target_state::noteLost(const lost_attempt& attempt, duration kept)
+{
+    std::erase_if(lost, [&](const lost_attempt& each) { return each.at + kept < attempt.at; });
+    lost.push_back(attempt);
+}
+
+actions engine::report(instant now, const target_id& target, const load_report& load)
+{
+    m_now = now;
+    target_state* known = findTarget(target);
+    if (known == nullptr)
+        return taken();
+    noteRun(*known, load.run);
+    noteReport(*known, load);
+    return taken();
+}
+
+void engine::noteReport(target_state& target, const load_report& load)
+{
+    target.report = load;
+    target.reportedAt = m_now;
+    std::size_t answering = 0;
+    for (const request_number number : target.inFlight)
+        if (m_requests.at(number).responded)
+            ++answering;
+    if (load.running < answering)
+        target.reportTrust *= trustLossOnUnderReport;
+}
+
+actions engine::probed(instant now, const target_id& target, const probe_result& ended)
+{
+    m_now = now;
+    target_state* known = findTarget(target);
+    if (known == nullptr)
+        return taken();
+    const auto started = known->health.probeStarted();
+    if (const auto* good = std::get_if<probe_answered>(&ended)) {
+        noteRun(*known, good->load.run);
+        noteReport(*known, good->load);
+        known->health.onProbeAnswered(now);
+        if (started)
+            endSilent(*known, *started);
+    } else {
+        if (std::get<probe_failed>(ended).refused)
+            onRunEnded(*known);
+        known->health.onProbeFailed(now);
+        ejectIfFailing(*known);
+    }
+    releaseAwaiting(*known);
+    if (service_state* service = findService(known->row.service))
+        pump(*service);
+    return taken();
+}
+
+void engine::noteRun(target_state& target, incarnation run)
+{
+    if (target.run == run)
+        return;
+    onRunEnded(target);
+    const bool isFirst = !target.runSeen;
+    target.run = run;
+    target.runSeen = true;
+    if (!isFirst)
+        target.health.restart(m_now);
+}
+
+// The process that served target.run is gone. A target that leaves ends by plan.
+void engine::onRunEnded(target_state& target)
+{
+    if (!target.run)
+        return;
+    const incarnation run = *target.run;
+    target.run.reset();
+    target.report.reset();
+    target.reportTrust = 1;
+    if (target.row.state == table::mark::Active)
+        blameCrash(target, run);
+    target.lost.clear();
+}
+
+// Suspects: what was in flight when the run ended, and what had just lost its connection to it.
+void engine::blameCrash(target_state& target, incarnation run)
+{
+    std::set<fingerprint> suspects;
+    for (const lost_attempt& each : target.lost)
+        if (each.run == run)
+            suspects.insert(each.print);
+    for (const request_number number : target.inFlight) {
+        const pending& inFlight = m_requests.at(number);
+        if (inFlight.run == run)
+            suspects.insert(inFlight.taken.print);
+    }
+    m_quarantine.addUnattributed(m_now, target.row.id, run);
+    for (const fingerprint print : suspects)
+        learnCrash({ print, target.row.id, run, m_now, false });
+}
+
+void engine::learnCrash(const crash& news)
+{
+    if (!m_quarantine.add(news))
+        return;
+    m_out.emplace_back(tell_hosts { news });
+    refuseQuarantined();
+}
+
+actions engine::heard(instant now, const crash& news)
+{
+    m_now = now;
+    if (m_quarantine.add(news))
+        refuseQuarantined();
+    return taken();
+}
+
+actions engine::pardon(instant now, fingerprint print)
+{
+    m_now = now;
+    const crash cleared { print, {}, {}, now, true };
+    if (m_quarantine.add(cleared))
+        m_out.emplace_back(tell_hosts { cleared });
+    return taken();
+}
+
+void engine::refuseQuarantined()
+{
+    std::vector<request_number> refused;
+    for (const auto& [number, each] : m_requests) {
+        const bool isWaiting = each.where != phase::InFlight;
+        if (isWaiting && m_quarantine.judge(each.taken.print) == quarantine::verdict::Refused)
+            refused.push_back(number);
+    }
+    for (const request_number number : refused)
+        end(m_requests.at(number), outcome::NotRun, refusal_reason::Quarantined);
+}
+
+void engine::ejectIfFailing(target_state& target)
+{
+    if (target.health.failing() && !target.health.ejected())
+        eject(target);
+}
+
+// Errors of most targets are the service's own; those of one target among good ones are its fault.
+void engine::ejectErrorOutlier(target_state& target)
+{
+    const target_health& health = target.health;
+    if (health.ejected() || health.samples() < errorSamplesMin
+        || health.errorShare() < errorShareToEject)
+        return;
+    const service_state* service = findService(target.row.service);
+    double others = 0;
+    std::size_t count = 0;
+    for (const target_id& id : service->targets) {
+        if (id == target.row.id)
+            continue;
+        others += m_targets.at(id).health.errorShare();
+        ++count;
+    }
+    if (count > 0 && others / static_cast<double>(count) < errorShareUsualMax)
+        eject(target);
+}
+
+void engine::eject(target_state& target)
+{
+    if (!mayEject(target)) {
+        ++m_counts.ejectionsPrevented;
+        return;
+    }
+    ++m_counts.ejections;
+    target.health.eject(m_now);
+    endFrozen(target);
+}
+
+// One target may always be ejected, unless it is the last one that is not.
+bool engine::mayEject(const target_state& target) const
+{
+    double all = 0;
+    double out = 0;
+    std::size_t serving = 0;
+    for (const target_id& id : m_services.at(target.row.service).targets) {
+        const target_state& each = m_targets.at(id);
+        if (each.row.state != table::mark::Active)
+            continue;
+        all += each.row.weight;
+        if (each.health.ejected())
+            out += each.row.weight;
+        else if (&each != &target)
+            ++serving;
+    }
+    const bool isFirst = out == 0;
+    return serving > 0 && (isFirst || out + target.row.weight <= m_settings.ejectedMax * all);
+}
+
+void engine::startDueProbes()
+{
+    for (auto& [id, target] : m_targets) {
+        if (m_now < target.health.probeDue())
+            continue;
+        if (target.health.probing()) {
+            target.health.onProbeFailed(m_now);
+            ejectIfFailing(target);
+            releaseAwaiting(target);
+            continue;
+        }
+        std::uniform_real_distribution<double> jitter(0.8, 1.2);
+        target.health.onProbeStarted(m_now, jitter(m_random));
+        m_out.emplace_back(probe { id });
+    }
+}
+
+instant engine::lateAt(const pending& inFlight) const
+{
+    const auto found = m_services.find(inFlight.taken.service);
+    const duration usual = found == m_services.end() ? duration {} : found->second.firstByte.high();
+    const auto scaled = std::chrono::duration_cast<duration>(usual * m_settings.lateFactor);
+    return inFlight.sent + std::max<duration>(m_settings.lateMin, scaled);
+}
+
+void engine::checkLate(target_state& target)
+{
+    for (const request_number number : target.inFlight) {
+        const pending& inFlight = m_requests.at(number);
+        if (inFlight.wasSent && !inFlight.responded && m_now >= lateAt(inFlight))
+            target.health.askProbe(m_now);
+    }
+}
+
+// The probe was answered over a new connection while requests on older ones got no answer.
+void engine::endSilent(target_state& target, instant probeStarted)
+{
+    std::vector<request_number> silent;
+    for (const request_number number : target.inFlight) {
+        const pending& inFlight = m_requests.at(number);
+        const bool noAnswer = inFlight.wasSent && !inFlight.responded;
+        if (noAnswer && inFlight.reusedConnection && lateAt(inFlight) <= probeStarted)
+            silent.push_back(number);
+    }
+    if (silent.empty())
+        return;
+    m_out.emplace_back(close_idle { target.row.id, probeStarted });
+    for (const request_number number : silent) {
+        pending& inFlight = m_requests.at(number);
+        if (inFlight.taken.repeatable && !mayRetry(inFlight))
+            continue;
+        ++m_counts.silentConnections;
+        abandonAttempt(inFlight, retry_reason::ConnectionSilent, refusal_reason::ConnectionSilent);
+    }
+}
+
+// An ejected target answers nothing new; what may run again does so elsewhere.
+void engine::endFrozen(target_state& target)
+{
+    const auto numbers = target.inFlight;
+    for (const request_number number : numbers) {
+        pending& inFlight = m_requests.at(number);
+        const bool isLate = inFlight.wasSent && !inFlight.responded && m_now >= lateAt(inFlight);
+        if (isLate && inFlight.taken.repeatable && mayRetry(inFlight))
+            abandonAttempt(
+                inFlight, retry_reason::AttemptTimedOut, refusal_reason::DeadlineAfterDispatch);
+    }
+}
+
+void engine::abandonAttempt(pending& inFlight, retry_reason retry, refusal_reason reason)
+{
+    m_out.emplace_back(abandon { inFlight.taken.number, inFlight.attempt });
+    leaveTarget(inFlight);
+    inFlight.mayHaveRun = true;
+    const bool mayRepeat
+        = inFlight.taken.repeatable && inFlight.attempt.value() < m_settings.attemptsMax;
+    if (mayRepeat)
+        retryOrEnd(inFlight, retry, reason);
+    else
+        end(inFlight, outcome::Unknown, reason);
+}
+
+void engine::releaseAwaiting(target_state& target)
+{
+    const auto numbers = std::exchange(target.awaitingProbe, {});
+    for (const request_number number : numbers) {
+        pending* waiting = find(number);
+        if (waiting == nullptr || waiting->where != phase::BackingOff)
+            continue;
+        m_backoffs.erase({ waiting->notBefore, number });
+        backOff(*waiting);
+        m_backoffs.emplace(waiting->notBefore, number);
+    }
+}
+
+} // namespace pimentomast::routing
--- /dev/null
+++ b/src/routing/quarantine.cc
@@ -0,0 +1,146 @@
+#include "quarantine.h"
+
+#include <algorithm>
+
+namespace pimentomast::routing {
+
+namespace {
+
+template <class Set>
+bool overlap(const Set& a, const Set& b)
+{
+    return std::any_of(a.begin(), a.end(), [&](const auto& each) { return b.contains(each); });
+}
+
+} // namespace
+
+quarantine::quarantine(const limits& bounds)
+    : m_limits(bounds)
+{
+}
+
+bool quarantine::add(const crash& news)
+{
+    if (forgiven(news.print, news.at))
+        return false;
+    if (news.forgiven) {
+        m_forgiven[news.print] = news.at;
+        judgeAll();
+        return true;
+    }
+    auto [found, added] = m_runs.try_emplace(run_id { news.target, news.run });
+    ended_run& ended = found->second;
+    ended.at = added ? news.at : std::min(ended.at, news.at);
+    const bool isNew = ended.suspects.insert(news.print).second;
+    if (isNew)
+        judgeAll();
+    return isNew;
+}
+
+void quarantine::addUnattributed(instant now, const target_id& target, incarnation run)
+{
+    auto [found, added] = m_runs.try_emplace(run_id { target, run });
+    if (added)
+        found->second.at = now;
+}
+
+void quarantine::expire(instant now)
+{
+    const auto isOld = [&](instant at) { return at + m_limits.expiry <= now; };
+    const auto before = m_runs.size() + m_forgiven.size();
+    std::erase_if(m_runs, [&](const auto& each) { return isOld(each.second.at); });
+    std::erase_if(m_forgiven, [&](const auto& each) { return isOld(each.second); });
+    if (m_runs.size() + m_forgiven.size() != before)
+        judgeAll();
+}
+
+quarantine::verdict quarantine::judge(fingerprint print) const
+{
+    const auto found = m_verdicts.find(print);
+    return found == m_verdicts.end() ? verdict::Clear : found->second;
+}
+
+std::vector<crash> quarantine::all() const
+{
+    std::vector<crash> known;
+    for (const auto& [id, ended] : m_runs)
+        for (const fingerprint print : ended.suspects)
+            known.push_back({ print, id.target, id.run, ended.at, false });
+    for (const auto& [print, at] : m_forgiven)
+        known.push_back({ print, target_id {}, incarnation {}, at, true });
+    return known;
+}
+
+bool quarantine::forgiven(fingerprint print, instant at) const
+{
+    const auto found = m_forgiven.find(print);
+    return found != m_forgiven.end() && at <= found->second;
+}
+
+quarantine::suspicion_map quarantine::suspicions() const
+{
+    suspicion_map found;
+    for (const auto& [id, ended] : m_runs)
+        for (const fingerprint print : ended.suspects)
+            if (!forgiven(print, ended.at))
+                found[print].insert(id);
+    return found;
+}
+
+std::size_t quarantine::backgroundOf(const run_set& own, const run_set& explained) const
+{
+    instant last {};
+    for (const run_id& id : own)
+        last = std::max(last, m_runs.at(id).at);
+    std::size_t others = 0;
+    for (const auto& [id, ended] : m_runs) {
+        const bool isRecent = ended.at + m_limits.backgroundWindow > last && ended.at <= last;
+        if (isRecent && !own.contains(id) && !explained.contains(id))
+            ++others;
+    }
+    return others;
+}
+
+bool quarantine::isGuilty(const run_set& own, const run_set& explained) const
+{
+    if (own.size() < m_limits.crashes)
+        return false;
+    const bool targetsDieAnyway = backgroundOf(own, explained) >= m_limits.backgroundCrashes;
+    return own.size() >= m_limits.crashes + (targetsDieAnyway ? 1 : 0);
+}
+
+bool quarantine::hasRival(const suspicion_map& open, fingerprint print, const run_set& own)
+{
+    return std::any_of(open.begin(), open.end(), [&](const auto& other) {
+        const auto& [otherPrint, runs] = other;
+        return otherPrint != print && runs.size() >= own.size() && overlap(runs, own);
+    });
+}
+
+std::optional<fingerprint> quarantine::findGuilty(
+    const suspicion_map& open, const run_set& explained) const
+{
+    for (const auto& [print, own] : open)
+        if (isGuilty(own, explained) && !hasRival(open, print, own))
+            return print;
+    return std::nullopt;
+}
+
+void quarantine::judgeAll()
+{
+    m_verdicts.clear();
+    suspicion_map open = suspicions();
+    run_set explained;
+    while (const auto guilty = findGuilty(open, explained)) {
+        const run_set own = open.at(*guilty);
+        m_verdicts[*guilty] = verdict::Refused;
+        explained.insert(own.begin(), own.end());
+        for (auto& [print, runs] : open)
+            std::erase_if(runs, [&](const run_id& id) { return own.contains(id); });
+    }
+    for (const auto& [print, runs] : open)
+        if (!runs.empty())
+            m_verdicts[print] = verdict::Suspected;
+}
+
+} // namespace pimentomast::routing
--- /dev/null
+++ b/src/routing/quarantine.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "pimentomast/routing.h"
+
+#include <map>
+#include <set>
+
+namespace pimentomast::routing {
+
+/// Finds the requests that crash targets.
+///
+/// Each run of a target that ended is one crash; the fingerprints in flight on it are its suspects.
+/// A fingerprint is guilty of a crash if it was in flight at enough crashes and at more of them
+/// than any other suspect of them; its crashes then count against nobody else. Suspects that share
+/// a crash and have equally many are not told apart: none is guilty until one crashes again. When
+/// at least backgroundCrashes other crashes happened lately without the fingerprint, targets are
+/// dying by themselves, and one more crash is asked for. A whole answer clears a suspect. All of it
+/// is a function of the set of crashes, so hosts that know the same crashes agree, in whatever
+/// order and however often they were told.
+class quarantine {
+public:
+    struct limits {
+        unsigned crashes = 2;
+        unsigned backgroundCrashes = 2;
+        duration backgroundWindow = std::chrono::seconds(60);
+        duration expiry = std::chrono::minutes(10);
+    };
+    enum class verdict {
+        Clear,
+        Suspected,
+        Refused,
+    };
+
+    explicit quarantine(const limits& bounds);
+
+    /// Takes a crash or a forgiveness; false if it was known or is outdated.
+    bool add(const crash& news);
+    /// Takes the end of a run at which nothing of this host was in flight.
+    void addUnattributed(instant now, const target_id& target, incarnation run);
+    /// Forgets what has expired.
+    void expire(instant now);
+    [[nodiscard]] verdict judge(fingerprint print) const;
+    [[nodiscard]] bool empty() const noexcept { return m_verdicts.empty(); }
+    /// All crashes and forgivenesses that have not expired.
+    [[nodiscard]] std::vector<crash> all() const;
+
+private:
+    struct run_id {
+        target_id target;
+        incarnation run;
+        auto operator<=>(const run_id&) const = default;
+    };
+    struct ended_run {
+        instant at;
+        std::set<fingerprint> suspects;
+    };
+    using run_set = std::set<run_id>;
+    using suspicion_map = std::map<fingerprint, run_set>;
+
+    [[nodiscard]] bool forgiven(fingerprint print, instant at) const;
+    [[nodiscard]] suspicion_map suspicions() const;
+    [[nodiscard]] std::size_t backgroundOf(const run_set& own, const run_set& explained) const;
+    [[nodiscard]] bool isGuilty(const run_set& own, const run_set& explained) const;
+    [[nodiscard]] static bool hasRival(
+        const suspicion_map& open, fingerprint print, const run_set& own);
+    [[nodiscard]] std::optional<fingerprint> findGuilty(
+        const suspicion_map& open, const run_set& explained) const;
+    void judgeAll();
+
+    limits m_limits;
+    std::map<run_id, ended_run> m_runs;
+    std::map<fingerprint, instant> m_forgiven;
+    std::map<fingerprint, verdict> m_verdicts;
+};
+
+} // namespace pimentomast::routing
--- /dev/null
+++ b/src/routing/tick.cc
@@ -0,0 +1,104 @@
+#include "engine.h"
+
+#include <algorithm>
+
+namespace pimentomast::routing {
+
+actions engine::tick(instant now)
+{
+    m_now = now;
+    m_quarantine.expire(now);
+    endDeadlines();
+    endBackoffs();
+    for (auto& [id, target] : m_targets)
+        checkLate(target);
+    startDueProbes();
+    for (auto& [id, service] : m_services)
+        retryUnowned(service);
+    updateConnections();
+    pumpAll();
+    return taken();
+}
+
+void engine::endBackoffs()
+{
+    while (!m_backoffs.empty() && m_backoffs.begin()->first <= m_now) {
+        const request_number number = m_backoffs.begin()->second;
+        m_backoffs.erase(m_backoffs.begin());
+        place(m_requests.at(number));
+    }
+}
+
+void engine::endDeadlines()
+{
+    while (!m_deadlines.empty() && m_deadlines.begin()->first <= m_now) {
+        const request_number number = m_deadlines.begin()->second;
+        m_deadlines.erase(m_deadlines.begin());
+        pending& late = m_requests.at(number);
+        if (late.where != phase::InFlight)
+            end(late, outcome::NotRun, reasonAtDeadline(late));
+    }
+}
+
+refusal_reason engine::reasonAtDeadline(const pending& late)
+{
+    if (late.where == phase::Unowned)
+        return refusal_reason::NoOwner;
+    if (late.where == phase::RetryReady && !mayRetry(late))
+        return refusal_reason::RetryBudget;
+    return late.failure;
+}
+
+instant engine::nextDue() const
+{
+    instant due = instant::max();
+    if (!m_backoffs.empty())
+        due = std::min(due, m_backoffs.begin()->first);
+    if (!m_deadlines.empty())
+        due = std::min(due, m_deadlines.begin()->first);
+    for (const auto& [id, target] : m_targets)
+        due = std::min(due, nextDue(target));
+    for (const auto& [id, service] : m_services)
+        due = std::min(due, nextDue(service));
+    return due;
+}
+
+instant engine::nextDue(const target_state& target) const
+{
+    instant due = target.health.probeDue();
+    for (const request_number number : target.inFlight) {
+        const pending& inFlight = m_requests.at(number);
+        const instant late = lateAt(inFlight);
+        if (inFlight.wasSent && !inFlight.responded && late > m_now)
+            due = std::min(due, late);
+    }
+    if (!target.waiting.empty())
+        due = std::min(due, opensAt(target));
+    return due;
+}
+
+instant engine::nextDue(const service_state& service) const
+{
+    instant due = instant::max();
+    for (const request_number number : service.unowned)
+        due = std::min(due, m_requests.at(number).heldUntil);
+    if (service.waiting.empty())
+        return due;
+    for (const target_id& id : service.targets)
+        due = std::min(due, opensAt(m_targets.at(id)));
+    return due;
+}
+
+// When waiting alone makes the target take one more request.
+instant engine::opensAt(const target_state& target) const
+{
+    if (target.health.ejected())
+        return instant::max();
+    const auto outstanding = static_cast<unsigned>(target.inFlight.size());
+    const duration latency = target.health.latency().usual(firstLatencyGuess);
+    const instant window = target.window.nextFraction(outstanding, latency);
+    const instant opens = std::max(window, target.shedUntil);
+    return std::max(opens, m_now + std::chrono::milliseconds(1));
+}
+
+} // namespace pimentomast::routing
--- /dev/null
+++ b/src/routing/waiting.cc
@@ -0,0 +1,211 @@
+#include "engine.h"
+
+#include <algorithm>
+
+namespace pimentomast::routing {
+
+namespace {
+
+constexpr double costMinUs = 500;
+constexpr double costMaxUs = 500000;
+
+} // namespace
+
+actions engine::arrive(instant now, const request& taken)
+{
+    m_now = now;
+    ++m_counts.arrived;
+    if (const auto reason = refusalAtArrival(taken)) {
+        ++m_counts.refusals.at(static_cast<std::size_t>(*reason));
+        m_out.emplace_back(refuse { taken.number, outcome::NotRun, *reason, {}, {} });
+        return this->taken();
+    }
+    pending& known = m_requests[taken.number];
+    known.taken = taken;
+    m_deadlines.emplace(taken.deadline, taken.number);
+    countWaiting(known);
+    place(known);
+    service_state& service = *findService(taken.service);
+    if (pending* still = find(taken.number); still != nullptr && service.row.keyed()) {
+        if (target_state* target = findTarget(still->lane))
+            pumpTarget(*target);
+    } else {
+        pump(service);
+    }
+    return this->taken();
+}
+
+std::optional<refusal_reason> engine::refusalAtArrival(const request& taken)
+{
+    if (m_stopping)
+        return refusal_reason::HostStopping;
+    service_state* service = findService(taken.service);
+    if (service == nullptr || service->row.keyed() != taken.key.has_value())
+        return refusal_reason::UnknownService;
+    if (service->targets.empty())
+        return refusal_reason::NoTarget;
+    if (taken.deadline <= m_now)
+        return refusal_reason::DeadlineBeforeDispatch;
+    if (m_quarantine.judge(taken.print) == quarantine::verdict::Refused)
+        return refusal_reason::Quarantined;
+    if (unreachable(taken, *service))
+        return refusal_reason::DeadlineUnreachable;
+    if (service->waitingCount >= service->row.queue && !makeRoom(*service, taken.caller))
+        return refusal_reason::QueueFull;
+    return std::nullopt;
+}
+
+// The caller's own queue is served once per round over all waiting callers.
+bool engine::unreachable(const request& taken, const service_state& service) const
+{
+    const auto own = service.waitingByCaller.find(taken.caller);
+    if (own == service.waitingByCaller.end() || service.drainRate <= 0)
+        return false;
+    const double ahead = static_cast<double>(own->second.size() * service.waitingByCaller.size());
+    const std::chrono::duration<double> wait(ahead / service.drainRate);
+    return m_now + std::chrono::duration_cast<duration>(wait) > taken.deadline;
+}
+
+// Drops the newest request of the caller that has most waiting.
+bool engine::makeRoom(service_state& service, const caller_id& arriving)
+{
+    const auto longest
+        = std::max_element(service.waitingByCaller.begin(), service.waitingByCaller.end(),
+            [](const auto& a, const auto& b) { return a.second.size() < b.second.size(); });
+    if (longest == service.waitingByCaller.end())
+        return false;
+    const auto own = service.waitingByCaller.find(arriving);
+    const std::size_t ownCount = own == service.waitingByCaller.end() ? 0 : own->second.size();
+    if (ownCount + 1 >= longest->second.size())
+        return false;
+    const request_number newest = *longest->second.rbegin();
+    end(m_requests.at(newest), outcome::NotRun, refusal_reason::QueueFull);
+    return true;
+}
+
+void engine::place(pending& waiting)
+{
+    if (m_quarantine.judge(waiting.taken.print) == quarantine::verdict::Refused) {
+        end(waiting, outcome::NotRun, refusal_reason::Quarantined);
+        return;
+    }
+    service_state& service = *findService(waiting.taken.service);
+    if (!service.row.keyed()) {
+        placeInLane(waiting, service.waiting);
+        return;
+    }
+    const owner_answer answer
+        = m_owners.find(m_now, waiting.taken.service, waiting.taken.key.value_or(key_hash {}));
+    const auto* owned = std::get_if<owned_by>(&answer);
+    target_state* target = owned == nullptr ? nullptr : findTarget(owned->target);
+    if (target == nullptr) {
+        const auto* held = std::get_if<held_until>(&answer);
+        waiting.heldUntil = held == nullptr ? instant::max() : held->until;
+        placeUnowned(waiting);
+        return;
+    }
+    waiting.lane = owned->target;
+    placeInLane(waiting, target->waiting);
+}
+
+void engine::placeInLane(pending& waiting, lane& in)
+{
+    const request& taken = waiting.taken;
+    if (waiting.retry) {
+        waiting.where = phase::RetryReady;
+        in.retries.push_back(taken.number);
+        return;
+    }
+    waiting.where = phase::Queued;
+    in.fresh.push(taken.number, taken.caller, cost(*findService(taken.service), taken.caller));
+}
+
+void engine::placeUnowned(pending& waiting)
+{
+    waiting.where = phase::Unowned;
+    findService(waiting.taken.service)->unowned.push_back(waiting.taken.number);
+}
+
+// Takes a waiting request from wherever it stands.
+void engine::unplace(pending& waiting)
+{
+    const request& taken = waiting.taken;
+    m_backoffs.erase({ waiting.notBefore, taken.number });
+    service_state* service = findService(taken.service);
+    if (service == nullptr)
+        return;
+    std::erase(service->unowned, taken.number);
+    lane* in = &service->waiting;
+    if (service->row.keyed()) {
+        target_state* target = findTarget(waiting.lane);
+        in = target == nullptr ? nullptr : &target->waiting;
+    }
+    if (in == nullptr)
+        return;
+    std::erase(in->retries, taken.number);
+    if (waiting.where == phase::Queued)
+        in->fresh.erase(taken.number, taken.caller);
+}
+
+void engine::retryUnowned(service_state& service)
+{
+    const auto numbers = std::exchange(service.unowned, {});
+    for (const request_number number : numbers)
+        place(m_requests.at(number));
+}
+
+void engine::countWaiting(const pending& waiting)
+{
+    service_state& service = *findService(waiting.taken.service);
+    ++service.waitingCount;
+    service.waitingByCaller[waiting.taken.caller].insert(waiting.taken.number);
+}
+
+void engine::uncountWaiting(const pending& waiting)
+{
+    service_state* service = findService(waiting.taken.service);
+    if (service == nullptr)
+        return;
+    const auto own = service->waitingByCaller.find(waiting.taken.caller);
+    if (own == service->waitingByCaller.end() || own->second.erase(waiting.taken.number) == 0)
+        return;
+    --service->waitingCount;
+    if (own->second.empty())
+        service->waitingByCaller.erase(own);
+}
+
+double engine::cost(const service_state& service, const caller_id& caller) const
+{
+    const duration serviceUsual = service.latency.usual(firstLatencyGuess);
+    const auto found = service.callerLatency.find(caller);
+    const duration usual
+        = found == service.callerLatency.end() ? serviceUsual : found->second.usual(serviceUsual);
+    return std::clamp(static_cast<double>(usual.count()), costMinUs, costMaxUs);
+}
+
+void engine::end(pending& ended, outcome certainty, refusal_reason reason)
+{
+    if (ended.where != phase::InFlight)
+        unplace(ended);
+    const request_number number = ended.taken.number;
+    const outcome known = ended.mayHaveRun ? outcome::Unknown : certainty;
+    if (ended.callerGone) {
+        ++m_counts.cancelled;
+    } else {
+        ++m_counts.refusals.at(static_cast<std::size_t>(reason));
+        m_out.emplace_back(refuse { number, known, reason, ended.target, ended.retryAfter });
+    }
+    forget(number);
+}
+
+void engine::forget(request_number number)
+{
+    const auto found = m_requests.find(number);
+    if (found == m_requests.end())
+        return;
+    uncountWaiting(found->second);
+    m_deadlines.erase({ found->second.taken.deadline, number });
+    m_requests.erase(found);
+}
+
+} // namespace pimentomast::routing
--- /dev/null
+++ b/src/routing/weighted_choice.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "pimentomast/core.h"
+
+#include <optional>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+namespace pimentomast::routing {
+
+/// Chooses targets in proportion to weight and against their load.
+///
+/// Start-time fair queueing over targets (P. Goyal, H. Vin, H. Cheng, SIGCOMM 1996): each choice
+/// advances the chosen target's virtual time by (1 + load)^bias / weight, and the lowest finish
+/// wins. At no load this is an exact weighted round robin; hosts start at different places.
+class weighted_choice {
+public:
+    struct candidate {
+        target_id id;
+        /// Must be positive.
+        double weight = 1;
+        /// Requests in flight as believed.
+        double load = 0;
+    };
+
+    weighted_choice(std::uint64_t seed, double bias);
+
+    /// Returns the index of the chosen candidate, or nothing if there is none.
+    [[nodiscard]] std::optional<std::size_t> choose(const std::vector<candidate>& candidates);
+
+private:
+    [[nodiscard]] double start(const candidate& one);
+
+    double m_bias;
+    std::mt19937_64 m_random;
+    double m_virtualTime = 0;
+    std::unordered_map<target_id, double> m_finish;
+};
+
+} // namespace pimentomast::routing
--- /dev/null
+++ b/test/routing-fixture.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include "pimentomast/routing.h"
+
+#include <algorithm>
+#include <string>
+
+/// Shared by the tests of routing: a table, owners that a test sets, and readers of actions.
+namespace pimentomast::routing::testing {
+
+using namespace std::chrono_literals;
+
+class fixed_owners final : public owner_lookup {
+public:
+    owner_answer answer = no_owner {};
+
+    [[nodiscard]] owner_answer find(instant, const service_id&, key_hash) const override
+    {
+        return answer;
+    }
+};
+
+inline table::table makeTable(unsigned targets, bool keyed, unsigned slots = 4)
+{
+    table::table rows;
+    table::service_row service;
+    service.id = service_id { "s" };
+    service.pathPrefix = "/s";
+    if (keyed)
+        service.key = table::path_segment { 1 };
+    rows.services.push_back(service);
+    for (unsigned i = 0; i < targets; ++i) {
+        table::target_row target;
+        target.id = target_id { "t" + std::to_string(i) };
+        target.service = service.id;
+        target.slots = slots;
+        rows.targets.push_back(target);
+    }
+    return rows;
+}
+
+/// A router at a simulated time, and every action that it gave.
+class driver {
+public:
+    explicit driver(const table::table& rows, const options& settings = {})
+        : host(router::create(settings, owners).value())
+    {
+        take(host->applyTable(now, rows));
+        take(host->applyLiveHosts(now, 1));
+    }
+
+    request make(const std::string& caller = "c", std::uint64_t print = 0)
+    {
+        request made;
+        made.number = request_number { ++lastNumber };
+        made.service = service_id { "s" };
+        made.caller = caller_id { caller };
+        made.arrival = now;
+        made.deadline = now + 10s;
+        made.print = fingerprint { print == 0 ? 1000000 + lastNumber : print };
+        made.repeatable = true;
+        return made;
+    }
+    request_number arrive(const request& taken)
+    {
+        take(host->arrive(now, taken));
+        return taken.number;
+    }
+    void finish(const dispatch& attempt, const attempt_result& ended)
+    {
+        take(host->finish(now, attempt.number, attempt.attempt, ended));
+    }
+    void sent(const dispatch& attempt, instant opened)
+    {
+        take(host->sent(now, attempt.number, attempt.attempt, opened));
+    }
+    void probed(const std::string& target, const probe_result& ended)
+    {
+        take(host->probed(now, target_id { target }, ended));
+    }
+    /// Ticks every millisecond and answers no probe.
+    void run(duration time)
+    {
+        for (const instant end = now + time; now < end;) {
+            now += 1ms;
+            take(host->tick(now));
+        }
+    }
+
+    template <class Kind>
+    [[nodiscard]] std::vector<Kind> all() const
+    {
+        std::vector<Kind> found;
+        for (const action& each : seen)
+            if (const auto* one = std::get_if<Kind>(&each))
+                found.push_back(*one);
+        return found;
+    }
+    /// The last dispatch of the request, or one without a number.
+    [[nodiscard]] dispatch lastDispatch(request_number number) const
+    {
+        dispatch last;
+        for (const dispatch& each : all<dispatch>())
+            if (each.number == number)
+                last = each;
+        return last;
+    }
+    [[nodiscard]] std::optional<refuse> refusal(request_number number) const
+    {
+        for (const refuse& each : all<refuse>())
+            if (each.number == number)
+                return each;
+        return std::nullopt;
+    }
+
+    fixed_owners owners;
+    instant now { 1000s };
+    std::unique_ptr<router> host;
+    actions seen;
+    std::uint64_t lastNumber = 0;
+
+private:
+    void take(const actions& given) { seen.insert(seen.end(), given.begin(), given.end()); }
+};
+
+} // namespace pimentomast::routing::testing
