Carry a request from a caller's socket to a stand-in target

Ruled out: POCO's message reader. It decodes encoded words in field values (a trial printed an injected header line), and its chunked reader takes a broken-off body for a whole one.

--- a/src/proxy/body.cc
+++ b/src/proxy/body.cc
@@ -21,8 +21,8 @@
     while (!parser.is_done()) {
         const std::size_t roomBefore = body.size;
         boost::beast::error_code fault;
-        const std::size_t consumed = parser.put(
-            boost::asio::buffer(input.data() + taken, input.size() - taken), fault);
+        const std::size_t consumed
+            = parser.put(boost::asio::buffer(input.data() + taken, input.size() - taken), fault);
         taken += consumed;
         if (fault == http::error::need_buffer || (!fault && body.size == 0)) {
             state = body_state::NeedsRoom;
--- a/src/proxy/classify.cc
+++ b/src/proxy/classify.cc
@@ -92,7 +92,8 @@
         return reason::NoCaller;
     found.caller = caller_id { caller.value_or(peerIp) };
     const auto method = head.parser->get().method_string();
-    found.repeatable = found.service->repeatable.contains(std::string(method.data(), method.size()));
+    found.repeatable
+        = found.service->repeatable.contains(std::string(method.data(), method.size()));
     return found;
 }
 
--- a/src/proxy/head.cc
+++ b/src/proxy/head.cc
@@ -72,7 +72,8 @@
     const std::string_view version = line.substr(last + 1);
     if (version.starts_with("HTTP/") && version != "HTTP/1.1" && version != "HTTP/1.0")
         return reason::BadVersion;
-    return isKnownMethod(line.substr(0, first)) ? std::nullopt : std::optional(reason::UnknownMethod);
+    return isKnownMethod(line.substr(0, first)) ? std::nullopt
+                                                : std::optional(reason::UnknownMethod);
 }
 
 /// Fields that decide where the request ends and how it is treated.
@@ -153,8 +154,8 @@
 {
     static constexpr std::array<std::string_view, 9> kept { "host", "content-length", "expect",
         "content-type", "content-encoding", "authorization", "range", "if-range", "cookie" };
-    return std::none_of(
-        kept.begin(), kept.end(), [option](std::string_view own) { return equalNames(own, option); });
+    return std::none_of(kept.begin(), kept.end(),
+        [option](std::string_view own) { return equalNames(own, option); });
 }
 
 std::optional<reason> readConnection(const framing_fields& fields, checked_head& head)
@@ -201,7 +202,7 @@
 {
     head.parser = std::make_unique<request_parser>();
     head.parser->header_limit(static_cast<std::uint32_t>(limits.headBytes + 1));
-    head.parser->body_limit(boost::none);
+    head.parser->body_limit(unlimitedBody);
     boost::beast::error_code fault;
     head.parser->put(boost::asio::buffer(text.data(), text.size()), fault);
     if (fault || !head.parser->is_header_done())
@@ -213,7 +214,8 @@
     return std::nullopt;
 }
 
-std::optional<reason> headFault(std::string_view text, checked_head& head, const head_limits& limits)
+std::optional<reason> headFault(
+    std::string_view text, checked_head& head, const head_limits& limits)
 {
     if (const auto fault = linesFault(text, limits))
         return fault;
--- a/src/proxy/head.h
+++ b/src/proxy/head.h
@@ -4,6 +4,7 @@
 
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -18,6 +19,9 @@
 namespace http = boost::beast::http;
 using request_parser = http::request_parser<http::buffer_body>;
 
+/// Beast 1.74 takes "no limit" for a limit of nothing.
+constexpr std::uint64_t unlimitedBody = std::numeric_limits<std::uint64_t>::max();
+
 struct head_limits {
     std::size_t headBytes = 16384;
     std::size_t lineBytes = 8192;
@@ -66,7 +70,8 @@
 /// Tells whether a percent-decoded segment of the path is "." or "..", or the encoding is broken.
 [[nodiscard]] bool hasBadPath(std::string_view target);
 
-/// Tells whether the path, percent-decoded and without repeated slashes, is one of pimentomast's own.
+/// Tells whether the path, percent-decoded and without repeated slashes, is one of pimentomast's
+/// own.
 [[nodiscard]] bool isReservedPath(std::string_view target);
 
 /// Tells whether the name is one of pimentomast's own fields; "_" and "-" count as equal.
--- a/src/proxy/message.cc
+++ b/src/proxy/message.cc
@@ -24,8 +24,8 @@
         [field](const std::string& own) { return equalNames(own, field); });
 }
 
-void appendContract(
-    std::string& head, const exchange& request, const destination& to, const std::string& id, instant now)
+void appendContract(std::string& head, const exchange& request, const destination& to,
+    const std::string& id, instant now)
 {
     if (to.grant) {
         const std::string text = std::to_string(to.grant->coordinator.value()) + "."
@@ -99,8 +99,8 @@
 framing answerFraming(const response_parser& answer, const checked_head& request)
 {
     const unsigned status = answer.get().result_int();
-    const bool bodiless = request.parser->get().method() == http::verb::head || status == 204
-        || status == 304;
+    const bool bodiless
+        = request.parser->get().method() == http::verb::head || status == 204 || status == 304;
     if (bodiless)
         return framing::None;
     if (!answer.chunked())
@@ -111,7 +111,8 @@
 std::string answerHead(
     const response_parser& answer, const checked_head& request, framing body, bool closes)
 {
-    std::string head = statusLine(static_cast<int>(answer.get().result_int()), view(answer.get().reason()));
+    std::string head
+        = statusLine(static_cast<int>(answer.get().result_int()), view(answer.get().reason()));
     appendAnswerFields(head, answer);
     if (body == framing::Chunked)
         appendField(head, "Transfer-Encoding", "chunked");
@@ -124,7 +125,8 @@
 
 std::string interimHead(const response_parser& answer)
 {
-    std::string head = statusLine(static_cast<int>(answer.get().result_int()), view(answer.get().reason()));
+    std::string head
+        = statusLine(static_cast<int>(answer.get().result_int()), view(answer.get().reason()));
     appendAnswerFields(head, answer);
     return head + "\r\n";
 }
@@ -148,8 +150,8 @@
 std::string ownAnswer(const own_answer& answer)
 {
     const std::string outcome = answer.outcome == certainty::NotRun ? "not-run" : "unknown";
-    const std::string body = "{\"outcome\":\"" + outcome + "\",\"reason\":"
-        + Poco::toJSON(answer.reason) + ",\"step\":" + Poco::toJSON(answer.step)
+    const std::string body = "{\"outcome\":\"" + outcome
+        + "\",\"reason\":" + Poco::toJSON(answer.reason) + ",\"step\":" + Poco::toJSON(answer.step)
         + ",\"peer\":" + Poco::toJSON(answer.peer) + "}\n";
     std::string text = statusLine(answer.status,
         Poco::Net::HTTPResponse::getReasonForStatus(
--- a/src/proxy/relay-answer.cc
+++ b/src/proxy/relay-answer.cc
@@ -52,7 +52,7 @@
                 : std::nullopt;
         m_answer = std::make_unique<response_parser>();
         m_answer->header_limit(answerHeadBytes + 4);
-        m_answer->body_limit(boost::none);
+        m_answer->body_limit(unlimitedBody);
         m_answer->skip(m_request.head.parser->get().method() == http::verb::head);
         boost::beast::error_code fault;
         m_answer->put(boost::asio::buffer(m_targetInput.data(), end + 4), fault);
@@ -91,8 +91,8 @@
     if (const auto why = notRunReason(*m_answer))
         return endNotRun(*why);
     m_framing = answerFraming(*m_answer, m_request.head);
-    m_closesCaller = !m_request.head.keepAlive || m_framing == framing::Close
-        || !m_request.bodyDone || m_context.closing();
+    m_closesCaller = !m_request.head.keepAlive || m_framing == framing::Close || !m_request.bodyDone
+        || m_context.closing();
     m_download += answerHead(*m_answer, m_request.head, m_framing, m_closesCaller);
     m_answerState = m_answer->is_done() ? answer_state::Done : answer_state::Body;
     if (m_answerState == answer_state::Done && m_framing == framing::Chunked)
--- a/src/proxy/relay.cc
+++ b/src/proxy/relay.cc
@@ -138,8 +138,8 @@
 
 std::optional<attempt_result> relay::wait()
 {
-    const bool wantsCaller = !m_request.bodyDone && !m_uploadBroken
-        && m_upload.size() - m_uploadOffset < bufferBytes;
+    const bool wantsCaller
+        = !m_request.bodyDone && !m_uploadBroken && m_upload.size() - m_uploadOffset < bufferBytes;
     const bool wantsTarget
         = m_answerState != answer_state::Done && m_download.size() < bufferBytes && !m_targetEnded;
     std::array<pollfd, 2> watched { {
@@ -158,7 +158,8 @@
         watched[1].fd = -1;
     const auto left = nextTimer() - monotonic_clock::now();
     const auto leftMs = std::chrono::ceil<std::chrono::milliseconds>(left).count();
-    ::poll(watched.data(), watched.size(), static_cast<int>(std::clamp<long>(leftMs, 0, pollLimitMs)));
+    ::poll(
+        watched.data(), watched.size(), static_cast<int>(std::clamp<long>(leftMs, 0, pollLimitMs)));
     if ((watched[0].revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0)
         return attempt_cancelled {};
     if (m_context.aborting)
--- a/src/proxy/target-pool.cc
+++ b/src/proxy/target-pool.cc
@@ -71,9 +71,8 @@
     const std::lock_guard lock(m_mutex);
     target_entry& entry = m_targets[address];
     entry.trustedSince = std::max(entry.trustedSince, before);
-    entry.open -= std::erase_if(entry.idle, [before](const idle_connection& connection) {
-        return connection.opened < before;
-    });
+    entry.open -= std::erase_if(entry.idle,
+        [before](const idle_connection& connection) { return connection.opened < before; });
 }
 
 void target_pool::closeIdle(instant now)
--- /dev/null
+++ b/test/helper/fixed-dispatcher.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include "pimentomast/proxy.h"
+
+#include <algorithm>
+#include <map>
+#include <mutex>
+#include <vector>
+
+namespace pimentomast::test {
+
+/// Sends each request to the targets in turn. Repeats what was not run, and what is unknown if
+/// the request is repeatable, up to a number of attempts.
+class fixed_dispatcher : public proxy::dispatcher {
+public:
+    explicit fixed_dispatcher(std::vector<proxy::destination> targets, unsigned attempts = 1)
+        : m_targets(std::move(targets))
+        , m_attempts(attempts)
+    {
+    }
+
+    void submit(const proxy::request_facts& facts, proxy::dispatch_sink& sink) override
+    {
+        proxy::destination to;
+        {
+            const std::lock_guard lock(m_mutex);
+            m_waiting[facts.id] = { facts, 1 };
+            to = next();
+        }
+        if (!held)
+            sink.forward(facts.id, to);
+    }
+
+    void ended(const proxy::attempt& finished, proxy::dispatch_sink& sink) override
+    {
+        std::unique_lock lock(m_mutex);
+        results.push_back(finished);
+        const auto* notRun = std::get_if<proxy::attempt_not_run>(&finished.result);
+        const auto* unknown = std::get_if<proxy::attempt_unknown>(&finished.result);
+        if (notRun == nullptr && unknown == nullptr) {
+            m_waiting.erase(finished.id);
+            return;
+        }
+        auto& waiting = m_waiting[finished.id];
+        const bool mayRepeat = notRun != nullptr || waiting.facts.repeatable;
+        if (mayRepeat && finished.replayable && waiting.attempts < m_attempts) {
+            ++waiting.attempts;
+            const proxy::destination to = next();
+            lock.unlock();
+            return sink.forward(finished.id, to);
+        }
+        m_waiting.erase(finished.id);
+        lock.unlock();
+        proxy::refusal answer;
+        answer.outcome = notRun != nullptr ? proxy::certainty::NotRun : proxy::certainty::Unknown;
+        answer.status = notRun != nullptr ? 503 : 502;
+        answer.reason = proxy::name(notRun != nullptr ? notRun->why : unknown->why);
+        sink.refuse(finished.id, answer);
+    }
+
+    void cancelled(proxy::request_id id) override
+    {
+        const std::lock_guard lock(m_mutex);
+        m_waiting.erase(id);
+        cancelledWaiting.push_back(id);
+    }
+
+    bool abandon(proxy::request_id, const target_id&) override { return abandons; }
+
+    /// Returns the facts of the requests that have not ended.
+    [[nodiscard]] std::vector<proxy::request_facts> waiting()
+    {
+        const std::lock_guard lock(m_mutex);
+        std::vector<proxy::request_facts> facts;
+        for (const auto& [id, one] : m_waiting)
+            facts.push_back(one.facts);
+        return facts;
+    }
+
+    [[nodiscard]] std::vector<proxy::attempt> attempts()
+    {
+        const std::lock_guard lock(m_mutex);
+        return results;
+    }
+
+    std::atomic<bool> abandons { false };
+    /// Requests wait until the test forwards them itself.
+    std::atomic<bool> held { false };
+    std::vector<proxy::attempt> results;
+    std::vector<proxy::request_id> cancelledWaiting;
+
+private:
+    struct entry {
+        proxy::request_facts facts;
+        unsigned attempts = 0;
+    };
+
+    const proxy::destination& next() { return m_targets[m_next++ % m_targets.size()]; }
+
+    std::mutex m_mutex;
+    std::vector<proxy::destination> m_targets;
+    unsigned m_attempts;
+    std::size_t m_next = 0;
+    std::map<proxy::request_id, entry> m_waiting;
+};
+
+/// Ignores what it is told.
+class silent_observer : public proxy::observer {
+public:
+    void completed(const proxy::completion&) override { }
+};
+
+/// Returns a table with a keyed service /weights/KEY (GET and HEAD repeatable), a keyed service
+/// /ledger/KEY of which nothing is repeatable, and an unkeyed service /export.
+inline std::shared_ptr<const table::table> proxyTable()
+{
+    auto rows = std::make_shared<table::table>();
+    table::service_row weights;
+    weights.id = service_id { "weights" };
+    weights.pathPrefix = "/weights/";
+    weights.key = table::path_segment { 1 };
+    weights.repeatable = { "GET", "HEAD", "PUT" };
+    table::service_row ledger;
+    ledger.id = service_id { "ledger" };
+    ledger.pathPrefix = "/ledger/";
+    ledger.key = table::path_segment { 1 };
+    table::service_row exports;
+    exports.id = service_id { "export" };
+    exports.pathPrefix = "/export";
+    exports.repeatable = { "GET", "HEAD" };
+    rows->services = { exports, ledger, weights };
+    return rows;
+}
+
+} // namespace pimentomast::test
--- a/test/stand-ins/control.h
+++ b/test/stand-ins/control.h
@@ -56,8 +56,7 @@
 
     void change(std::istream& json)
     {
-        const auto object
-            = Poco::JSON::Parser().parse(json).extract<Poco::JSON::Object::Ptr>();
+        const auto object = Poco::JSON::Parser().parse(json).extract<Poco::JSON::Object::Ptr>();
         const std::lock_guard lock(m_mutex);
         behaviour& now = m_behaviour;
         now.slots = object->optValue("slots", now.slots);
--- a/test/stand-ins/grants.h
+++ b/test/stand-ins/grants.h
@@ -7,7 +7,8 @@
 #include <optional>
 #include <vector>
 
-/// The target's side of the grant protocol (docs/DESIGN.md). Pure: the clock's readings are passed in.
+/// The target's side of the grant protocol (docs/DESIGN.md). Pure: the clock's readings are passed
+/// in.
 namespace stand_in {
 
 namespace pm = pimentomast;
--- a/test/stand-ins/record.h
+++ b/test/stand-ins/record.h
@@ -27,7 +27,10 @@
     std::string state = "running";
 };
 
-inline std::string hex16(std::uint64_t value) { return Poco::NumberFormatter::formatHex(value, 16); }
+inline std::string hex16(std::uint64_t value)
+{
+    return Poco::NumberFormatter::formatHex(value, 16);
+}
 
 inline std::string line(const Poco::JSON::Object& object)
 {
--- a/test/stand-ins/target-admin.h
+++ b/test/stand-ins/target-admin.h
@@ -3,18 +3,18 @@
 #include "target-state.h"
 
 #include <Poco/JSON/Array.h>
-#include <Poco/NumberParser.h>
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/NumberParser.h>
 
 /// Handlers of grants, health, control and record.
 namespace stand_in {
 
 namespace net = Poco::Net;
 
-inline void sendText(net::HTTPServerResponse& response, int status, const std::string& type,
-    const std::string& text)
+inline void sendText(
+    net::HTTPServerResponse& response, int status, const std::string& type, const std::string& text)
 {
     response.setStatusAndReason(static_cast<net::HTTPResponse::HTTPStatus>(status));
     response.setContentType(type);
@@ -35,10 +35,10 @@
     for (std::size_t i = 0; slices && i < slices->size(); ++i) {
         const auto entry = slices->getObject(static_cast<unsigned>(i));
         granted_slice slice;
-        slice.range.first = pm::key_hash {
-            Poco::NumberParser::parseHex64(entry->getValue<std::string>("first")) };
-        slice.range.last = pm::key_hash {
-            Poco::NumberParser::parseHex64(entry->getValue<std::string>("last")) };
+        slice.range.first = pm::key_hash { Poco::NumberParser::parseHex64(
+            entry->getValue<std::string>("first")) };
+        slice.range.last
+            = pm::key_hash { Poco::NumberParser::parseHex64(entry->getValue<std::string>("last")) };
         slice.grant.coordinator = pm::epoch { entry->getValue<Poco::UInt64>("epoch") };
         slice.grant.assignment = pm::sequence { entry->getValue<Poco::UInt64>("sequence") };
         message.slices.push_back(slice);
@@ -50,7 +50,8 @@
 {
     const behaviour now = state.switches.get();
     Poco::JSON::Object load;
-    load.set("running", now.wrongRunning >= 0 ? now.wrongRunning : static_cast<int>(state.running()));
+    load.set(
+        "running", now.wrongRunning >= 0 ? now.wrongRunning : static_cast<int>(state.running()));
     load.set("queued", std::max(now.wrongQueued, 0));
     load.set("slots", now.slots);
     return load;
--- a/test/stand-ins/target-run.h
+++ b/test/stand-ins/target-run.h
@@ -239,8 +239,7 @@
         const std::string range = request.get("Range", "");
         const bool current = request.get("If-Range", tag) == tag;
         if (range.starts_with("bytes=") && current) {
-            begin = Poco::NumberParser::parseUnsigned64(
-                range.substr(6, range.find('-') - 6));
+            begin = Poco::NumberParser::parseUnsigned64(range.substr(6, range.find('-') - 6));
             response.setStatusAndReason(net::HTTPResponse::HTTP_PARTIAL_CONTENT);
             response.set("Content-Range",
                 "bytes " + std::to_string(begin) + "-" + std::to_string(length - 1) + "/"
--- a/test/stand-ins/target-state.h
+++ b/test/stand-ins/target-state.h
@@ -67,8 +67,7 @@
         if (key && (settings.checksTokens || presented)) {
             if (settings.checksTokens && !presented)
                 return admission::NotOwner;
-            sliceId = m_book.begin(
-                *key, settings.checksTokens ? presented : std::nullopt, nowUs());
+            sliceId = m_book.begin(*key, settings.checksTokens ? presented : std::nullopt, nowUs());
             if (!sliceId && settings.checksTokens)
                 return m_book.drains(*key) ? admission::Draining : admission::NotOwner;
         }
--- a/test/stand-ins/target.cc
+++ b/test/stand-ins/target.cc
@@ -54,7 +54,8 @@
     known.add_options()("slots", po::value(&initial.slots), "requests at once");
     known.add_options()("service-ms", po::value(&initial.serviceMs), "time of each request");
     known.add_options()("cold-ms", po::value(&initial.coldMs), "extra time of a key's first");
-    known.add_options()("keyed", po::bool_switch(&line.target.keyed), "refuse requests without key");
+    known.add_options()(
+        "keyed", po::bool_switch(&line.target.keyed), "refuse requests without key");
     bool unchecked = false;
     known.add_options()("no-token-checks", po::bool_switch(&unchecked), "run whatever comes");
     po::variables_map values;
