--- a/src/proxy/host.cc
+++ b/src/proxy/host.cc
@@ -25,11 +25,11 @@
 } // namespace
 
 host::host(const options& settings, dispatcher& decisions, observer& watcher,
-    Poco::Net::ServerSocket listener)
+    const Poco::Net::ServerSocket& listener)
     : m_options(settings)
     , m_decisions(decisions)
     , m_observer(watcher)
-    , m_listener(std::move(listener))
+    , m_listener(listener)
     , m_targets(settings.connectTimeout, settings.pooledIdle)
 {
     const poller_events events {
--- a/src/proxy/host.h
+++ b/src/proxy/host.h
@@ -21,7 +21,7 @@
 class host final : public server, public dispatch_sink {
 public:
     host(const options& settings, dispatcher& decisions, observer& watcher,
-        Poco::Net::ServerSocket listener);
+        const Poco::Net::ServerSocket& listener);
     host(const host&) = delete;
     host& operator=(const host&) = delete;
     ~host() override;
