--- a/include/pimentomast/proxy.h
+++ b/include/pimentomast/proxy.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "pimentomast/core.h"
+#include "pimentomast/routing.h"
 #include "pimentomast/table.h"
 
 #include <array>
@@ -48,7 +49,7 @@
     TooManyConnections,
     NoService,
     NoKey,
-    NoCaller,
+    Ambiguous,
     ShuttingDown,
     MalformedBody,
     BodyTimeout,
@@ -64,7 +65,7 @@
     TargetShed,
     TargetNotOwner,
     TargetDraining,
-    ConnectionSuspect,
+    AttemptAbandoned,
     BodyNotReplayable,
     Internal,
     Last = Internal,
@@ -95,7 +96,7 @@
     instant deadline;
 };
 
-/// Where the next attempt of a request goes.
+/// Where an attempt of a request goes.
 struct destination {
     target_id target;
     endpoint address;
@@ -103,6 +104,12 @@
     std::optional<token> grant;
     /// Connections that this host may have to the target.
     unsigned connections = 8;
+    /// Counts the attempts of the request from 1.
+    unsigned attempt = 1;
+    /// Open a new connection for it; otherwise an unused one may be taken.
+    bool newConnection = false;
+    /// The answer must have begun by then, and by the request's own deadline.
+    instant deadline = instant::max();
 };
 
 /// An answer that the dispatcher has the proxy make.
@@ -112,6 +119,8 @@
     int status = 503;
     /// Reason as callers and metrics see it.
     std::string reason;
+    /// Target of the last attempt; empty if there was none.
+    std::string peer;
     /// Seconds after which the caller may try again; 0: not said.
     unsigned retryAfterS = 0;
 };
@@ -141,6 +150,8 @@
 struct attempt {
     request_id id;
     target_id target;
+    /// As the destination said.
+    unsigned number = 1;
     attempt_result result;
     /// False if the request's body was consumed and is no longer held: it can't be sent again.
     bool replayable = true;
@@ -150,8 +161,17 @@
     duration total { 0 };
 };
 
+/// A target's answer to a probe: its health and load, or nothing if there was none in time.
+struct probe_report {
+    target_id target;
+    std::optional<routing::load_report> load;
+    duration latency { 0 };
+    /// The connection was refused: no process listens.
+    bool refused = false;
+};
+
 /// Takes decisions about submitted requests. Implemented by the server; thread-safe. Calls for
-/// an id that is no longer waiting have no effect.
+/// an id that is over have no effect.
 class dispatch_sink {
 public:
     virtual ~dispatch_sink() = default;
@@ -159,23 +179,33 @@
     virtual void forward(request_id id, const destination& to) = 0;
     /// Ends the waiting request with an answer of the proxy's own.
     virtual void refuse(request_id id, const refusal& answer) = 0;
+    /// Closes the running attempt's connection, unless the answer has begun. It is not reported
+    /// as ended; another decision for the request follows, and may come at once.
+    virtual void abandon(request_id id, unsigned attempt) = 0;
+    /// Asks the target for its health over a new connection.
+    virtual void probe(const target_id& target, const endpoint& address) = 0;
+    /// Closes unused connections that were opened before; those in use are not used again.
+    virtual void closeIdle(const endpoint& address, instant openedBefore) = 0;
 };
 
 /// Decides where requests go. Implementations are thread-safe and may call the sink during a call
-/// or later, from any thread.
+/// or later, from any thread, but not after the server is gone.
 class dispatcher {
 public:
     virtual ~dispatcher() = default;
     /// A request waits for a decision; exactly one call of the sink answers it.
     virtual void submit(const request_facts& facts, dispatch_sink& sink) = 0;
+    /// An attempt's bytes start to go out over a connection that was opened at this time.
+    virtual void sent(request_id id, unsigned attempt, instant opened, dispatch_sink& sink) = 0;
+    /// The first byte of an attempt's answer came.
+    virtual void responded(request_id id, unsigned attempt, dispatch_sink& sink) = 0;
     /// An attempt has ended. After not_run or unknown the request waits for another decision;
     /// otherwise it is over.
     virtual void ended(const attempt& finished, dispatch_sink& sink) = 0;
     /// The caller of a waiting request has gone; no decision is needed any more.
-    virtual void cancelled(request_id id) = 0;
-    /// The first byte of an answer is late on a connection that was used before, and a probe on a
-    /// new connection was answered. Returns whether to give up the attempt as unknown.
-    virtual bool abandon(request_id id, const target_id& target) = 0;
+    virtual void cancelled(request_id id, dispatch_sink& sink) = 0;
+    /// A probe that was asked for has ended.
+    virtual void probed(const probe_report& report, dispatch_sink& sink) = 0;
 };
 
 /// One finished request.
@@ -238,8 +268,11 @@
     /// Longest pause within a body, in either direction.
     std::chrono::milliseconds bodyTimeout { 30000 };
     std::chrono::milliseconds connectTimeout { 500 };
-    /// Wait for the first byte of an answer after which a used connection is checked.
-    std::chrono::milliseconds lateAfter { 1000 };
+    /// Longest wait for the answer to a probe.
+    std::chrono::milliseconds probeTimeout { 1000 };
+    /// Body bytes of known length that must have arrived before a request is submitted, so that a
+    /// slow sender of a short body holds no target.
+    std::size_t bodyFirstBytes = 4096;
     /// Age at which an unused connection to a target is closed.
     std::chrono::milliseconds pooledIdle { 20000 };
 };
@@ -267,10 +300,40 @@
     /// Returns the present state. Thread-safe.
     [[nodiscard]] virtual gauges state() const = 0;
 
+    /// Returns the sink by which the dispatcher's later decisions reach this server.
+    [[nodiscard]] virtual dispatch_sink& sink() = 0;
+
     /// Starts listening. The dispatcher and the observer must outlive the server.
     /// Fails if the address can't be bound.
     [[nodiscard]] static result<std::unique_ptr<server>> start(
         const options& settings, dispatcher& decisions, observer& watcher);
 };
 
+/// Dispatcher over a router: serializes its calls, runs its timer and executes its actions.
+class routed_dispatcher : public dispatcher {
+public:
+    /// Makes calls of a router and returns the actions that they gave.
+    using router_call = std::function<routing::actions(instant now, routing::router& router)>;
+    /// Called with each crash that other hosts should hear of, without a lock.
+    using crash_listener = std::function<void(const routing::crash& news)>;
+
+    /// Makes a router. owners must outlive the dispatcher; it is asked under the router's lock and
+    /// must not call the dispatcher. Fails on settings that the router refuses.
+    [[nodiscard]] static result<std::unique_ptr<routed_dispatcher>> create(
+        const routing::options& settings, const routing::owner_lookup& owners,
+        crash_listener listener);
+
+    /// Starts the timer; decisions go to the sink, which must outlive the next detach().
+    virtual void attach(dispatch_sink& sink) = 0;
+    /// Stops the timer. Call before the server is destroyed.
+    virtual void detach() = 0;
+    /// Calls the router for news (owners, hosts, load reports, crashes) and executes the actions.
+    /// Thread-safe.
+    virtual void call(const router_call& news) = 0;
+    /// Takes over a table: targets' addresses, and the router's view. Thread-safe.
+    virtual void setTable(const table::table& rows) = 0;
+    /// Reads from the router (counts, targets, crashes) under its lock. Thread-safe.
+    virtual void inspect(const std::function<void(const routing::router& router)>& reader) = 0;
+};
+
 } // namespace pimentomast::proxy
--- a/src/proxy/classify.cc
+++ b/src/proxy/classify.cc
@@ -1,8 +1,6 @@
 #include "classify.h"
 
-#include <Poco/Exception.h>
 #include <Poco/URI.h>
-#include <algorithm>
 
 namespace pimentomast::proxy::detail {
 namespace {
@@ -14,94 +12,75 @@
     return plain;
 }
 
-std::string_view pathOf(std::string_view target) { return target.substr(0, target.find('?')); }
-
-const table::service_row* findService(const table::table& rows, std::string_view target)
+std::vector<std::string> segmentsOf(std::string_view path)
 {
-    const std::string path = decodedText(pathOf(target));
-    const table::service_row* best = nullptr;
-    for (const table::service_row& row : rows.services) {
-        const bool longer = best == nullptr || row.pathPrefix.size() > best->pathPrefix.size();
-        if (longer && path.starts_with(row.pathPrefix))
-            best = &row;
+    std::vector<std::string> segments;
+    while (!path.empty()) {
+        path.remove_prefix(1);
+        const std::size_t end = std::min(path.find('/'), path.size());
+        segments.push_back(decodedText(path.substr(0, end)));
+        path.remove_prefix(end);
     }
-    return best;
+    return segments;
 }
 
-/// Reads the value of one source; empty if it is missing, empty or ambiguous.
-struct source_reader {
-    const checked_head& head;
-
-    std::optional<std::string> operator()(const table::no_source&) const { return std::nullopt; }
-
-    std::optional<std::string> operator()(const table::path_segment& source) const
-    {
-        std::string_view rest = pathOf(head.target);
-        for (unsigned skipped = 0; skipped <= source.index; ++skipped) {
-            const std::size_t slash = rest.find('/');
-            if (slash == std::string_view::npos)
-                return std::nullopt;
-            rest.remove_prefix(slash + 1);
-        }
-        return nonEmpty(decodedText(rest.substr(0, rest.find('/'))));
-    }
+std::vector<table::query_value> queryOf(const std::string& target)
+{
+    std::vector<table::query_value> values;
+    if (target.find('?') == std::string::npos)
+        return values;
+    for (const auto& [parameter, value] : Poco::URI(target).getQueryParameters())
+        values.push_back({ parameter, value });
+    return values;
+}
 
-    std::optional<std::string> operator()(const table::query_parameter& source) const
-    {
-        const Poco::URI uri(head.target);
-        std::optional<std::string> value;
-        for (const auto& [parameter, text] : uri.getQueryParameters()) {
-            if (parameter != source.name)
-                continue;
-            if (value)
-                return std::nullopt;
-            value = text;
-        }
-        return nonEmpty(value.value_or(std::string()));
-    }
+std::vector<std::string> valuesOf(const checked_head& head, const std::string& field)
+{
+    std::vector<std::string> values;
+    const auto range = head.parser->get().equal_range(field);
+    for (auto found = range.first; found != range.second; ++found)
+        values.emplace_back(found->value().data(), found->value().size());
+    return values;
+}
 
-    std::optional<std::string> operator()(const table::header_field& source) const
-    {
-        const auto& fields = head.parser->get();
-        if (fields.count(source.name) != 1)
-            return std::nullopt;
-        const auto value = fields[source.name];
-        return nonEmpty(std::string(value.data(), value.size()));
-    }
+std::string methodOf(const checked_head& head)
+{
+    const auto method = head.parser->get().method_string();
+    return { method.data(), method.size() };
+}
 
-    static std::optional<std::string> nonEmpty(std::string text)
-    {
-        return text.empty() ? std::nullopt : std::optional(std::move(text));
+reason reasonOf(table::unclassified why)
+{
+    switch (why) {
+    case table::unclassified::NoService:
+        return reason::NoService;
+    case table::unclassified::NoKey:
+        return reason::NoKey;
+    case table::unclassified::Ambiguous:
+        return reason::Ambiguous;
     }
-};
+    return reason::Internal;
+}
 
 } // namespace
 
-classified classify(const table::table& rows, const checked_head& head, const std::string& peerIp)
+classified classify(const table::table& rows, const checked_head& head)
 {
-    classification found;
-    found.service = findService(rows, head.target);
-    if (found.service == nullptr)
-        return reason::NoService;
-    const source_reader reader { head };
-    found.key = std::visit(reader, found.service->key);
-    if (found.service->keyed() && !found.key)
-        return reason::NoKey;
-    const auto caller = std::visit(reader, found.service->caller);
-    if (!caller && !std::holds_alternative<table::no_source>(found.service->caller))
-        return reason::NoCaller;
-    found.caller = caller_id { caller.value_or(peerIp) };
-    const auto method = head.parser->get().method_string();
-    found.repeatable
-        = found.service->repeatable.contains(std::string(method.data(), method.size()));
-    return found;
+    table::request_head request;
+    request.method = methodOf(head);
+    request.segments = segmentsOf(std::string_view(head.target).substr(0, head.target.find('?')));
+    request.query = queryOf(head.target);
+    request.header = [&head](const std::string& field) { return valuesOf(head, field); };
+    const auto found = table::classify(rows, request);
+    if (const auto* why = std::get_if<table::unclassified>(&found))
+        return reasonOf(*why);
+    return std::get<table::classified>(found);
 }
 
-std::uint64_t fingerprint(const checked_head& head, const classification& found)
+std::uint64_t fingerprint(const checked_head& head, std::string_view body)
 {
-    const auto method = head.parser->get().method_string();
-    std::string text(method.data(), method.size());
-    text += " " + head.target + " " + found.caller.value();
+    std::string text = methodOf(head) + " " + head.target + "\n";
+    text += body;
     return hashKey(text).value();
 }
 
--- a/src/proxy/classify.h
+++ b/src/proxy/classify.h
@@ -7,22 +7,13 @@
 
 namespace pimentomast::proxy::detail {
 
-/// What the table says about a request.
-struct classification {
-    const table::service_row* service = nullptr;
-    /// Empty for a service without keys.
-    std::optional<std::string> key;
-    caller_id caller;
-    bool repeatable = false;
-};
-using classified = std::variant<classification, reason>;
+using classified = std::variant<table::classified, reason>;
 
-/// Finds the service by the longest prefix of the decoded path, and the key and caller by its
-/// columns. peerIp stands for the caller where the table names no source. Pure.
-[[nodiscard]] classified classify(
-    const table::table& rows, const checked_head& head, const std::string& peerIp);
+/// Classifies a checked request by the table, which must outlive the result. Pure.
+[[nodiscard]] classified classify(const table::table& rows, const checked_head& head);
 
-/// Returns a hash that is the same for each sending of the same request.
-[[nodiscard]] std::uint64_t fingerprint(const checked_head& head, const classification& found);
+/// Returns a hash of method, target and the first bytes of the body, which is the same for each
+/// sending of the same request, by whichever caller.
+[[nodiscard]] std::uint64_t fingerprint(const checked_head& head, std::string_view body);
 
 } // namespace pimentomast::proxy::detail
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -5,7 +5,9 @@
 #include "pimentomast/proxy.h"
 
 #include <atomic>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace pimentomast::proxy::detail {
@@ -32,6 +34,10 @@
     /// Start of the present phase.
     instant since;
     request_id waiting;
+    /// Bytes of a next request were left over and have not been looked at.
+    bool unexamined = false;
+    /// A complete head whose body's first bytes are still awaited.
+    std::optional<checked_head> pendingHead;
 };
 
 /// One request on its way, with what is needed to send it again.
--- a/src/proxy/host-run.cc
+++ b/src/proxy/host-run.cc
@@ -1,7 +1,10 @@
 #include "host.h"
 
+#include "probe.h"
 #include "reason.h"
 
+#include <algorithm>
+
 namespace pimentomast::proxy::detail {
 namespace {
 
@@ -21,112 +24,168 @@
 
 void host::forward(request_id id, const destination& to)
 {
-    auto request = m_registry.take(id);
-    if (!request)
-        return;
+    if (auto request = m_registry.decide(id, to))
+        execute(std::move(request), to);
+}
+
+void host::refuse(request_id id, const refusal& answer)
+{
+    if (auto request = m_registry.decide(id, answer))
+        execute(std::move(request), answer);
+}
+
+void host::abandon(request_id id, unsigned attempt) { m_registry.abandon(id, attempt); }
+
+void host::probe(const target_id& target, const endpoint& address)
+{
+    m_workers->push(probe_job { target, address });
+}
+
+void host::closeIdle(const endpoint& address, instant openedBefore)
+{
+    m_targets.closeOlder(address, openedBefore);
+}
+
+void host::execute(std::unique_ptr<exchange> request, const decision& what)
+{
     (void)pollerOf(*request->caller).unwatch(request->caller);
     request->waited += monotonic_clock::now() - request->submitted;
+    if (const auto* to = std::get_if<destination>(&what))
+        start(std::move(request), *to);
+    else
+        answerRefusal(*request, std::get<refusal>(what));
+}
+
+void host::start(std::unique_ptr<exchange> request, const destination& to)
+{
     m_running.fetch_add(1, std::memory_order_relaxed);
-    m_workers->push(job { std::move(request), to });
+    m_workers->push(forward_job { std::move(request), to });
 }
 
-void host::refuse(request_id id, const refusal& answer)
+void host::answerRefusal(const exchange& request, const refusal& answer)
 {
-    const auto request = m_registry.take(id);
-    if (!request)
-        return;
-    (void)pollerOf(*request->caller).unwatch(request->caller);
     own_answer own;
     own.status = answer.status;
     own.outcome = answer.outcome;
     own.reason = answer.reason;
     own.step = "dispatch request";
-    own.peer = request->facts.service.value();
+    own.peer = answer.peer.empty() ? request.facts.service.value() : answer.peer;
     own.retryAfterS = answer.retryAfterS;
-    own.withBody = !isHead(*request);
-    own.closes = !request->head.keepAlive || request->head.hasBody || m_draining;
-    complete(*request, answer.status);
-    send(request->caller, ownAnswer(own), own.closes);
+    own.withBody = !isHead(request);
+    own.closes = !request.head.keepAlive || request.head.hasBody || m_draining;
+    complete(request, answer.status);
+    send(request.caller, ownAnswer(own), own.closes);
 }
 
-relay_context host::context(const job& work)
+relay_context host::context(const forward_job& work)
 {
     const request_id id = work.request->facts.id;
-    const target_id target = work.to.target;
+    const unsigned number = work.to.attempt;
     return {
         m_options,
-        m_targets,
         m_options.requestPrefix,
-        [this, id, target] { return m_decisions.abandon(id, target); },
+        [this, id, number] {
+            m_registry.begun(id);
+            m_decisions.responded(id, number, *this);
+        },
         [this] { return m_draining.load(); },
         m_aborting,
     };
 }
 
 void host::run(job work)
+{
+    if (auto* forwarded = std::get_if<forward_job>(&work))
+        return runForward(*forwarded);
+    const probe_job& asked = std::get<probe_job>(work);
+    m_decisions.probed(askHealth(asked.target, asked.address, m_options.probeTimeout), *this);
+}
+
+void host::runForward(forward_job& work)
 {
     ++work.request->attempts;
     const instant started = monotonic_clock::now();
-    auto taken = m_targets.acquire(work.to.address, work.to.connections);
+    auto taken = m_targets.acquire(work.to.address, work.to.connections, work.to.newConnection);
     attempt finished;
     finished.id = work.request->facts.id;
     finished.target = work.to.target;
+    finished.number = work.to.attempt;
     finished.connecting = monotonic_clock::now() - started;
-    if (const auto* why = std::get_if<reason>(&taken)) {
-        finished.result = attempt_not_run { *why };
-        finished.total = finished.connecting;
-        return conclude(work, relay_result { finished.result, false, std::nullopt }, finished);
-    }
-    auto& connection = std::get<std::unique_ptr<target_connection>>(taken);
-    const relay_context surroundings = context(work);
-    const relay_result ended = relay(*work.request, *connection, work.to, surroundings).run();
-    connection.reset();
+    relay_result ended;
+    if (const auto* why = std::get_if<reason>(&taken))
+        ended.result = attempt_not_run { *why };
+    else
+        ended = runOver(work, *std::get<std::unique_ptr<target_connection>>(taken));
     finished.result = ended.result;
     finished.firstByte = ended.firstByte;
     finished.total = monotonic_clock::now() - started;
+    finished.replayable = work.request->replayable;
     conclude(work, ended, finished);
 }
 
-void host::conclude(job& work, const relay_result& ended, attempt finished)
+relay_result host::runOver(forward_job& work, target_connection& connection)
+{
+    const request_id id = work.request->facts.id;
+    if (!m_registry.connected(id, connection.socket))
+        return { attempt_not_run { reason::AttemptAbandoned }, false, std::nullopt, duration(0) };
+    m_decisions.sent(id, work.to.attempt, connection.opened, *this);
+    const relay_context surroundings = context(work);
+    relay running(*work.request, connection, work.to, surroundings);
+    const relay_result ended = running.run();
+    if (!m_registry.detach(id))
+        running.giveBackTarget();
+    return ended;
+}
+
+void host::conclude(forward_job& work, const relay_result& ended, attempt finished)
 {
     m_running.fetch_sub(1, std::memory_order_relaxed);
-    finished.replayable = work.request->replayable;
-    const auto caller = work.request->caller;
+    const bool abandoned = m_registry.detach(finished.id);
     const overloaded conclusion {
         [&](const attempt_answered& answer) {
             complete(*work.request, answer.status);
-            m_decisions.ended(finished, *this);
-            finishCaller(caller, ended.callerReusable, false);
+            concludeOver(work, finished);
+            finishCaller(work.request->caller, ended.callerReusable, false);
         },
         [&](const attempt_not_run& refused) {
             m_counts.add(refused.why);
-            waitAgain(std::move(work.request), finished);
+            waitAgain(std::move(work.request), finished, abandoned);
         },
         [&](const attempt_unknown& lost) {
-            m_counts.add(lost.why);
-            waitAgain(std::move(work.request), finished);
+            m_counts.add(abandoned ? reason::AttemptAbandoned : lost.why);
+            waitAgain(std::move(work.request), finished, abandoned);
         },
         [&](const attempt_broken& broken) {
             m_counts.add(broken.why);
-            m_decisions.ended(finished, *this);
+            concludeOver(work, finished);
             breakOff(*work.request);
         },
         [&](const attempt_cancelled&) {
             m_counts.add(ended.fault.value_or(reason::CallerGone));
-            m_decisions.ended(finished, *this);
+            concludeOver(work, finished);
             answerFault(*work.request, ended.fault);
         },
     };
     std::visit(conclusion, ended.result);
 }
 
-void host::waitAgain(std::unique_ptr<exchange> request, const attempt& finished)
+void host::concludeOver(const forward_job& work, attempt finished)
+{
+    const unsigned last = m_registry.finish(work.request->facts.id);
+    finished.number = std::max(finished.number, last);
+    m_decisions.ended(finished, *this);
+}
+
+void host::waitAgain(std::unique_ptr<exchange> request, const attempt& finished, bool abandoned)
 {
     const caller_pointer caller = request->caller;
     const request_id id = request->facts.id;
     request->submitted = monotonic_clock::now();
-    m_registry.add(std::move(request));
-    m_decisions.ended(finished, *this);
+    caller->state = caller_connection::phase::Waiting;
+    if (auto decided = m_registry.park(std::move(request)))
+        return execute(std::move(decided->request), decided->what);
+    if (!abandoned)
+        m_decisions.ended(finished, *this);
     watchWhileWaiting(caller, id);
 }
 
--- a/src/proxy/host.cc
+++ b/src/proxy/host.cc
@@ -73,7 +73,7 @@
         const std::lock_guard lock(m_closedMutex);
         now.connections = m_connections;
     }
-    now.waiting = m_registry.size();
+    now.waiting = m_registry.waiting();
     now.running = m_running;
     now.targetConnections = m_targets.size();
     return now;
@@ -128,37 +128,61 @@
 
 void host::onInput(const caller_pointer& caller)
 {
-    const auto extent = findHead(caller->input, caller->scanned, limits());
-    if (const auto* partial = std::get_if<head_partial>(&extent)) {
-        caller->scanned = partial->scanned;
-        if (caller->state == phase::Idle) {
-            caller->state = phase::Head;
-            caller->since = monotonic_clock::now();
-        }
-        return pollerOf(*caller).watch(caller);
+    caller->unexamined = false;
+    if (caller->pendingHead) {
+        checked_head head = std::move(*caller->pendingHead);
+        caller->pendingHead.reset();
+        return begin(caller, std::move(head));
     }
+    const auto extent = findHead(caller->input, caller->scanned, limits());
     if (const auto* why = std::get_if<reason>(&extent))
         return refuseHead(caller, *why);
-    const std::size_t bytes = std::get<head_complete>(extent).bytes;
+    if (const auto* complete = std::get_if<head_complete>(&extent))
+        return onHead(caller, complete->bytes);
+    caller->scanned = std::get<head_partial>(extent).scanned;
+    if (caller->state == phase::Idle) {
+        caller->state = phase::Head;
+        caller->since = monotonic_clock::now();
+    }
+    pollerOf(*caller).watch(caller);
+}
+
+void host::onHead(const caller_pointer& caller, std::size_t bytes)
+{
     auto checked = checkHead(std::string_view(caller->input).substr(0, bytes), limits());
     caller->input.erase(0, bytes);
     caller->scanned = 0;
     if (const auto* why = std::get_if<reason>(&checked))
         return refuseHead(caller, *why);
+    if (caller->state == phase::Idle) {
+        caller->state = phase::Head;
+        caller->since = monotonic_clock::now();
+    }
     begin(caller, std::move(std::get<checked_head>(checked)));
 }
 
+bool host::awaitsBody(const caller_connection& caller, const checked_head& head) const
+{
+    if (!head.hasBody || head.expectsContinue || head.parser->chunked())
+        return false;
+    const std::uint64_t length = head.parser->content_length().value_or(0);
+    return caller.input.size() < std::min<std::uint64_t>(length, m_options.bodyFirstBytes);
+}
+
 void host::onGone(const caller_pointer& caller)
 {
-    const auto request = m_registry.take(caller->waiting);
+    const auto request = m_registry.cancel(caller->waiting);
     if (!request)
         return;
     m_counts.add(reason::CallerGone);
-    m_decisions.cancelled(request->facts.id);
+    m_decisions.cancelled(request->facts.id, *this);
     finishCaller(caller, false, false);
 }
 
-void host::onHeadLate(const caller_pointer& caller) { refuseHead(caller, reason::HeadTimeout); }
+void host::onHeadLate(const caller_pointer& caller)
+{
+    refuseHead(caller, caller->pendingHead ? reason::BodyTimeout : reason::HeadTimeout);
+}
 
 void host::begin(const caller_pointer& caller, checked_head head)
 {
@@ -169,13 +193,17 @@
     const auto current = rows();
     if (!current)
         return refuseRequest(caller, head, reason::NoService);
-    const auto found = classify(*current, head, caller->peerIp);
+    const auto found = classify(*current, head);
     if (const auto* why = std::get_if<reason>(&found))
         return refuseRequest(caller, head, *why);
-    submit(caller, std::move(head), std::get<classification>(found));
+    if (awaitsBody(*caller, head)) {
+        caller->pendingHead = std::move(head);
+        return pollerOf(*caller).watch(caller);
+    }
+    submit(caller, std::move(head), std::get<table::classified>(found));
 }
 
-void host::submit(const caller_pointer& caller, checked_head head, const classification& found)
+void host::submit(const caller_pointer& caller, checked_head head, const table::classified& found)
 {
     auto request = std::make_unique<exchange>();
     request_facts& facts = request->facts;
@@ -185,7 +213,11 @@
         facts.key = hashKey(*found.key);
     facts.caller = found.caller;
     facts.repeatable = found.repeatable;
-    facts.fingerprint = fingerprint(head, found);
+    const bool bodyIsHere = head.hasBody && !head.expectsContinue && !head.parser->chunked();
+    const std::size_t printed = bodyIsHere
+        ? std::min<std::uint64_t>(*head.parser->content_length(), m_options.bodyFirstBytes)
+        : 0;
+    facts.fingerprint = fingerprint(head, std::string_view(caller->input).substr(0, printed));
     facts.arrived = monotonic_clock::now();
     facts.deadline = facts.arrived + found.service->deadline;
     request->caller = caller;
@@ -237,18 +269,20 @@
 
 void host::finishCaller(const caller_pointer& caller, bool reusable, bool broken)
 {
-    if (broken) {
+    if (broken || m_aborting) {
         closeConnection(caller->socket);
         return onClosed();
     }
     caller->since = monotonic_clock::now();
     caller->scanned = 0;
     caller->waiting = {};
+    caller->pendingHead.reset();
     caller->state = reusable ? phase::Idle : phase::Lingering;
     if (!reusable) {
         caller->input.clear();
         endSending(caller->socket);
     }
+    caller->unexamined = !caller->input.empty();
     pollerOf(*caller).watch(caller);
 }
 
--- a/src/proxy/host.h
+++ b/src/proxy/host.h
@@ -12,10 +12,15 @@
 namespace pimentomast::proxy::detail {
 
 /// A dispatched request.
-struct job {
+struct forward_job {
     std::unique_ptr<exchange> request;
     destination to;
 };
+struct probe_job {
+    target_id target;
+    endpoint address;
+};
+using job = std::variant<forward_job, probe_job>;
 
 /// The server: accepts, checks, classifies, submits and runs requests.
 class host final : public server, public dispatch_sink {
@@ -35,6 +40,10 @@
 
     void forward(request_id id, const destination& to) override;
     void refuse(request_id id, const refusal& answer) override;
+    void abandon(request_id id, unsigned attempt) override;
+    void probe(const target_id& target, const endpoint& address) override;
+    void closeIdle(const endpoint& address, instant openedBefore) override;
+    [[nodiscard]] dispatch_sink& sink() override { return *this; }
 
 private:
     void accept();
@@ -45,22 +54,30 @@
     void onClosed();
     [[nodiscard]] std::size_t countOpened();
 
+    void onHead(const caller_pointer& caller, std::size_t bytes);
     void begin(const caller_pointer& caller, checked_head head);
-    void submit(const caller_pointer& caller, checked_head head, const classification& found);
+    [[nodiscard]] bool awaitsBody(const caller_connection& caller, const checked_head& head) const;
+    void submit(const caller_pointer& caller, checked_head head, const table::classified& found);
     void answerHealth(const caller_pointer& caller, const checked_head& head);
     void refuseHead(const caller_pointer& caller, reason why);
     void refuseRequest(const caller_pointer& caller, const checked_head& head, reason why);
     void send(const caller_pointer& caller, const std::string& text, bool closes);
     void watchWhileWaiting(const caller_pointer& caller, request_id id);
 
+    void execute(std::unique_ptr<exchange> request, const decision& what);
+    void start(std::unique_ptr<exchange> request, const destination& to);
+    void answerRefusal(const exchange& request, const refusal& answer);
     void run(job work);
-    void conclude(job& work, const relay_result& ended, attempt finished);
-    void waitAgain(std::unique_ptr<exchange> request, const attempt& finished);
+    void runForward(forward_job& work);
+    [[nodiscard]] relay_result runOver(forward_job& work, target_connection& connection);
+    void conclude(forward_job& work, const relay_result& ended, attempt finished);
+    void concludeOver(const forward_job& work, attempt finished);
+    void waitAgain(std::unique_ptr<exchange> request, const attempt& finished, bool abandoned);
     void breakOff(const exchange& request);
     void answerFault(const exchange& request, std::optional<reason> fault);
     void complete(const exchange& request, int status);
     void finishCaller(const caller_pointer& caller, bool reusable, bool broken);
-    [[nodiscard]] relay_context context(const job& work);
+    [[nodiscard]] relay_context context(const forward_job& work);
 
     [[nodiscard]] poller& pollerOf(const caller_connection& caller);
     [[nodiscard]] head_limits limits() const;
--- a/src/proxy/io.cc
+++ b/src/proxy/io.cc
@@ -63,6 +63,11 @@
     ::shutdown(descriptor(socket), SHUT_WR);
 }
 
+void endBoth(Poco::Net::StreamSocket& socket) noexcept
+{
+    ::shutdown(descriptor(socket), SHUT_RDWR);
+}
+
 void resetConnection(Poco::Net::StreamSocket& socket) noexcept
 {
     try {
--- a/src/proxy/io.h
+++ b/src/proxy/io.h
@@ -38,6 +38,9 @@
 /// Ends the sending side in order; never throws.
 void endSending(Poco::Net::StreamSocket& socket) noexcept;
 
+/// Ends both directions, by which a thread that waits on the socket wakes; never throws.
+void endBoth(Poco::Net::StreamSocket& socket) noexcept;
+
 /// Closes the connection with a reset, so that the peer sees that what it got is not whole.
 void resetConnection(Poco::Net::StreamSocket& socket) noexcept;
 
--- a/src/proxy/poller.cc
+++ b/src/proxy/poller.cc
@@ -44,8 +44,7 @@
 
 void poller::watch(const caller_pointer& connection)
 {
-    const bool receives = connection->state == phase::Idle || connection->state == phase::Head;
-    if (receives && !connection->input.empty() && connection->scanned == 0) {
+    if (connection->unexamined) {
         {
             const std::lock_guard lock(m_mutex);
             m_ready.push_back(connection);
--- /dev/null
+++ b/src/proxy/probe.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "pimentomast/proxy.h"
+
+namespace pimentomast::proxy::detail {
+
+/// Asks a target for its health over a new connection; blocks at most for the timeout per step.
+[[nodiscard]] probe_report askHealth(
+    const target_id& target, const endpoint& address, std::chrono::milliseconds timeout);
+
+} // namespace pimentomast::proxy::detail
--- a/src/proxy/reason.cc
+++ b/src/proxy/reason.cc
@@ -31,7 +31,7 @@
     { "too-many-connections", 503 },
     { "no-service", 404 },
     { "no-key", 400 },
-    { "no-caller", 400 },
+    { "ambiguous", 400 },
     { "shutting-down", 503 },
     { "malformed-body", 400 },
     { "body-timeout", 408 },
@@ -47,7 +47,7 @@
     { "target-shed", 503 },
     { "target-not-owner", 503 },
     { "target-draining", 503 },
-    { "connection-suspect", 504 },
+    { "attempt-abandoned", 504 },
     { "body-not-replayable", 503 },
     { "internal", 500 },
 } };
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -2,53 +2,71 @@
 
 #include "exchange.h"
 
+#include <Poco/Net/StreamSocket.h>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <unordered_map>
+#include <variant>
 
-/// Requests that wait for a decision of the dispatcher.
+/// Submitted requests, waiting or running.
 namespace pimentomast::proxy::detail {
 
-/// Thread-safe. Whoever takes an exchange out owns it.
+using decision = std::variant<destination, refusal>;
+
+/// A decision together with the request that it is about.
+struct decided {
+    std::unique_ptr<exchange> request;
+    decision what;
+};
+
+/// Decides who owns an exchange. Thread-safe.
 class registry {
 public:
-    void add(std::unique_ptr<exchange> request)
-    {
-        const std::lock_guard lock(m_mutex);
-        const request_id id = request->facts.id;
-        m_waiting.emplace(id, std::move(request));
-    }
-
-    /// Takes the exchange out; null if it does not wait (any more).
-    [[nodiscard]] std::unique_ptr<exchange> take(request_id id)
-    {
-        const std::lock_guard lock(m_mutex);
-        const auto found = m_waiting.find(id);
-        if (found == m_waiting.end())
-            return nullptr;
-        auto request = std::move(found->second);
-        m_waiting.erase(found);
-        return request;
-    }
-
-    /// Calls the function, under the lock, if the exchange waits.
-    template <class Function>
-    void ifWaiting(request_id id, const Function& function)
-    {
-        const std::lock_guard lock(m_mutex);
-        if (m_waiting.contains(id))
-            function();
-    }
-
-    [[nodiscard]] std::size_t size() const
-    {
-        const std::lock_guard lock(m_mutex);
-        return m_waiting.size();
-    }
+    /// Adds a request that waits.
+    void add(std::unique_ptr<exchange> request);
+    /// Takes the request for this decision; keeps the decision for later if the running attempt
+    /// was abandoned; otherwise nothing.
+    [[nodiscard]] std::unique_ptr<exchange> decide(request_id id, const decision& what);
+    /// Takes out a request that waits; it is over. Null if it does not wait (any more).
+    [[nodiscard]] std::unique_ptr<exchange> cancel(request_id id);
+    /// Calls the function, under the lock, if the request waits.
+    void ifWaiting(request_id id, const std::function<void()>& function);
+
+    /// Notes the connection of a running attempt; false if the attempt was abandoned already.
+    [[nodiscard]] bool connected(request_id id, const Poco::Net::StreamSocket& target);
+    /// The running attempt's answer has begun; it is not abandoned any more.
+    void begun(request_id id);
+    /// Marks the running attempt as abandoned and shuts its connection.
+    void abandon(request_id id, unsigned attempt);
+    /// The attempt's connection will be closed: forgets it. Returns whether it was abandoned.
+    [[nodiscard]] bool detach(request_id id);
+    /// Makes the request wait again. Returns it with the decision that came meanwhile, if any.
+    [[nodiscard]] std::optional<decided> park(std::unique_ptr<exchange> request);
+    /// Forgets a request that is over. Returns the number of its last decided attempt.
+    unsigned finish(request_id id);
+
+    /// Returns the number of waiting requests.
+    [[nodiscard]] std::size_t waiting() const;
 
 private:
+    struct entry {
+        /// Null while an attempt runs.
+        std::unique_ptr<exchange> parked;
+        unsigned attempt = 0;
+        bool abandoned = false;
+        bool begun = false;
+        /// The dispatcher gave up the attempt and decides anew.
+        bool superseded = false;
+        std::optional<Poco::Net::StreamSocket> target;
+        std::optional<decision> pending;
+    };
+
+    [[nodiscard]] std::unique_ptr<exchange> release(request_id id, const decision& what);
+
     mutable std::mutex m_mutex;
-    std::unordered_map<request_id, std::unique_ptr<exchange>> m_waiting;
+    std::unordered_map<request_id, entry> m_entries;
+    std::size_t m_waiting = 0;
 };
 
 } // namespace pimentomast::proxy::detail
--- a/src/proxy/relay-answer.cc
+++ b/src/proxy/relay-answer.cc
@@ -26,8 +26,7 @@
         m_targetEnded = true;
     if (got.bytes > 0) {
         m_progress = monotonic_clock::now();
-        if (m_firstByte == duration::zero())
-            m_firstByte = m_progress - m_started;
+        noteFirstByte();
     }
     if (m_answerState == answer_state::Awaited) {
         if (const auto result = readAnswerHead())
@@ -42,6 +41,14 @@
     return std::nullopt;
 }
 
+void relay::noteFirstByte()
+{
+    if (m_firstByte != duration::zero())
+        return;
+    m_firstByte = std::max(m_progress - m_started, duration(1));
+    m_context.responded();
+}
+
 std::optional<attempt_result> relay::readAnswerHead()
 {
     while (m_answerState == answer_state::Awaited) {
--- a/src/proxy/relay.cc
+++ b/src/proxy/relay.cc
@@ -20,8 +20,7 @@
     , m_context(context)
     , m_started(monotonic_clock::now())
     , m_progress(m_started)
-    , m_answerBy(request.facts.deadline)
-    , m_lateAt(m_started + context.settings.lateAfter)
+    , m_answerBy(std::min(request.facts.deadline, to.deadline))
 {
 }
 
@@ -86,7 +85,7 @@
 std::optional<attempt_result> relay::takeFromCaller()
 {
     caller_connection& caller = *m_request.caller;
-    if (caller.input.empty()) {
+    if (caller.input.empty() || m_needsInput) {
         const auto got = receiveInto(caller.socket, caller.input, bufferBytes);
         if (got.state == io_state::Ended || got.state == io_state::Failed)
             return attempt_cancelled {};
@@ -97,6 +96,7 @@
     const auto state = decodeBody(*m_request.head.parser, caller.input, piece, bufferBytes);
     if (state == body_state::Bad || caller.input.size() >= bufferBytes)
         return callerFault(reason::MalformedBody);
+    m_needsInput = state == body_state::NeedsInput;
     m_upload.erase(0, m_uploadOffset);
     m_uploadOffset = 0;
     addToUpload(piece);
@@ -124,7 +124,7 @@
         m_uploadOffset = 0;
     }
     if (uploadSent())
-        m_answerBy = m_request.facts.deadline + (m_progress - m_started);
+        m_answerBy = std::min(m_request.facts.deadline, m_to.deadline) + (m_progress - m_started);
     return std::nullopt;
 }
 
@@ -172,7 +172,7 @@
     const instant pause = m_progress + m_context.settings.bodyTimeout;
     if (m_answerState != answer_state::Awaited || !uploadSent())
         return pause;
-    return std::min(m_answerBy, m_lateAt);
+    return m_answerBy;
 }
 
 std::optional<attempt_result> relay::checkTime(instant now)
@@ -184,37 +184,7 @@
     }
     if (pausing)
         return std::nullopt;
-    if (now >= m_answerBy)
-        return failed(reason::Deadline);
-    return now >= m_lateAt ? checkLate(now) : std::nullopt;
-}
-
-std::optional<attempt_result> relay::checkLate(instant now)
-{
-    m_lateAt = instant::max();
-    if (!m_target.used || !probeAnswered())
-        return std::nullopt;
-    m_context.pool.closeOlder(m_target.address(), now);
-    if (m_context.abandon())
-        return failed(reason::ConnectionSuspect);
-    return std::nullopt;
-}
-
-bool relay::probeAnswered()
-{
-    auto socket = m_context.pool.open(m_target.address());
-    if (!socket)
-        return false;
-    const std::string probe = "GET /pimentomast/health HTTP/1.1\r\nHost: "
-        + m_target.address().text() + "\r\nConnection: close\r\n\r\n";
-    if (sendSome(*socket, probe).bytes != probe.size())
-        return false;
-    pollfd watched { descriptor(*socket), POLLIN, 0 };
-    const auto timeout = static_cast<int>(m_context.settings.connectTimeout.count());
-    ::poll(&watched, 1, timeout);
-    const bool answered = peekState(*socket) == io_state::Ready;
-    closeConnection(*socket);
-    return answered;
+    return now >= m_answerBy ? std::optional(failed(reason::Deadline)) : std::nullopt;
 }
 
 attempt_result relay::failed(reason why) const
@@ -230,11 +200,15 @@
         && m_targetInput.empty() && m_answer->keep_alive();
 }
 
-relay_result relay::finish(const attempt_result& result)
+void relay::giveBackTarget()
 {
-    relay_result ended { result, false, m_fault, m_firstByte };
     if (reusableTarget())
         m_target.giveBack();
+}
+
+relay_result relay::finish(const attempt_result& result)
+{
+    relay_result ended { result, false, m_fault, m_firstByte };
     const bool answered = std::holds_alternative<attempt_answered>(result);
     ended.callerReusable = answered && m_request.bodyDone && !m_closesCaller;
     return ended;
--- a/src/proxy/relay.h
+++ b/src/proxy/relay.h
@@ -3,6 +3,9 @@
 #include "message.h"
 #include "target-pool.h"
 
+#include <algorithm>
+#include <atomic>
+
 #include <functional>
 
 /// One attempt of a request over one connection to a target.
@@ -10,10 +13,9 @@
 
 struct relay_context {
     const options& settings;
-    target_pool& pool;
     std::string requestPrefix;
-    /// Tells whether to give up an attempt whose connection is suspect.
-    std::function<bool()> abandon;
+    /// Called once, at the first byte of the answer.
+    std::function<void()> responded;
     /// Tells whether answers should close the caller's connection.
     std::function<bool()> closing;
     /// Set when the server is destroyed.
@@ -38,6 +40,8 @@
         const relay_context& context);
 
     [[nodiscard]] relay_result run();
+    /// Gives the target's connection back if nothing of this exchange is left on it.
+    void giveBackTarget();
 
 private:
     enum class answer_state {
@@ -56,6 +60,7 @@
     [[nodiscard]] std::optional<attempt_result> pumpDownload();
     [[nodiscard]] std::optional<attempt_result> readTarget();
     [[nodiscard]] std::optional<attempt_result> readAnswerHead();
+    void noteFirstByte();
     [[nodiscard]] std::optional<attempt_result> beginAnswer();
     [[nodiscard]] std::optional<attempt_result> checkAnswerFraming();
     void sendInterim();
@@ -65,9 +70,7 @@
     [[nodiscard]] std::optional<attempt_result> flushToCaller();
     [[nodiscard]] std::optional<attempt_result> wait();
     [[nodiscard]] std::optional<attempt_result> checkTime(instant now);
-    [[nodiscard]] bool probeAnswered();
     [[nodiscard]] attempt_result failed(reason why) const;
-    [[nodiscard]] std::optional<attempt_result> checkLate(instant now);
     [[nodiscard]] bool uploadSent() const;
     [[nodiscard]] bool reusableTarget() const;
     [[nodiscard]] instant nextTimer() const;
@@ -82,6 +85,8 @@
     std::size_t m_uploadOffset = 0;
     std::size_t m_bytesSent = 0;
     bool m_uploadBroken = false;
+    /// The caller's input holds an incomplete chunk head or trailer.
+    bool m_needsInput = false;
     std::optional<reason> m_fault;
 
     std::string m_targetInput;
@@ -97,7 +102,6 @@
     instant m_progress;
     /// Time by which the answer's head must have come; time spent on the body does not count.
     instant m_answerBy;
-    instant m_lateAt;
     duration m_firstByte { 0 };
 };
 
--- /dev/null
+++ b/src/proxy/routed-dispatcher.cc
@@ -0,0 +1,404 @@
+#include "pimentomast/proxy.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+
+namespace pimentomast::proxy {
+namespace {
+
+constexpr std::chrono::milliseconds timerInterval { 5 };
+
+template <class... Handlers>
+struct overloaded : Handlers... {
+    using Handlers::operator()...;
+};
+template <class... Handlers>
+overloaded(Handlers...) -> overloaded<Handlers...>;
+
+using routing::refusal_reason;
+
+int statusOf(refusal_reason why)
+{
+    switch (why) {
+    case refusal_reason::UnknownService:
+        return 404;
+    case refusal_reason::DeadlineAfterDispatch:
+    case refusal_reason::ConnectionSilent:
+        return 504;
+    case refusal_reason::ConnectionBroken:
+        return 502;
+    case refusal_reason::Quarantined:
+        return 422;
+    default:
+        return 503;
+    }
+}
+
+routing::attempt_result notRunResult(reason why)
+{
+    switch (why) {
+    case reason::TargetShed:
+        return routing::shed {};
+    case reason::TargetNotOwner:
+        return routing::token_refused {};
+    case reason::TargetDraining:
+        return routing::draining {};
+    default:
+        return routing::connect_failed {};
+    }
+}
+
+routing::attempt_result unknownResult(reason why)
+{
+    if (why == reason::Deadline || why == reason::TargetTimeout)
+        return routing::timed_out {};
+    return routing::broken {};
+}
+
+routing::attempt_result routerResult(const attempt& finished)
+{
+    const overloaded convert {
+        [&](const attempt_answered& answer) -> routing::attempt_result {
+            return routing::answered { answer.status, finished.firstByte, finished.total };
+        },
+        [](const attempt_not_run& refused) { return notRunResult(refused.why); },
+        [](const attempt_unknown& lost) { return unknownResult(lost.why); },
+        [](const attempt_broken&) -> routing::attempt_result { return routing::broken {}; },
+        [](const attempt_cancelled&) -> routing::attempt_result { return routing::cancelled {}; },
+    };
+    return std::visit(convert, finished.result);
+}
+
+/// Lock order: the router's lock is innermost; actions are executed without it.
+class dispatcher_over_router final : public routed_dispatcher {
+public:
+    dispatcher_over_router(std::unique_ptr<routing::router> decisions, crash_listener listener)
+        : m_router(std::move(decisions))
+        , m_listener(std::move(listener))
+    {
+    }
+    dispatcher_over_router(const dispatcher_over_router&) = delete;
+    dispatcher_over_router& operator=(const dispatcher_over_router&) = delete;
+    ~dispatcher_over_router() override { stopTimer(); }
+
+    void attach(dispatch_sink& sink) override
+    {
+        m_sink = &sink;
+        m_timer = std::thread([this] { runTimer(); });
+    }
+
+    void detach() override
+    {
+        stopTimer();
+        m_sink = nullptr;
+    }
+
+    void submit(const request_facts& facts, dispatch_sink& sink) override
+    {
+        routing::request taken;
+        taken.number = routing::request_number { facts.id.value() };
+        taken.service = facts.service;
+        taken.key = facts.key;
+        taken.caller = facts.caller;
+        taken.repeatable = facts.repeatable;
+        taken.arrival = facts.arrived;
+        taken.deadline = facts.deadline;
+        taken.print = routing::fingerprint { facts.fingerprint };
+        run([&](instant now, routing::router& router) { return router.arrive(now, taken); }, sink);
+    }
+
+    void sent(request_id id, unsigned number, instant opened, dispatch_sink& sink) override
+    {
+        run(
+            [&](instant now, routing::router& router) {
+                return router.sent(now, routing::request_number { id.value() },
+                    routing::attempt_number { number }, opened);
+            },
+            sink);
+    }
+
+    void responded(request_id id, unsigned number, dispatch_sink& sink) override
+    {
+        run(
+            [&](instant now, routing::router& router) {
+                return router.responded(now, routing::request_number { id.value() },
+                    routing::attempt_number { number });
+            },
+            sink);
+    }
+
+    void ended(const attempt& finished, dispatch_sink& sink) override
+    {
+        noteReplay(finished);
+        run(
+            [&](instant now, routing::router& router) {
+                return router.finish(now, routing::request_number { finished.id.value() },
+                    routing::attempt_number { finished.number }, routerResult(finished));
+            },
+            sink);
+    }
+
+    void cancelled(request_id id, dispatch_sink& sink) override
+    {
+        run(
+            [&](instant now, routing::router& router) {
+                return router.cancel(now, routing::request_number { id.value() });
+            },
+            sink);
+        const std::lock_guard lock(m_mutex);
+        m_final.erase(id);
+    }
+
+    void probed(const probe_report& report, dispatch_sink& sink) override
+    {
+        routing::probe_result ended = routing::probe_failed { report.refused };
+        if (report.load)
+            ended = routing::probe_answered { *report.load, report.latency };
+        run([&](instant now,
+                routing::router& router) { return router.probed(now, report.target, ended); },
+            sink);
+    }
+
+    void call(const router_call& news) override
+    {
+        if (dispatch_sink* sink = m_sink.load())
+            return run(news, *sink);
+        const std::lock_guard lock(m_mutex);
+        const routing::actions ignored = news(monotonic_clock::now(), *m_router);
+        for (const routing::action& step : ignored)
+            keepLimit(step);
+    }
+
+    void setTable(const table::table& rows) override
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_targets.clear();
+            for (const table::target_row& row : rows.targets)
+                m_targets[row.id] = row;
+        }
+        call([&](instant now, routing::router& router) { return router.applyTable(now, rows); });
+    }
+
+    void inspect(const std::function<void(const routing::router& router)>& reader) override
+    {
+        const std::lock_guard lock(m_mutex);
+        reader(*m_router);
+    }
+
+private:
+    /// The outcome so far of a request whose body can't be sent again.
+    struct final_outcome {
+        certainty outcome = certainty::Unknown;
+    };
+
+    void run(const router_call& step, dispatch_sink& sink)
+    {
+        routing::actions todo;
+        {
+            const std::lock_guard lock(m_mutex);
+            todo = step(monotonic_clock::now(), *m_router);
+        }
+        for (const routing::action& next : todo)
+            execute(next, sink);
+    }
+
+    void execute(const routing::action& step, dispatch_sink& sink)
+    {
+        const overloaded steps {
+            [&](const routing::dispatch& to) { dispatchTo(to, sink); },
+            [&](const routing::refuse& answer) { refuseWith(answer, sink); },
+            [&](const routing::abandon& attempt) {
+                sink.abandon(request_id { attempt.number.value() }, attempt.attempt.value());
+            },
+            [&](const routing::probe& asked) { probeTarget(asked.target, sink); },
+            [&](const routing::close_idle& order) {
+                if (const auto row = find(order.target))
+                    sink.closeIdle(row->address, order.openedBefore);
+            },
+            [&](const routing::limit_connections&) {
+                const std::lock_guard lock(m_mutex);
+                keepLimit(step);
+            },
+            [&](const routing::tell_hosts& news) {
+                if (m_listener)
+                    m_listener(news.news);
+            },
+        };
+        std::visit(steps, step);
+    }
+
+    /// Precondition: m_mutex is held.
+    void keepLimit(const routing::action& step)
+    {
+        if (const auto* limit = std::get_if<routing::limit_connections>(&step))
+            m_limits[limit->target] = limit->count;
+    }
+
+    void dispatchTo(const routing::dispatch& order, dispatch_sink& sink)
+    {
+        const request_id id { order.number.value() };
+        if (const auto known = takeFinal(id))
+            return endUnreplayable(order, *known, sink);
+        const auto row = find(order.target);
+        if (!row)
+            return finishAttempt(order, routing::connect_failed {}, sink);
+        destination to;
+        to.target = order.target;
+        to.address = row->address;
+        to.grant = order.grant;
+        to.connections = limitOf(*row);
+        to.attempt = order.attempt.value();
+        to.newConnection = order.newConnection;
+        to.deadline = order.deadline;
+        sink.forward(id, to);
+    }
+
+    void endUnreplayable(
+        const routing::dispatch& order, const final_outcome& known, dispatch_sink& sink)
+    {
+        finishAttempt(order, routing::cancelled {}, sink);
+        refusal answer;
+        answer.outcome = known.outcome;
+        answer.status = known.outcome == certainty::NotRun ? 503 : 502;
+        answer.reason = name(reason::BodyNotReplayable);
+        sink.refuse(request_id { order.number.value() }, answer);
+    }
+
+    void finishAttempt(
+        const routing::dispatch& order, const routing::attempt_result& ended, dispatch_sink& sink)
+    {
+        run(
+            [&](instant now, routing::router& router) {
+                return router.finish(now, order.number, order.attempt, ended);
+            },
+            sink);
+    }
+
+    void refuseWith(const routing::refuse& order, dispatch_sink& sink)
+    {
+        const request_id id { order.number.value() };
+        (void)takeFinal(id);
+        refusal answer;
+        answer.outcome
+            = order.certainty == routing::outcome::NotRun ? certainty::NotRun : certainty::Unknown;
+        answer.status = statusOf(order.reason);
+        answer.reason = routing::name(order.reason);
+        answer.peer = order.target.value();
+        const auto wait = std::chrono::ceil<std::chrono::seconds>(order.retryAfter);
+        answer.retryAfterS = static_cast<unsigned>(std::max<std::int64_t>(wait.count(), 0));
+        sink.refuse(id, answer);
+    }
+
+    void probeTarget(const target_id& target, dispatch_sink& sink)
+    {
+        if (const auto row = find(target))
+            return sink.probe(target, row->address);
+        run(
+            [&](instant now, routing::router& router) {
+                return router.probed(now, target, routing::probe_failed {});
+            },
+            sink);
+    }
+
+    void noteReplay(const attempt& finished)
+    {
+        const bool notRun = std::holds_alternative<attempt_not_run>(finished.result);
+        const bool unknown = std::holds_alternative<attempt_unknown>(finished.result);
+        const std::lock_guard lock(m_mutex);
+        if (!finished.replayable && (notRun || unknown))
+            m_final[finished.id] = { notRun ? certainty::NotRun : certainty::Unknown };
+    }
+
+    std::optional<final_outcome> takeFinal(request_id id)
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto found = m_final.find(id);
+        if (found == m_final.end())
+            return std::nullopt;
+        const final_outcome known = found->second;
+        m_final.erase(found);
+        return known;
+    }
+
+    std::optional<table::target_row> find(const target_id& target)
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto found = m_targets.find(target);
+        return found == m_targets.end() ? std::nullopt : std::optional(found->second);
+    }
+
+    unsigned limitOf(const table::target_row& row)
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto found = m_limits.find(row.id);
+        return found == m_limits.end() ? row.connections : found->second;
+    }
+
+    void runTimer()
+    {
+        std::unique_lock lock(m_timerMutex);
+        while (!m_stopped) {
+            lock.unlock();
+            tickIfDue();
+            lock.lock();
+            m_timerStop.wait_for(lock, timerInterval, [this] { return m_stopped; });
+        }
+    }
+
+    void tickIfDue()
+    {
+        const instant now = monotonic_clock::now();
+        {
+            const std::lock_guard lock(m_mutex);
+            if (m_router->nextDue() > now && now - m_ticked < tickInterval)
+                return;
+            m_ticked = now;
+        }
+        call([](instant at, routing::router& router) { return router.tick(at); });
+    }
+
+    void stopTimer()
+    {
+        {
+            const std::lock_guard lock(m_timerMutex);
+            m_stopped = true;
+        }
+        m_timerStop.notify_all();
+        if (m_timer.joinable())
+            m_timer.join();
+    }
+
+    static constexpr std::chrono::milliseconds tickInterval { 100 };
+
+    std::mutex m_mutex;
+    std::unique_ptr<routing::router> m_router;
+    std::map<target_id, table::target_row> m_targets;
+    std::map<target_id, unsigned> m_limits;
+    std::unordered_map<request_id, final_outcome> m_final;
+    crash_listener m_listener;
+    std::atomic<dispatch_sink*> m_sink { nullptr };
+    std::mutex m_timerMutex;
+    std::condition_variable m_timerStop;
+    bool m_stopped = false;
+    instant m_ticked {};
+    std::thread m_timer;
+};
+
+} // namespace
+
+result<std::unique_ptr<routed_dispatcher>> routed_dispatcher::create(
+    const routing::options& settings, const routing::owner_lookup& owners, crash_listener listener)
+{
+    auto router = routing::router::create(settings, owners);
+    if (!router)
+        return router.error();
+    return std::make_unique<dispatcher_over_router>(std::move(router.value()), std::move(listener));
+}
+
+} // namespace pimentomast::proxy
--- a/src/proxy/target-pool.cc
+++ b/src/proxy/target-pool.cc
@@ -32,7 +32,7 @@
 {
 }
 
-acquired target_pool::acquire(const endpoint& address, unsigned limit)
+std::unique_ptr<target_connection> target_pool::reuse(const endpoint& address)
 {
     while (auto idle = takeIdle(address)) {
         auto connection = std::make_unique<target_connection>(*this, address);
@@ -42,8 +42,19 @@
         if (peekState(idle->socket) == io_state::Blocked)
             return connection;
     }
-    if (!reserve(address, limit))
-        return reason::NoConnection;
+    return nullptr;
+}
+
+acquired target_pool::acquire(const endpoint& address, unsigned limit, bool mustBeNew)
+{
+    if (!mustBeNew) {
+        if (auto connection = reuse(address))
+            return connection;
+    }
+    while (!reserve(address, limit)) {
+        if (!dropOldestIdle(address))
+            return reason::NoConnection;
+    }
     auto connection = std::make_unique<target_connection>(*this, address);
     connection->opened = monotonic_clock::now();
     const auto socket = open(address);
@@ -53,6 +64,17 @@
     return connection;
 }
 
+bool target_pool::dropOldestIdle(const endpoint& address)
+{
+    const std::lock_guard lock(m_mutex);
+    target_entry& entry = m_targets[address];
+    if (entry.idle.empty())
+        return false;
+    entry.idle.erase(entry.idle.begin());
+    --entry.open;
+    return true;
+}
+
 std::optional<Poco::Net::StreamSocket> target_pool::open(const endpoint& address) const
 {
     try {
--- a/src/proxy/target-pool.h
+++ b/src/proxy/target-pool.h
@@ -44,10 +44,9 @@
 public:
     target_pool(duration connectTimeout, duration idleTimeout);
 
-    /// Takes an unused connection or opens one, of at most `limit` to the target.
-    [[nodiscard]] acquired acquire(const endpoint& address, unsigned limit);
-    /// Opens a connection outside of the limit, to see whether the target answers.
-    [[nodiscard]] std::optional<Poco::Net::StreamSocket> open(const endpoint& address) const;
+    /// Takes an unused connection, unless it must be a new one, or opens one, of at most
+    /// `limit` to the target.
+    [[nodiscard]] acquired acquire(const endpoint& address, unsigned limit, bool mustBeNew);
     /// Closes unused connections to the target that were opened before.
     void closeOlder(const endpoint& address, instant before);
     /// Closes connections that were unused for too long.
@@ -70,6 +69,9 @@
         instant trustedSince {};
     };
 
+    [[nodiscard]] std::optional<Poco::Net::StreamSocket> open(const endpoint& address) const;
+    [[nodiscard]] std::unique_ptr<target_connection> reuse(const endpoint& address);
+    [[nodiscard]] bool dropOldestIdle(const endpoint& address);
     [[nodiscard]] std::optional<idle_connection> takeIdle(const endpoint& address);
     [[nodiscard]] bool reserve(const endpoint& address, unsigned limit);
     void release(const endpoint& address);
--- a/test/helper/fixed-dispatcher.h
+++ b/test/helper/fixed-dispatcher.h
@@ -58,14 +58,16 @@
         sink.refuse(finished.id, answer);
     }
 
-    void cancelled(proxy::request_id id) override
+    void cancelled(proxy::request_id id, proxy::dispatch_sink&) override
     {
         const std::lock_guard lock(m_mutex);
         m_waiting.erase(id);
         cancelledWaiting.push_back(id);
     }
 
-    bool abandon(proxy::request_id, const target_id&) override { return abandons; }
+    void sent(proxy::request_id, unsigned, instant, proxy::dispatch_sink&) override { }
+    void responded(proxy::request_id, unsigned, proxy::dispatch_sink&) override { }
+    void probed(const proxy::probe_report&, proxy::dispatch_sink&) override { }
 
     /// Returns the facts of the requests that have not ended.
     [[nodiscard]] std::vector<proxy::request_facts> waiting()
@@ -83,7 +85,6 @@
         return results;
     }
 
-    std::atomic<bool> abandons { false };
     /// Requests wait until the test forwards them itself.
     std::atomic<bool> held { false };
     std::vector<proxy::attempt> results;
@@ -117,12 +118,12 @@
     auto rows = std::make_shared<table::table>();
     table::service_row weights;
     weights.id = service_id { "weights" };
-    weights.pathPrefix = "/weights/";
+    weights.pathPrefix = "/weights";
     weights.key = table::path_segment { 1 };
     weights.repeatable = { "GET", "HEAD", "PUT" };
     table::service_row ledger;
     ledger.id = service_id { "ledger" };
-    ledger.pathPrefix = "/ledger/";
+    ledger.pathPrefix = "/ledger";
     ledger.key = table::path_segment { 1 };
     table::service_row exports;
     exports.id = service_id { "export" };
