--- a/include/pimentomast/settings.h
+++ b/include/pimentomast/settings.h
@@ -137,6 +137,9 @@
     std::string section;
     std::string key;
     std::string value;
+
+    /// Returns "section.key".
+    [[nodiscard]] std::string name() const;
 };
 
 /// Returns all settings in the order of the file. Thread-safe.
--- a/src/admin/server.cc
+++ b/src/admin/server.cc
@@ -19,7 +19,7 @@
 
 namespace net = Poco::Net;
 
-constexpr std::size_t maxBodyBytes = 8 * 1024 * 1024;
+constexpr std::size_t maxBodyBytes = 8388608;
 constexpr int maxQueuedConnections = 64;
 constexpr long ioTimeoutMs = 5000;
 
--- a/src/command/host_commands.cc
+++ b/src/command/host_commands.cc
@@ -68,8 +68,8 @@
         return exit_code::Success;
     }
     Poco::JSON::Object all(Poco::JSON_PRESERVE_KEY_ORDER);
-    for (const auto& [section, key, value] : settings::show(values))
-        all.set(section + "." + key, value);
+    for (const auto& shown : settings::show(values))
+        all.set(shown.name(), shown.value);
     all.stringify(call.out);
     call.out << "\n";
     return exit_code::Success;
--- a/src/settings/keys.cc
+++ b/src/settings/keys.cc
@@ -15,12 +15,20 @@
 };
 
 template <class Section, class Value>
-struct member {
-    Section settings::*section;
-    Value Section::*value;
-
-    Value& of(settings& all) const { return all.*section.*value; }
-    const Value& of(const settings& all) const { return all.*section.*value; }
+class member {
+public:
+    member(Section settings::*section, Value Section::*value)
+        : m_section(section)
+        , m_value(value)
+    {
+    }
+
+    Value& of(settings& all) const { return all.*m_section.*m_value; }
+    const Value& of(const settings& all) const { return all.*m_section.*m_value; }
+
+private:
+    Section settings::*m_section;
+    Value Section::*m_value;
 };
 
 std::optional<std::string> readNumber(
@@ -175,9 +183,8 @@
 std::vector<key_rule> makeRules()
 {
     using s = settings;
-    const member host { &s::host, &host_settings::id };
     return {
-        name("host", "id", host),
+        name("host", "id", member { &s::host, &host_settings::id }),
         name("host", "domain", member { &s::host, &host_settings::domain }),
         address("host", "callers", true, member { &s::host, &host_settings::callers }),
         address("host", "peers", true, member { &s::host, &host_settings::peers }),
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -196,6 +196,13 @@
     return keys;
 }
 
+std::string shown_value::name() const
+{
+    auto text = section;
+    text += ".";
+    return text += key;
+}
+
 std::vector<shown_value> show(const settings& values)
 {
     std::vector<shown_value> all;
--- a/src/table/classify.cc
+++ b/src/table/classify.cc
@@ -39,9 +39,7 @@
         if (prefix.empty())
             return true;
         prefix.remove_prefix(1);
-        const bool whole = prefix.size() == segment.size()
-            || (prefix.size() > segment.size() && prefix[segment.size()] == '/');
-        if (!prefix.starts_with(segment) || !whole)
+        if (prefix.substr(0, prefix.find('/')) != segment)
             return false;
         prefix.remove_prefix(segment.size());
     }
--- /dev/null
+++ b/test/table-store-test.cc
@@ -0,0 +1,223 @@
+#include "pimentomast/table.h"
+
+#include <criterion/criterion.h>
+#include <functional>
+#include <map>
+
+using namespace pimentomast;
+using table::applied;
+
+namespace {
+
+/// Table service in memory. Hooks run before a read or write and stand for outages and races.
+class fake_store : public platform::services {
+public:
+    std::function<void(const std::string&)> beforeWrite;
+    bool out = false;
+    /// The next write takes effect, but its reply is lost.
+    bool loseReply = false;
+    /// After a lost reply the service is out.
+    bool outAfterLoss = false;
+
+    result<std::optional<platform::row>> read(const std::string& key) override
+    {
+        if (out)
+            return error { "read row", "platform", "out" };
+        const auto found = m_rows.find(key);
+        if (found == m_rows.end())
+            return std::optional<platform::row> {};
+        return std::optional { found->second };
+    }
+
+    platform::write_outcome write(const std::string& key, row_version expected,
+        const std::string& value, const platform::write_id& id) override
+    {
+        if (beforeWrite)
+            beforeWrite(key);
+        if (out)
+            return platform::write_refused { { "write row", "platform", "out" } };
+        auto& row = m_rows[key];
+        if (row.version != expected)
+            return platform::write_conflict { row };
+        row = { key, value, row_version { expected.value() + 1 }, id };
+        if (!std::exchange(loseReply, false))
+            return platform::write_accepted { row.version };
+        out = outAfterLoss;
+        return platform::write_unknown { { "write row", "platform", "no reply" } };
+    }
+
+    result<void> putObject(const std::string&, const std::string&) override
+    {
+        return error { "put object", "platform", "not in this fake" };
+    }
+    result<std::optional<std::string>> getObject(const std::string&) override
+    {
+        return error { "get object", "platform", "not in this fake" };
+    }
+    result<std::vector<platform::listed_host>> hosts() override
+    {
+        return std::vector<platform::listed_host> {};
+    }
+
+    [[nodiscard]] std::size_t size() const { return m_rows.size(); }
+
+private:
+    std::map<std::string, platform::row> m_rows;
+};
+
+const std::string header = "kind,id,service,prefix,address,domain,weight,state\n";
+
+std::string rowsWith(const std::string& weight1, const std::string& weight2)
+{
+    return header + "service,w,,/w,,,,\ntarget,w1,w,,10.0.0.1:1,k," + weight1
+        + ",\ntarget,w2,w,,10.0.0.1:2,k," + weight2 + ",\n";
+}
+
+table::apply_outcome apply(
+    fake_store& store, const std::string& editor, std::uint64_t base, const std::string& csv)
+{
+    return table::apply(store, table::edit { editor, config_version { base }, csv, "2026-12-04" });
+}
+
+double weightOf(fake_store& store, const std::string& target)
+{
+    const auto current = table::readCurrent(store).value();
+    return current->target(target_id { target })->weight;
+}
+
+struct store_with_table {
+    store_with_table() { (void)std::get<applied>(apply(store, "hari", 0, rowsWith("1", "1"))); }
+
+    fake_store store;
+};
+
+} // namespace
+
+Test(table_store, first_table_is_version_1)
+{
+    fake_store store;
+    cr_assert(!table::readCurrent(store).value());
+    const auto done = std::get<applied>(apply(store, "hari", 0, rowsWith("1", "1")));
+    cr_assert(done.version == config_version { 1 });
+    cr_assert(done.changes.size() == 3);
+    cr_assert(table::readCurrent(store).value()->editor == "hari");
+}
+
+Test(table_store, edits_of_different_rows_merge_and_say_so)
+{
+    store_with_table with;
+    (void)std::get<applied>(apply(with.store, "hari", 1, rowsWith("2", "1")));
+    const auto done = std::get<applied>(apply(with.store, "sita", 1, rowsWith("1", "3")));
+    cr_assert(done.version == config_version { 3 });
+    cr_assert(done.theirEditor == "hari");
+    cr_assert(done.mergedWith.size() == 1);
+    cr_assert(done.mergedWith.front().text() == "target w1, weight: 1 -> 2");
+    cr_assert(weightOf(with.store, "w1") == 2 && weightOf(with.store, "w2") == 3);
+}
+
+Test(table_store, edits_of_one_cell_conflict_and_change_nothing)
+{
+    store_with_table with;
+    (void)std::get<applied>(apply(with.store, "hari", 1, rowsWith("2", "1")));
+    const auto refused
+        = std::get<table::conflict>(apply(with.store, "sita", 1, rowsWith("5", "3")));
+    cr_assert(refused.theirEditor == "hari" && refused.myEditor == "sita");
+    cr_assert(refused.cells.size() == 1);
+    cr_assert(refused.cells.front().mine == "5" && refused.cells.front().theirs == "2");
+    cr_assert(table::readCurrent(with.store).value()->version == config_version { 2 });
+    cr_assert(weightOf(with.store, "w2") == 1);
+}
+
+Test(table_store, race_lost_at_the_write_is_merged_again)
+{
+    store_with_table with;
+    with.store.beforeWrite = [&](const std::string& key) {
+        if (key != table::configRow)
+            return;
+        with.store.beforeWrite = nullptr;
+        (void)std::get<applied>(apply(with.store, "hari", 1, rowsWith("2", "1")));
+    };
+    const table::mark_edit leave { "sita", { table::row_kind::Target, "w1" }, table::mark::Leaving,
+        "" };
+    const auto done = std::get<applied>(table::apply(with.store, leave));
+    cr_assert(done.version == config_version { 3 });
+    cr_assert(done.mergedWith.size() == 1);
+    const auto rows = *table::readCurrent(with.store).value();
+    cr_assert(rows.target(target_id { "w1" })->state == table::mark::Leaving);
+    cr_assert(rows.target(target_id { "w1" })->weight == 2);
+}
+
+Test(table_store, lost_reply_is_settled_and_the_edit_written_once)
+{
+    store_with_table with;
+    with.store.beforeWrite
+        = [&](const std::string& key) { with.store.loseReply = key == table::configRow; };
+    const auto done = std::get<applied>(apply(with.store, "sita", 1, rowsWith("2", "1")));
+    cr_assert(done.version == config_version { 2 });
+}
+
+Test(table_store, outage_leaves_it_not_applied_or_unknown_as_is_true)
+{
+    store_with_table with;
+    with.store.out = true;
+    cr_assert(std::holds_alternative<table::not_applied>(
+        apply(with.store, "sita", 1, rowsWith("2", "1"))));
+    with.store.out = false;
+    with.store.outAfterLoss = true;
+    with.store.beforeWrite
+        = [&](const std::string& key) { with.store.loseReply = key == table::configRow; };
+    cr_assert(std::holds_alternative<table::apply_unknown>(
+        apply(with.store, "sita", 1, rowsWith("2", "1"))));
+}
+
+Test(table_store, wrong_edits_are_refused_whole)
+{
+    store_with_table with;
+    cr_assert(
+        std::holds_alternative<table::invalid>(apply(with.store, "sita", 1, rowsWith("2", "x"))));
+    cr_assert(std::holds_alternative<table::invalid>(apply(with.store, "", 1, rowsWith("2", "1"))));
+    cr_assert(std::holds_alternative<table::not_applied>(
+        apply(with.store, "sita", 9, rowsWith("2", "1"))));
+    cr_assert(table::readCurrent(with.store).value()->version == config_version { 1 });
+}
+
+Test(table_store, marks_are_edits_of_one_cell)
+{
+    store_with_table with;
+    table::mark_edit edit { "sita", { table::row_kind::Host, "h1" }, table::mark::Leaving, "" };
+    (void)std::get<applied>(table::apply(with.store, edit));
+    cr_assert(table::readCurrent(with.store).value()->host(host_id { "h1" }));
+    edit.state = table::mark::Active;
+    (void)std::get<applied>(table::apply(with.store, edit));
+    cr_assert(!table::readCurrent(with.store).value()->host(host_id { "h1" }));
+    edit.row = { table::row_kind::Target, "w9" };
+    cr_assert(std::holds_alternative<table::not_applied>(table::apply(with.store, edit)));
+}
+
+Test(table_store, history_names_editors_rows_and_times_and_is_bounded)
+{
+    store_with_table with;
+    const unsigned edits = table::historyLength + 10;
+    for (unsigned version = 1; version <= edits; ++version) {
+        const auto weight = std::to_string(version + 1);
+        (void)std::get<applied>(apply(with.store, "sita", version, rowsWith(weight, "1")));
+    }
+    const auto entries = table::history(with.store, 1000).value();
+    cr_assert(entries.size() == table::historyLength + 1, "%zu", entries.size());
+    cr_assert(entries.front().editor == "sita" && entries.front().at == "2026-12-04");
+    cr_assert(entries.front().changes.front().text()
+        == "target w1, weight: " + std::to_string(edits) + " -> " + std::to_string(edits + 1));
+    cr_assert(entries.back().oldest && !entries.front().oldest);
+    cr_assert(with.store.size() == table::historyLength + 1);
+    cr_assert(table::history(with.store, 2).value().size() == 2);
+}
+
+Test(table_store, edit_of_a_version_beyond_the_history_is_not_applied)
+{
+    store_with_table with;
+    for (unsigned version = 1; version <= table::historyLength + 2; ++version)
+        (void)apply(with.store, "sita", version, rowsWith(std::to_string(version + 1), "1"));
+    const auto outcome = apply(with.store, "hari", 1, rowsWith("1", "2"));
+    cr_assert(std::get<table::not_applied>(outcome).cause.reason.find("not in the history")
+        != std::string::npos);
+}
