--- a/src/admin/answers.cc
+++ b/src/admin/answers.cc
@@ -213,6 +213,7 @@
 std::vector<route_description> describeRoutes()
 {
     std::vector<route_description> all;
+    all.reserve(detail::routes.size());
     for (const auto& each : detail::routes)
         all.push_back({ std::string(each.method), std::string(each.path) });
     return all;
--- /dev/null
+++ b/test/command-docs-test.cc
@@ -0,0 +1,164 @@
+#include "pimentomast/admin.h"
+#include "pimentomast/command.h"
+#include "pimentomast/settings.h"
+#include "pimentomast/table.h"
+#include "pimentomast/telemetry.h"
+
+#include <Poco/String.h>
+#include <criterion/criterion.h>
+#include <cstdlib>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+/// Compares the names in docs/OPERATING.md with the names in the code.
+using namespace pimentomast;
+
+namespace {
+
+using names = std::set<std::string>;
+using cells = std::vector<std::string>;
+
+std::string page(const std::string& path)
+{
+    std::ostringstream text;
+    text << std::ifstream(std::string(std::getenv("PIMENTOMAST_SOURCE")) + "/" + path).rdbuf();
+    return text.str();
+}
+
+cells split(const std::string& line)
+{
+    cells found;
+    std::istringstream rest(line.substr(1));
+    for (std::string cell; std::getline(rest, cell, '|');)
+        found.push_back(Poco::trim(cell));
+    return found;
+}
+
+/// Returns the rows of a section's tables whose first cell is `quoted`, without the quotes there.
+std::vector<cells> rowsOf(const std::string& section)
+{
+    std::istringstream lines(page("docs/OPERATING.md"));
+    std::vector<cells> rows;
+    bool inside = false;
+    for (std::string line; std::getline(lines, line);) {
+        if (line.starts_with("## "))
+            inside = line == "## " + section;
+        if (!inside || !line.starts_with("| `"))
+            continue;
+        rows.push_back(split(line));
+        auto& name = rows.back().front();
+        name = name.substr(1, name.size() - 2);
+    }
+    return rows;
+}
+
+names namesIn(const std::string& section)
+{
+    names found;
+    for (const auto& row : rowsOf(section))
+        cr_expect(found.insert(row.front()).second, "%s stands twice", row.front().c_str());
+    return found;
+}
+
+void expectSame(const std::string& section, const names& inCode)
+{
+    const auto onPage = namesIn(section);
+    for (const auto& name : inCode)
+        cr_expect(onPage.contains(name), "%s: %s is missing", section.c_str(), name.c_str());
+    for (const auto& name : onPage)
+        cr_expect(inCode.contains(name), "%s: %s does not exist", section.c_str(), name.c_str());
+    cr_expect(!inCode.empty());
+}
+
+/// Returns the words in `quotes` of a cell.
+names quoted(const std::string& cell)
+{
+    names found;
+    std::istringstream rest(cell);
+    std::string part;
+    for (bool inside = false; std::getline(rest, part, '`'); inside = !inside) {
+        if (inside)
+            found.insert(part);
+    }
+    return found;
+}
+
+} // namespace
+
+Test(docs, commands_and_their_options)
+{
+    names commands;
+    names options;
+    for (const auto& each : command::describeSubcommands()) {
+        commands.insert(each.words);
+        names own;
+        for (const auto& option : each.options)
+            own.insert(option.name);
+        options.insert(own.begin(), own.end());
+        for (const auto& row : rowsOf("Commands"))
+            cr_expect(row.front() != each.words || quoted(row[1]) == own, "options of %s",
+                each.words.c_str());
+    }
+    expectSame("Commands", commands);
+    expectSame("Options", options);
+}
+
+Test(docs, settings_and_their_standard_values)
+{
+    names keys;
+    for (const auto& each : settings::describeKeys())
+        keys.insert(each.section + "." + each.key);
+    expectSame("Settings", keys);
+    const auto standard = settings::show(settings::settings {});
+    const auto described = settings::describeKeys();
+    for (const auto& row : rowsOf("Settings")) {
+        for (std::size_t index = 0; index < standard.size(); ++index) {
+            const bool shown = !described[index].required && row.front() != "host.advertise"
+                && !standard[index].value.empty();
+            if (shown && standard[index].name() == row.front())
+                cr_expect(row[1] == standard[index].value, "%s", row.front().c_str());
+            if (described[index].required && standard[index].name() == row.front())
+                cr_expect(row[1] == "required", "%s", row.front().c_str());
+        }
+    }
+}
+
+Test(docs, columns)
+{
+    names columns;
+    for (const auto& each : table::columns()) {
+        columns.insert(each.name);
+        for (const auto& row : rowsOf("Columns"))
+            cr_expect(row.front() != each.name || row[1] == each.usedBy, "%s", each.name.c_str());
+    }
+    expectSame("Columns", columns);
+}
+
+Test(docs, routes_of_the_administration_api)
+{
+    names routes;
+    for (const auto& each : admin::describeRoutes())
+        routes.insert(each.method + " " + each.path);
+    expectSame("Administration API", routes);
+}
+
+Test(docs, metrics_and_their_labels)
+{
+    names metrics;
+    for (const auto& each : telemetry::families()) {
+        metrics.insert(std::string(each.name));
+        const auto label = each.label.empty() ? "" : "`" + std::string(each.label) + "`";
+        for (const auto& row : rowsOf("Metrics"))
+            cr_expect(row.front() != each.name || row[1] == label, "%s", row.front().c_str());
+    }
+    expectSame("Metrics", metrics);
+}
+
+Test(docs, exit_codes)
+{
+    names codes;
+    for (int code = 0; code <= static_cast<int>(command::exit_code::Unknown); ++code)
+        codes.insert(std::to_string(code));
+    expectSame("Exit codes", codes);
+}
