Name the editor who set each value, and take one spelling of an address

Cause: a conflict named the editor of the newest version, who may not be the one who set the value that stands against the edit; and 127.1 passed beside 127.0.0.1 as another target's address. Now the history tells who changed each cell last, and addresses are taken in one spelling only. A host that listens for peers on all addresses has to say which one to advertise.

--- a/include/pimentomast/table.h
+++ b/include/pimentomast/table.h
@@ -151,6 +151,8 @@
     std::string base;
     std::string mine;
     std::string theirs;
+    /// Who set the value of theirs.
+    std::string theirEditor;
 
     bool operator==(const cell_conflict&) const = default;
 };
@@ -165,8 +167,9 @@
 /// Two edits that do not go together.
 struct conflict {
     std::string myEditor;
-    std::string theirEditor;
+    /// Version that the edit conflicts with, and its editor.
     config_version theirVersion;
+    std::string theirEditor;
     std::vector<cell_conflict> cells;
     /// Set if no cell conflicts but both edits together are not a valid table.
     std::string invalid;
@@ -238,14 +241,19 @@
     std::string at;
 };
 
+/// What another editor changed since the base of an edit.
+struct other_change {
+    change what;
+    std::string editor;
+};
+
 /// The edit is in the store as this version.
 struct applied {
     config_version version;
     /// What the edit changed, in comparison with the version that it replaced.
     std::vector<change> changes;
     /// What others had changed since the base; not empty if the edit was merged with it.
-    std::vector<change> mergedWith;
-    std::string theirEditor;
+    std::vector<other_change> mergedWith;
 };
 /// The edit is no valid table; nothing changed.
 struct invalid {
--- a/src/command/table_commands.cc
+++ b/src/command/table_commands.cc
@@ -48,8 +48,10 @@
     {
         call.out << "version " << done.version.value() << " is accepted\n";
         printChanges(call.out, "changed:", done.changes);
-        printChanges(
-            call.out, "merged with the edits of " + done.theirEditor + ":", done.mergedWith);
+        if (!done.mergedWith.empty())
+            call.out << "merged with the edits of others:\n";
+        for (const auto& other : done.mergedWith)
+            call.out << "  " << other.what.text() << " (" << other.editor << ")\n";
         return exit_code::Success;
     }
     exit_code operator()(const table::conflict& refused) const
--- a/src/settings/keys.cc
+++ b/src/settings/keys.cc
@@ -54,7 +54,9 @@
         return "is not ip:port";
     const auto ip = text.substr(0, colon);
     Poco::Net::IPAddress address;
-    if (ip.find(':') != std::string::npos || !Poco::Net::IPAddress::tryParse(ip, address))
+    const bool valid = Poco::Net::IPAddress::tryParse(ip, address)
+        && address.family() == Poco::Net::IPAddress::IPv4 && address.toString() == ip;
+    if (!valid)
         return "is not ip:port with an IPv4 number";
     std::uint64_t port = 0;
     if (const auto fault = readNumber(text.substr(colon + 1), { 1, 65535 }, port))
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -130,7 +130,13 @@
         found.push_back({ "limits", "queue", "must not be more than connections" });
 }
 
-bool shared(const endpoint& one, const endpoint& other) { return one.port != 0 && one == other; }
+constexpr std::string_view anyAddress = "0.0.0.0";
+
+bool shared(const endpoint& one, const endpoint& other)
+{
+    const bool sameIp = one.ip == other.ip || one.ip == anyAddress || other.ip == anyAddress;
+    return one.port != 0 && one.port == other.port && sameIp;
+}
 
 void findSharedAddresses(const host_settings& host, problems& found)
 {
@@ -138,6 +144,8 @@
         found.push_back({ "host", "peers", "is the same address as callers" });
     if (shared(host.admin, host.callers) || shared(host.admin, host.peers))
         found.push_back({ "host", "admin", "is the same address as callers or peers" });
+    if (host.advertise.ip == anyAddress)
+        found.push_back({ "host", "advertise", "must name one address; peers names all" });
 }
 
 } // namespace
--- a/src/table/build.cc
+++ b/src/table/build.cc
@@ -91,7 +91,7 @@
 
     std::string name(const std::string& column)
     {
-        const auto value = text(column);
+        auto value = text(column);
         if (value.empty())
             fault(column, "is missing");
         else if (!isName(value))
@@ -149,9 +149,10 @@
         const auto port
             = colon == value.npos ? 0U : toNumber<unsigned>(value.substr(colon + 1)).value_or(0);
         Poco::Net::IPAddress parsed;
-        const bool valid = port >= 1 && port <= maxPort && ip.find(':') == ip.npos
-            && Poco::Net::IPAddress::tryParse(ip, parsed);
-        if (!valid)
+        // Another spelling of the same number would pass the check for repeated addresses.
+        const bool numeric = Poco::Net::IPAddress::tryParse(ip, parsed) && parsed.toString() == ip
+            && parsed.family() == Poco::Net::IPAddress::IPv4 && !parsed.isWildcard();
+        if (!numeric || port < 1 || port > maxPort)
             fault("address", "must be ip:port with an IPv4 number");
         return { ip, static_cast<std::uint16_t>(port) };
     }
--- a/src/table/csv.cc
+++ b/src/table/csv.cc
@@ -7,7 +7,7 @@
 namespace pimentomast::table::detail {
 namespace {
 
-constexpr std::size_t maxBytes = 4 * 1024 * 1024;
+constexpr std::size_t maxBytes = 4194304;
 constexpr std::string_view byteOrderMark = "\xEF\xBB\xBF";
 
 using record = std::vector<std::string>;
--- a/src/table/history.cc
+++ b/src/table/history.cc
@@ -208,6 +208,17 @@
     return kept;
 }
 
+result<std::vector<history_entry>> entriesBetween(
+    platform::services& store, config_version base, config_version last)
+{
+    auto entries = history(store, historyLength);
+    if (!entries)
+        return entries.error();
+    std::erase_if(entries.value(),
+        [&](const auto& entry) { return entry.version <= base || entry.version > last; });
+    return entries;
+}
+
 } // namespace detail
 
 result<table> decode(config_version version, const std::string& value)
--- a/src/table/history.h
+++ b/src/table/history.h
@@ -24,4 +24,8 @@
 [[nodiscard]] result<std::optional<stored_version>> readVersion(
     platform::services& store, config_version version);
 
+/// Returns the entries of all versions after `base`, up to and with `last`, newest first.
+[[nodiscard]] result<std::vector<history_entry>> entriesBetween(
+    platform::services& store, config_version base, config_version last);
+
 } // namespace pimentomast::table::detail
--- a/src/table/json.cc
+++ b/src/table/json.cc
@@ -30,6 +30,13 @@
     return object;
 }
 
+Object toObject(const other_change& shown)
+{
+    auto object = toObject(shown.what);
+    object.set("editor", shown.editor);
+    return object;
+}
+
 Object toObject(const cell_conflict& shown)
 {
     auto object = ordered();
@@ -38,6 +45,7 @@
     object.set("base", shown.base);
     object.set("mine", shown.mine);
     object.set("theirs", shown.theirs);
+    object.set("their_editor", shown.theirEditor);
     return object;
 }
 
@@ -88,7 +96,6 @@
         object.set("version", shown.version.value());
         object.set("changes", toArray(shown.changes));
         object.set("merged_with", toArray(shown.mergedWith));
-        object.set("their_editor", shown.theirEditor);
         return object;
     }
     Object operator()(const conflict& shown) const
@@ -96,8 +103,8 @@
         auto object = ordered();
         object.set("outcome", "conflict");
         object.set("my_editor", shown.myEditor);
-        object.set("their_editor", shown.theirEditor);
         object.set("their_version", shown.theirVersion.value());
+        object.set("their_editor", shown.theirEditor);
         object.set("cells", toArray(shown.cells));
         object.set("invalid", shown.invalid);
         return object;
--- a/src/table/merge.cc
+++ b/src/table/merge.cc
@@ -73,6 +73,11 @@
 /// Merges row by row; collects the result and the conflicts.
 class merger {
 public:
+    explicit merger(std::string theirEditor)
+        : m_theirEditor(std::move(theirEditor))
+    {
+    }
+
     void mergeRow(const row_name& name, const cells* base, const cells* mine, const cells* theirs)
     {
         if (same(mine, theirs) || same(base, mine))
@@ -80,7 +85,8 @@
         else if (same(base, theirs))
             keep(name, mine);
         else if (!mine || !theirs)
-            conflicts.push_back({ name, "", rowText(base), rowText(mine), rowText(theirs) });
+            conflicts.push_back(
+                { name, "", rowText(base), rowText(mine), rowText(theirs), m_theirEditor });
         else
             mergeCells(name, base, *mine, *theirs);
     }
@@ -102,12 +108,14 @@
             const auto own = find(&mine, column.name);
             const auto other = find(&theirs, column.name);
             if (own != other && own != old && other != old)
-                conflicts.push_back({ name, column.name, old, own, other });
+                conflicts.push_back({ name, column.name, old, own, other, m_theirEditor });
             const auto& chosen = own == old ? other : own;
             if (!chosen.empty())
                 rows[name][column.name] = chosen;
         }
     }
+
+    std::string m_theirEditor;
 };
 
 std::string shown(const std::string& value) { return value.empty() ? "(nothing)" : value; }
@@ -127,10 +135,10 @@
 {
     std::string lines;
     for (const auto& cell : cells) {
-        const auto column = cell.column.empty() ? "whole row" : cell.column;
-        lines += cell.row.text() + ", " + column + ": " + myEditor + " has " + shown(cell.mine)
-            + ", " + theirEditor + " has " + shown(cell.theirs) + ", before it was "
-            + shown(cell.base) + "\n";
+        lines += cell.row.text() + ", " + (cell.column.empty() ? "whole row" : cell.column) + ": ";
+        lines += myEditor + " has " + shown(cell.mine) + ", ";
+        lines += cell.theirEditor + " has " + shown(cell.theirs);
+        lines += ", before it was " + shown(cell.base) + "\n";
     }
     if (!invalid.empty())
         lines += "the edits of " + myEditor + " and " + theirEditor
@@ -153,14 +161,14 @@
     const auto old = detail::toCells(base);
     const auto own = detail::toCells(mine);
     const auto other = detail::toCells(theirs);
-    merger all;
+    merger all(theirs.editor);
     for (const auto& name : namesOf({ &old, &own, &other }))
         all.mergeRow(name, find(old, name), find(own, name), find(other, name));
     if (!all.conflicts.empty())
-        return conflict { mine.editor, theirs.editor, theirs.version, all.conflicts, "" };
+        return conflict { mine.editor, theirs.version, theirs.editor, all.conflicts, "" };
     auto rows = detail::build(detail::toRaw(all.rows));
     if (!rows)
-        return conflict { mine.editor, theirs.editor, theirs.version, {}, rows.error().reason };
+        return conflict { mine.editor, theirs.version, theirs.editor, {}, rows.error().reason };
     merged both { rows.value(), difference(base, mine), difference(base, theirs) };
     both.rows.version = theirs.version;
     both.rows.editor = mine.editor;
--- a/src/table/store.cc
+++ b/src/table/store.cc
@@ -2,6 +2,8 @@
 
 #include "cells.h"
 
+#include <algorithm>
+
 namespace pimentomast::table {
 namespace {
 
@@ -48,15 +50,60 @@
 /// Result of one attempt to write; an empty optional means that the race was lost.
 using attempt = std::optional<apply_outcome>;
 
+bool touches(const change& made, const row_name& row, const std::string& column)
+{
+    if (made.row != row)
+        return false;
+    return column.empty() || made.column.empty() || made.column == column;
+}
+
+/// Returns who changed a cell (or, with an empty column, a row) last.
+std::string lastEditor(const std::vector<history_entry>& newestFirst, const row_name& row,
+    const std::string& column, const std::string& otherwise)
+{
+    for (const auto& entry : newestFirst) {
+        const bool found = std::any_of(entry.changes.begin(), entry.changes.end(),
+            [&](const auto& made) { return touches(made, row, column); });
+        if (found)
+            return entry.editor;
+    }
+    return otherwise;
+}
+
+/// Adds to a conflict who set each of the values that stand against the edit.
+attempt nameEditors(platform::services& store, config_version base, conflict refused)
+{
+    const auto entries = detail::entriesBetween(store, base, refused.theirVersion);
+    if (!entries)
+        return not_applied { entries.error() };
+    for (auto& cell : refused.cells)
+        cell.theirEditor = lastEditor(entries.value(), cell.row, cell.column, refused.theirEditor);
+    return refused;
+}
+
+/// Returns the changes of others since the base with their editors.
+result<std::vector<other_change>> nameEditors(platform::services& store, config_version base,
+    const table& current, const std::vector<change>& theirs)
+{
+    std::vector<other_change> named;
+    if (theirs.empty())
+        return named;
+    const auto entries = detail::entriesBetween(store, base, current.version);
+    if (!entries)
+        return entries.error();
+    for (const auto& made : theirs)
+        named.push_back(
+            { made, lastEditor(entries.value(), made.row, made.column, current.editor) });
+    return named;
+}
+
 struct write_result {
-    const merged& both;
-    const current_state& current;
+    applied done;
 
-    attempt operator()(const platform::write_accepted& accepted) const
+    attempt operator()(const platform::write_accepted& accepted)
     {
-        const config_version version { accepted.version.value() };
-        return applied { version, difference(current.rows, both.rows), both.theirs,
-            both.theirs.empty() ? "" : current.rows.editor };
+        done.version = config_version { accepted.version.value() };
+        return done;
     }
     attempt operator()(const platform::write_conflict&) const { return std::nullopt; }
     attempt operator()(const platform::write_refused& refused) const
@@ -70,18 +117,24 @@
 };
 
 /// Writes a merged edit over the version that it was merged with.
-attempt write(platform::services& store, const current_state& current, const merged& both,
-    const std::string& at)
+attempt write(
+    platform::services& store, const current_state& current, const merged& both, const edit& wanted)
 {
+    auto others = nameEditors(store, wanted.base, current.rows, both.theirs);
+    if (!others)
+        return not_applied { others.error() };
+    applied done { current.rows.version, difference(current.rows, both.rows), others.value() };
+    if (current.stored && done.changes.empty())
+        return done;
     if (current.stored) {
         if (const auto kept = detail::keepVersion(store, *current.stored); !kept)
             return not_applied { kept.error() };
     }
-    const auto value = detail::encode(both.rows, current.rows.version, at);
+    const auto value = detail::encode(both.rows, current.rows.version, wanted.at);
     const row_version expected { current.rows.version.value() };
     const auto outcome = platform::writeSettled(
         store, std::string(configRow), expected, value, platform::newWriteId());
-    return std::visit(write_result { both, current }, outcome);
+    return std::visit(write_result { std::move(done) }, outcome);
 }
 
 bool isEditor(const std::string& name)
@@ -105,12 +158,8 @@
         return not_applied { base.error() };
     const auto outcome = merge(base.value(), mine, now.rows);
     if (const auto* refused = std::get_if<conflict>(&outcome))
-        return *refused;
-    const auto& both = std::get<merged>(outcome);
-    const bool first = now.rows.version.value() == 0;
-    if (!first && difference(now.rows, both.rows).empty())
-        return applied { now.rows.version, {}, both.theirs, now.rows.editor };
-    return write(store, now, both, wanted.at);
+        return nameEditors(store, wanted.base, *refused);
+    return write(store, now, std::get<merged>(outcome), wanted);
 }
 
 void setMark(std::vector<host_row>& hosts, const mark_edit& wanted)
--- a/test/telemetry-test.cc
+++ b/test/telemetry-test.cc
@@ -44,6 +44,7 @@
 {
     telemetry::registry all;
     std::vector<std::thread> threads;
+    threads.reserve(4);
     for (int thread = 0; thread < 4; ++thread) {
         threads.emplace_back([&] {
             for (int step = 0; step < 10000; ++step)
