--- a/test/helper.h
+++ b/test/helper.h
@@ -3,12 +3,16 @@
 #include "pimentomast/core.h"
 
 #include <Poco/JSON/Object.h>
+#include <atomic>
 #include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
+#include <set>
 #include <string>
 #include <sys/types.h>
+#include <thread>
 #include <vector>
 
 /// Processes, ports and HTTP for tests with real processes on the loopback interface.
@@ -31,6 +35,9 @@
     [[nodiscard]] static process start(
         const std::string& name, const std::vector<std::string>& arguments, const std::string& log);
 
+    /// Returns an object without a process.
+    [[nodiscard]] static process none() { return process(-1); }
+
     process(process&& other) noexcept;
     process& operator=(process&& other) noexcept;
     process(const process&) = delete;
@@ -92,10 +99,198 @@
 /// Returns the JSON object that a GET answers; null if there is none.
 [[nodiscard]] Poco::JSON::Object::Ptr getJson(const endpoint& server, const std::string& path);
 
+/// Returns a member of a JSON object as text; empty if there is none.
+[[nodiscard]] std::string jsonField(const std::string& json, const std::string& name);
+
 /// Asks again and again until the condition holds; returns false after the limit.
 [[nodiscard]] bool waitUntil(const std::function<bool()>& condition, milliseconds limit = patience);
 
 /// Returns a folder for this process's files, removed at its end.
 [[nodiscard]] std::string scratchFolder();
 
+/// A target of a cluster; its id is also its name in records.
+struct target_spec {
+    std::string id;
+    std::string service;
+    bool checksTokens = true;
+    unsigned slots = 4;
+    /// Standard: the service is keyed by segment 1 of the path /SERVICE/KEY.
+    bool keyed = true;
+};
+
+struct cluster_options {
+    unsigned hosts = 3;
+    std::vector<target_spec> targets;
+    /// Services whose POST may run more than once, besides GET and HEAD of all services.
+    std::set<std::string> repeatablePosts {};
+    unsigned deadlineMs = 10000;
+    /// Lines of the hosts' settings besides the required ones, for example "[drain]\n...".
+    std::string settings {};
+    /// Puts the cutter between all parties; without it they are connected directly.
+    bool cut = true;
+};
+
+/// What a target's record says of one request that it ran.
+struct run {
+    std::string target;
+    std::string method;
+    std::string path;
+    std::string state;
+    std::int64_t startUs = 0;
+    std::int64_t endUs = 0;
+};
+
+/// An interval in which a target took new requests for a slice.
+struct holding {
+    std::string target;
+    std::uint64_t first = 0;
+    std::uint64_t last = 0;
+    std::int64_t fromUs = 0;
+    std::int64_t toUs = 0;
+    std::uint64_t epoch = 0;
+    std::uint64_t sequence = 0;
+};
+
+/// Processes of one installation: stand-in platform, cutter, targets and entry hosts.
+/// Not thread-safe, except for send().
+class cluster {
+public:
+    struct target_process {
+        target_spec spec;
+        endpoint own;
+        endpoint shown;
+        std::string recordFile;
+        process running;
+        /// When each of its processes was killed, by which leases in records are cut short.
+        std::vector<std::int64_t> killedUs {};
+    };
+    struct host_process {
+        std::string id;
+        endpoint callers;
+        endpoint peers;
+        endpoint shownPeers;
+        endpoint admin;
+        std::string settingsFile;
+        process running;
+    };
+
+    /// Starts all processes, applies the table and waits until every service is served by all.
+    explicit cluster(const cluster_options& options);
+
+    std::vector<host_process>& hosts() noexcept { return m_hosts; }
+    [[nodiscard]] const std::vector<host_process>& hosts() const noexcept { return m_hosts; }
+    std::vector<target_process>& targets() noexcept { return m_targets; }
+    [[nodiscard]] const std::vector<target_process>& targets() const noexcept { return m_targets; }
+    [[nodiscard]] const endpoint& platform() const noexcept { return m_platformAddress; }
+    target_process& target(const std::string& id);
+    host_process& host(const std::string& id);
+
+    /// Sends a request through a host, counted from 0. Thread-safe.
+    [[nodiscard]] http_reply send(std::size_t host, const http_call& request) const;
+    /// Returns the target that serves a key through any running host; empty after the limit.
+    [[nodiscard]] std::string ownerOf(const std::string& service, const std::string& key);
+    /// Returns the host that holds the service's coordinator row.
+    [[nodiscard]] std::string coordinatorOf(const std::string& service) const;
+    /// Waits until a service is served through all running hosts. Fails the test otherwise.
+    void waitServed(const std::string& service);
+    /// Waits until all services are served through all running hosts.
+    void waitServed();
+
+    /// Table of the cluster in CSV; targets in `leaving` are marked so.
+    [[nodiscard]] std::string table(const std::set<std::string>& leaving = {}) const;
+    /// Runs `pimentomast` with these arguments and the platform's address; returns its status.
+    int command(std::vector<std::string> arguments) const;
+    /// Applies a table over the given version; returns the command's exit status.
+    int apply(const std::string& csv, std::uint64_t base) const;
+
+    void killTarget(const std::string& id);
+    void startTarget(const std::string& id);
+    void startHost(const std::string& id);
+    /// PUT /control of the platform.
+    void platformFault(const std::string& json) const;
+    /// PUT /control of a target.
+    void targetFault(const std::string& id, const std::string& json);
+    /// Sets the mode of a link: "platform/HOST", "target/ID" or "peers/HOST" (towards that host),
+    /// for the connections of one process, or of all.
+    void cut(const std::string& link, const std::string& mode, pid_t from = 0) const;
+    /// Resets the next connection on the link that sends the text, after so many bytes.
+    void breakNext(const std::string& link, const std::string& match, const std::string& way,
+        std::size_t bytes) const;
+    /// Cuts a host off from the platform and its peers, both ways, or joins it again.
+    void isolateHost(const std::string& id, const std::string& mode);
+
+    [[nodiscard]] std::vector<run> runs() const;
+    [[nodiscard]] std::vector<holding> holdings() const;
+
+private:
+    void startPlatform();
+    void startCutter();
+    void listHosts() const;
+    void tellSources() const;
+    endpoint linked(const std::string& name, const endpoint& to) const;
+    void writeSettings(const host_process& host, const endpoint& platform) const;
+
+    cluster_options m_options;
+    std::string m_folder;
+    endpoint m_platformAddress;
+    endpoint m_cutterAddress;
+    std::unique_ptr<process> m_platform;
+    std::unique_ptr<process> m_cutter;
+    std::vector<target_process> m_targets;
+    std::vector<host_process> m_hosts;
+};
+
+/// What a caller sent and was told.
+struct told {
+    std::string method;
+    std::string path;
+    http_reply reply;
+    std::int64_t startUs = 0;
+    std::int64_t endUs = 0;
+
+    [[nodiscard]] bool answered() const { return reply.status == 200 && reply.whole; }
+    [[nodiscard]] bool notRun() const { return reply.field("Pimentomast-Outcome") == "not-run"; }
+};
+
+/// Sends requests from several threads until it is stopped: to each service a GET and, to those
+/// whose POST may not be repeated, a POST whose path is unique.
+class load {
+public:
+    struct options {
+        std::vector<std::string> services;
+        unsigned keys = 8;
+        unsigned threads = 4;
+        unsigned seed = 1;
+        /// Hosts that requests go through; empty: all.
+        std::vector<std::size_t> hosts {};
+        milliseconds pause { 5 };
+    };
+
+    load(const cluster& system, options chosen);
+    ~load();
+
+    /// Ends the threads once their requests are answered and returns all that was told.
+    std::vector<told> stop();
+
+private:
+    void send(unsigned thread);
+
+    const cluster& m_system;
+    options m_options;
+    std::atomic<bool> m_stopping = false;
+    std::mutex m_mutex;
+    std::vector<told> m_told;
+    std::vector<std::thread> m_threads;
+};
+
+/// Returns a text for each breach of: one holder of a key at a time; "not run" never ran; a POST
+/// that may not be repeated ran at most once; an answer is whole and to its own request. Empty if
+/// all hold.
+[[nodiscard]] std::string breaches(const cluster& system, const std::vector<told>& answers,
+    const std::set<std::string>& repeatablePosts = {});
+
+/// Returns the longest time between two answers for a service, in microseconds.
+[[nodiscard]] std::int64_t longestGapUs(
+    const std::vector<told>& answers, const std::string& service);
+
 } // namespace pimentomast::test
--- /dev/null
+++ b/test/helper/cluster.cc
@@ -0,0 +1,291 @@
+#include "../helper.h"
+
+#include <Poco/JSON/Array.h>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+namespace pimentomast::test {
+
+namespace {
+
+std::string quoted(const std::string& text) { return "\"" + text + "\""; }
+
+std::int64_t nowUs() { return monotonic_clock::now().time_since_epoch().count(); }
+
+/// Bound on each probing request, so that probing goes on while nothing is served.
+constexpr milliseconds probeTimeout { 3000 };
+
+} // namespace
+
+cluster::cluster(const cluster_options& options)
+    : m_options(options)
+    , m_folder(scratchFolder() + "/" + std::to_string(nowUs()))
+    , m_platformAddress(freeAddress())
+    , m_cutterAddress(freeAddress())
+{
+    std::filesystem::create_directories(m_folder);
+    startPlatform();
+    startCutter();
+    for (const auto& spec : options.targets) {
+        const auto own = freeAddress();
+        m_targets.push_back({ spec, own, linked("target/" + spec.id, own),
+            m_folder + "/" + spec.id + ".record", process::none() });
+        startTarget(spec.id);
+    }
+    for (unsigned i = 0; i < options.hosts; ++i) {
+        const auto id = "h" + std::to_string(i + 1);
+        const auto peers = freeAddress();
+        m_hosts.push_back({ id, freeAddress(), peers, linked("peers/" + id, peers), freeAddress(),
+            m_folder + "/" + id + ".ini", process::none() });
+        writeSettings(m_hosts.back(), linked("platform/" + id, m_platformAddress));
+    }
+    listHosts();
+    if (const int status = apply(table(), 0); status != 0)
+        throw failure({ "apply table", m_folder, "exit status " + std::to_string(status) });
+    for (const auto& host : m_hosts)
+        startHost(host.id);
+    waitServed();
+}
+
+void cluster::startPlatform()
+{
+    m_platform = std::make_unique<process>(process::start("stand-in-platform",
+        { "--address", m_platformAddress.text() }, m_folder + "/platform.log"));
+    const bool up
+        = waitUntil([this] { return getJson(m_platformAddress, "/control/counts") != nullptr; });
+    if (!up)
+        throw failure({ "start platform", m_platformAddress.text(), "not reachable" });
+}
+
+void cluster::startCutter()
+{
+    if (!m_options.cut)
+        return;
+    m_cutter = std::make_unique<process>(process::start(
+        "stand-in-cutter", { "--control", m_cutterAddress.text() }, m_folder + "/cutter.log"));
+    const bool up = waitUntil([this] { return call(m_cutterAddress, { "GET" }).status != 0; });
+    if (!up)
+        throw failure({ "start cutter", m_cutterAddress.text(), "not reachable" });
+}
+
+endpoint cluster::linked(const std::string& name, const endpoint& to) const
+{
+    if (!m_options.cut)
+        return to;
+    const auto listen = freeAddress();
+    put(m_cutterAddress, "/links",
+        R"({"name":)" + quoted(name) + R"(,"listen":)" + quoted(listen.text()) + R"(,"to":)"
+            + quoted(to.text()) + "}");
+    return listen;
+}
+
+void cluster::writeSettings(const host_process& host, const endpoint& platform) const
+{
+    std::ofstream file(host.settingsFile);
+    file << "[host]\nid = " << host.id << "\ndomain = d" << host.id.substr(1)
+         << "\ncallers = " << host.callers.text() << "\npeers = " << host.peers.text()
+         << "\nadmin = " << host.admin.text() << "\nadvertise = " << host.shownPeers.text()
+         << "\n[platform]\naddress = " << platform.text()
+         << "\n[admin]\ntoken = 0123456789abcdef0123456789abcdef\n"
+         << m_options.settings;
+}
+
+void cluster::listHosts() const
+{
+    std::string list;
+    for (const auto& host : m_hosts)
+        list += (list.empty() ? "" : ",") + (R"({"id":)" + quoted(host.id)) + R"(,"domain":"d)"
+            + host.id.substr(1) + R"(","peers":)" + quoted(host.shownPeers.text())
+            + R"(,"state":"live"})";
+    put(m_platformAddress, "/control/hosts", R"({"hosts":[)" + list + "]}");
+}
+
+void cluster::tellSources() const
+{
+    if (!m_options.cut)
+        return;
+    std::string list;
+    for (const auto& host : m_hosts)
+        if (host.running.id() > 0)
+            list += (list.empty() ? "" : ",") + std::to_string(host.running.id());
+    put(m_cutterAddress, "/sources", R"({"pids":[)" + list + "]}");
+}
+
+cluster::target_process& cluster::target(const std::string& id)
+{
+    for (auto& each : m_targets)
+        if (each.spec.id == id)
+            return each;
+    throw failure({ "find target", id, "no such target" });
+}
+
+cluster::host_process& cluster::host(const std::string& id)
+{
+    for (auto& each : m_hosts)
+        if (each.id == id)
+            return each;
+    throw failure({ "find host", id, "no such host" });
+}
+
+http_reply cluster::send(std::size_t host, const http_call& request) const
+{
+    return call(m_hosts.at(host).callers, request);
+}
+
+std::string cluster::ownerOf(const std::string& service, const std::string& key)
+{
+    std::string owner;
+    const http_call request { "GET", "/" + service + "/" + key, "", {}, probeTimeout };
+    (void)waitUntil([&] {
+        for (auto& host : m_hosts) {
+            if (!host.running.running())
+                continue;
+            const auto reply = call(host.callers, request);
+            if (reply.status == 200 && reply.whole)
+                owner = jsonField(reply.body, "target");
+        }
+        return !owner.empty();
+    });
+    return owner;
+}
+
+std::string cluster::coordinatorOf(const std::string& service) const
+{
+    const auto row = getJson(m_platformAddress, "/rows/coordinator%2F" + service);
+    return row ? jsonField(row->getValue<std::string>("value"), "holder") : std::string();
+}
+
+void cluster::waitServed()
+{
+    std::set<std::string> services;
+    for (const auto& each : m_targets)
+        services.insert(each.spec.service);
+    for (const auto& service : services)
+        waitServed(service);
+}
+
+void cluster::waitServed(const std::string& service)
+{
+    for (auto& host : m_hosts) {
+        if (!host.running.running())
+            continue;
+        const bool served = waitUntil([&] {
+            for (const auto* key : { "k0", "k1", "k2", "k3" })
+                if (call(host.callers, { "GET", "/" + service + "/" + key, "", {}, probeTimeout })
+                        .status
+                    != 200)
+                    return false;
+            return true;
+        });
+        if (!served)
+            throw failure({ "wait for " + service, host.id, "not served, see " + m_folder });
+    }
+}
+
+std::string cluster::table(const std::set<std::string>& leaving) const
+{
+    std::ostringstream csv;
+    csv << "kind,id,prefix,key,caller,repeatable,deadline_ms,service,address,domain,slots,"
+           "checks_tokens,state\n";
+    std::set<std::string> services;
+    for (const auto& each : m_targets) {
+        if (!services.insert(each.spec.service).second)
+            continue;
+        const bool repeatable = m_options.repeatablePosts.contains(each.spec.service);
+        csv << "service," << each.spec.service << ",/" << each.spec.service << ","
+            << (each.spec.keyed ? "path:1" : "none") << ",header:X-Caller,GET HEAD"
+            << (repeatable ? " POST" : "") << "," << m_options.deadlineMs << ",,,,,,\n";
+    }
+    for (std::size_t i = 0; i < m_targets.size(); ++i) {
+        const auto& each = m_targets[i];
+        csv << "target," << each.spec.id << ",,,,,," << each.spec.service << ","
+            << each.shown.text() << ",d" << i % 3 + 1 << "," << each.spec.slots << ","
+            << (each.spec.checksTokens ? "yes" : "no") << ","
+            << (leaving.contains(each.spec.id) ? "leaving" : "active") << "\n";
+    }
+    return csv.str();
+}
+
+int cluster::command(std::vector<std::string> arguments) const
+{
+    arguments.insert(arguments.end(), { "--platform", m_platformAddress.text() });
+    return process::start("pimentomast", arguments, m_folder + "/command.log").wait();
+}
+
+int cluster::apply(const std::string& csv, std::uint64_t base) const
+{
+    const auto file = m_folder + "/table-" + std::to_string(nowUs()) + ".csv";
+    std::ofstream(file) << csv;
+    return command({ "table", "apply", "--file", file, "--base", std::to_string(base), "--editor",
+        "operator" });
+}
+
+void cluster::killTarget(const std::string& id)
+{
+    auto& killed = target(id);
+    killed.running.kill();
+    killed.killedUs.push_back(nowUs());
+}
+
+void cluster::startTarget(const std::string& id)
+{
+    auto& started = target(id);
+    std::vector<std::string> arguments { "--listen", started.own.text(), "--id", id, "--record",
+        started.recordFile, "--slots", std::to_string(started.spec.slots) };
+    if (started.spec.keyed)
+        arguments.emplace_back("--keyed");
+    if (!started.spec.checksTokens)
+        arguments.emplace_back("--no-token-checks");
+    started.running = process::start("stand-in-target", arguments, m_folder + "/" + id + ".log");
+    const bool up = waitUntil([&] {
+        return call(started.own, { "GET", "/record" }).status == 200;
+    });
+    if (!up)
+        throw failure({ "start target", id, "not reachable, see " + m_folder });
+}
+
+void cluster::startHost(const std::string& id)
+{
+    auto& started = host(id);
+    started.running = process::start("pimentomast", { "serve", "--settings", started.settingsFile },
+        m_folder + "/" + id + ".log");
+    tellSources();
+}
+
+void cluster::platformFault(const std::string& json) const
+{
+    put(m_platformAddress, "/control", json);
+}
+
+void cluster::targetFault(const std::string& id, const std::string& json)
+{
+    put(target(id).own, "/control", json);
+}
+
+void cluster::cut(const std::string& link, const std::string& mode, pid_t from) const
+{
+    const auto source = from == 0 ? std::string() : R"(,"from":)" + std::to_string(from);
+    put(m_cutterAddress, "/control",
+        R"({"link":)" + quoted(link) + R"(,"mode":)" + quoted(mode) + source + "}");
+}
+
+void cluster::breakNext(const std::string& link, const std::string& match, const std::string& way,
+    std::size_t bytes) const
+{
+    put(m_cutterAddress, "/break",
+        R"({"link":)" + quoted(link) + R"(,"match":)" + quoted(match) + "," + quoted(way) + ":"
+            + std::to_string(bytes) + "}");
+}
+
+void cluster::isolateHost(const std::string& id, const std::string& mode)
+{
+    const auto process = host(id).running.id();
+    cut("platform/" + id, mode);
+    cut("peers/" + id, mode);
+    for (const auto& other : m_hosts)
+        if (other.id != id)
+            cut("peers/" + other.id, mode, process);
+}
+
+} // namespace pimentomast::test
