--- a/test/helper.h
+++ b/test/helper.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <sys/types.h>
@@ -76,6 +77,8 @@
     std::string body {};
     std::vector<std::pair<std::string, std::string>> fields {};
     milliseconds timeout = patience;
+    /// Pause after each 64 KiB of the body.
+    milliseconds pause { 0 };
 };
 
 struct http_reply {
@@ -206,6 +209,10 @@
     void killTarget(const std::string& id);
     void startTarget(const std::string& id);
     void startHost(const std::string& id);
+    /// Returns the version of the table that a host has in force; nothing if it does not answer.
+    [[nodiscard]] std::optional<std::uint64_t> versionOf(const std::string& host);
+    /// Waits until all hosts, or those named, have a table of at least this version in force.
+    void waitVersion(std::uint64_t version, std::vector<std::string> names = {});
     /// PUT /control of the platform.
     void platformFault(const std::string& json) const;
     /// PUT /control of a target.
@@ -216,6 +223,8 @@
     /// Resets the next connection on the link that sends the text, after so many bytes.
     void breakNext(const std::string& link, const std::string& match, const std::string& way,
         std::size_t bytes) const;
+    /// Sends bytes to the callers of all open connections of a link, as if from its server.
+    void inject(const std::string& link, const std::string& bytes) const;
     /// Cuts a host off from the platform and its peers, both ways, or joins it again.
     void isolateHost(const std::string& id, const std::string& mode);
 
@@ -283,12 +292,32 @@
     std::vector<std::thread> m_threads;
 };
 
+/// An installation under load. Each test does its harm, then calls finish().
+struct scenario {
+    explicit scenario(const cluster_options& options, load::options chosen);
+
+    /// Waits until every service is served again, ends the load and fails the test with a text
+    /// that names each breached promise.
+    void finish();
+
+    cluster system;
+    load callers;
+    std::vector<told> answers {};
+};
+
+/// Keyed service "weights" on three targets that check tokens.
+[[nodiscard]] cluster_options threeKeyedTargets();
+
 /// Returns a text for each breach of: one holder of a key at a time; "not run" never ran; a POST
 /// that may not be repeated ran at most once; an answer is whole and to its own request. Empty if
 /// all hold.
 [[nodiscard]] std::string breaches(const cluster& system, const std::vector<told>& answers,
     const std::set<std::string>& repeatablePosts = {});
 
+/// Fails the test if there is a breach.
+void expectNoBreach(const cluster& system, const std::vector<told>& answers,
+    const std::set<std::string>& repeatablePosts = {});
+
 /// Returns the longest time between two answers for a service, in microseconds.
 [[nodiscard]] std::int64_t longestGapUs(
     const std::vector<told>& answers, const std::string& service);
--- a/test/helper/check.cc
+++ b/test/helper/check.cc
@@ -12,6 +12,9 @@
 
 using Poco::JSON::Object;
 
+constexpr milliseconds warmUp { 500 };
+constexpr milliseconds lateBytes { 1000 };
+
 std::int64_t nowUs() { return monotonic_clock::now().time_since_epoch().count(); }
 
 /// Calls the visitor for each line of the target's record; a last line that a kill cut short is
@@ -187,6 +190,39 @@
     }
 }
 
+scenario::scenario(const cluster_options& options, load::options chosen)
+    : system(options)
+    , callers(system, std::move(chosen))
+{
+    std::this_thread::sleep_for(warmUp);
+}
+
+void scenario::finish()
+{
+    system.waitServed();
+    std::this_thread::sleep_for(warmUp);
+    answers = callers.stop();
+    // Bytes that were under way may still reach a target.
+    std::this_thread::sleep_for(lateBytes);
+    const auto served = std::any_of(
+        answers.begin(), answers.end(), [](const told& answer) { return answer.answered(); });
+    if (!served)
+        throw failure({ "check answers", "", "no request was answered" });
+    expectNoBreach(system, answers);
+}
+
+void expectNoBreach(const cluster& system, const std::vector<told>& answers,
+    const std::set<std::string>& repeatablePosts)
+{
+    if (const auto found = breaches(system, answers, repeatablePosts); !found.empty())
+        throw failure({ "check promises", "", found });
+}
+
+cluster_options threeKeyedTargets()
+{
+    return { 3, { { "w1", "weights" }, { "w2", "weights" }, { "w3", "weights" } } };
+}
+
 std::string breaches(const cluster& system, const std::vector<told>& answers,
     const std::set<std::string>& repeatablePosts)
 {
--- a/test/helper/cluster.cc
+++ b/test/helper/cluster.cc
@@ -1,5 +1,7 @@
 #include "../helper.h"
 
+#include "pimentomast/ownership.h"
+
 #include <Poco/JSON/Array.h>
 #include <filesystem>
 #include <fstream>
@@ -16,6 +18,8 @@
 /// Bound on each probing request, so that probing goes on while nothing is served.
 constexpr milliseconds probeTimeout { 3000 };
 
+const std::string adminToken = "0123456789abcdef0123456789abcdef";
+
 } // namespace
 
 cluster::cluster(const cluster_options& options)
@@ -86,8 +90,8 @@
     file << "[host]\nid = " << host.id << "\ndomain = d" << host.id.substr(1)
          << "\ncallers = " << host.callers.text() << "\npeers = " << host.peers.text()
          << "\nadmin = " << host.admin.text() << "\nadvertise = " << host.shownPeers.text()
-         << "\n[platform]\naddress = " << platform.text()
-         << "\n[admin]\ntoken = 0123456789abcdef0123456789abcdef\n"
+         << "\n[platform]\naddress = " << platform.text() << "\n[admin]\ntoken = " << adminToken
+         << "\n"
          << m_options.settings;
 }
 
@@ -153,7 +157,11 @@
 std::string cluster::coordinatorOf(const std::string& service) const
 {
     const auto row = getJson(m_platformAddress, "/rows/coordinator%2F" + service);
-    return row ? jsonField(row->getValue<std::string>("value"), "holder") : std::string();
+    if (!row)
+        return {};
+    return ownership::parseCoordinatorRow(row->getValue<std::string>("value"))
+        .value()
+        .holder.host.value();
 }
 
 void cluster::waitServed()
@@ -253,6 +261,34 @@
     tellSources();
 }
 
+std::optional<std::uint64_t> cluster::versionOf(const std::string& id)
+{
+    const auto reply = call(host(id).admin,
+        { "GET", "/status", "", { { "Authorization", "Bearer " + adminToken } }, probeTimeout });
+    const auto version = jsonField(reply.body, "table_version");
+    return version.empty() ? std::nullopt : std::optional(std::stoull(version));
+}
+
+void cluster::waitVersion(std::uint64_t version, std::vector<std::string> names)
+{
+    if (names.empty())
+        for (const auto& each : m_hosts)
+            names.push_back(each.id);
+    for (const auto& name : names)
+        if (!waitUntil([&] { return versionOf(name).value_or(0) >= version; }))
+            throw failure({ "wait for table", name, "version is not in force" });
+}
+
+void cluster::inject(const std::string& link, const std::string& bytes) const
+{
+    Poco::JSON::Object body;
+    body.set("link", link);
+    body.set("bytes", bytes);
+    std::ostringstream text;
+    body.stringify(text);
+    put(m_cutterAddress, "/inject", text.str());
+}
+
 void cluster::platformFault(const std::string& json) const
 {
     put(m_platformAddress, "/control", json);
--- a/test/helper/network.cc
+++ b/test/helper/network.cc
@@ -10,6 +10,7 @@
 #include <random>
 #include <sstream>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 namespace pimentomast::test {
@@ -20,6 +21,8 @@
 constexpr std::uint16_t firstPort = 12000;
 constexpr std::uint16_t lastPort = 31999;
 
+constexpr std::size_t pieceBytes = 64U << 10U;
+
 /// Binds the port without listening, so that a server may still listen on it but no other test
 /// can reserve it.
 bool reserve(std::uint16_t port)
@@ -45,7 +48,11 @@
         head.setContentLength64(static_cast<Poco::Int64>(request.body.size()));
     for (const auto& [name, value] : request.fields)
         head.add(name, value);
-    session.sendRequest(head) << request.body << std::flush;
+    auto& out = session.sendRequest(head);
+    for (std::size_t at = 0; at < request.body.size(); at += pieceBytes) {
+        out << request.body.substr(at, pieceBytes) << std::flush;
+        std::this_thread::sleep_for(request.pause);
+    }
 }
 
 void receive(Poco::Net::HTTPClientSession& session, http_reply& reply)
--- a/test/helper/process.cc
+++ b/test/helper/process.cc
@@ -16,7 +16,7 @@
 namespace {
 
 [[noreturn]] void become(
-    const std::string& path, std::vector<char*> arguments, const std::string& log)
+    const std::string& path, const std::vector<char*>& arguments, const std::string& log)
 {
     prctl(PR_SET_PDEATHSIG, SIGKILL);
     const int output = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
--- a/test/stand-ins/cutter.cc
+++ b/test/stand-ins/cutter.cc
@@ -11,6 +11,7 @@
 //   close: open connections are reset, new ones pass
 // PUT /break {"link":S,"match":TEXT,"forward":N} or {...,"backward":N}: resets the next connection
 //   that sends TEXT, once N bytes since its request's start have passed in that direction.
+// PUT /inject {"link":S,"bytes":TEXT}: sends the text to the callers of all open connections.
 
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
@@ -191,6 +192,12 @@
         forEach(source, [](connection& open) { open.reset(); });
     }
 
+    void inject(const std::string& bytes)
+    {
+        const std::lock_guard lock(m_mutex);
+        forEach(0, [&](connection& open) { sendAll(open, open.caller, bytes); });
+    }
+
     void breakNext(break_rule rule)
     {
         const std::lock_guard lock(m_mutex);
@@ -362,6 +369,8 @@
             return setMode(body);
         if (path == "/break")
             return addBreak(body);
+        if (path == "/inject")
+            return find(body)->inject(body.getValue<std::string>("bytes"));
         throw Poco::NotFoundException(path);
     }
 
