--- /dev/null
+++ b/test/failure-answers-test.cc
@@ -0,0 +1,149 @@
+#include "helper.h"
+
+#include "stand-ins/pattern.h"
+
+#include <Poco/Net/StreamSocket.h>
+#include <criterion/criterion.h>
+
+using namespace pimentomast;
+using namespace pimentomast::test;
+
+/// Each caller gets the whole answer to its own request, or sees that it is broken off.
+namespace {
+
+constexpr std::size_t exportBytes = 3'000'000;
+
+cluster_options exportsAndWeights()
+{
+    cluster_options options { 2,
+        { { "w1", "weights" }, { "w2", "weights" }, { "e1", "export", true, 4, false },
+            { "e2", "export", true, 4, false } } };
+    options.deadlineMs = 4000;
+    return options;
+}
+
+std::string exportPath(const std::string& id, bool chunked)
+{
+    return "/export/season?request=" + id + "&bytes=" + std::to_string(exportBytes)
+        + (chunked ? "&chunked=1" : "");
+}
+
+/// Returns all bytes that the host sends for a GET until it closes the connection.
+std::string rawAnswer(const endpoint& host, const std::string& path)
+{
+    Poco::Net::StreamSocket socket;
+    socket.connect(Poco::Net::SocketAddress(host.ip, host.port));
+    socket.setReceiveTimeout(Poco::Timespan(60, 0));
+    const auto request
+        = "GET " + path + " HTTP/1.1\r\nHost: a\r\nX-Caller: a\r\nConnection: close\r\n\r\n";
+    socket.sendBytes(request.data(), static_cast<int>(request.size()));
+    std::string answer;
+    std::string buffer(65536, '\0');
+    try {
+        while (const int count = socket.receiveBytes(buffer.data(), 65536))
+            answer.append(buffer, 0, static_cast<std::size_t>(count));
+    } catch (const Poco::Exception&) {
+        return answer;
+    }
+    return answer;
+}
+
+/// An answer that claims to be complete holds the pattern from its first byte to its last.
+void expectWholeOrBroken(const http_reply& reply)
+{
+    const bool whole = reply.status == 200 && reply.whole;
+    cr_assert(!whole || reply.body == stand_in::patternBytes(0, exportBytes));
+}
+
+} // namespace
+
+Test(failure_answers, download_is_broken_off_midway)
+{
+    cluster system(exportsAndWeights());
+    for (const std::size_t at : { 10, 200, 100'000, 1'500'000, 2'999'000 }) {
+        const auto id = "cut" + std::to_string(at);
+        system.breakNext("target/e1", id, "backward", at);
+        system.breakNext("target/e2", id, "backward", at);
+        expectWholeOrBroken(system.send(0, { "GET", exportPath(id, false) }));
+    }
+}
+
+Test(failure_answers, chunked_download_that_breaks_off_has_no_last_chunk)
+{
+    cluster system(exportsAndWeights());
+    for (const std::size_t at : { 200, 100'000, 1'500'000, 2'999'000 }) {
+        const auto id = "chunk" + std::to_string(at);
+        for (const auto* link : { "target/e1", "target/e2" })
+            for (int time = 0; time < 5; ++time)
+                system.breakNext(link, id, "backward", at);
+        const auto answer = rawAnswer(system.hosts()[0].callers, exportPath(id, true));
+        cr_assert(!answer.starts_with("HTTP/1.1 200") || !answer.ends_with("\r\n0\r\n\r\n")
+                || answer.size() > exportBytes,
+            "%zu bytes", answer.size());
+    }
+}
+
+Test(failure_answers, download_that_breaks_off_is_resumed_or_visibly_broken_under_load)
+{
+    scenario run(exportsAndWeights(), { .services = { "weights" }, .seed = 41 });
+    for (int round = 0; round < 10; ++round) {
+        const auto id = "load" + std::to_string(round);
+        run.system.breakNext("target/e1", id, "backward", 1'000'000);
+        run.system.breakNext("target/e2", id, "backward", 2'000'000);
+        expectWholeOrBroken(run.system.send(1, { "GET", exportPath(id, false) }));
+    }
+    run.finish();
+}
+
+Test(failure_answers, answers_come_late_and_never_to_another_request)
+{
+    auto options = exportsAndWeights();
+    options.deadlineMs = 700;
+    scenario run(options, { .services = { "weights", "export" }, .seed = 42 });
+    for (int round = 0; round < 6; ++round) {
+        for (const auto* id : { "w1", "e1", "w2", "e2" })
+            run.system.targetFault(id, R"({"service_ms":900})");
+        std::this_thread::sleep_for(milliseconds(1200));
+        for (const auto* id : { "w1", "e1", "w2", "e2" })
+            run.system.targetFault(id, R"({"service_ms":0})");
+        std::this_thread::sleep_for(milliseconds(500));
+    }
+    run.finish();
+}
+
+Test(failure_answers, answer_that_nobody_asked_for_reaches_nobody)
+{
+    cluster system(exportsAndWeights());
+    const std::string stray = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray";
+    std::vector<told> answers;
+    for (int round = 0; round < 20; ++round) {
+        for (const auto* link : { "target/w1", "target/w2", "target/e1", "target/e2" })
+            system.inject(link, stray);
+        for (const auto* service : { "weights", "export" }) {
+            const auto path = std::string("/") + service + "/k" + std::to_string(round % 4)
+                + "?request=" + std::to_string(round);
+            answers.push_back({ "GET", path, system.send(0, { "GET", path }) });
+            cr_assert(answers.back().reply.body.find("stray") == std::string::npos);
+        }
+    }
+    system.waitServed();
+    expectNoBreach(system, answers);
+}
+
+Test(failure_answers, target_closes_each_connection_without_a_word)
+{
+    scenario run(exportsAndWeights(), { .services = { "weights", "export" }, .seed = 43 });
+    for (const auto* id : { "w1", "w2", "e1", "e2" })
+        run.system.targetFault(id, R"({"close_silently":true})");
+    std::this_thread::sleep_for(seconds(2));
+    run.finish();
+}
+
+Test(failure_answers, target_answers_before_it_read_the_request)
+{
+    scenario run(exportsAndWeights(), { .services = { "weights", "export" }, .seed = 44 });
+    for (const auto* id : { "w1", "w2", "e1", "e2" })
+        run.system.targetFault(id, R"({"early_answer":true})");
+    std::this_thread::sleep_for(seconds(2));
+    run.finish();
+}
--- /dev/null
+++ b/test/failure-drain-test.cc
@@ -0,0 +1,161 @@
+#include "helper.h"
+
+#include "stand-ins/pattern.h"
+
+#include <algorithm>
+#include <criterion/criterion.h>
+#include <future>
+
+using namespace pimentomast;
+using namespace pimentomast::test;
+
+/// Leaving targets get no new work, and no graceful shutdown cuts off a request.
+namespace {
+
+constexpr std::size_t longBytes = 4'000'000;
+constexpr seconds markLimit { 10 };
+
+std::int64_t nowUs() { return monotonic_clock::now().time_since_epoch().count(); }
+
+cluster_options allServices()
+{
+    cluster_options options { 3,
+        { { "w1", "weights" }, { "w2", "weights" }, { "e1", "export", true, 4, false },
+            { "e2", "export", true, 4, false }, { "a1", "archives", false, 4, false },
+            { "a2", "archives", false, 4, false } } };
+    options.settings = "[drain]\naccept_ms = 500\n";
+    options.deadlineMs = 60000;
+    return options;
+}
+
+load::options allLoad(unsigned seed)
+{
+    return { .services = { "weights", "export", "archives" }, .seed = seed };
+}
+
+/// A download and an upload of several seconds through one host.
+struct long_transfers {
+    long_transfers(const cluster& system, std::size_t host, const std::string& service)
+        : download(std::async(std::launch::async,
+            [&system, host, service] {
+                return system.send(host,
+                    { "GET",
+                        "/" + service
+                            + "/k0?request=long&pause_ms=60&bytes=" + std::to_string(longBytes) });
+            }))
+        , upload(std::async(std::launch::async, [&system, host, service] {
+            return system.send(host,
+                { "POST", "/" + service + "/k0?request=long", stand_in::patternBytes(0, longBytes),
+                    { { "X-Caller", "vet" } }, patience, milliseconds(60) });
+        }))
+    {
+    }
+
+    void expectWhole()
+    {
+        const auto down = download.get();
+        cr_assert(down.status == 200 && down.whole, "download: %d %s, %zu bytes", down.status,
+            down.failure.c_str(), down.body.size());
+        cr_assert(down.body == stand_in::patternBytes(0, longBytes));
+        const auto up = upload.get();
+        cr_assert(up.status == 200 && up.whole, "upload: %d %s %s", up.status, up.body.c_str(),
+            up.failure.c_str());
+        cr_assert(jsonField(up.body, "bytes") == std::to_string(longBytes));
+    }
+
+    std::future<http_reply> download;
+    std::future<http_reply> upload;
+};
+
+/// Waits until both transfers of a service run at its targets.
+void waitRunning(const cluster& system)
+{
+    const bool running = waitUntil([&] {
+        const auto all = system.runs();
+        return std::count_if(all.begin(), all.end(), [](const run& each) {
+            return each.path.find("request=long") != std::string::npos && each.state == "running";
+        }) == 2;
+    });
+    cr_assert(running, "the long transfers do not run");
+}
+
+void expectNoNewWork(const cluster& system, const std::string& target, std::int64_t afterUs)
+{
+    for (const auto& run : system.runs())
+        cr_assert(run.target != target || run.startUs <= afterUs,
+            "%s got %s %.1f s after the limit", target.c_str(), run.path.c_str(),
+            static_cast<double>(run.startUs - afterUs) / 1e6);
+}
+
+} // namespace
+
+Test(failure_drain, leaving_targets_get_no_new_work)
+{
+    scenario run(allServices(), allLoad(51));
+    cr_assert(run.system.apply(run.system.table({ "w1", "e1", "a1" }), 1) == 0);
+    const auto limit = nowUs() + std::chrono::microseconds(markLimit).count();
+    std::this_thread::sleep_for(markLimit + seconds(3));
+    run.finish();
+    for (const auto* target : { "w1", "e1", "a1" })
+        expectNoNewWork(run.system, target, limit);
+}
+
+Test(failure_drain, leaving_targets_get_no_new_work_from_a_host_that_is_cut_off)
+{
+    scenario run(allServices(), allLoad(52));
+    run.system.isolateHost("h3", "drop-both");
+    std::this_thread::sleep_for(seconds(1));
+    cr_assert(run.system.apply(run.system.table({ "w1", "e1", "a1" }), 1) == 0);
+    const auto limit = nowUs() + std::chrono::microseconds(markLimit).count();
+    std::this_thread::sleep_for(markLimit + seconds(5));
+    run.system.isolateHost("h3", "pass");
+    run.finish();
+    for (const auto* target : { "w1", "e1", "a1" })
+        expectNoNewWork(run.system, target, limit);
+}
+
+Test(failure_drain, shutdown_of_a_host_cuts_off_no_transfer)
+{
+    for (const auto* service : { "export", "weights" }) {
+        cluster system(allServices());
+        long_transfers transfers(system, 0, service);
+        waitRunning(system);
+        system.host("h1").running.terminate();
+        transfers.expectWhole();
+        cr_assert(system.host("h1").running.wait() == 0);
+    }
+}
+
+Test(failure_drain, shutdown_of_hosts_one_by_one_under_load_breaks_no_exchange)
+{
+    scenario run(allServices(), allLoad(53));
+    for (const auto* id : { "h1", "h2", "h3" }) {
+        run.system.host(id).running.terminate();
+        cr_assert(run.system.host(id).running.wait() == 0);
+        run.system.startHost(id);
+        run.system.waitServed();
+    }
+    run.finish();
+    // A connection may be refused once the host has ended, but no exchange ends halfway.
+    for (const auto& answer : run.answers)
+        cr_assert(answer.answered() || answer.notRun()
+                || answer.reply.failure.find("refused") != std::string::npos,
+            "%s %s: %d %s %s", answer.method.c_str(), answer.path.c_str(), answer.reply.status,
+            answer.reply.body.c_str(), answer.reply.failure.c_str());
+}
+
+Test(failure_drain, leaving_target_ends_its_transfers)
+{
+    for (const auto* service : { "export", "weights" }) {
+        cluster system(allServices());
+        long_transfers transfers(system, 0, service);
+        waitRunning(system);
+        std::set<std::string> leaving;
+        for (const auto& run : system.runs())
+            if (run.path.find("request=long") != std::string::npos)
+                leaving.insert(run.target);
+        cr_assert(system.apply(system.table(leaving), 1) == 0);
+        transfers.expectWhole();
+        expectNoBreach(system, {});
+    }
+}
--- a/test/helper.h
+++ b/test/helper.h
@@ -75,7 +75,7 @@
     std::string method = "GET";
     std::string path = "/";
     std::string body {};
-    std::vector<std::pair<std::string, std::string>> fields {};
+    std::vector<std::pair<std::string, std::string>> fields { { "X-Caller", "tester" } };
     milliseconds timeout = patience;
     /// Pause after each 64 KiB of the body.
     milliseconds pause { 0 };
@@ -108,7 +108,7 @@
 /// Asks again and again until the condition holds; returns false after the limit.
 [[nodiscard]] bool waitUntil(const std::function<bool()>& condition, milliseconds limit = patience);
 
-/// Returns a folder for this process's files, removed at its end.
+/// Returns a folder for this process's files, removed at its end unless PIMENTOMAST_KEEP is set.
 [[nodiscard]] std::string scratchFolder();
 
 /// A target of a cluster; its id is also its name in records.
--- a/test/helper/cluster.cc
+++ b/test/helper/cluster.cc
@@ -140,7 +140,8 @@
 std::string cluster::ownerOf(const std::string& service, const std::string& key)
 {
     std::string owner;
-    const http_call request { "GET", "/" + service + "/" + key, "", {}, probeTimeout };
+    const http_call request { "GET", "/" + service + "/" + key, "", { { "X-Caller", "probe" } },
+        probeTimeout };
     (void)waitUntil([&] {
         for (auto& host : m_hosts) {
             if (!host.running.running())
@@ -180,7 +181,9 @@
             continue;
         const bool served = waitUntil([&] {
             for (const auto* key : { "k0", "k1", "k2", "k3" })
-                if (call(host.callers, { "GET", "/" + service + "/" + key, "", {}, probeTimeout })
+                if (call(host.callers,
+                        { "GET", "/" + service + "/" + key, "", { { "X-Caller", "probe" } },
+                            probeTimeout })
                         .status
                     != 200)
                     return false;
--- a/test/helper/network.cc
+++ b/test/helper/network.cc
@@ -7,6 +7,7 @@
 #include <Poco/StreamCopier.h>
 #include <Poco/TemporaryFile.h>
 #include <arpa/inet.h>
+#include <cstdlib>
 #include <random>
 #include <sstream>
 #include <sys/socket.h>
@@ -126,6 +127,8 @@
 {
     static Poco::TemporaryFile folder;
     folder.createDirectories();
+    if (std::getenv("PIMENTOMAST_KEEP"))
+        folder.keep();
     return folder.path();
 }
 
