Join serve to the proxy's dispatcher over the router

Cause: the proxy now brings routed_dispatcher, which serializes the router's calls, runs its timer, probes and closes connections; serve had its own copy of that against the proxy's earlier interface and no longer built. serve's dispatch keeps what only it knows (counting load by slice) and delegates the rest.

Before: with the earlier proxy the demo's first request was not answered.

--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -1,28 +1,17 @@
 #include "node.h"
 
-#include <Poco/Exception.h>
-#include <Poco/Net/HTTPClientSession.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
-#include <Poco/StreamCopier.h>
-#include <boost/asio/post.hpp>
 #include <random>
 
-#include "grant_codec.h"
-
 namespace pimentomast::serve::detail {
 namespace {
 
 using namespace std::chrono_literals;
 
-constexpr std::chrono::milliseconds routerTickMs { 5 };
 constexpr std::chrono::milliseconds controlTickMs { 25 };
 constexpr std::chrono::milliseconds rebalanceIntervalMs { 1000 };
 constexpr std::chrono::milliseconds loadIntervalMs { 1000 };
 constexpr std::chrono::milliseconds loadTimeoutMs { 500 };
-constexpr std::chrono::milliseconds probeTimeoutMs { 500 };
 constexpr std::chrono::milliseconds handOverLimitMs { 3000 };
-constexpr unsigned probeThreads = 4;
 
 incarnation drawIncarnation()
 {
@@ -57,30 +46,6 @@
     return options;
 }
 
-routing::probe_result askHealth(const endpoint& address)
-{
-    const auto started = monotonic_clock::now();
-    try {
-        Poco::Net::HTTPClientSession session(address.ip, address.port);
-        const Poco::Timespan timeout(std::chrono::microseconds(probeTimeoutMs).count());
-        session.setTimeout(timeout, timeout, timeout);
-        Poco::Net::HTTPRequest request("GET", "/pimentomast/health", "HTTP/1.1");
-        session.sendRequest(request);
-        Poco::Net::HTTPResponse response;
-        std::string body;
-        Poco::StreamCopier::copyToString(session.receiveResponse(response), body);
-        const auto reply = parseGrantReply(body);
-        if (response.getStatus() != Poco::Net::HTTPResponse::HTTP_OK || !reply)
-            return routing::probe_failed {};
-        const auto& load = reply.value().load;
-        return routing::probe_answered { { reply.value().target, load.running, load.queued,
-                                             load.slots },
-            monotonic_clock::now() - started };
-    } catch (const Poco::Exception&) {
-        return routing::probe_failed {};
-    }
-}
-
 } // namespace
 
 node::node(const settings::settings& values)
@@ -88,27 +53,23 @@
     , m_run(drawIncarnation())
     , m_store(platform::connect({ values.platform.address, values.platform.timeoutMs }).value())
     , m_directory(m_run)
-    , m_announcing(*m_store,
-          [this](config_version version, const std::string& value) {
-              m_spread->announce(version, value);
-          })
-    , m_probePool(probeThreads)
+    , m_announcing(*m_store, [this](config_version version, const std::string& value) {
+        m_spread->announce(version, value);
+    })
 {
     createParts();
     startListening();
-    m_routerTimer = std::thread([this] { runRouterTimer(); });
     m_controlTimer = std::thread([this] { runControlTimer(); });
 }
 
 node::~node()
 {
     m_stopTimers = true;
-    m_routerTimer.join();
     m_controlTimer.join();
     m_admin.reset();
     m_peers.reset();
+    m_dispatch->detach();
     m_proxy.reset();
-    m_probePool.join();
     m_book->close();
     m_control.reset();
     m_spread.reset();
@@ -125,11 +86,9 @@
     routing::options routes;
     routes.seed = m_run.value();
     routes.workers = m_values.limits.workers;
-    m_dispatch = dispatch::create(routes, m_directory,
-        { [this](const auto& target, const auto& address) { probe(target, address); },
-            [this](const auto& news) {
-                m_spread->tellCrash(news);
-            } }).value();
+    m_dispatch = dispatch::create(routes, m_directory, [this](const auto& news) {
+        m_spread->tellCrash(news);
+    }).value();
 
     spread_options spreading;
     spreading.self = m_values.host.id;
@@ -141,7 +100,7 @@
             [this](const auto& newer, const auto& host) { putAssignment(newer, host); },
             [this] { return m_dispatch->crashes(); },
             [this](const auto& news) {
-                m_dispatch->heard(monotonic_clock::now(), news);
+                m_dispatch->heard(news);
             } }).value();
 
     control_options controlling;
@@ -154,8 +113,7 @@
              m_spread->publish(value);
          },
             [this](const auto& target, const auto& run, const auto& load) {
-                m_dispatch->report(
-                    monotonic_clock::now(), target, { run, load.running, load.queued, load.slots });
+                m_dispatch->report(target, { run, load.running, load.queued, load.slots });
             } }).value();
 }
 
@@ -163,16 +121,16 @@
 {
     m_proxy = proxy::server::start(proxyOptions(m_values), *m_dispatch, *this).value();
     m_proxy->setHealthy(false);
+    m_dispatch->attach(m_proxy->sink());
     m_peers = peers::server::start(m_values.host.peers, *this).value();
     m_admin = admin::server::start({ m_values.host.admin, m_values.admin.token }, *this).value();
 }
 
 void node::putTable(std::shared_ptr<const table::table> rows)
 {
-    const auto now = monotonic_clock::now();
     m_directory.putTable(rows);
     m_proxy->setTable(rows);
-    m_dispatch->applyTable(now, rows);
+    m_dispatch->applyTable(*rows);
     m_control->applyTable(*rows);
     telemetry::log(telemetry::severity::Info, "table-in-force",
         { { "version", std::to_string(rows->version.value()) }, { "editor", rows->editor } });
@@ -181,23 +139,7 @@
 void node::putAssignment(const ownership::assignment& newer, const host_id& coordinator)
 {
     if (m_directory.putAssignment(newer, coordinator))
-        m_dispatch->ownersChanged(monotonic_clock::now(), newer.service);
-}
-
-void node::probe(const target_id& target, const endpoint& address)
-{
-    boost::asio::post(m_probePool, [this, target, address] {
-        const auto ended = askHealth(address);
-        m_dispatch->probed(monotonic_clock::now(), target, ended);
-    });
-}
-
-void node::runRouterTimer()
-{
-    while (!m_stopTimers) {
-        m_dispatch->tick(monotonic_clock::now());
-        std::this_thread::sleep_for(routerTickMs);
-    }
+        m_dispatch->ownersChanged(newer.service);
 }
 
 void node::runControlTimer()
@@ -211,7 +153,7 @@
         m_spread->tick(now);
         m_control->applyMembership(m_book->live(now));
         m_control->tick();
-        m_dispatch->applyLiveHosts(now, m_book->connectionSharers(now));
+        m_dispatch->applyLiveHosts(m_book->connectionSharers(now));
         m_proxy->setHealthy(currentHealth().accepting);
         if (now >= nextLoad) {
             nextLoad = now + loadIntervalMs;
@@ -281,7 +223,7 @@
     const auto crashes = m_dispatch->crashes();
     const bool known = std::any_of(
         crashes.begin(), crashes.end(), [&](const auto& news) { return news.print == print; });
-    m_dispatch->pardon(monotonic_clock::now(), print);
+    m_dispatch->pardon(print);
     return known;
 }
 
@@ -315,7 +257,7 @@
     const auto now = monotonic_clock::now();
     m_directory.hold(service, range, version, now + std::chrono::milliseconds(request.hold_ms()));
     if (request.hold_ms() == 0)
-        m_dispatch->ownersChanged(now, service);
+        m_dispatch->ownersChanged(service);
     peers::wire::HoldReply reply;
     reply.set_incarnation(m_run.value());
     return reply;
--- a/src/serve/node.h
+++ b/src/serve/node.h
@@ -18,7 +18,7 @@
 
 namespace pimentomast::serve::detail {
 
-/// All parts of one entry host, joined. Its own threads are two timers; all other work runs on the
+/// All parts of one entry host, joined. Its own thread is a timer; all other work runs on the
 /// parts' pools. Thread-safe where it implements an interface.
 class node final : public admin::node, public peers::handler, public proxy::observer {
 public:
@@ -54,8 +54,6 @@
     void startListening();
     void putTable(std::shared_ptr<const table::table> rows);
     void putAssignment(const ownership::assignment& newer, const host_id& coordinator);
-    void probe(const target_id& target, const endpoint& address);
-    void runRouterTimer();
     void runControlTimer();
     void reportLoads(instant now);
     void updateMetrics();
@@ -71,13 +69,11 @@
     std::unique_ptr<spread> m_spread;
     std::unique_ptr<control> m_control;
     announcing_store m_announcing;
-    boost::asio::thread_pool m_probePool;
     std::unique_ptr<proxy::server> m_proxy;
     std::unique_ptr<peers::server> m_peers;
     std::unique_ptr<admin::server> m_admin;
     std::atomic<bool> m_draining { false };
     std::atomic<bool> m_stopTimers { false };
-    std::thread m_routerTimer;
     std::thread m_controlTimer;
 };
 
