--- /dev/null
+++ b/bench/unavailability.cc
@@ -0,0 +1,260 @@
+#include "helper.h"
+
+#include <algorithm>
+#include <boost/program_options.hpp>
+#include <cmath>
+#include <iomanip>
+#include <iostream>
+#include <numeric>
+
+/// Measures for how long a key is not served when its owner or coordinator is lost, when it moves
+/// and when the platform is out. Real processes on the loopback interface, one installation a run.
+/// Prints a Markdown table. Usage: bench-unavailability [--runs N] [--lanes N] [--case NAME]
+namespace {
+
+using namespace pimentomast;
+using namespace pimentomast::test;
+
+constexpr unsigned senders = 40;
+constexpr milliseconds sendInterval { 10 };
+constexpr milliseconds settleTime { 2000 };
+constexpr milliseconds watchTime { 6000 };
+constexpr milliseconds outageTime { 60000 };
+const std::string service = "weights";
+const std::string key = "k0";
+
+std::int64_t nowUs() { return monotonic_clock::now().time_since_epoch().count(); }
+
+struct sample {
+    std::int64_t startUs = 0;
+    std::int64_t endUs = 0;
+    bool answered = false;
+    std::string target;
+};
+
+/// Asks for one key at a fixed rate through some hosts, whether or not earlier requests wait.
+class steady_senders {
+public:
+    steady_senders(const cluster& system, std::vector<std::size_t> hosts)
+        : m_system(system)
+        , m_hosts(std::move(hosts))
+        , m_begin(monotonic_clock::now())
+    {
+        for (unsigned i = 0; i < senders; ++i)
+            m_threads.emplace_back([this, i] { run(i); });
+    }
+
+    std::vector<sample> stop()
+    {
+        m_stopping = true;
+        for (auto& thread : m_threads)
+            thread.join();
+        std::sort(m_samples.begin(), m_samples.end(),
+            [](const sample& one, const sample& other) { return one.endUs < other.endUs; });
+        return std::move(m_samples);
+    }
+
+private:
+    void run(unsigned index)
+    {
+        const std::chrono::microseconds cycle = sendInterval * senders;
+        const http_call request { "GET", "/" + service + "/" + key };
+        for (unsigned turn = index; !m_stopping; ++turn) {
+            waitForSlot(index, cycle);
+            sample taken;
+            taken.startUs = nowUs();
+            const auto reply = m_system.send(m_hosts[turn % m_hosts.size()], request);
+            taken.endUs = nowUs();
+            taken.answered = reply.status == 200 && reply.whole;
+            taken.target = taken.answered ? jsonField(reply.body, "target") : "";
+            const std::lock_guard lock(m_mutex);
+            m_samples.push_back(taken);
+        }
+    }
+
+    void waitForSlot(unsigned index, std::chrono::microseconds cycle) const
+    {
+        const auto offset = std::chrono::microseconds(sendInterval) * index;
+        const auto passed = monotonic_clock::now() - m_begin - offset;
+        const auto turns = passed.count() < 0 ? 0 : passed / cycle + 1;
+        std::this_thread::sleep_for(offset + cycle * turns - (monotonic_clock::now() - m_begin));
+    }
+
+    const cluster& m_system;
+    std::vector<std::size_t> m_hosts;
+    instant m_begin;
+    std::atomic<bool> m_stopping = false;
+    std::mutex m_mutex;
+    std::vector<sample> m_samples;
+    std::vector<std::thread> m_threads;
+};
+
+struct measured {
+    double gapMs = 0;
+    double p99BeforeMs = 0;
+    double p99AfterMs = 0;
+    unsigned sent = 0;
+    unsigned failed = 0;
+};
+
+double percentile(std::vector<double> values, double share)
+{
+    if (values.empty())
+        return 0;
+    std::sort(values.begin(), values.end());
+    const auto rank
+        = static_cast<std::size_t>(std::ceil(share * static_cast<double>(values.size())));
+    return values[std::max<std::size_t>(rank, 1) - 1];
+}
+
+double p99Ms(const std::vector<sample>& samples, std::int64_t fromUs, std::int64_t toUs)
+{
+    std::vector<double> latencies;
+    for (const auto& each : samples)
+        if (each.startUs >= fromUs && each.startUs < toUs)
+            latencies.push_back(static_cast<double>(each.endUs - each.startUs) / 1000);
+    return percentile(std::move(latencies), 0.99);
+}
+
+/// The gap is the longest time between two answers that ends after the fault.
+measured evaluate(const std::vector<sample>& samples, std::int64_t faultUs, std::int64_t endUs)
+{
+    measured found;
+    std::int64_t last = 0;
+    for (const auto& each : samples) {
+        found.sent += each.startUs >= faultUs ? 1 : 0;
+        found.failed += each.startUs >= faultUs && !each.answered ? 1 : 0;
+        if (!each.answered)
+            continue;
+        if (each.endUs >= faultUs && last != 0)
+            found.gapMs = std::max(found.gapMs, static_cast<double>(each.endUs - last) / 1000);
+        last = each.endUs;
+    }
+    found.gapMs = std::max(found.gapMs, static_cast<double>(endUs - last) / 1000);
+    const auto window = std::chrono::microseconds(settleTime).count();
+    found.p99BeforeMs = p99Ms(samples, faultUs - window, faultUs);
+    found.p99AfterMs = p99Ms(samples, faultUs, faultUs + window);
+    return found;
+}
+
+/// What is lost in a case. The hosts that callers use never include the one that is lost: the
+/// balancer in front of them takes it out.
+struct harm {
+    cluster& system;
+    std::string owner;
+    std::string coordinator;
+
+    void killOwner() const { system.killTarget(owner); }
+    void freezeOwner() const { system.target(owner).running.freeze(); }
+    void killCoordinator() const { system.host(coordinator).running.kill(); }
+};
+
+struct test_case {
+    std::string name;
+    std::function<void(const harm&)> strike;
+    milliseconds watch = watchTime;
+};
+
+std::vector<test_case> cases()
+{
+    return {
+        { "none", [](const harm&) {} },
+        { "owner-killed", [](const harm& on) { on.killOwner(); } },
+        { "owner-frozen", [](const harm& on) { on.freezeOwner(); } },
+        { "coordinator-killed", [](const harm& on) { on.killCoordinator(); } },
+        { "owner-and-coordinator-killed",
+            [](const harm& on) {
+                on.killOwner();
+                on.killCoordinator();
+            } },
+        { "planned-move",
+            [](const harm& on) { on.system.apply(on.system.table({ on.owner }), 1); } },
+        { "store-outage-60s",
+            [](const harm& on) { on.system.platformFault(R"({"outage":"silent"})"); }, outageTime },
+    };
+}
+
+cluster_options installation()
+{
+    auto options = threeKeyedTargets();
+    options.targets.push_back({ "w4", service });
+    options.cut = false;
+    return options;
+}
+
+measured runOnce(const test_case& chosen)
+{
+    cluster system(installation());
+    std::this_thread::sleep_for(settleTime);
+    const harm harmed { system, system.ownerOf(service, key), system.coordinatorOf(service) };
+    std::vector<std::size_t> hosts;
+    for (std::size_t i = 0; i < system.hosts().size(); ++i)
+        if (system.hosts()[i].id != harmed.coordinator)
+            hosts.push_back(i);
+    steady_senders load(system, hosts);
+    std::this_thread::sleep_for(settleTime);
+    const auto faultUs = nowUs();
+    chosen.strike(harmed);
+    std::this_thread::sleep_for(chosen.watch);
+    const auto endUs = nowUs();
+    return evaluate(load.stop(), faultUs, endUs);
+}
+
+std::vector<measured> runAll(const test_case& chosen, unsigned runs, unsigned lanes)
+{
+    std::atomic<unsigned> next = 0;
+    std::mutex mutex;
+    std::vector<measured> all;
+    std::vector<std::thread> threads;
+    for (unsigned lane = 0; lane < lanes; ++lane)
+        threads.emplace_back([&] {
+            while (next++ < runs) {
+                const auto one = runOnce(chosen);
+                const std::lock_guard lock(mutex);
+                all.push_back(one);
+            }
+        });
+    for (auto& thread : threads)
+        thread.join();
+    return all;
+}
+
+void print(const std::string& name, const std::vector<measured>& all)
+{
+    std::vector<double> gaps;
+    std::vector<double> added;
+    unsigned sent = 0;
+    unsigned failed = 0;
+    for (const auto& each : all) {
+        gaps.push_back(each.gapMs);
+        added.push_back(each.p99AfterMs - each.p99BeforeMs);
+        sent += each.sent;
+        failed += each.failed;
+    }
+    std::cout << std::fixed << std::setprecision(0) << "| " << name << " | " << all.size() << " | "
+              << percentile(gaps, 0) << " | " << percentile(gaps, 0.5) << " | "
+              << percentile(gaps, 0.9) << " | " << percentile(gaps, 1) << " | "
+              << std::setprecision(1) << percentile(added, 0.5) << " | " << percentile(added, 1)
+              << " | " << failed << " of " << sent << " |" << std::endl;
+}
+
+} // namespace
+
+int main(int count, char** arguments)
+{
+    namespace options = boost::program_options;
+    unsigned runs = 20;
+    unsigned lanes = 2;
+    std::string only;
+    options::options_description described("bench-unavailability");
+    described.add_options()("runs", options::value(&runs), "runs of each case")("lanes",
+        options::value(&lanes), "runs at once")("case", options::value(&only), "only this case");
+    options::variables_map given;
+    options::store(options::parse_command_line(count, arguments, described), given);
+    options::notify(given);
+    std::cout << "| case | runs | gap min ms | p50 | p90 | max | p99 added, median ms | max | "
+                 "failed |\n|---|---|---|---|---|---|---|---|---|\n";
+    for (const auto& each : cases())
+        if (only.empty() || each.name == only)
+            print(each.name, runAll(each, runs, lanes));
+}
--- a/test/failure-store-test.cc
+++ b/test/failure-store-test.cc
@@ -15,6 +15,7 @@
 std::vector<std::string> owners(cluster& system)
 {
     std::vector<std::string> all;
+    all.reserve(8);
     for (int key = 0; key < 8; ++key)
         all.push_back(system.ownerOf("weights", "k" + std::to_string(key)));
     return all;
--- a/test/helper/check.cc
+++ b/test/helper/check.cc
@@ -174,10 +174,10 @@
         const bool post = random() % 2 == 0;
         const auto key = "k" + std::to_string(random() % m_options.keys);
         const auto host = m_options.hosts[random() % m_options.hosts.size()];
-        const auto id = std::to_string(m_options.seed) + "-" + std::to_string(thread) + "-"
-            + std::to_string(count);
-        told answer { post ? "POST" : "GET", "/" + service + "/" + key + "?request=" + id, {},
-            nowUs() };
+        std::ostringstream path;
+        path << "/" << service << "/" << key << "?request=" << m_options.seed << "-" << thread
+             << "-" << count;
+        told answer { post ? "POST" : "GET", path.str(), {}, nowUs() };
         const http_call request { answer.method, answer.path, post ? "one crate" : "",
             { { "X-Caller", "caller" + std::to_string(thread) } } };
         answer.reply = m_system.send(host, request);
--- a/test/helper/cluster.cc
+++ b/test/helper/cluster.cc
@@ -15,6 +15,8 @@
 
 std::int64_t nowUs() { return monotonic_clock::now().time_since_epoch().count(); }
 
+std::atomic<unsigned> nextFolder = 1;
+
 /// Bound on each probing request, so that probing goes on while nothing is served.
 constexpr milliseconds probeTimeout { 3000 };
 
@@ -24,7 +26,7 @@
 
 cluster::cluster(const cluster_options& options)
     : m_options(options)
-    , m_folder(scratchFolder() + "/" + std::to_string(nowUs()))
+    , m_folder(scratchFolder() + "/" + std::to_string(nextFolder++))
     , m_platformAddress(freeAddress())
     , m_cutterAddress(freeAddress())
 {
@@ -77,7 +79,7 @@
 {
     if (!m_options.cut)
         return to;
-    const auto listen = freeAddress();
+    auto listen = freeAddress();
     put(m_cutterAddress, "/links",
         R"({"name":)" + quoted(name) + R"(,"listen":)" + quoted(listen.text()) + R"(,"to":)"
             + quoted(to.text()) + "}");
--- a/test/helper/network.cc
+++ b/test/helper/network.cc
@@ -74,6 +74,8 @@
 
 endpoint freeAddress()
 {
+    static std::mutex mutex;
+    const std::lock_guard lock(mutex);
     static std::mt19937 random(static_cast<unsigned>(getpid()));
     std::uniform_int_distribution<unsigned> ports(firstPort, lastPort);
     for (;;) {
