Add the setting host.seeds: peers that are asked before the list was read

Cause: a host that starts in an outage of the platform knows no peer by itself; it was only found if others still listed it. Ruled out: waiting for the others' calls alone, for a host that nobody lists yet is never called.

--- a/include/pimentomast/settings.h
+++ b/include/pimentomast/settings.h
@@ -22,6 +22,8 @@
     endpoint admin;
     /// Address of `peers` as the other hosts see it; equals `peers` unless set.
     endpoint advertise;
+    /// Peers that are asked while the platform's list of hosts has not been read.
+    std::vector<endpoint> seeds;
 };
 
 struct platform_settings {
--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -80,6 +80,7 @@
     membership::view_options view;
     view.self = m_values.host.id;
     view.run = m_run;
+    view.seeds = m_values.host.seeds;
     view.seed = m_run.value();
     m_book = std::make_unique<peer_book>(membership::host_view::create(view).value());
 
--- a/src/settings/keys.cc
+++ b/src/settings/keys.cc
@@ -2,6 +2,7 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/IPAddress.h>
+#include <Poco/StringTokenizer.h>
 #include <Poco/NumberParser.h>
 #include <Poco/String.h>
 #include <algorithm>
@@ -152,6 +153,30 @@
         } };
 }
 
+std::optional<std::string> readSeeds(settings& all, const std::string& text)
+{
+    std::vector<endpoint> seeds;
+    const Poco::StringTokenizer parts(text, ",", Poco::StringTokenizer::TOK_TRIM);
+    for (const auto& part : parts) {
+        endpoint seed;
+        if (const auto fault = readEndpoint(part, seed))
+            return fault;
+        seeds.push_back(seed);
+    }
+    all.host.seeds = std::move(seeds);
+    return std::nullopt;
+}
+
+std::string showSeeds(const settings& all)
+{
+    std::string text;
+    for (const auto& seed : all.host.seeds)
+        text += (text.empty() ? "" : ", ") + seed.text();
+    return text;
+}
+
+key_rule seedsRule() { return { { "host", "seeds", false, false }, &readSeeds, &showSeeds }; }
+
 key_rule tokenRule()
 {
     return { { "admin", "token", true, true },
@@ -192,6 +217,7 @@
         address("host", "peers", true, member { &s::host, &host_settings::peers }),
         address("host", "admin", true, member { &s::host, &host_settings::admin }),
         address("host", "advertise", false, member { &s::host, &host_settings::advertise }),
+        seedsRule(),
         address("platform", "address", true, member { &s::platform, &platform_settings::address }),
         time("platform", "timeout_ms", { 10, 60000 },
             member { &s::platform, &platform_settings::timeoutMs }),
--- a/test/settings-test.cc
+++ b/test/settings-test.cc
@@ -72,6 +72,7 @@
         { replaced(valid, "127.0.0.1:8001", "0.0.0.0:8001"), "[host] advertise", "one address" },
         { replaced(valid, "127.0.0.1:8001", "127.0.0.1:8000"), "[host] peers", "same address" },
         { replaced(valid, "127.0.0.1:8002", "127.0.0.1:8001"), "[host] admin", "same address" },
+        { replaced(valid, "id = k1", "id = k1\nseeds = 127.0.0.1:1, x"), "[host] seeds", "ip:port" },
         { valid + "[host]\nadvertise = 127.0.0.1:1\n", "[host]", "duplicate section" },
         { valid + "[HOST]\n", "[HOST]", "duplicate section" },
         { replaced(valid, "id = k1", "id = k1\nid = k2"), "[host] id", "duplicate key" },
