Drive the ownership core against fakes over random histories

Change: fakes of store, targets with clocks of their own, hosts and a network that delays, loses and cuts; an oracle records who holds each sampled key by each target's own clock, and routes of hosts for targets that check no tokens. 100 histories each from the fixed seed; single losses measured on 20 seeds each in simulated time: lost owner at most 2 s, lost coordinator, 60 s outage and graceful stop without a gap, restarted owner at most 500 ms.

--- /dev/null
+++ b/test/ownership-gap-test.cc
@@ -0,0 +1,96 @@
+#include "ownership-world.h"
+
+#include <criterion/criterion.h>
+
+using namespace ownership_world;
+
+namespace {
+
+constexpr milliseconds settleMs { 5000 };
+constexpr milliseconds stepMs { 5 };
+
+/// Returns the longest time for which some sampled key had no owner.
+milliseconds longestGap(world& system, milliseconds span)
+{
+    milliseconds longest { 0 };
+    std::map<int, milliseconds> gaps;
+    for (milliseconds passed { 0 }; passed < span; passed += stepMs) {
+        system.runFor(stepMs);
+        for (int i = 0; i < sampledHashes; ++i) {
+            const bool served = system.owners(world::sample(i)) == 1;
+            gaps[i] = served ? milliseconds { 0 } : gaps[i] + stepMs;
+            longest = std::max(longest, gaps[i]);
+        }
+    }
+    cr_assert(system.violation.empty());
+    return longest;
+}
+
+world settled(std::uint64_t seed)
+{
+    options chosen;
+    chosen.seed = seed;
+    return world(chosen);
+}
+
+constexpr std::uint64_t seeds = 20;
+
+} // namespace
+
+Test(ownership_gap, lost_owner_is_replaced_within_two_seconds)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        auto system = settled(seed);
+        system.runFor(settleMs);
+        system.targets[seed % 3].frozenUntil = system.now + 100'000'000;
+        const auto gap = longestGap(system, milliseconds { 5000 });
+        cr_assert(gap > milliseconds { 0 } && gap <= milliseconds { 2000 });
+    }
+}
+
+Test(ownership_gap, lost_coordinator_leaves_no_gap)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        auto system = settled(seed);
+        system.runFor(settleMs);
+        const auto holder = system.holder();
+        cr_assert(holder.has_value());
+        system.hosts[static_cast<std::size_t>(*holder)].pausedUntil = system.now + 100'000'000;
+        cr_assert(longestGap(system, milliseconds { 5000 }) == milliseconds { 0 });
+    }
+}
+
+Test(ownership_gap, store_outage_leaves_no_gap)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        auto system = settled(seed);
+        system.runFor(settleMs);
+        system.current.outage = true;
+        cr_assert(longestGap(system, milliseconds { 60000 }) == milliseconds { 0 });
+        system.current.outage = false;
+        cr_assert(longestGap(system, milliseconds { 5000 }) == milliseconds { 0 });
+    }
+}
+
+Test(ownership_gap, stopped_coordinator_hands_over_without_a_gap)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        auto system = settled(seed);
+        system.runFor(settleMs);
+        const auto holder = system.holder();
+        cr_assert(holder.has_value());
+        system.stopHost(*holder);
+        cr_assert(longestGap(system, milliseconds { 5000 }) == milliseconds { 0 });
+        cr_assert(system.holder().has_value() && system.holder() != holder);
+    }
+}
+
+Test(ownership_gap, restarted_owner_is_granted_its_keys_at_once)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        auto system = settled(seed);
+        system.runFor(settleMs);
+        system.restartTarget(static_cast<int>(seed % 3));
+        cr_assert(longestGap(system, milliseconds { 3000 }) <= milliseconds { 500 });
+    }
+}
--- /dev/null
+++ b/test/ownership-history-test.cc
@@ -0,0 +1,194 @@
+#include "ownership-world.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace ownership_world;
+
+namespace {
+
+constexpr milliseconds settleMs { 4000 };
+constexpr milliseconds recoveryMs { 12000 };
+
+options optionsFor(std::uint64_t seed, bool checksTokens)
+{
+    options chosen;
+    chosen.seed = seed;
+    chosen.checksTokens = checksTokens;
+    chosen.hosts = 3 + static_cast<int>(seed % 3);
+    chosen.times.maxOutage = milliseconds { 4000 };
+    chosen.times.retryMove = milliseconds { 500 };
+    return chosen;
+}
+
+void changePlacement(world& system)
+{
+    std::vector<wanted_slice> wanted;
+    const auto first = world::sample(static_cast<int>(system.between(0, sampledHashes / 2)));
+    const auto last = world::sample(static_cast<int>(system.between(sampledHashes / 2 + 1, 15)));
+    const auto owner = system.between(0, static_cast<int>(system.targets.size()) - 1);
+    wanted.push_back({ { first, last }, system.targets[static_cast<std::size_t>(owner)].id });
+    system.want(wanted);
+}
+
+std::vector<int> allParties(const world& system)
+{
+    std::vector<int> parties;
+    for (int i = 0; i < static_cast<int>(system.hosts.size()); ++i)
+        parties.push_back(i);
+    for (int i = 0; i < static_cast<int>(system.targets.size()); ++i)
+        parties.push_back(firstTargetParty + i);
+    return parties;
+}
+
+void cutSome(world& system)
+{
+    auto parties = allParties(system);
+    parties.push_back(storeParty);
+    const auto last = static_cast<std::int64_t>(parties.size()) - 1;
+    const auto from = static_cast<int>(system.between(0, system.lastHost()));
+    const auto to = parties[static_cast<std::size_t>(system.between(0, last))];
+    if (system.chance(0.7))
+        system.current.cuts.insert({ from, to });
+    if (system.chance(0.7))
+        system.current.cuts.insert({ to, from });
+}
+
+/// Cuts the parties into two sides, the holder mostly away from the store. Hosts of different sides
+/// may still reach each other.
+void divide(world& system)
+{
+    const auto holder = system.holder().value_or(0);
+    const bool hostsTalk = system.chance(0.6);
+    std::set<int> away;
+    for (const auto each : allParties(system)) {
+        if (system.chance(each == holder ? 0.9 : 0.4))
+            away.insert(each);
+    }
+    auto parties = allParties(system);
+    parties.push_back(storeParty);
+    for (const auto left : away) {
+        for (const auto right : parties) {
+            const bool bothHosts = left < firstTargetParty && right < firstTargetParty;
+            if (away.contains(right) || (bothHosts && hostsTalk))
+                continue;
+            system.current.cuts.insert({ left, right });
+            system.current.cuts.insert({ right, left });
+        }
+    }
+}
+
+void leaveOrReturn(world& system)
+{
+    const auto& id = system.targets[static_cast<std::size_t>(system.between(0, 2))].id;
+    system.marks.clear();
+    if (system.chance(0.5))
+        system.marks[id] = table::mark::Leaving;
+    for (int i = 0; i < static_cast<int>(system.hosts.size()); ++i)
+        system.tellTable(i);
+}
+
+void oneFault(world& system)
+{
+    const auto host = static_cast<int>(system.between(0, system.lastHost()));
+    const auto target = static_cast<int>(system.between(0, 2));
+    auto& hostState = system.hosts[static_cast<std::size_t>(host)];
+    auto& targetState = system.targets[static_cast<std::size_t>(target)];
+    switch (system.between(0, 15)) {
+    case 0:
+        hostState.pausedUntil = system.now + system.between(100'000, 5'000'000);
+        break;
+    case 1:
+        targetState.frozenUntil = system.now + system.between(100'000, 5'000'000);
+        break;
+    case 2:
+        system.restartHost(host);
+        break;
+    case 3:
+        system.restartTarget(target);
+        break;
+    case 4:
+        system.current.outage = system.chance(0.5);
+        break;
+    case 5:
+    case 6:
+        cutSome(system);
+        break;
+    case 7:
+    case 8:
+        system.current.cuts.clear();
+        divide(system);
+        break;
+    case 9:
+        system.current.loss = system.chance(0.5) ? 0.1 : 0;
+        system.current.lostReply = system.chance(0.5) ? 0.2 : 0;
+        break;
+    case 10:
+        system.current.longDelay = system.chance(0.5) ? 0.1 : 0;
+        system.current.pauseBeforeSend = system.chance(0.5) ? 0.002 : 0;
+        break;
+    case 11:
+        leaveOrReturn(system);
+        break;
+    case 12:
+        system.current.cuts.clear();
+        break;
+    case 13:
+        system.stopHost(host);
+        system.runFor(milliseconds { 100 });
+        system.restartHost(host);
+        break;
+    default:
+        changePlacement(system);
+    }
+}
+
+void randomHistory(world& system)
+{
+    system.runFor(settleMs);
+    for (int i = 0; i < 60 && system.violation.empty(); ++i) {
+        oneFault(system);
+        system.runFor(milliseconds { system.between(10, 1200) });
+    }
+}
+
+void heal(world& system)
+{
+    system.current = {};
+    for (auto& each : system.targets)
+        each.frozenUntil = 0;
+    system.runFor(recoveryMs);
+}
+
+bool allServed(world& system)
+{
+    for (int i = 0; i < sampledHashes; ++i) {
+        if (system.owners(world::sample(i)) != 1)
+            return false;
+    }
+    return true;
+}
+
+bool checkHistories(bool checksTokens)
+{
+    return rc::check([checksTokens](std::uint64_t seed) {
+        world system(optionsFor(seed, checksTokens));
+        randomHistory(system);
+        heal(system);
+        if (!system.violation.empty())
+            RC_FAIL(system.violation);
+        RC_ASSERT(allServed(system));
+    });
+}
+
+} // namespace
+
+Test(ownership_history, never_two_owners_and_all_served_after_healing)
+{
+    cr_assert(checkHistories(true));
+}
+
+Test(ownership_history, never_two_routes_to_targets_that_check_no_tokens)
+{
+    cr_assert(checkHistories(false));
+}
