Ignore answers of a target's old run after it restarted

Two messages are under way to run 1; the later one is answered by run 1 and delayed, the earlier one is refused by run 2, which is then granted; the delayed answer has the higher number and was taken for another restart, so nothing was waited for while run 2 held a lease. Change: learning a new run makes all answers to earlier messages void, for route leases too.

--- a/src/ownership/coordinator_impl.h
+++ b/src/ownership/coordinator_impl.h
@@ -25,8 +25,9 @@
     std::uint64_t clockUs = 0;
     /// When the answer with that reading arrived.
     instant clockReceived {};
-    /// Highest request answered.
+    /// Answers to this request and to earlier ones are ignored.
     request_number answered;
+    request_number lastSent;
     /// When every grant that it was given has run out, if the previous holder gave it none.
     instant leaseEnds {};
     std::vector<held_slice> held;
@@ -82,6 +83,7 @@
     std::uint64_t clockUs = 0;
     instant clockReceived {};
     request_number answered;
+    request_number lastSent;
     /// Newest assignment that the host has.
     token confirmed;
     /// When every route lease that it was given has run out.
--- a/src/ownership/grants.cc
+++ b/src/ownership/grants.cc
@@ -72,6 +72,7 @@
     const auto request = m_numbers.nextRequest();
     if (target.unanswered++ == 0)
         target.unansweredSince = now;
+    target.lastSent = request;
     target.nextSend = now + times.targetRenewal;
     target.outstanding.push_back({ request, message.adopt });
     if (target.outstanding.size() > keptMessages)
@@ -126,6 +127,8 @@
     if (restarted) {
         target.run = reply.target;
         target.adopted = false;
+        // Answers to what was sent before may come from the old run.
+        target.answered = target.lastSent;
     }
     if (restarted || target.clockUs < reply.clockUs) {
         target.clockUs = reply.clockUs;
--- a/src/ownership/routes.cc
+++ b/src/ownership/routes.cc
@@ -57,6 +57,7 @@
     state.nextSend = now + times.targetRenewal;
     renew_route message;
     message.request = m_numbers.nextRequest();
+    state.lastSent = message.request;
     message.host = host.host;
     message.run = state.run;
     // A host that lacks the newest assignment gets no lease, so that its older one runs out. One
@@ -84,6 +85,7 @@
     if (state.run != happened.run) {
         // A restarted host has no lease.
         state.run = happened.run;
+        state.answered = state.lastSent;
         state.leaseEnds = now;
     }
     state.clockUs = happened.clockUs;
