--- a/include/pimentomast/routing.h
+++ b/include/pimentomast/routing.h
@@ -262,8 +262,12 @@
     std::chrono::milliseconds retryBackoff { 10 };
     std::chrono::milliseconds retryBackoffMax { 500 };
     unsigned attemptsMax = 4;
-    double windowIncrease = 0.2;
-    double windowDecrease = 0.7;
+    /// Growth of a window per answer, and what a shed answer leaves of it.
+    double windowGrowth = 0.3;
+    double windowDecrease = 0.85;
+    /// The same for answers to a caller that sends far more than others.
+    double floodGrowth = 0.05;
+    double floodDecrease = 0.5;
     double windowMin = 0.05;
     /// Share of a service's targets, by weight, that may be ejected at once.
     double ejectedMax = 0.34;
--- a/src/routing/attempts.cc
+++ b/src/routing/attempts.cc
@@ -8,7 +8,6 @@
 
 constexpr duration drainingPause = std::chrono::milliseconds(200);
 constexpr duration lostAttemptsKept = std::chrono::seconds(10);
-constexpr unsigned backoffDoublingsMax = 10;
 constexpr double trustGain = 0.01;
 
 template <class Map, class Key>
@@ -31,7 +30,7 @@
     {
         if (target != nullptr) {
             target->health.onAnswered(self.m_now, result);
-            target->window.onAnswered(static_cast<unsigned>(target->inFlight.size()) + 1);
+            self.adaptWindow(*target, ended.taken, false);
             target->reportTrust = std::min(1.0, target->reportTrust + trustGain);
             self.ejectErrorOutlier(*target);
         }
@@ -45,7 +44,7 @@
     {
         ended.retryAfter = result.retryAfter.value_or(duration {});
         if (target != nullptr) {
-            target->window.onShed(self.m_now, ended.dispatched);
+            self.adaptWindow(*target, ended.taken, true);
             target->shedUntil = std::max(target->shedUntil, self.m_now + ended.retryAfter);
             target->distrustIfIdle();
         }
@@ -170,7 +169,6 @@
     if (service_state* service = findService(taken.service)) {
         if (service->inFlight > 0)
             --service->inFlight;
-        decrement(service->inFlightByCaller, taken.caller);
     }
     target_state* target = findTarget(ended.target);
     if (target == nullptr)
@@ -181,47 +179,17 @@
     return target;
 }
 
-// The attempt did not run, or may run again.
-void engine::retryOrEnd(pending& failed, retry_reason retry, refusal_reason reason)
+// Callers below their share pass the window while another one floods, and say nothing about it.
+void engine::adaptWindow(target_state& target, const request& taken, bool wasShed)
 {
-    failed.retry = retry;
-    failed.failure = reason;
-    const service_state* service = findService(failed.taken.service);
-    const bool isOver = m_stopping || service == nullptr || service->targets.empty();
-    backOff(failed);
-    if (isOver || failed.callerGone || failed.notBefore >= failed.taken.deadline) {
-        end(failed, outcome::NotRun, reason);
+    const service_state& service = m_services.at(target.row.service);
+    if (service.shares.isQuiet(taken.caller))
         return;
-    }
-    countWaiting(failed);
-    m_backoffs.emplace(failed.notBefore, failed.taken.number);
-}
-
-// Full jitter: M. Brooker, "Exponential Backoff and Jitter", AWS Architecture Blog, 2015.
-void engine::backOff(pending& failed)
-{
-    const auto doublings = std::min(failed.attempt.value() - 1, backoffDoublingsMax);
-    const duration bound = std::min<duration>(
-        m_settings.retryBackoffMax, m_settings.retryBackoff * (1U << doublings));
-    std::uniform_int_distribution<duration::rep> jitter(0, bound.count());
-    failed.where = phase::BackingOff;
-    failed.notBefore = m_now + failed.retryAfter + duration(jitter(m_random));
-}
-
-// Whether the target crashed must be known before the request may meet the next one.
-void engine::awaitProbe(pending& failed)
-{
-    target_state& target = m_targets.at(failed.target);
-    target.awaitingProbe.push_back(failed.taken.number);
-    retryOrEnd(failed, retry_reason::ConnectionBroken, refusal_reason::ConnectionBroken);
-    pending* still = find(target.awaitingProbe.back());
-    if (still == nullptr) {
-        target.awaitingProbe.pop_back();
-        return;
-    }
-    m_backoffs.erase({ still->notBefore, still->taken.number });
-    still->notBefore = m_now + m_settings.probeTimeout;
-    m_backoffs.emplace(still->notBefore, still->taken.number);
+    const bool floods = service.shares.floods(taken.caller);
+    if (wasShed)
+        target.window.onShed(floods);
+    else
+        target.window.onAnswered(floods);
 }
 
 void engine::noteLatency(const request& taken, const answered& result)
--- a/src/routing/dispatching.cc
+++ b/src/routing/dispatching.cc
@@ -37,63 +37,60 @@
 
 bool engine::dispatchNextUnkeyed(service_state& service)
 {
-    const auto number = nextIn(service.waiting);
-    if (!number || !workerFree(service))
+    if (!workerFree(service))
         return false;
-    pending& waiting = m_requests.at(*number);
-    const auto chosen = chooseTarget(service, waiting);
-    if (!chosen)
-        return false;
-    takeFrom(service.waiting, *number);
-    start(waiting, m_targets.at(*chosen), std::nullopt);
-    return true;
+    for (const auto number : candidates(service, service.waiting)) {
+        if (!number)
+            continue;
+        pending& waiting = m_requests.at(*number);
+        const auto chosen = chooseTarget(service, waiting);
+        if (!chosen)
+            continue;
+        service.waiting.popOf(waiting.taken.caller);
+        start(waiting, m_targets.at(*chosen), std::nullopt);
+        return true;
+    }
+    return false;
+}
+
+// The request whose turn it is, and the first one of a caller that may pass it.
+std::array<std::optional<request_number>, 2> engine::candidates(
+    const service_state& service, fair_queue& in)
+{
+    const auto front = in.front();
+    if (!front || in.callers() < 2)
+        return { front, std::nullopt };
+    const auto quiet
+        = in.frontOf([&](const caller_id& caller) { return service.shares.isQuiet(caller); });
+    return { front, quiet == front ? std::nullopt : quiet };
 }
 
 bool engine::dispatchNextKeyed(target_state& target)
 {
-    const auto number = nextIn(target.waiting);
-    if (!number)
-        return false;
-    pending& waiting = m_requests.at(*number);
+    const service_state& service = *findService(target.row.service);
+    for (const auto number : candidates(service, target.waiting))
+        if (number && dispatchKeyed(target, m_requests.at(*number)))
+            return true;
+    return false;
+}
+
+bool engine::dispatchKeyed(target_state& target, pending& waiting)
+{
     const owner_answer answer
         = m_owners.find(m_now, waiting.taken.service, waiting.taken.key.value_or(key_hash {}));
     const auto* owned = std::get_if<owned_by>(&answer);
     if (owned == nullptr || owned->target != target.row.id) {
-        takeFrom(target.waiting, *number);
+        target.waiting.erase(waiting.taken.number, waiting.taken.caller);
         place(waiting);
         return true;
     }
     if (!workerFree(*findService(target.row.service)) || !eligible(target, waiting))
         return false;
-    takeFrom(target.waiting, *number);
+    target.waiting.popOf(waiting.taken.caller);
     start(waiting, target, owned->grant);
     return true;
 }
 
-std::optional<request_number> engine::nextIn(lane& in)
-{
-    for (const request_number number : in.retries)
-        if (mayRetry(m_requests.at(number)))
-            return number;
-    return in.fresh.front();
-}
-
-void engine::takeFrom(lane& in, request_number number)
-{
-    if (m_requests.at(number).where == phase::RetryReady)
-        std::erase(in.retries, number);
-    else
-        in.fresh.pop();
-}
-
-bool engine::mayRetry(const pending& waiting)
-{
-    const retry_budget& service = findService(waiting.taken.service)->budget;
-    const auto [caller, added] = m_callerBudgets.try_emplace(
-        waiting.taken.caller, m_settings.retryRatio, m_settings.retryBurst);
-    return service.allows() && caller->second.allows();
-}
-
 // Each service is left an equal part of half the workers; the rest goes to whoever needs it.
 bool engine::workerFree(const service_state& service) const
 {
@@ -128,20 +125,10 @@
 {
     const auto outstanding = static_cast<unsigned>(target.inFlight.size());
     const duration latency = target.health.latency().usual(firstLatencyGuess);
-    if (target.window.allows(m_now, outstanding, latency))
-        return true;
     const service_state& service = m_services.at(target.row.service);
-    return outstanding < std::ceil(target.window.size()) + 1 && outstanding < target.row.slots
-        && isQuiet(service, waiting.taken.caller);
-}
-
-// A caller is quiet while it has less in flight than an equal share for each busy caller.
-bool engine::isQuiet(const service_state& service, const caller_id& caller) const
-{
-    const auto found = service.inFlightByCaller.find(caller);
-    const unsigned own = found == service.inFlightByCaller.end() ? 0 : found->second;
-    const std::size_t busy = service.inFlightByCaller.size() + (own == 0 ? 1 : 0);
-    return busy > 1 && (own + 1) * busy <= service.inFlight + 1;
+    if (service.shares.isQuiet(waiting.taken.caller))
+        return outstanding < target.row.slots;
+    return target.window.allows(m_now, outstanding, latency);
 }
 
 std::optional<target_id> engine::chooseTarget(service_state& service, const pending& waiting)
@@ -193,17 +180,10 @@
     service_state& service = *findService(waiting.taken.service);
     const request& taken = waiting.taken;
     uncountWaiting(waiting);
-    retry_budget& caller
-        = m_callerBudgets.try_emplace(taken.caller, m_settings.retryRatio, m_settings.retryBurst)
-              .first->second;
-    if (waiting.retry) {
-        service.budget.onRetry();
-        caller.onRetry();
+    if (waiting.retry)
         ++m_counts.retries.at(static_cast<std::size_t>(*waiting.retry));
-    } else {
-        service.budget.onFirstAttempt();
-        caller.onFirstAttempt();
-    }
+    else
+        earnRetries(service, taken.caller);
     const auto outstanding = static_cast<unsigned>(target.inFlight.size());
     target.window.onDispatch(m_now, outstanding);
     if (m_quarantine.judge(taken.print) == quarantine::verdict::Suspected) {
@@ -221,7 +201,6 @@
     waiting.responded = false;
     target.inFlight.insert(taken.number);
     ++service.inFlight;
-    ++service.inFlightByCaller[taken.caller];
     ++m_inFlightPrints[taken.print];
     ++m_inFlight;
     ++m_counts.dispatched;
--- a/src/routing/engine.cc
+++ b/src/routing/engine.cc
@@ -6,8 +6,8 @@
 
 namespace {
 
-// The unit of cost is a microsecond of a target's time.
-constexpr double quantumUs = 5000;
+// The unit of cost is the usual latency of the service.
+constexpr double quantum = 2;
 
 target_health::limits healthLimits(const options& settings)
 {
@@ -17,7 +17,8 @@
 
 window::limits windowLimits(const options& settings)
 {
-    return { settings.windowIncrease, settings.windowDecrease, settings.windowMin, 1 };
+    return { settings.windowGrowth, settings.windowDecrease, settings.floodGrowth,
+        settings.floodDecrease, settings.windowMin, 1 };
 }
 
 quarantine::limits quarantineLimits(const options& settings)
@@ -55,11 +56,6 @@
     return made;
 }
 
-lane::lane(double quantum)
-    : fresh(quantum)
-{
-}
-
 target_state::target_state(const table::target_row& from, const target_health::limits& healthLimits,
     const window::limits& windowLimits, double quantum, instant coldSince)
     : row(from)
@@ -114,7 +110,7 @@
         m_services, [&](const auto& each) { return rows.service(each.first) == nullptr; });
     for (const table::service_row& row : rows.services) {
         const auto [found, added]
-            = m_services.try_emplace(row.id, row, m_settings, quantumUs, m_random());
+            = m_services.try_emplace(row.id, row, m_settings, quantum, m_random());
         found->second.row = row;
         found->second.targets.clear();
     }
@@ -133,7 +129,7 @@
     const instant coldSince = m_hasTable ? m_now : m_now - m_settings.slowStart;
     for (const table::target_row& row : rows.targets) {
         const auto [found, added] = m_targets.try_emplace(
-            row.id, row, m_healthLimits, m_windowLimits, quantumUs, coldSince);
+            row.id, row, m_healthLimits, m_windowLimits, quantum, coldSince);
         target_state& target = found->second;
         if (!added && row.state == table::mark::Active && target.row.state != row.state)
             target.health.restart(m_now);
@@ -148,7 +144,7 @@
 {
     std::vector<request_number> moving;
     for (const auto& [number, each] : m_requests) {
-        const bool inLane = each.where == phase::Queued || each.where == phase::RetryReady;
+        const bool inLane = each.where == phase::Queued;
         if (inLane && each.lane == id)
             moving.push_back(number);
     }
@@ -229,8 +225,7 @@
         view.target = id;
         view.service = target.row.service;
         view.outstanding = static_cast<unsigned>(target.inFlight.size());
-        view.queued
-            = static_cast<unsigned>(target.waiting.fresh.size() + target.waiting.retries.size());
+        view.queued = static_cast<unsigned>(target.waiting.size());
         view.window = target.window.size();
         view.ejected = target.health.ejected();
         view.warm = target.health.warm(m_now);
--- a/src/routing/engine.h
+++ b/src/routing/engine.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "caller_shares.h"
 #include "fair_queue.h"
 #include "host_count.h"
 #include "pimentomast/routing.h"
@@ -26,8 +27,8 @@
     Queued,
     /// Failed before it ran; waits for its backoff.
     BackingOff,
-    /// In a lane's list of retries.
-    RetryReady,
+    /// Waits for its service's and its caller's retry budgets.
+    Parked,
     /// Its key has no owner at the moment.
     Unowned,
     InFlight,
@@ -60,16 +61,6 @@
     instant heldUntil;
 };
 
-/// Requests that wait for the same targets.
-struct lane {
-    explicit lane(double quantum);
-
-    fair_queue fresh;
-    std::deque<request_number> retries;
-
-    [[nodiscard]] bool empty() const noexcept { return fresh.empty() && retries.empty(); }
-};
-
 /// A request that was in flight on a run of a target when its connection broke.
 struct lost_attempt {
     fingerprint print;
@@ -85,7 +76,7 @@
     target_health health;
     routing::window window;
     /// Keyed services only.
-    lane waiting;
+    fair_queue waiting;
     std::set<request_number> inFlight;
     std::vector<lost_attempt> lost;
     std::optional<incarnation> run;
@@ -113,13 +104,14 @@
     table::service_row row;
     std::vector<target_id> targets;
     /// Unkeyed services only.
-    lane waiting;
+    fair_queue waiting;
     weighted_choice choice;
     retry_budget budget;
     std::deque<request_number> unowned;
+    std::deque<request_number> parked;
     std::map<caller_id, std::set<request_number>> waitingByCaller;
     std::size_t waitingCount = 0;
-    std::map<caller_id, unsigned> inFlightByCaller;
+    caller_shares shares;
     unsigned inFlight = 0;
     latency_estimate latency;
     latency_estimate firstByte;
@@ -170,7 +162,7 @@
     [[nodiscard]] bool unreachable(const request& taken, const service_state& service) const;
     bool makeRoom(service_state& service, const caller_id& arriving);
     void place(pending& waiting);
-    void placeInLane(pending& waiting, lane& in);
+    void placeInLane(pending& waiting, fair_queue& in);
     void placeUnowned(pending& waiting);
     void unplace(pending& waiting);
     void retryUnowned(service_state& service);
@@ -186,13 +178,13 @@
     void pumpTarget(target_state& target);
     bool dispatchNextUnkeyed(service_state& service);
     bool dispatchNextKeyed(target_state& target);
-    [[nodiscard]] std::optional<request_number> nextIn(lane& in);
-    void takeFrom(lane& in, request_number number);
+    bool dispatchKeyed(target_state& target, pending& waiting);
+    [[nodiscard]] std::array<std::optional<request_number>, 2> candidates(
+        const service_state& service, fair_queue& in);
     [[nodiscard]] bool mayRetry(const pending& waiting);
     [[nodiscard]] bool workerFree(const service_state& service) const;
     [[nodiscard]] bool eligible(const target_state& target, const pending& waiting) const;
     [[nodiscard]] bool windowAllows(const target_state& target, const pending& waiting) const;
-    [[nodiscard]] bool isQuiet(const service_state& service, const caller_id& caller) const;
     [[nodiscard]] std::optional<target_id> chooseTarget(
         service_state& service, const pending& waiting);
     [[nodiscard]] double believedLoad(const target_state& target) const;
@@ -208,6 +200,7 @@
     void backOff(pending& failed);
     void awaitProbe(pending& failed);
     void clearSuspect(const pending& ended);
+    void adaptWindow(target_state& target, const request& taken, bool wasShed);
     void noteLatency(const request& taken, const answered& result);
 
     // health.cc: probes, ejection, crashes, silent connections
@@ -231,6 +224,11 @@
 
     // tick.cc
     void endBackoffs();
+    void resume(pending& waiting);
+    void unpark(service_state& service);
+    void spendRetry(const pending& waiting);
+    void earnRetries(service_state& service, const caller_id& caller);
+    [[nodiscard]] retry_budget& callerBudget(const caller_id& caller);
     void endDeadlines();
     [[nodiscard]] refusal_reason reasonAtDeadline(const pending& late);
     [[nodiscard]] instant nextDue(const target_state& target) const;
--- a/src/routing/fair_queue.cc
+++ b/src/routing/fair_queue.cc
@@ -10,17 +10,28 @@
 }
 
 void fair_queue::push(request_number number, const caller_id& caller, double cost)
+{
+    flowOf(caller).items.push_back({ number, cost });
+}
+
+void fair_queue::pushFront(request_number number, const caller_id& caller, double cost)
+{
+    flowOf(caller).items.push_front({ number, cost });
+}
+
+// Counts one more request of the caller, which the caller of this function adds.
+fair_queue::flow& fair_queue::flowOf(const caller_id& caller)
 {
     auto [found, added] = m_flows.try_emplace(caller);
-    flow& target = found->second;
+    flow& own = found->second;
     if (added) {
-        target.deficit = m_quantum;
+        own.deficit = m_quantum;
         m_newTurns.push_back(caller);
     }
-    if (target.items.empty())
+    if (own.items.empty())
         ++m_activeCallers;
-    target.items.push_back({ number, cost });
     ++m_size;
+    return own;
 }
 
 std::optional<request_number> fair_queue::front()
@@ -47,6 +58,27 @@
     removed(current);
 }
 
+std::optional<request_number> fair_queue::frontOf(
+    const std::function<bool(const caller_id&)>& accepts) const
+{
+    for (const turn_list* turns : { &m_newTurns, &m_oldTurns }) {
+        for (const caller_id& caller : *turns) {
+            const flow& own = m_flows.at(caller);
+            if (!own.items.empty() && accepts(caller))
+                return own.items.front().number;
+        }
+    }
+    return std::nullopt;
+}
+
+void fair_queue::popOf(const caller_id& caller)
+{
+    flow& own = m_flows.at(caller);
+    own.deficit -= own.items.front().cost;
+    own.items.pop_front();
+    removed(own);
+}
+
 bool fair_queue::erase(request_number number, const caller_id& caller)
 {
     const auto found = m_flows.find(caller);
--- a/src/routing/fair_queue.h
+++ b/src/routing/fair_queue.h
@@ -3,6 +3,7 @@
 #include "pimentomast/routing.h"
 
 #include <deque>
+#include <functional>
 #include <list>
 #include <unordered_map>
 
@@ -20,10 +21,17 @@
 
     /// Appends a request of the caller. cost must be positive.
     void push(request_number number, const caller_id& caller, double cost);
+    /// Puts a request back in front of the caller's others, for example after it was shed.
+    void pushFront(request_number number, const caller_id& caller, double cost);
     /// Returns the request whose turn it is, or nothing if the queue is empty.
     [[nodiscard]] std::optional<request_number> front();
     /// Removes the request that front() returns. The queue must not be empty.
     void pop();
+    /// Returns the first request of the first caller in turn that is accepted, or nothing.
+    [[nodiscard]] std::optional<request_number> frontOf(
+        const std::function<bool(const caller_id&)>& accepts) const;
+    /// Removes the caller's first request out of turn and charges it. It must have one.
+    void popOf(const caller_id& caller);
     /// Removes a request wherever it stands; false if it is not queued under this caller.
     bool erase(request_number number, const caller_id& caller);
 
@@ -45,6 +53,7 @@
     };
     using turn_list = std::list<caller_id>;
 
+    flow& flowOf(const caller_id& caller);
     [[nodiscard]] turn_list& currentTurns() noexcept;
     void endTurn();
     void skipIdle();
--- a/src/routing/health.cc
+++ b/src/routing/health.cc
@@ -293,17 +293,4 @@
         end(inFlight, outcome::Unknown, reason);
 }
 
-void engine::releaseAwaiting(target_state& target)
-{
-    const auto numbers = std::exchange(target.awaitingProbe, {});
-    for (const request_number number : numbers) {
-        pending* waiting = find(number);
-        if (waiting == nullptr || waiting->where != phase::BackingOff)
-            continue;
-        m_backoffs.erase({ waiting->notBefore, number });
-        backOff(*waiting);
-        m_backoffs.emplace(waiting->notBefore, number);
-    }
-}
-
 } // namespace pimentomast::routing
--- /dev/null
+++ b/src/routing/retries.cc
@@ -0,0 +1,117 @@
+#include "engine.h"
+
+#include <algorithm>
+
+namespace pimentomast::routing {
+
+namespace {
+
+constexpr unsigned backoffDoublingsMax = 10;
+
+} // namespace
+
+// The attempt did not run, or may run again.
+void engine::retryOrEnd(pending& failed, retry_reason retry, refusal_reason reason)
+{
+    failed.retry = retry;
+    failed.failure = reason;
+    const service_state* service = findService(failed.taken.service);
+    const bool isOver = m_stopping || service == nullptr || service->targets.empty();
+    backOff(failed);
+    if (isOver || failed.callerGone || failed.notBefore >= failed.taken.deadline) {
+        end(failed, outcome::NotRun, reason);
+        return;
+    }
+    countWaiting(failed);
+    m_backoffs.emplace(failed.notBefore, failed.taken.number);
+}
+
+// Full jitter: M. Brooker, "Exponential Backoff and Jitter", AWS Architecture Blog, 2015. After a
+// shed answer the window spaces out the attempts already.
+void engine::backOff(pending& failed)
+{
+    const bool wasShed = failed.retry == retry_reason::TargetShed;
+    const auto doublings = wasShed ? 0 : std::min(failed.attempt.value() - 1, backoffDoublingsMax);
+    const duration bound = std::min<duration>(
+        m_settings.retryBackoffMax, m_settings.retryBackoff * (1U << doublings));
+    std::uniform_int_distribution<duration::rep> jitter(0, bound.count());
+    failed.where = phase::BackingOff;
+    failed.notBefore = m_now + failed.retryAfter + duration(jitter(m_random));
+}
+
+// Whether the target crashed must be known before the request may meet the next one.
+void engine::awaitProbe(pending& failed)
+{
+    const request_number number = failed.taken.number;
+    const target_id at = failed.target;
+    retryOrEnd(failed, retry_reason::ConnectionBroken, refusal_reason::ConnectionBroken);
+    pending* still = find(number);
+    if (still == nullptr)
+        return;
+    m_backoffs.erase({ still->notBefore, number });
+    still->notBefore = m_now + m_settings.probeTimeout;
+    m_backoffs.emplace(still->notBefore, number);
+    m_targets.at(at).awaitingProbe.push_back(number);
+}
+
+void engine::releaseAwaiting(target_state& target)
+{
+    const auto numbers = std::exchange(target.awaitingProbe, {});
+    for (const request_number number : numbers) {
+        pending* waiting = find(number);
+        if (waiting == nullptr || waiting->where != phase::BackingOff)
+            continue;
+        m_backoffs.erase({ waiting->notBefore, number });
+        backOff(*waiting);
+        m_backoffs.emplace(waiting->notBefore, number);
+    }
+}
+
+// A shed request cost its target next to nothing, and the window bounds how often it is sent.
+void engine::resume(pending& waiting)
+{
+    const bool isBudgeted = waiting.retry != retry_reason::TargetShed;
+    if (isBudgeted && !mayRetry(waiting)) {
+        waiting.where = phase::Parked;
+        findService(waiting.taken.service)->parked.push_back(waiting.taken.number);
+        return;
+    }
+    if (isBudgeted)
+        spendRetry(waiting);
+    place(waiting);
+}
+
+void engine::unpark(service_state& service)
+{
+    if (service.parked.empty() || !service.budget.allows())
+        return;
+    const auto numbers = std::exchange(service.parked, {});
+    for (const request_number number : numbers)
+        resume(m_requests.at(number));
+}
+
+retry_budget& engine::callerBudget(const caller_id& caller)
+{
+    return m_callerBudgets.try_emplace(caller, m_settings.retryRatio, m_settings.retryBurst)
+        .first->second;
+}
+
+bool engine::mayRetry(const pending& waiting)
+{
+    const retry_budget& service = findService(waiting.taken.service)->budget;
+    return service.allows() && callerBudget(waiting.taken.caller).allows();
+}
+
+void engine::spendRetry(const pending& waiting)
+{
+    findService(waiting.taken.service)->budget.onRetry();
+    callerBudget(waiting.taken.caller).onRetry();
+}
+
+void engine::earnRetries(service_state& service, const caller_id& caller)
+{
+    service.budget.onFirstAttempt();
+    callerBudget(caller).onFirstAttempt();
+}
+
+} // namespace pimentomast::routing
--- a/src/routing/tick.cc
+++ b/src/routing/tick.cc
@@ -13,8 +13,10 @@
     for (auto& [id, target] : m_targets)
         checkLate(target);
     startDueProbes();
-    for (auto& [id, service] : m_services)
+    for (auto& [id, service] : m_services) {
         retryUnowned(service);
+        unpark(service);
+    }
     updateConnections();
     pumpAll();
     return taken();
@@ -25,7 +27,7 @@
     while (!m_backoffs.empty() && m_backoffs.begin()->first <= m_now) {
         const request_number number = m_backoffs.begin()->second;
         m_backoffs.erase(m_backoffs.begin());
-        place(m_requests.at(number));
+        resume(m_requests.at(number));
     }
 }
 
@@ -44,7 +46,7 @@
 {
     if (late.where == phase::Unowned)
         return refusal_reason::NoOwner;
-    if (late.where == phase::RetryReady && !mayRetry(late))
+    if (late.where == phase::Parked)
         return refusal_reason::RetryBudget;
     return late.failure;
 }
--- a/src/routing/waiting.cc
+++ b/src/routing/waiting.cc
@@ -6,8 +6,8 @@
 
 namespace {
 
-constexpr double costMinUs = 500;
-constexpr double costMaxUs = 500000;
+constexpr double costMin = 0.1;
+constexpr double costMax = 20;
 
 } // namespace
 
@@ -23,9 +23,10 @@
     pending& known = m_requests[taken.number];
     known.taken = taken;
     m_deadlines.emplace(taken.deadline, taken.number);
+    service_state& service = *findService(taken.service);
+    service.shares.add(now, taken.caller);
     countWaiting(known);
     place(known);
-    service_state& service = *findService(taken.service);
     if (pending* still = find(taken.number); still != nullptr && service.row.keyed()) {
         if (target_state* target = findTarget(still->lane))
             pumpTarget(*target);
@@ -108,16 +109,15 @@
     placeInLane(waiting, target->waiting);
 }
 
-void engine::placeInLane(pending& waiting, lane& in)
+void engine::placeInLane(pending& waiting, fair_queue& in)
 {
     const request& taken = waiting.taken;
-    if (waiting.retry) {
-        waiting.where = phase::RetryReady;
-        in.retries.push_back(taken.number);
-        return;
-    }
+    const double price = cost(*findService(taken.service), taken.caller);
     waiting.where = phase::Queued;
-    in.fresh.push(taken.number, taken.caller, cost(*findService(taken.service), taken.caller));
+    if (waiting.retry)
+        in.pushFront(taken.number, taken.caller, price);
+    else
+        in.push(taken.number, taken.caller, price);
 }
 
 void engine::placeUnowned(pending& waiting)
@@ -134,17 +134,19 @@
     service_state* service = findService(taken.service);
     if (service == nullptr)
         return;
-    std::erase(service->unowned, taken.number);
-    lane* in = &service->waiting;
+    if (waiting.where == phase::Unowned)
+        std::erase(service->unowned, taken.number);
+    if (waiting.where == phase::Parked)
+        std::erase(service->parked, taken.number);
+    if (waiting.where != phase::Queued)
+        return;
+    fair_queue* in = &service->waiting;
     if (service->row.keyed()) {
         target_state* target = findTarget(waiting.lane);
         in = target == nullptr ? nullptr : &target->waiting;
     }
-    if (in == nullptr)
-        return;
-    std::erase(in->retries, taken.number);
-    if (waiting.where == phase::Queued)
-        in->fresh.erase(taken.number, taken.caller);
+    if (in != nullptr)
+        in->erase(taken.number, taken.caller);
 }
 
 void engine::retryUnowned(service_state& service)
@@ -174,13 +176,16 @@
         service->waitingByCaller.erase(own);
 }
 
+// A target's time that the caller's requests usually take, relative to the service's.
 double engine::cost(const service_state& service, const caller_id& caller) const
 {
     const duration serviceUsual = service.latency.usual(firstLatencyGuess);
     const auto found = service.callerLatency.find(caller);
     const duration usual
         = found == service.callerLatency.end() ? serviceUsual : found->second.usual(serviceUsual);
-    return std::clamp(static_cast<double>(usual.count()), costMinUs, costMaxUs);
+    const double relative
+        = static_cast<double>(usual.count()) / std::max<double>(1, serviceUsual.count());
+    return std::clamp(relative, costMin, costMax);
 }
 
 void engine::end(pending& ended, outcome certainty, refusal_reason reason)
--- a/src/routing/window.cc
+++ b/src/routing/window.cc
@@ -4,6 +4,12 @@
 
 namespace pimentomast::routing {
 
+namespace {
+
+constexpr double fairGrowth = 0.002;
+
+} // namespace
+
 window::window(const limits& bounds)
     : m_limits(bounds)
     , m_size(std::max(bounds.min, std::min(bounds.max, 1.0)))
@@ -38,19 +44,16 @@
         m_lastFraction = now;
 }
 
-void window::onAnswered(unsigned outstanding) noexcept
+void window::onAnswered(bool flooding) noexcept
 {
-    const bool windowWasFull = outstanding + 1 > m_size;
-    if (windowWasFull)
-        m_size = std::min(m_limits.max, m_size + m_limits.increase / std::max(1.0, m_size));
+    const double growth = flooding ? m_limits.floodGrowth : m_limits.growth;
+    m_size = std::min(m_limits.max, m_size * (1 + growth) + fairGrowth);
 }
 
-void window::onShed(instant now, instant dispatched) noexcept
+void window::onShed(bool flooding) noexcept
 {
-    if (dispatched < m_lastDecrease)
-        return;
-    m_lastDecrease = now;
-    m_size = std::max(m_limits.min, m_size * m_limits.decrease);
+    const double factor = flooding ? m_limits.floodDecrease : m_limits.decrease;
+    m_size = std::max(m_limits.min, m_size * factor);
 }
 
 } // namespace pimentomast::routing
--- a/src/routing/window.h
+++ b/src/routing/window.h
@@ -6,14 +6,19 @@
 
 /// Requests that this host may have in flight at one target, learned from shed answers.
 ///
-/// Additive increase, multiplicative decrease (D.-M. Chiu, R. Jain, "Analysis of the increase and
-/// decrease algorithms for congestion avoidance in computer networks", 1989). A fraction f of a
-/// request is granted as one request per 1/f times the usual latency.
+/// An answer makes the window grow by a factor of 1 + growth, a shed answer shrinks it by decrease,
+/// so it settles where the shed part of the attempts is growth / (growth + 1 - decrease), whatever
+/// the number of hosts. A small constant growth pulls the windows of several hosts together (D.-M.
+/// Chiu, R. Jain, "Analysis of the increase and decrease algorithms for congestion avoidance in
+/// computer networks", 1989). A fraction f of a request is granted as one request per 1/f times the
+/// usual latency.
 class window {
 public:
     struct limits {
-        double increase = 0.2;
-        double decrease = 0.7;
+        double growth = 0.3;
+        double decrease = 0.85;
+        double floodGrowth = 0.05;
+        double floodDecrease = 0.5;
         double min = 0.05;
         double max = 4;
     };
@@ -27,10 +32,9 @@
     /// Returns when a fractional request may start if nothing else ends; instant::max() if none.
     [[nodiscard]] instant nextFraction(unsigned outstanding, duration latency) const noexcept;
     void onDispatch(instant now, unsigned outstanding) noexcept;
-    /// outstanding: with the one that ended.
-    void onAnswered(unsigned outstanding) noexcept;
-    /// Shrinks at most once for the requests that were in flight together.
-    void onShed(instant now, instant dispatched) noexcept;
+    /// flooding: the request's caller sends far more than others.
+    void onAnswered(bool flooding) noexcept;
+    void onShed(bool flooding) noexcept;
 
     [[nodiscard]] double size() const noexcept { return m_size; }
 
@@ -38,7 +42,6 @@
     limits m_limits;
     double m_size;
     instant m_lastFraction {};
-    instant m_lastDecrease {};
 };
 
 } // namespace pimentomast::routing
