--- /dev/null
+++ b/test/balancing-planner-test.cc
@@ -0,0 +1,222 @@
+#include "pimentomast/balancing.h"
+
+#include <cmath>
+#include <criterion/criterion.h>
+#include <map>
+#include <rapidcheck.h>
+
+using namespace pimentomast;
+using namespace pimentomast::balancing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr instant now { 1000s };
+
+std::vector<placement_target> makeTargets(unsigned count)
+{
+    std::vector<placement_target> targets(count);
+    for (unsigned i = 0; i < count; ++i) {
+        targets[i].id = target_id { "t" + std::to_string(i) };
+        targets[i].domain = domain_id { "d" + std::to_string(i % 3) };
+    }
+    return targets;
+}
+
+planner makePlanner(double churnPrice = 0)
+{
+    planner_options settings;
+    settings.churnPrice = churnPrice;
+    return planner::create(settings).value();
+}
+
+plan_input makeInput(unsigned targets)
+{
+    plan_input input;
+    input.now = now;
+    input.targets = makeTargets(targets);
+    input.slices = makePlanner().initial(instant {}, input.targets);
+    for (placed_slice& each : input.slices) {
+        each.load = 10;
+        each.keysInUse = 100;
+    }
+    return input;
+}
+
+void applyAll(plan_input& input, const std::vector<proposal>& changes)
+{
+    for (const proposal& each : changes)
+        apply(input.now, input.slices, each).value();
+}
+
+template <class Kind>
+std::vector<Kind> only(const std::vector<proposal>& changes)
+{
+    std::vector<Kind> found;
+    for (const proposal& each : changes)
+        if (const auto* one = std::get_if<Kind>(&each))
+            found.push_back(*one);
+    return found;
+}
+
+std::size_t ownedBy(const plan_input& input, const std::string& id)
+{
+    std::size_t count = 0;
+    for (const placed_slice& each : input.slices)
+        count += each.owner == target_id { id } ? 1 : 0;
+    return count;
+}
+
+} // namespace
+
+Test(balancing_planner, even_load_is_left_alone)
+{
+    cr_assert(makePlanner().plan(makeInput(6)).empty());
+}
+
+Test(balancing_planner, move_that_does_not_pay_is_not_made)
+{
+    plan_input input = makeInput(6);
+    input.slices[0].load = 60;
+    cr_assert_not(makePlanner(0).plan(input).empty());
+    cr_assert(makePlanner(10).plan(input).empty());
+}
+
+Test(balancing_planner, hot_key_becomes_its_own_slice_and_moves)
+{
+    plan_input input = makeInput(6);
+    input.slices[3].load = 90;
+    const key_hash hot { input.slices[3].keys.first.value() + 12345 };
+    input.hotKeys = { { hot, 80, 0 } };
+    const double before = imbalance(input.slices, input.targets);
+    const auto changes = makePlanner(0.1).plan(input);
+    cr_assert_eq(only<split_slice>(changes).size(), 2);
+    const auto moves = only<move_slice>(changes);
+    cr_assert_not(moves.empty());
+    applyAll(input, changes);
+    for (placed_slice& each : input.slices)
+        if (each.keys.first >= hot && each.keys.first.value() <= hot.value() + 1)
+            each.load = each.keys.first == hot ? 80 : 5;
+    cr_assert_lt(imbalance(input.slices, input.targets), before);
+}
+
+Test(balancing_planner, key_that_cooled_down_is_merged_back)
+{
+    plan_input input = makeInput(2);
+    const slice whole = input.slices[0].keys;
+    const key_hash key { whole.first.value() + 5 };
+    apply(now, input.slices, split_slice { whole, key }).value();
+    apply(now, input.slices, split_slice { { key, whole.last }, key_hash { key.value() + 1 } })
+        .value();
+    input.slices[1].load = 0;
+    const std::size_t before = input.slices.size();
+    applyAll(input, makePlanner().plan(input));
+    cr_assert_eq(input.slices.size(), before - 2);
+}
+
+Test(balancing_planner, leaving_target_empties_at_a_bounded_pace)
+{
+    plan_input input = makeInput(6);
+    input.targets[2].state = target_state::Leaving;
+    planner_options settings;
+    settings.drainMovesPerRound = 3;
+    const auto pace = planner::create(settings).value();
+    std::size_t left = ownedBy(input, "t2");
+    while (left > 0) {
+        const auto moves = only<move_slice>(pace.plan(input));
+        for (const move_slice& each : moves)
+            cr_assert(each.planned);
+        applyAll(input, pace.plan(input));
+        const std::size_t next = ownedBy(input, "t2");
+        cr_assert_eq(next, left > 3 ? left - 3 : 0);
+        left = next;
+    }
+}
+
+Test(balancing_planner, slices_of_a_lost_target_get_owners_at_once)
+{
+    plan_input input = makeInput(6);
+    input.targets[2].state = target_state::Lost;
+    applyAll(input, makePlanner(1000).plan(input));
+    cr_assert_eq(ownedBy(input, "t2"), 0);
+    cr_assert_leq(imbalance(input.slices, input.targets), 1.3);
+}
+
+Test(balancing_planner, target_that_starts_cold_gets_its_share_slowly)
+{
+    plan_input input = makeInput(4);
+    input.targets[3].state = target_state::Lost;
+    applyAll(input, makePlanner().plan(input));
+    input.targets[3].state = target_state::Ready;
+    input.targets[3].readySince = now;
+    const auto countAfter = [&](duration passed) {
+        plan_input later = input;
+        later.now = now + passed;
+        for (placed_slice& each : later.slices)
+            each.moved = {};
+        for (int i = 0; i < 20; ++i) {
+            applyAll(later, makePlanner().plan(later));
+            for (placed_slice& each : later.slices)
+                each.moved = {};
+        }
+        return ownedBy(later, "t3");
+    };
+    const std::size_t early = countAfter(1s);
+    const std::size_t full = countAfter(60s);
+    cr_assert_leq(early, 2);
+    cr_assert_geq(full, 4);
+}
+
+Test(balancing_planner, plans_keep_the_space_covered_and_only_use_ready_targets)
+{
+    const bool holds = rc::check("any loads and states", [] {
+        plan_input input = makeInput(5);
+        for (placed_slice& each : input.slices)
+            each.load = *rc::gen::inRange(0, 100);
+        for (placement_target& each : input.targets)
+            each.state = *rc::gen::element(target_state::Ready, target_state::Ready,
+                target_state::Suspect, target_state::Leaving, target_state::Lost);
+        input.hotKeys = { { key_hash { *rc::gen::arbitrary<std::uint64_t>() }, 50, 0 } };
+        const auto changes = makePlanner().plan(input);
+        RC_ASSERT(changes.size() == makePlanner().plan(input).size());
+        for (const move_slice& each : only<move_slice>(changes)) {
+            const auto isTo = [&](const placement_target& one) { return one.id == each.to; };
+            const auto to = std::find_if(input.targets.begin(), input.targets.end(), isTo);
+            RC_ASSERT(to->state == target_state::Ready);
+        }
+        applyAll(input, changes);
+        std::uint64_t next = 0;
+        for (const placed_slice& each : input.slices) {
+            RC_ASSERT(each.keys.first.value() == next);
+            next = each.keys.last.value() + 1;
+        }
+        RC_ASSERT(next == 0U);
+    });
+    cr_assert(holds);
+}
+
+Test(balancing_planner, sketch_bounds_its_error_against_exact_counts)
+{
+    const bool holds = rc::check("space-saving against exact counts", [] {
+        auto counted = sketch::create(8, 1000000s).value();
+        std::map<std::uint64_t, double> exact;
+        const auto keys = *rc::gen::container<std::vector<int>>(200, rc::gen::inRange(0, 30));
+        for (const int each : keys) {
+            const auto key = static_cast<std::uint64_t>(each < 20 ? each % 3 : each);
+            counted.add(now, key_hash { key });
+            exact[key] += 1;
+        }
+        const double unit = std::log(2.0) / 1000000;
+        const auto top = counted.top(now, 8);
+        for (const hot_key& each : top) {
+            const double count = exact[each.hash.value()] * unit;
+            RC_ASSERT(each.rate >= count * 0.999);
+            RC_ASSERT(each.rate - each.error <= count * 1.001);
+        }
+        for (const auto& [key, count] : exact) {
+            const auto isKey = [k = key](const hot_key& one) { return one.hash.value() == k; };
+            RC_ASSERT(count <= 200.0 / 8 || std::any_of(top.begin(), top.end(), isKey));
+        }
+    });
+    cr_assert(holds);
+}
