Run the proxy over a real router in tests

Change: routed_fixture with routing::router; owner and token, refusals with the router's reason, repeats only of what may be repeated, a silent connection. Red: proxy-load-test. 16 callers with 800 requests get 503 deadline-unreachable in the first 0.2 s. Found: the router's drain rate is averaged up from 0, so it is far too low at the start and a waiting request is refused.

--- a/test/helper/scripted-target.h
+++ b/test/helper/scripted-target.h
@@ -14,7 +14,8 @@
     enum class ending { KeepOpen, Close, Reset } after = ending::KeepOpen;
 };
 
-/// A target that answers the requests of all connections, in their order, from a list.
+/// A target that answers the requests of all connections, in their order, from a list. Probes are
+/// always answered and do not count.
 class scripted_target {
 public:
     explicit scripted_target(std::vector<scripted_answer> answers)
@@ -54,6 +55,11 @@
         return m_connections.size();
     }
 
+    /// The answer to each probe.
+    static constexpr const char* health
+        = "HTTP/1.1 200 OK\r\nContent-Length: 59\r\n\r\n"
+          "{\"incarnation\":7,\"load\":{\"running\":0,\"queued\":0,\"slots\":9}}";
+
 private:
     void accept()
     {
@@ -94,7 +100,9 @@
     bool answer(Poco::Net::StreamSocket& socket, const std::string& head)
     {
         scripted_answer next;
-        {
+        if (head.starts_with("GET /pimentomast/health ")) {
+            next.bytes = health;
+        } else {
             const std::lock_guard lock(m_mutex);
             m_heads.push_back(head);
             if (m_heads.size() > m_answers.size())
--- /dev/null
+++ b/test/proxy-routing-test.cc
@@ -0,0 +1,74 @@
+#include "helper/routed-fixture.h"
+#include "helper/scripted-target.h"
+
+#include <criterion/criterion.h>
+
+using namespace pimentomast;
+using namespace pimentomast::test;
+using ending = scripted_answer::ending;
+
+namespace {
+
+bool contains(const std::string& text, const std::string& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+Test(proxy_routing, request_goes_to_the_owner_with_its_token)
+{
+    scripted_target target({ { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\ngoats" } });
+    routed_fixture host({ target.destination().address });
+    const auto reply = call(host.address(), { "GET", "/weights/g1" });
+    cr_assert_eq(reply.status, 200, "%s %s", reply.failure.c_str(), reply.body.c_str());
+    cr_assert_eq(target.heads().size(), 1);
+    cr_assert(contains(target.heads()[0], "Pimentomast-Token: 3.7\r\n"));
+}
+
+Test(proxy_routing, refusals_carry_the_router_s_reason)
+{
+    scripted_target target({});
+    routed_fixture host({ target.destination().address });
+    host.owners.owner.clear();
+    auto reply = call(host.address(), { "GET", "/export?bytes=1" });
+    cr_assert_eq(reply.status, 503);
+    cr_assert_eq(reply.field("Pimentomast-Outcome"), "not-run");
+    cr_assert(contains(reply.body, "\"reason\":\"no-target\""), "%s", reply.body.c_str());
+    cr_assert(target.heads().empty());
+}
+
+Test(proxy_routing, unrepeatable_request_that_lost_its_connection_ends_unknown)
+{
+    scripted_target target({ { "", ending::Reset } });
+    routed_fixture host({ target.destination().address });
+    host.owners.owner = "l1";
+    const auto reply = call(host.address(), { "POST", "/ledger/k1", "sale" });
+    cr_assert_eq(
+        reply.field("Pimentomast-Outcome"), "unknown", "%d %s", reply.status, reply.body.c_str());
+    cr_assert_eq(target.heads().size(), 1);
+}
+
+Test(proxy_routing, repeatable_request_that_lost_its_connection_is_sent_again)
+{
+    scripted_target target(
+        { { "", ending::Reset }, { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\ngoats" } });
+    routed_fixture host({ target.destination().address });
+    const auto reply = call(host.address(), { "GET", "/weights/g1" });
+    cr_assert_eq(reply.status, 200, "%s %s", reply.failure.c_str(), reply.body.c_str());
+    cr_assert_eq(target.heads().size(), 2);
+}
+
+Test(proxy_routing, silent_connection_is_given_up_when_a_new_one_is_answered)
+{
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\ngoats";
+    std::vector<scripted_answer> script(30, { answer });
+    script.push_back({ "" });
+    script.push_back({ answer });
+    scripted_target target(script);
+    routed_fixture host({ target.destination().address });
+    for (int i = 0; i < 30; ++i)
+        cr_assert_eq(call(host.address(), { "GET", "/weights/g1" }).status, 200);
+    const auto reply = call(host.address(), { "GET", "/weights/g1" });
+    cr_assert_eq(reply.status, 200, "%s %s", reply.failure.c_str(), reply.body.c_str());
+}
