--- a/test/helper/fixed-dispatcher.h
+++ b/test/helper/fixed-dispatcher.h
@@ -34,7 +34,8 @@
     void ended(const proxy::attempt& finished, proxy::dispatch_sink& sink) override
     {
         std::unique_lock lock(m_mutex);
-        results.push_back(finished);
+        if (keepsResults)
+            results.push_back(finished);
         const auto* notRun = std::get_if<proxy::attempt_not_run>(&finished.result);
         const auto* unknown = std::get_if<proxy::attempt_unknown>(&finished.result);
         if (notRun == nullptr && unknown == nullptr) {
@@ -85,6 +86,7 @@
         return results;
     }
 
+    std::atomic<bool> keepsResults { true };
     /// Requests wait until the test forwards them itself.
     std::atomic<bool> held { false };
     std::vector<proxy::attempt> results;
