--- a/include/pimentomast/proxy.h
+++ b/include/pimentomast/proxy.h
@@ -62,6 +62,8 @@
     TargetAnswerMalformed,
     TargetAnswerUnframed,
     AnswerBroken,
+    /// Not a refusal: the rest of the answer was asked for by Range.
+    AnswerContinued,
     TargetShed,
     TargetNotOwner,
     TargetDraining,
@@ -267,6 +269,11 @@
     std::chrono::milliseconds idleTimeout { 75000 };
     /// Longest pause within a body, in either direction.
     std::chrono::milliseconds bodyTimeout { 30000 };
+    /// Least rate of an upload, over the time spent waiting for the caller's bytes, once that is
+    /// longer than bodyTimeout.
+    std::size_t bodyBytesPerSecond = 500;
+    /// How often a repeatable download that broke off may go on at a target.
+    unsigned continuations = 4;
     std::chrono::milliseconds connectTimeout { 500 };
     /// Longest wait for the answer to a probe.
     std::chrono::milliseconds probeTimeout { 1000 };
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -40,6 +40,29 @@
     std::optional<checked_head> pendingHead;
 };
 
+/// How the body of an answer is framed towards the caller.
+enum class framing {
+    None,
+    Length,
+    Chunked,
+    /// Ends with the connection: for HTTP/1.0 callers of an answer of unknown length.
+    Close,
+};
+
+/// What is needed to go on with an answer that broke off after its head had been sent.
+struct continuation {
+    /// Strong validator of the whole.
+    std::string tag;
+    std::uint64_t delivered = 0;
+    /// Length of the whole; empty until a target has said it.
+    std::optional<std::uint64_t> total;
+    framing body = framing::Length;
+    bool closesCaller = false;
+    /// Bytes for the caller that the kernel has not taken yet.
+    std::string unsent;
+    unsigned count = 0;
+};
+
 /// One request on its way, with what is needed to send it again.
 struct exchange {
     request_facts facts;
@@ -51,6 +74,8 @@
     bool replayable = true;
     bool bodyDone = false;
     bool continueSent = false;
+    /// Set if the next attempt asks for the rest of an answer.
+    std::optional<continuation> rest;
     /// Set once a byte of an answer (not 1xx) was handed to the caller.
     bool answerStarted = false;
     duration waited { 0 };
--- a/src/proxy/host-run.cc
+++ b/src/proxy/host-run.cc
@@ -64,6 +64,10 @@
 
 void host::answerRefusal(const exchange& request, const refusal& answer)
 {
+    if (request.answerStarted) {
+        complete(request, answer.status);
+        return breakOff(request);
+    }
     own_answer own;
     own.status = answer.status;
     own.outcome = answer.outcome;
@@ -158,7 +162,10 @@
         [&](const attempt_broken& broken) {
             m_counts.add(broken.why);
             concludeOver(work, finished);
-            breakOff(*work.request);
+            if (ended.continues)
+                continueAnswer(std::move(work.request));
+            else
+                breakOff(*work.request);
         },
         [&](const attempt_cancelled&) {
             m_counts.add(ended.fault.value_or(reason::CallerGone));
@@ -189,6 +196,17 @@
     watchWhileWaiting(caller, id);
 }
 
+void host::continueAnswer(std::unique_ptr<exchange> request)
+{
+    m_counts.add(reason::AnswerContinued);
+    request_facts& facts = request->facts;
+    const duration allowed = facts.deadline - facts.arrived;
+    facts.id = request_id { m_nextId.fetch_add(1, std::memory_order_relaxed) };
+    facts.arrived = monotonic_clock::now();
+    facts.deadline = facts.arrived + allowed;
+    enqueue(std::move(request));
+}
+
 void host::breakOff(const exchange& request)
 {
     if (request.head.http10)
--- a/src/proxy/host.cc
+++ b/src/proxy/host.cc
@@ -11,6 +11,9 @@
 
 constexpr std::string_view healthPath = "/pimentomast/health";
 constexpr std::chrono::seconds lingerTime { 2 };
+/// Pause after a failed accept (no descriptors left), so that the poller does not spin.
+constexpr std::chrono::seconds poolSweepInterval { 1 };
+constexpr std::chrono::milliseconds acceptPause { 10 };
 
 std::string refusalText(reason why, bool withBody)
 {
@@ -37,12 +40,14 @@
         [this](const caller_pointer& caller) { onGone(caller); },
         [this](const caller_pointer& caller) { onHeadLate(caller); },
         [this] { onClosed(); },
+        [this](instant now) { onSweep(now); },
     };
     const poller_timeouts timeouts { settings.headTimeout, settings.idleTimeout, lingerTime };
     m_workers = std::make_unique<worker_pool<job>>(
         settings.workers, [this](job work) { run(std::move(work)); });
     for (unsigned i = 0; i < settings.pollers; ++i)
         m_pollers.push_back(std::make_unique<poller>(events, timeouts));
+    m_pollers.front()->sweepsToo();
     m_pollers.front()->listen(m_listener, [this] { accept(); });
 }
 
@@ -95,6 +100,7 @@
         try {
             adopt(m_listener.acceptConnection());
         } catch (const Poco::Exception&) {
+            std::this_thread::sleep_for(acceptPause);
             return;
         }
     }
@@ -112,6 +118,14 @@
     refuseHead(caller, reason::TooManyConnections);
 }
 
+void host::onSweep(instant now)
+{
+    if (now - m_poolSwept < poolSweepInterval)
+        return;
+    m_poolSwept = now;
+    m_targets.closeIdle(now);
+}
+
 std::size_t host::countOpened()
 {
     const std::lock_guard lock(m_closedMutex);
@@ -224,13 +238,19 @@
     facts.deadline = facts.arrived + found.service->deadline;
     request->caller = caller;
     request->head = std::move(head);
+    enqueue(std::move(request));
+}
+
+void host::enqueue(std::unique_ptr<exchange> request)
+{
+    const request_facts facts = request->facts;
+    const caller_pointer caller = request->caller;
     request->submitted = facts.arrived;
     caller->state = phase::Waiting;
     caller->waiting = facts.id;
-    const request_facts submitted = facts;
     m_registry.add(std::move(request));
-    m_decisions.submit(submitted, *this);
-    watchWhileWaiting(caller, submitted.id);
+    m_decisions.submit(facts, *this);
+    watchWhileWaiting(caller, facts.id);
 }
 
 void host::watchWhileWaiting(const caller_pointer& caller, request_id id)
--- a/src/proxy/host.h
+++ b/src/proxy/host.h
@@ -52,12 +52,14 @@
     void onGone(const caller_pointer& caller);
     void onHeadLate(const caller_pointer& caller);
     void onClosed();
+    void onSweep(instant now);
     [[nodiscard]] std::size_t countOpened();
 
     void onHead(const caller_pointer& caller, std::size_t bytes);
     void begin(const caller_pointer& caller, checked_head head);
     [[nodiscard]] bool awaitsBody(const caller_connection& caller, const checked_head& head) const;
     void submit(const caller_pointer& caller, checked_head head, const table::classified& found);
+    void enqueue(std::unique_ptr<exchange> request);
     void answerHealth(const caller_pointer& caller, const checked_head& head);
     void refuseHead(const caller_pointer& caller, reason why);
     void refuseRequest(const caller_pointer& caller, const checked_head& head, reason why);
@@ -73,6 +75,7 @@
     void conclude(forward_job& work, const relay_result& ended, attempt finished);
     void concludeOver(const forward_job& work, attempt finished);
     void waitAgain(std::unique_ptr<exchange> request, const attempt& finished, bool abandoned);
+    void continueAnswer(std::unique_ptr<exchange> request);
     void breakOff(const exchange& request);
     void answerFault(const exchange& request, std::optional<reason> fault);
     void complete(const exchange& request, int status);
@@ -97,6 +100,8 @@
     mutable std::mutex m_closedMutex;
     std::condition_variable m_allClosed;
     std::size_t m_connections = 0;
+    /// Used by the first poller's thread only.
+    instant m_poolSwept {};
     registry m_registry;
     target_pool m_targets;
     std::vector<std::unique_ptr<poller>> m_pollers;
--- a/src/proxy/message.cc
+++ b/src/proxy/message.cc
@@ -3,6 +3,7 @@
 #include <Poco/JSONString.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/NumberFormatter.h>
+#include <Poco/NumberParser.h>
 #include <algorithm>
 
 namespace pimentomast::proxy::detail {
@@ -105,6 +106,10 @@
         appendField(head, "Transfer-Encoding", "chunked");
     else if (!request.head.hasBody && expectsBody(fields.method()))
         appendMissingLength(head, request);
+    if (request.rest) {
+        appendField(head, "Range", "bytes=" + std::to_string(request.rest->delivered) + "-");
+        appendField(head, "If-Range", request.rest->tag);
+    }
     appendField(head, "Via", "1.1 pimentomast");
     appendContract(head, request, to, requestId, now);
     return head + "\r\n";
@@ -161,6 +166,35 @@
     }
 }
 
+std::string continuationTag(const response_parser& answer, const exchange& request)
+{
+    const auto& asked = request.head.parser->get();
+    const bool plainGet = asked.method() == http::verb::get && !request.head.hasBody
+        && asked.count(http::field::range) == 0;
+    if (!plainGet || !request.facts.repeatable || answer.get().result_int() != 200)
+        return {};
+    const std::string tag(view(answer.get()[http::field::etag]));
+    return tag.starts_with('"') ? tag : std::string();
+}
+
+std::optional<std::uint64_t> restTotal(const response_parser& answer, const continuation& rest)
+{
+    const auto& fields = answer.get();
+    if (fields.result_int() != 206 || view(fields[http::field::etag]) != rest.tag)
+        return std::nullopt;
+    const std::string_view range = view(fields[http::field::content_range]);
+    const std::size_t slash = range.rfind('/');
+    Poco::UInt64 total = 0;
+    if (slash == std::string_view::npos
+        || !Poco::NumberParser::tryParseUnsigned64(std::string(range.substr(slash + 1)), total))
+        return std::nullopt;
+    const std::string wanted = "bytes " + std::to_string(rest.delivered) + "-"
+        + std::to_string(total - 1) + "/" + std::to_string(total);
+    if (range != wanted || rest.total.value_or(total) != total)
+        return std::nullopt;
+    return total;
+}
+
 std::string ownAnswer(const own_answer& answer)
 {
     const std::string outcome = answer.outcome == certainty::NotRun ? "not-run" : "unknown";
--- a/src/proxy/message.h
+++ b/src/proxy/message.h
@@ -9,15 +9,6 @@
 [[nodiscard]] std::string requestHead(
     const exchange& request, const destination& to, const std::string& requestId, instant now);
 
-/// How the body of an answer is framed towards the caller.
-enum class framing {
-    None,
-    Length,
-    Chunked,
-    /// Ends with the connection: for HTTP/1.0 callers of an answer of unknown length.
-    Close,
-};
-
 /// Returns how the answer goes to the caller.
 [[nodiscard]] framing answerFraming(const response_parser& answer, const checked_head& request);
 
@@ -31,6 +22,14 @@
 /// Tells whether the target says that it refused the request before running it, and why.
 [[nodiscard]] std::optional<reason> notRunReason(const response_parser& answer);
 
+/// Returns the strong validator by which the rest of the answer may be asked for; empty if there is
+/// none or the request is not one to continue.
+[[nodiscard]] std::string continuationTag(const response_parser& answer, const exchange& request);
+
+/// Returns the length of the whole if the answer is exactly the rest that was asked for.
+[[nodiscard]] std::optional<std::uint64_t> restTotal(
+    const response_parser& answer, const continuation& rest);
+
 /// An answer of the proxy's own.
 struct own_answer {
     int status = 500;
--- a/src/proxy/poller.cc
+++ b/src/proxy/poller.cc
@@ -103,8 +103,11 @@
         }
         takeReady();
         const instant now = monotonic_clock::now();
-        if (now - m_swept >= pollInterval)
-            sweep(now);
+        if (now - m_swept < pollInterval)
+            continue;
+        sweep(now);
+        if (m_sweepsToo)
+            m_events.swept(now);
     }
 }
 
--- a/src/proxy/poller.h
+++ b/src/proxy/poller.h
@@ -29,6 +29,8 @@
     std::function<void(const caller_pointer&)> headLate;
     /// A connection was closed.
     std::function<void()> closed;
+    /// Called at intervals by a poller that was told to by sweepsToo().
+    std::function<void(instant now)> swept;
 };
 
 struct poller_timeouts {
@@ -49,6 +51,8 @@
     void watch(const caller_pointer& connection);
     /// Stops watching; false if the connection was not watched.
     bool unwatch(const caller_pointer& connection);
+    /// Makes this poller call swept at intervals.
+    void sweepsToo() { m_sweepsToo = true; }
     /// Closes idle connections from now on.
     void closeIdle();
     /// Calls accept whenever the listener can accept, until it returns false.
@@ -82,6 +86,7 @@
     std::function<void()> m_accept;
     std::atomic<bool> m_closesIdle { false };
     std::atomic<bool> m_stopped { false };
+    std::atomic<bool> m_sweepsToo { false };
     instant m_swept {};
     std::thread m_thread;
 };
--- a/src/proxy/relay-answer.cc
+++ b/src/proxy/relay-answer.cc
@@ -97,6 +97,11 @@
         return result;
     if (const auto why = notRunReason(*m_answer))
         return endNotRun(*why);
+    if (m_request.rest)
+        return beginRest();
+    m_tag = continuationTag(*m_answer, m_request);
+    if (const auto length = m_answer->content_length())
+        m_total = *length;
     m_framing = answerFraming(*m_answer, m_request.head);
     m_closesCaller = !m_request.head.keepAlive || m_framing == framing::Close || !m_request.bodyDone
         || m_context.closing();
@@ -107,6 +112,15 @@
     return std::nullopt;
 }
 
+std::optional<attempt_result> relay::beginRest()
+{
+    m_total = restTotal(*m_answer, *m_request.rest);
+    if (!m_total)
+        return attempt_broken { reason::AnswerBroken };
+    m_answerState = answer_state::Body;
+    return std::nullopt;
+}
+
 void relay::sendInterim()
 {
     if (m_request.head.http10)
@@ -137,6 +151,8 @@
     addToDownload(piece);
     if (state != body_state::Done)
         return std::nullopt;
+    if (m_total && m_framing != framing::None && m_delivered != *m_total)
+        return attempt_broken { reason::AnswerBroken };
     m_answerState = answer_state::Done;
     if (m_framing == framing::Chunked)
         appendLastChunk(m_download);
@@ -145,6 +161,7 @@
 
 void relay::addToDownload(std::string_view piece)
 {
+    m_delivered += piece.size();
     if (m_framing == framing::Chunked)
         appendChunk(m_download, piece);
     else
@@ -159,7 +176,8 @@
             return attempt_cancelled {};
         if (sent.bytes > 0) {
             m_progress = monotonic_clock::now();
-            m_request.answerStarted = m_answerState != answer_state::Awaited;
+            m_request.answerStarted
+                = m_request.answerStarted || m_answerState != answer_state::Awaited;
         }
         m_download.erase(0, sent.bytes);
     }
--- a/src/proxy/relay.cc
+++ b/src/proxy/relay.cc
@@ -45,6 +45,14 @@
 void relay::startUpload()
 {
     const std::string id = m_context.requestPrefix + std::to_string(m_request.facts.id.value());
+    if (m_request.rest) {
+        m_framing = m_request.rest->body;
+        m_closesCaller = m_request.rest->closesCaller;
+        m_delivered = m_request.rest->delivered;
+        m_total = m_request.rest->total;
+        m_tag = m_request.rest->tag;
+        m_download = std::move(m_request.rest->unsent);
+    }
     m_upload = requestHead(m_request, m_to, id, m_started);
     const std::string held = std::move(m_request.held);
     m_request.held.clear();
@@ -91,6 +99,7 @@
             return attempt_cancelled {};
         if (got.bytes > 0)
             m_progress = monotonic_clock::now();
+        m_received += got.bytes;
     }
     std::string piece;
     const auto state = decodeBody(*m_request.head.parser, caller.input, piece, bufferBytes);
@@ -156,7 +165,8 @@
         watched[1].events |= POLLOUT;
     if (watched[1].events == 0)
         watched[1].fd = -1;
-    const auto left = nextTimer() - monotonic_clock::now();
+    const instant before = monotonic_clock::now();
+    const auto left = nextTimer() - before;
     const auto leftMs = std::chrono::ceil<std::chrono::milliseconds>(left).count();
     ::poll(
         watched.data(), watched.size(), static_cast<int>(std::clamp<long>(leftMs, 0, pollLimitMs)));
@@ -164,7 +174,15 @@
         return attempt_cancelled {};
     if (m_context.aborting)
         return attempt_cancelled {};
-    return checkTime(monotonic_clock::now());
+    const instant now = monotonic_clock::now();
+    countCallerWait(before, now, wantsCaller && m_upload.empty());
+    return checkTime(now);
+}
+
+void relay::countCallerWait(instant before, instant now, bool waitsForCaller)
+{
+    if (waitsForCaller)
+        m_callerWait += now - before;
 }
 
 instant relay::nextTimer() const
@@ -182,13 +200,19 @@
         const bool callerPauses = (!m_request.bodyDone && m_upload.empty()) || !m_download.empty();
         return callerPauses ? callerFault(reason::BodyTimeout) : failed(reason::TargetTimeout);
     }
+    const std::chrono::duration<double> waited = m_callerWait;
+    const bool tooSlow = m_callerWait > m_context.settings.bodyTimeout
+        && double(m_received) < waited.count() * double(m_context.settings.bodyBytesPerSecond);
+    if (!m_request.bodyDone && tooSlow)
+        return callerFault(reason::BodyTimeout);
     if (pausing)
         return std::nullopt;
     return now >= m_answerBy ? std::optional(failed(reason::Deadline)) : std::nullopt;
 }
 
-attempt_result relay::failed(reason why) const
+attempt_result relay::failed(reason why)
 {
+    m_brokenByTarget = why == reason::TargetClosed || why == reason::TargetTimeout;
     if (m_request.answerStarted)
         return attempt_broken { reason::AnswerBroken };
     return attempt_unknown { why };
@@ -206,9 +230,20 @@
         m_target.giveBack();
 }
 
+bool relay::keepForContinuation()
+{
+    const unsigned count = m_request.rest ? m_request.rest->count : 0;
+    if (!m_brokenByTarget || m_tag.empty() || count >= m_context.settings.continuations)
+        return false;
+    m_request.rest = continuation { m_tag, m_delivered, m_total, m_framing, m_closesCaller,
+        std::move(m_download), count + 1 };
+    return true;
+}
+
 relay_result relay::finish(const attempt_result& result)
 {
-    relay_result ended { result, false, m_fault, m_firstByte };
+    relay_result ended { result, false, m_fault, m_firstByte, false };
+    ended.continues = std::holds_alternative<attempt_broken>(result) && keepForContinuation();
     const bool answered = std::holds_alternative<attempt_answered>(result);
     ended.callerReusable = answered && m_request.bodyDone && !m_closesCaller;
     return ended;
--- a/src/proxy/relay.h
+++ b/src/proxy/relay.h
@@ -30,6 +30,8 @@
     /// The request itself was at fault; the caller is told by an answer of the proxy's own.
     std::optional<reason> fault;
     duration firstByte { 0 };
+    /// The answer broke off, and the request holds what is needed to go on with it.
+    bool continues = false;
 };
 
 /// Streams both bodies until the answer is whole or the attempt has failed. Runs on one worker's
@@ -70,7 +72,10 @@
     [[nodiscard]] std::optional<attempt_result> flushToCaller();
     [[nodiscard]] std::optional<attempt_result> wait();
     [[nodiscard]] std::optional<attempt_result> checkTime(instant now);
-    [[nodiscard]] attempt_result failed(reason why) const;
+    [[nodiscard]] attempt_result failed(reason why);
+    [[nodiscard]] std::optional<attempt_result> beginRest();
+    [[nodiscard]] bool keepForContinuation();
+    void countCallerWait(instant before, instant now, bool waitsForCaller);
     [[nodiscard]] bool uploadSent() const;
     [[nodiscard]] bool reusableTarget() const;
     [[nodiscard]] instant nextTimer() const;
@@ -95,9 +100,15 @@
     answer_state m_answerState = answer_state::Awaited;
     framing m_framing = framing::None;
     bool m_closesCaller = false;
+    /// Body bytes of the whole answer that were put into m_download.
+    std::uint64_t m_delivered = 0;
+    std::optional<std::uint64_t> m_total;
+    std::string m_tag;
+    bool m_brokenByTarget = false;
     std::string m_download;
-    std::size_t m_downloadOffset = 0;
 
+    std::uint64_t m_received = 0;
+    duration m_callerWait { 0 };
     instant m_started;
     instant m_progress;
     /// Time by which the answer's head must have come; time spent on the body does not count.
--- a/test/proxy-failure-test.cc
+++ b/test/proxy-failure-test.cc
@@ -271,3 +271,42 @@
     cr_assert_eq(host.dispatcher.attempts()[0].number, 2);
     cr_assert(waitUntil([&] { return !slow.record("cancelled").empty(); }));
 }
+
+Test(proxy_failure, download_goes_on_at_another_target)
+{
+    for (const char* path : { "/export?bytes=2000000", "/export?bytes=2000000&chunked=1" }) {
+        target_process first("t1", { "--no-token-checks" });
+        target_process second("t2", { "--no-token-checks" });
+        put(first.address(), "/control", "{\"reset\":\"during\",\"reset_count\":1}");
+        proxy_fixture host({ first.destination(), second.destination() });
+        const auto reply = call(host.address(), { "GET", path });
+        cr_expect_eq(reply.status, 200, "%s", reply.failure.c_str());
+        cr_expect(reply.whole, "%s", reply.failure.c_str());
+        cr_expect(reply.body == stand_in::patternBytes(0, 2000000));
+        cr_expect_eq(host.server->counts().count(reason::AnswerContinued), 1);
+        cr_expect_eq(second.runs(path), 1);
+    }
+}
+
+Test(proxy_failure, download_is_broken_off_rather_than_spliced)
+{
+    const std::string start = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\nETag: \"a\"\r\n\r\n01234";
+    const std::string partial = "HTTP/1.1 206 Partial Content\r\nContent-Length: 5\r\n";
+    for (const std::string& rest : { std::string("HTTP/1.1 200 OK\r\nETag: \"a\"\r\n"
+                                                 "Content-Length: 10\r\n\r\nabcdefghij"),
+             partial + "ETag: \"b\"\r\nContent-Range: bytes 5-9/10\r\n\r\n56789",
+             partial + "ETag: \"a\"\r\nContent-Range: bytes 4-8/10\r\n\r\n56789",
+             partial + "ETag: \"a\"\r\nContent-Range: bytes 5-9/11\r\n\r\n56789",
+             partial + "ETag: \"a\"\r\nContent-Range: bytes 5-9/*\r\n\r\n56789" }) {
+        scripted_target target({ { start, ending::Close }, { rest, ending::KeepOpen } });
+        proxy_fixture host({ target.destination() });
+        const std::string answer = ask(host, lastGet);
+        cr_expect_not(looksWhole(answer), "%s gave %s", rest.c_str(), answer.c_str());
+        cr_expect_eq(target.heads().size(), 2);
+    }
+    scripted_target weak({ { "HTTP/1.1 200 OK\r\nContent-Length: 10\r\nETag: W/\"a\"\r\n\r\n01234",
+        ending::Close } });
+    proxy_fixture host({ weak.destination() });
+    cr_assert_not(looksWhole(ask(host, lastGet)));
+    cr_assert_eq(weak.heads().size(), 1);
+}
--- a/test/proxy-input-test.cc
+++ b/test/proxy-input-test.cc
@@ -254,6 +254,22 @@
     cr_assert(isServed(host));
 }
 
+Test(proxy_input, body_that_only_drips_is_cut)
+{
+    proxy::options settings;
+    settings.bodyTimeout = milliseconds(500);
+    settings.bodyBytesPerSecond = 100000;
+    target_process target("t1", { "--no-token-checks" });
+    proxy_fixture host({ target.destination() }, 1, settings);
+    raw_connection caller(host.address());
+    caller.send(post("Content-Length: 1000000\r\n", std::string(5000, 'g')));
+    cr_assert(waitUntil([&] {
+        caller.send("g");
+        return caller.socket().poll(Poco::Timespan(0, 20000), Poco::Net::Socket::SELECT_READ);
+    }));
+    cr_assert(contains(caller.readUntil("}\n"), "body-timeout"));
+}
+
 Test(proxy_input, thousands_of_idle_and_slow_callers_leave_room_for_honest_ones)
 {
     rlimit files {};
--- /dev/null
+++ b/test/target-grants-test.cc
@@ -0,0 +1,100 @@
+#include "stand-ins/grants.h"
+
+#include <criterion/criterion.h>
+
+using namespace pimentomast;
+using namespace stand_in;
+
+namespace {
+
+constexpr std::uint64_t ownIncarnation = 77;
+
+granted_slice half(bool upper, std::uint64_t epochNumber, std::uint64_t sequenceNumber)
+{
+    constexpr std::uint64_t middle = 1ULL << 63U;
+    granted_slice slice;
+    slice.range.first = key_hash { upper ? middle : 0 };
+    slice.range.last = key_hash { upper ? ~0ULL : middle - 1 };
+    slice.grant = { epoch { epochNumber }, sequence { sequenceNumber } };
+    return slice;
+}
+
+grant_message message(
+    std::uint64_t epochNumber, std::uint64_t sequenceNumber, std::vector<granted_slice> slices)
+{
+    grant_message sent;
+    sent.epoch = epochNumber;
+    sent.sequence = sequenceNumber;
+    sent.incarnation = ownIncarnation;
+    sent.leaseMs = 1500;
+    sent.slices = std::move(slices);
+    return sent;
+}
+
+const key_hash low { 5 };
+const key_hash high { ~0ULL };
+const token grant { epoch { 1 }, sequence { 1 } };
+
+} // namespace
+
+Test(target_grants, lease_counts_from_the_echoed_reading_not_from_receipt)
+{
+    grant_book book(ownIncarnation);
+    auto late = message(1, 1, { half(false, 1, 1) });
+    late.echoUs = 1000;
+    cr_assert(book.receive(late, 1400000) == grant_answer::Accepted);
+    cr_assert(book.begin(low, grant, 1500999));
+    cr_assert_not(book.begin(low, grant, 1501000));
+    auto expired = message(1, 2, { half(false, 1, 1) });
+    cr_assert(book.receive(expired, 1600000) == grant_answer::Accepted);
+    cr_assert_not(book.begin(low, grant, 1600001));
+}
+
+Test(target_grants, old_epochs_sequences_and_other_incarnations_change_nothing)
+{
+    grant_book book(ownIncarnation);
+    cr_assert(book.receive(message(2, 5, { half(false, 1, 1) }), 0) == grant_answer::Accepted);
+    cr_assert(book.receive(message(1, 9, {}), 1) == grant_answer::OldEpoch);
+    cr_assert(book.receive(message(2, 5, {}), 1) == grant_answer::OldSequence);
+    auto stranger = message(3, 1, {});
+    stranger.incarnation = ownIncarnation + 1;
+    cr_assert(book.receive(stranger, 1) == grant_answer::OtherIncarnation);
+    cr_assert(book.begin(low, grant, 2));
+    cr_assert_eq(book.epoch(), 2);
+}
+
+Test(target_grants, adoption_keeps_slices_and_their_lease)
+{
+    grant_book book(ownIncarnation);
+    book.receive(message(1, 1, { half(false, 1, 1) }), 0);
+    auto adoption = message(2, 1, {});
+    adoption.adopt = true;
+    adoption.echoUs = 1000000;
+    cr_assert(book.receive(adoption, 1000000) == grant_answer::Accepted);
+    cr_assert(book.begin(low, grant, 1499999));
+    cr_assert_not(book.begin(low, grant, 1500000));
+}
+
+Test(target_grants, slice_no_longer_listed_drains_and_takes_nothing_new)
+{
+    grant_book book(ownIncarnation);
+    book.receive(message(1, 1, { half(false, 1, 1), half(true, 1, 1) }), 0);
+    const auto running = book.begin(low, grant, 1);
+    cr_assert(running);
+    book.receive(message(1, 2, { half(true, 1, 1) }), 10);
+    cr_assert_not(book.begin(low, grant, 11));
+    cr_assert(book.begin(high, grant, 11));
+    cr_assert(book.drains(low));
+    book.end(*running, 12);
+    cr_assert_not(book.drains(low));
+    cr_assert_eq(book.intervals()[0].toUs, 10);
+}
+
+Test(target_grants, request_with_another_token_is_refused)
+{
+    grant_book book(ownIncarnation);
+    book.receive(message(1, 3, { half(false, 1, 3) }), 0);
+    cr_assert_not(book.begin(low, grant, 1));
+    cr_assert_not(book.begin(high, token { epoch { 1 }, sequence { 3 } }, 1));
+    cr_assert(book.begin(low, token { epoch { 1 }, sequence { 3 } }, 1));
+}
