--- /dev/null
+++ b/src/serve/dispatch.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "directory.h"
+#include "load.h"
+#include "pimentomast/proxy.h"
+#include "pimentomast/routing.h"
+
+#include <mutex>
+
+namespace pimentomast::serve::detail {
+
+/// Joins the proxy's dispatcher to this host's directory, and counts load.
+///
+/// Thread-safe. Lock order: router, then directory; the load's lock is taken alone. No lock is held
+/// while the sink or a handler is called.
+class dispatch : public proxy::dispatcher {
+public:
+    /// Tells the other hosts of a crash. Must not block.
+    using crash_listener = proxy::routed_dispatcher::crash_listener;
+
+    /// Fails on settings out of range. owners must outlive the object.
+    [[nodiscard]] static result<std::unique_ptr<dispatch>> create(
+        const routing::options& settings, const directory& owners, crash_listener listener);
+
+    void submit(const proxy::request_facts& facts, proxy::dispatch_sink& sink) override;
+    void sent(proxy::request_id id, unsigned attempt, instant opened,
+        proxy::dispatch_sink& sink) override;
+    void responded(proxy::request_id id, unsigned attempt, proxy::dispatch_sink& sink) override;
+    void ended(const proxy::attempt& finished, proxy::dispatch_sink& sink) override;
+    void cancelled(proxy::request_id id, proxy::dispatch_sink& sink) override;
+    void probed(const proxy::probe_report& report, proxy::dispatch_sink& sink) override;
+
+    /// Starts the router's timer; its decisions go to the sink until detach().
+    void attach(proxy::dispatch_sink& sink);
+    void detach();
+
+    void applyTable(const table::table& rows);
+    void applyLiveHosts(std::optional<unsigned> count);
+    void ownersChanged(const service_id& service);
+    void report(const target_id& target, const routing::load_report& load);
+    void heard(const routing::crash& news);
+    void pardon(routing::fingerprint print);
+
+    [[nodiscard]] std::vector<routing::crash> crashes() const;
+    [[nodiscard]] routing::counters counts() const;
+    [[nodiscard]] std::vector<routing::target_view> targets() const;
+    /// Returns the rates of every keyed service since the last call.
+    [[nodiscard]] std::vector<wire::ServiceLoad> takeLoads(instant now);
+
+private:
+    dispatch(const directory& owners, std::unique_ptr<proxy::routed_dispatcher> decisions);
+    void count(const proxy::request_facts& facts);
+
+    const directory& m_owners;
+    std::unique_ptr<proxy::routed_dispatcher> m_decisions;
+    std::mutex m_loadLock;
+    load_meter m_load;
+};
+
+} // namespace pimentomast::serve::detail
--- a/test/helper/network.cc
+++ b/test/helper/network.cc
@@ -7,9 +7,11 @@
 #include <Poco/StreamCopier.h>
 #include <Poco/TemporaryFile.h>
 #include <arpa/inet.h>
+#include <cstdlib>
 #include <random>
 #include <sstream>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 namespace pimentomast::test {
@@ -20,6 +22,8 @@
 constexpr std::uint16_t firstPort = 12000;
 constexpr std::uint16_t lastPort = 31999;
 
+constexpr std::size_t pieceBytes = 64U << 10U;
+
 /// Binds the port without listening, so that a server may still listen on it but no other test
 /// can reserve it.
 bool reserve(std::uint16_t port)
@@ -45,7 +49,11 @@
         head.setContentLength64(static_cast<Poco::Int64>(request.body.size()));
     for (const auto& [name, value] : request.fields)
         head.add(name, value);
-    session.sendRequest(head) << request.body << std::flush;
+    auto& out = session.sendRequest(head);
+    for (std::size_t at = 0; at < request.body.size(); at += pieceBytes) {
+        out << request.body.substr(at, pieceBytes) << std::flush;
+        std::this_thread::sleep_for(request.pause);
+    }
 }
 
 void receive(Poco::Net::HTTPClientSession& session, http_reply& reply)
@@ -66,6 +74,8 @@
 
 endpoint freeAddress()
 {
+    static std::mutex mutex;
+    const std::lock_guard lock(mutex);
     static std::mt19937 random(static_cast<unsigned>(getpid()));
     std::uniform_int_distribution<unsigned> ports(firstPort, lastPort);
     for (;;) {
@@ -119,6 +129,8 @@
 {
     static Poco::TemporaryFile folder;
     folder.createDirectories();
+    if (std::getenv("PIMENTOMAST_KEEP"))
+        folder.keep();
     return folder.path();
 }
 
