Tell own changes from others' on a repeated apply; test noise and many marks at once

Cause: applying the same edit again after a lost reply reported the editor's own changes as merged with others'. Changes that both sides made alike are now left out. A failure in the host's status is answered 503 with its step and peer. An edit now tries 32 times, since each lost race means that another edit was accepted.

--- a/include/pimentomast/admin.h
+++ b/include/pimentomast/admin.h
@@ -36,7 +36,7 @@
 struct options {
     endpoint address;
     std::string token;
-    unsigned threads = 8;
+    unsigned threads = 32;
 };
 
 /// Serves the API until it is destroyed.
--- a/include/pimentomast/table.h
+++ b/include/pimentomast/table.h
@@ -161,6 +161,7 @@
 struct merged {
     table rows;
     std::vector<change> mine;
+    /// Without what both changed alike.
     std::vector<change> theirs;
 };
 
--- a/src/admin/answers.cc
+++ b/src/admin/answers.cc
@@ -205,6 +205,8 @@
         return dispatch(node, request);
     } catch (const Poco::Exception&) {
         return refuse(400, "the body is not the JSON object that this path takes");
+    } catch (const failure& caught) {
+        return unavailable(caught.cause());
     }
 }
 
--- a/src/table/merge.cc
+++ b/src/table/merge.cc
@@ -170,6 +170,9 @@
     if (!rows)
         return conflict { mine.editor, theirs.version, theirs.editor, {}, rows.error().reason };
     merged both { rows.value(), difference(base, mine), difference(base, theirs) };
+    std::erase_if(both.theirs, [&](const auto& made) {
+        return std::find(both.mine.begin(), both.mine.end(), made) != both.mine.end();
+    });
     both.rows.version = theirs.version;
     both.rows.editor = mine.editor;
     return both;
--- a/src/table/store.cc
+++ b/src/table/store.cc
@@ -9,7 +9,7 @@
 
 using detail::stored_version;
 
-constexpr unsigned maxAttempts = 8;
+constexpr unsigned maxAttempts = 32;
 constexpr std::size_t maxEditorBytes = 64;
 
 /// The table in the store and the text that it was read from.
--- a/test/admin-test.cc
+++ b/test/admin-test.cc
@@ -2,10 +2,13 @@
 
 #include "helper.h"
 
+#include "pimentomast/command.h"
 #include "pimentomast/table.h"
 
 #include <atomic>
 #include <criterion/criterion.h>
+#include <fstream>
+#include <sstream>
 
 using namespace pimentomast;
 using telemetry::metric;
@@ -178,6 +181,26 @@
     cr_assert(f.call("PUT", "/table", tooLong).status == 413);
 }
 
+Test(admin, status_command_asks_with_the_token_of_the_settings)
+{
+    fixture f;
+    const auto path = test::scratchFolder() + "/settings.ini";
+    const auto writeSettings = [&](const std::string& token) {
+        std::ofstream(path) << "[host]\nid = k1\ndomain = k\ncallers = 127.0.0.1:1\n"
+                               "peers = 127.0.0.1:2\nadmin = "
+                            << f.api->address().text() << "\n[platform]\naddress = 127.0.0.1:3\n"
+                            << "[admin]\ntoken = " << token << "\n";
+    };
+    std::ostringstream out;
+    std::ostringstream err;
+    writeSettings(secret);
+    cr_assert(command::run({ "status", "--settings", path }, out, err) == 0);
+    cr_assert(out.str().find("\"host\": \"k1\"") != std::string::npos, "%s", out.str().c_str());
+    writeSettings("another-token-of-16");
+    cr_assert(command::run({ "status", "--settings", path }, out, err) == 1);
+    cr_assert(err.str().find("401") != std::string::npos);
+}
+
 Test(admin, address_in_use_is_refused)
 {
     fixture f;
--- a/test/settings-test.cc
+++ b/test/settings-test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <criterion/criterion.h>
+#include <rapidcheck.h>
 
 using namespace pimentomast;
 using settings::problem;
@@ -147,6 +148,17 @@
     cr_assert(values.value().admin.token == token);
 }
 
+Test(settings, any_text_is_refused_without_its_secret_or_gives_settings)
+{
+    cr_assert(rc::check([] {
+        const auto at = std::size_t(*rc::gen::inRange(0, int(valid.size())));
+        const auto noise = *rc::gen::string<std::string>();
+        const auto outcome = settings::parse(valid.substr(0, at) + noise + valid.substr(at));
+        if (!outcome)
+            RC_ASSERT(outcome.error().text().find(secret) == std::string::npos);
+    }));
+}
+
 Test(settings, unreadable_file_is_named)
 {
     const auto outcome = settings::load("/nowhere/pimentomast.ini");
--- a/test/table-merge-test.cc
+++ b/test/table-merge-test.cc
@@ -210,6 +210,21 @@
     }));
 }
 
+Test(table_merge, any_text_is_refused_or_read_back)
+{
+    cr_assert(rc::check([] {
+        const auto text = table::format(anyValidTable());
+        const auto at = std::size_t(pick(int(text.size())));
+        const auto noise = *rc::gen::string<std::string>();
+        const auto changed = text.substr(0, at) + noise + text.substr(at + std::size_t(pick(2)));
+        const auto rows = table::parse(pick(4) ? changed : noise);
+        if (rows)
+            RC_ASSERT(table::parse(table::format(rows.value())).value() == rows.value());
+        else
+            RC_ASSERT(rows.error().reason.find("row") != std::string::npos);
+    }));
+}
+
 Test(table_merge, agrees_with_the_naive_merge)
 {
     unsigned merges = 0;
--- a/test/table-store-test.cc
+++ b/test/table-store-test.cc
@@ -3,6 +3,8 @@
 #include <criterion/criterion.h>
 #include <functional>
 #include <map>
+#include <mutex>
+#include <thread>
 
 using namespace pimentomast;
 using table::applied;
@@ -21,6 +23,7 @@
 
     result<std::optional<platform::row>> read(const std::string& key) override
     {
+        const std::lock_guard guard(m_lock);
         if (out)
             return error { "read row", "platform", "out" };
         const auto found = m_rows.find(key);
@@ -34,6 +37,7 @@
     {
         if (beforeWrite)
             beforeWrite(key);
+        const std::lock_guard guard(m_lock);
         if (out)
             return platform::write_refused { { "write row", "platform", "out" } };
         auto& row = m_rows[key];
@@ -62,6 +66,7 @@
     [[nodiscard]] std::size_t size() const { return m_rows.size(); }
 
 private:
+    std::mutex m_lock;
     std::map<std::string, platform::row> m_rows;
 };
 
@@ -184,6 +189,30 @@
         = [&](const std::string& key) { with.store.loseReply = key == table::configRow; };
     cr_assert(std::holds_alternative<table::apply_unknown>(
         apply(with.store, "sita", 1, rowsWith("2", "1"))));
+    with.store.beforeWrite = nullptr;
+    with.store.out = false;
+    const auto again = std::get<applied>(apply(with.store, "sita", 1, rowsWith("2", "1")));
+    cr_assert(again.version == config_version { 2 } && again.mergedWith.empty());
+}
+
+Test(table_store, many_marks_at_once_are_all_kept)
+{
+    fake_store store;
+    constexpr int hosts = 8;
+    std::vector<std::thread> operators;
+    operators.reserve(hosts);
+    for (int number = 0; number < hosts; ++number) {
+        operators.emplace_back([&, number] {
+            const auto id = "h" + std::to_string(number);
+            const table::mark_edit leave { "sita", { table::row_kind::Host, id },
+                table::mark::Leaving, "" };
+            (void)std::get<applied>(table::apply(store, leave));
+        });
+    }
+    for (auto& each : operators)
+        each.join();
+    const auto rows = *table::readCurrent(store).value();
+    cr_assert(rows.hosts.size() == hosts && rows.version == config_version { hosts });
 }
 
 Test(table_store, wrong_edits_are_refused_whole)
