Keep only settings and metrics that have an effect; compare the reasons with OPERATING

Cause: limits.queue and eight metrics were named but nothing used them, and the standard times in [ownership] differed from those that the ownership library was checked with (renewal 250 against 150 ms, authority 900 against 700 ms). limits.queue is gone; the metrics that can be read are set in src/serve/metrics.cc (running, queued, moves, targets in use), the others are gone; the standard times are those of the library, and a test compares them. The settings now refuse by name what the ownership library would refuse. Every refusal and retry reason is compared with OPERATING (seen to fail with the row of no-owner taken out).

--- a/include/pimentomast/settings.h
+++ b/include/pimentomast/settings.h
@@ -44,18 +44,16 @@
     milliseconds bodyTimeoutMs { 30000 };
     milliseconds idleTimeoutMs { 60000 };
     milliseconds connectTimeoutMs { 1000 };
-    /// Requests that may wait on this host, all services together.
-    unsigned queue = 1024;
 };
 
 struct ownership_settings {
     milliseconds targetLeaseMs { 1500 };
-    milliseconds renewMs { 250 };
-    milliseconds authorityMs { 900 };
+    milliseconds renewMs { 150 };
+    milliseconds authorityMs { 700 };
     milliseconds authorityRenewMs { 200 };
-    milliseconds routeLeaseMs { 1000 };
+    milliseconds routeLeaseMs { 1500 };
     /// For how long a coordinator may go on while the platform's store is out.
-    milliseconds outageLimitMs { 3600000 };
+    milliseconds outageLimitMs { 600000 };
 };
 
 enum class log_level {
--- a/include/pimentomast/telemetry.h
+++ b/include/pimentomast/telemetry.h
@@ -25,22 +25,18 @@
 /// Every metric that pimentomast exposes.
 enum class metric {
     Requests,
-    Answers,
     Refusals,
     Retries,
     ResponseTime,
-    AddedTime,
+    WaitTime,
     Running,
     Queued,
     Connections,
-    BrokenAnswers,
     ConfigVersion,
     AssignmentSequence,
     Coordinating,
-    Moves,
-    TargetsHealthy,
-    PlatformCalls,
-    PeerCalls,
+    MovesRunning,
+    TargetsInUse,
     AdminRequests,
 };
 
--- a/src/command/host_commands.cc
+++ b/src/command/host_commands.cc
@@ -1,7 +1,6 @@
 #include "subcommands.h"
 
 #include "pimentomast/serve.h"
-#include "pimentomast/telemetry.h"
 
 #include <Poco/Exception.h>
 #include <Poco/JSON/Object.h>
@@ -20,16 +19,6 @@
 
 constexpr long statusTimeoutSeconds = 5;
 
-telemetry::log_options logOptions(const settings::settings& values)
-{
-    telemetry::log_options options;
-    options.lowest = static_cast<telemetry::severity>(values.log.level);
-    options.file = values.log.file;
-    options.json = values.log.format == settings::log_format::Json;
-    options.secrets = { values.admin.token };
-    return options;
-}
-
 std::string askStatus(const settings::settings& values)
 {
     const auto& address = values.host.admin;
@@ -55,9 +44,7 @@
 
 exit_code serve(const invocation& call)
 {
-    const auto values = loadSettings(call);
-    telemetry::setUpLog(logOptions(values));
-    return static_cast<exit_code>(serve::run(values));
+    return static_cast<exit_code>(serve::run(loadSettings(call)));
 }
 
 exit_code checkSettings(const invocation& call)
--- a/src/serve/metrics.cc
+++ b/src/serve/metrics.cc
@@ -1,5 +1,6 @@
 #include "node.h"
 
+#include <map>
 #include <set>
 
 namespace pimentomast::serve::detail {
@@ -43,6 +44,15 @@
     }
 }
 
+void exposeTargets(telemetry::registry& metrics, const std::vector<routing::target_view>& targets)
+{
+    std::map<service_id, std::int64_t> inUse;
+    for (const auto& target : targets)
+        inUse[target.service] += target.ejected ? 0 : 1;
+    for (const auto& [service, count] : inUse)
+        metrics.level(metric::TargetsInUse, service.value()).set(count);
+}
+
 } // namespace
 
 telemetry::registry& node::metrics()
@@ -60,11 +70,16 @@
         .set(static_cast<std::int64_t>(state.connections));
     m_metrics.level(metric::Connections, "targets")
         .set(static_cast<std::int64_t>(state.targetConnections));
+    m_metrics.level(metric::Running).set(static_cast<std::int64_t>(state.running));
+    m_metrics.level(metric::Queued).set(static_cast<std::int64_t>(state.waiting));
+    exposeTargets(m_metrics, m_dispatch->targets());
     m_metrics.level(metric::ConfigVersion)
         .set(static_cast<std::int64_t>(m_spread->version().value()));
     for (const auto& service : m_control->status()) {
         const bool holds = service.role == ownership::role::Holder;
         m_metrics.level(metric::Coordinating, service.service.value()).set(holds ? 1 : 0);
+        m_metrics.level(metric::MovesRunning, service.service.value())
+            .set(static_cast<std::int64_t>(service.runningMoves));
         const auto version = m_directory.version(service.service);
         m_metrics.level(metric::AssignmentSequence, service.service.value())
             .set(static_cast<std::int64_t>(version.assignment.value()));
@@ -76,7 +91,7 @@
     const auto& service = finished.service.value();
     m_metrics.count(metric::Requests, service).add();
     m_metrics.time(metric::ResponseTime, service).observe(finished.total);
-    m_metrics.time(metric::AddedTime, service).observe(finished.waited);
+    m_metrics.time(metric::WaitTime, service).observe(finished.waited);
 }
 
 } // namespace pimentomast::serve::detail
--- a/src/settings/keys.cc
+++ b/src/settings/keys.cc
@@ -211,7 +211,6 @@
             member { &s::limits, &limit_settings::idleTimeoutMs }),
         time("limits", "connect_timeout_ms", { 10, 60000 },
             member { &s::limits, &limit_settings::connectTimeoutMs }),
-        count("limits", "queue", { 1, 1000000 }, member { &s::limits, &limit_settings::queue }),
         time("ownership", "target_lease_ms", { 100, 60000 },
             member { &s::ownership, &ownership_settings::targetLeaseMs }),
         time("ownership", "renew_ms", { 10, 30000 },
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -104,30 +104,27 @@
         found.push_back({ description.section, description.key, *fault });
 }
 
-void requireLess(problems& found, const problem& fault, milliseconds lower, milliseconds higher)
+void require(problems& found, bool holds, const problem& fault)
 {
-    if (lower >= higher)
+    if (!holds)
         found.push_back(fault);
 }
 
 void findContradictions(const settings& all, problems& found)
 {
-    const auto& ownership = all.ownership;
-    requireLess(found, { "ownership", "renew_ms", "must be less than half of target_lease_ms" },
-        ownership.renewMs * 2, ownership.targetLeaseMs);
-    requireLess(found,
-        { "ownership", "authority_renew_ms", "must be less than half of authority_ms" },
-        ownership.authorityRenewMs * 2, ownership.authorityMs);
-    requireLess(found, { "ownership", "authority_ms", "must be less than target_lease_ms" },
-        ownership.authorityMs, ownership.targetLeaseMs);
-    requireLess(found, { "ownership", "outage_limit_ms", "must be more than authority_ms" },
-        ownership.authorityMs, ownership.outageLimitMs);
+    const auto& times = all.ownership;
+    require(found, times.renewMs * 3 <= times.targetLeaseMs,
+        { "ownership", "renew_ms", "must be at most a third of target_lease_ms" });
+    require(found, times.authorityRenewMs * 2 <= times.authorityMs,
+        { "ownership", "authority_renew_ms", "must be at most half of authority_ms" });
+    require(found, times.authorityMs < times.targetLeaseMs,
+        { "ownership", "authority_ms", "must be less than target_lease_ms" });
+    require(found, times.authorityMs < times.outageLimitMs,
+        { "ownership", "outage_limit_ms", "must be more than authority_ms" });
     if (all.log.sink == log_sink::File && all.log.file.empty())
         found.push_back({ "log", "file", "missing, since sink is file" });
     if (all.log.sink == log_sink::Console && !all.log.file.empty())
         found.push_back({ "log", "file", "contradicts sink = console" });
-    if (all.limits.queue > all.limits.connections)
-        found.push_back({ "limits", "queue", "must not be more than connections" });
 }
 
 constexpr std::string_view anyAddress = "0.0.0.0";
--- a/test/command-docs-test.cc
+++ b/test/command-docs-test.cc
@@ -1,5 +1,8 @@
 #include "pimentomast/admin.h"
 #include "pimentomast/command.h"
+#include "pimentomast/ownership.h"
+#include "pimentomast/proxy.h"
+#include "pimentomast/routing.h"
 #include "pimentomast/settings.h"
 #include "pimentomast/table.h"
 #include "pimentomast/telemetry.h"
@@ -162,3 +165,29 @@
         codes.insert(std::to_string(code));
     expectSame("Exit codes", codes);
 }
+
+Test(docs, refusal_and_retry_reasons)
+{
+    names refusals;
+    for (std::size_t index = 0; index <= static_cast<std::size_t>(proxy::reason::Last); ++index)
+        refusals.insert(std::string(name(static_cast<proxy::reason>(index))));
+    for (std::size_t index = 0; index < routing::refusalReasons; ++index)
+        refusals.insert(std::string(name(static_cast<routing::refusal_reason>(index))));
+    expectSame("Refusal reasons", refusals);
+    names retries;
+    for (std::size_t index = 0; index < routing::retryReasons; ++index)
+        retries.insert(std::string(name(static_cast<routing::retry_reason>(index))));
+    expectSame("Retry reasons", retries);
+}
+
+Test(docs, standard_times_are_those_of_the_ownership_library)
+{
+    const settings::ownership_settings shown;
+    const ownership::timings used;
+    cr_assert(shown.targetLeaseMs == used.targetLease);
+    cr_assert(shown.renewMs == used.targetRenewal);
+    cr_assert(shown.authorityMs == used.authority);
+    cr_assert(shown.authorityRenewMs == used.authorityRenewal);
+    cr_assert(shown.routeLeaseMs == used.routeLease);
+    cr_assert(shown.outageLimitMs == used.maxOutage);
+}
--- a/test/settings-test.cc
+++ b/test/settings-test.cc
@@ -87,7 +87,6 @@
             "[ownership] outage_limit_ms", "more than authority_ms" },
         { valid + "[log]\nsink = file\n", "[log] file", "missing" },
         { valid + "[log]\nfile = /tmp/log\n", "[log] file", "contradicts" },
-        { valid + "[limits]\nqueue = 20\nconnections = 10\n", "[limits] queue", "connections" },
     };
     return all;
 }
@@ -117,9 +116,11 @@
 
 Test(settings, all_faults_are_reported_at_once)
 {
-    const auto found = problemsOf("[host]\nid = k1\n[limits]\nworkers = x\nqueue = 0\n[no]\n");
-    for (const auto* place : { "[host] domain", "[host] callers", "[host] peers", "[host] admin",
-             "[platform] address", "[admin] token", "[limits] workers", "[limits] queue", "[no]" })
+    const auto found
+        = problemsOf("[host]\nid = k1\n[limits]\nworkers = x\nconnections = 0\n[no]\n");
+    for (const auto* place :
+        { "[host] domain", "[host] callers", "[host] peers", "[host] admin", "[platform] address",
+            "[admin] token", "[limits] workers", "[limits] connections", "[no]" })
         cr_expect(names(found, place, ""), "%s is not named", place);
 }
 
