--- a/include/pimentomast/settings.h
+++ b/include/pimentomast/settings.h
@@ -46,18 +46,16 @@
     milliseconds bodyTimeoutMs { 30000 };
     milliseconds idleTimeoutMs { 60000 };
     milliseconds connectTimeoutMs { 1000 };
-    /// Requests that may wait on this host, all services together.
-    unsigned queue = 1024;
 };
 
 struct ownership_settings {
     milliseconds targetLeaseMs { 1500 };
-    milliseconds renewMs { 250 };
-    milliseconds authorityMs { 900 };
+    milliseconds renewMs { 150 };
+    milliseconds authorityMs { 700 };
     milliseconds authorityRenewMs { 200 };
-    milliseconds routeLeaseMs { 1000 };
+    milliseconds routeLeaseMs { 1500 };
     /// For how long a coordinator may go on while the platform's store is out.
-    milliseconds outageLimitMs { 3600000 };
+    milliseconds outageLimitMs { 600000 };
 };
 
 enum class log_level {
@@ -144,7 +142,7 @@
     [[nodiscard]] std::string name() const;
 };
 
-/// Returns all settings in the order of the file. Thread-safe.
+/// Returns all settings that have a value, in the order of the file. Thread-safe.
 [[nodiscard]] std::vector<shown_value> show(const settings& values);
 
 /// Returns show() as an INI text. Thread-safe.
