Index slices by owner, bound slow polls, spread a leaving target's slices

Ruled out: the JSON codec, which is linear (0.02 % of a core for each target). Change: the assignment is indexed by owner when it is committed; shares are counted only when a move needs them; slow polls of all hosts together stay at four a second. While there: all slices of a leaving target went to one and the same target, since shares were counted once for all of them; now they are counted for each.

--- a/src/ownership/authority.cc
+++ b/src/ownership/authority.cc
@@ -7,6 +7,8 @@
 namespace {
 constexpr std::size_t fastChallengers = 2;
 constexpr std::chrono::milliseconds renewalRetryMs { 50 };
+/// Keeps the slow polls of all hosts together at four a second, however many hosts there are.
+constexpr std::chrono::milliseconds slowPollPerHostMs { 250 };
 } // namespace
 
 // Standing by.
@@ -27,7 +29,9 @@
     m_pollRequest = m_numbers.nextRequest();
     m_pollSent = now;
     const bool fast = challengeRank() < fastChallengers;
-    m_nextPoll = now + (fast ? m_options.times.fastPoll : m_options.times.slowPoll);
+    const auto hosts = static_cast<std::int64_t>(m_live.size());
+    const auto slow = std::max(m_options.times.slowPoll, hosts * slowPollPerHostMs);
+    m_nextPoll = now + (fast ? m_options.times.fastPoll : slow);
     m_todo.push_back(read_row { *m_pollRequest, coordinatorKey(m_options.service) });
 }
 
@@ -129,6 +133,7 @@
     m_assignmentWriter.abandon();
     m_assignmentRead.reset();
     m_assignment.reset();
+    m_ownedBy.clear();
     m_targets.clear();
     m_moves.clear();
     m_rounds.clear();
--- a/src/ownership/commit.cc
+++ b/src/ownership/commit.cc
@@ -28,7 +28,9 @@
 
 void coordinator::impl::commit(instant now)
 {
-    if (m_assignmentWriter.isOpen() || now < m_nextCommit || m_releasing)
+    const bool cleared = std::any_of(m_moves.begin(), m_moves.end(),
+        [](const auto& each) { return each.phase == move_phase::Cleared; });
+    if (!cleared || m_assignmentWriter.isOpen() || now < m_nextCommit || m_releasing)
         return;
     auto shares = sharesPerWeight();
     std::vector<move> chosen;
--- a/src/ownership/coordinator_impl.h
+++ b/src/ownership/coordinator_impl.h
@@ -97,6 +97,9 @@
 /// Returns a first assignment: the hash space in shares by weight. Precondition: not empty.
 [[nodiscard]] std::vector<owned_slice> splitByWeight(
     const std::vector<table::target_row>& targets, token grant);
+/// Returns the slices of each owner, in order.
+[[nodiscard]] std::map<target_id, std::vector<owned_slice>> byOwner(
+    const std::vector<owned_slice>& slices);
 /// Gives the ranges of the moves to their new owners with the given token.
 [[nodiscard]] std::vector<owned_slice> applyMoves(
     const std::vector<owned_slice>& slices, const std::vector<move>& moves, token grant);
@@ -207,8 +210,8 @@
     void planMove(
         instant now, const slice& range, const target_id& from, const target_id& to, bool forced);
     bool mayMoveByConsent(instant now) const;
-    void planLeaving(
-        instant now, const owned_slice& each, const std::map<target_id, double>& shares);
+    void planLeaving(instant now);
+    void planLostSlices(instant now);
     bool isMoving(const slice& range) const;
     bool isPostponed(instant now, const slice& range) const;
     bool canOwn(const target_id& id) const;
@@ -287,6 +290,8 @@
     detail::row_writer m_assignmentWriter;
     row_version m_assignmentVersion;
     std::optional<assignment> m_assignment;
+    /// Index of the assignment, so that a target's slices are found without reading all.
+    std::map<target_id, std::vector<owned_slice>> m_ownedBy;
     assignment m_proposed;
     instant m_nextCommit {};
 
--- a/src/ownership/grants.cc
+++ b/src/ownership/grants.cc
@@ -94,10 +94,11 @@
 std::vector<granted_slice> coordinator::impl::slicesFor(const target_id& id) const
 {
     std::vector<granted_slice> granted;
+    const auto owned = m_ownedBy.find(id);
+    if (owned == m_ownedBy.end())
+        return granted;
     const auto withheld = withheldFrom(id);
-    for (const auto& each : m_assignment->slices) {
-        if (each.owner != id)
-            continue;
+    for (const auto& each : owned->second) {
         for (const auto& part : detail::subtract(each.range, withheld))
             granted.push_back({ part, each.grant });
     }
--- a/src/ownership/moves.cc
+++ b/src/ownership/moves.cc
@@ -102,18 +102,26 @@
             each.byLoss = true;
         }
     }
-    for (const auto& each : m_assignment->slices) {
-        const auto& owner = m_targets.at(each.owner);
-        if (!isLost(now, owner) || isMoving(each.range))
+    planLostSlices(now);
+}
+
+void coordinator::impl::planLostSlices(instant now)
+{
+    for (const auto& [id, owned] : m_ownedBy) {
+        if (!isLost(now, m_targets.at(id)))
             continue;
-        move lost;
-        lost.range = each.range;
-        lost.from = each.owner;
-        lost.phase = move_phase::Cleared;
-        lost.since = now;
-        lost.forced = true;
-        lost.byLoss = true;
-        m_moves.push_back(std::move(lost));
+        for (const auto& each : owned) {
+            if (isMoving(each.range))
+                continue;
+            move lost;
+            lost.range = each.range;
+            lost.from = id;
+            lost.phase = move_phase::Cleared;
+            lost.since = now;
+            lost.forced = true;
+            lost.byLoss = true;
+            m_moves.push_back(std::move(lost));
+        }
     }
 }
 
@@ -128,9 +136,7 @@
 {
     if (!mayMoveByConsent(now))
         return;
-    const auto shares = sharesPerWeight();
-    for (const auto& each : m_assignment->slices)
-        planLeaving(now, each, shares);
+    planLeaving(now);
     for (const auto& wanted : m_wanted) {
         if (!canOwn(wanted.owner))
             continue;
@@ -141,15 +147,20 @@
     }
 }
 
-void coordinator::impl::planLeaving(
-    instant now, const owned_slice& each, const std::map<target_id, double>& shares)
+void coordinator::impl::planLeaving(instant now)
 {
-    const auto& owner = m_targets.at(each.owner);
-    if (owner.listed && owner.row.state == table::mark::Active)
-        return;
-    const auto to = newOwner(each.range, each.owner, shares);
-    if (to)
-        planMove(now, each.range, each.owner, *to, true);
+    for (const auto& [id, owned] : m_ownedBy) {
+        const auto& owner = m_targets.at(id);
+        if (owner.listed && owner.row.state == table::mark::Active)
+            continue;
+        for (const auto& each : owned) {
+            if (isMoving(each.range))
+                continue;
+            // Counted anew for each slice, so that the slices of one owner go to several.
+            if (const auto to = newOwner(each.range, id, sharesPerWeight()))
+                planMove(now, each.range, id, *to, true);
+        }
+    }
 }
 
 void coordinator::impl::planMove(
--- a/src/ownership/slices.cc
+++ b/src/ownership/slices.cc
@@ -77,6 +77,14 @@
     return slices;
 }
 
+std::map<target_id, std::vector<owned_slice>> byOwner(const std::vector<owned_slice>& slices)
+{
+    std::map<target_id, std::vector<owned_slice>> owned;
+    for (const auto& each : slices)
+        owned[each.owner].push_back(each);
+    return owned;
+}
+
 std::vector<owned_slice> applyMoves(
     const std::vector<owned_slice>& slices, const std::vector<move>& moves, token grant)
 {
--- a/src/ownership/takeover.cc
+++ b/src/ownership/takeover.cc
@@ -74,6 +74,7 @@
     if (const auto* done = std::get_if<detail::write_settled>(&state)) {
         m_assignmentVersion = done->version;
         m_assignment = m_proposed;
+        m_ownedBy = detail::byOwner(m_assignment->slices);
         if (takingOver)
             startHolding(now);
         else
