--- /dev/null
+++ b/test/ownership-moves-test.cc
@@ -0,0 +1,55 @@
+#include "ownership-world.h"
+
+#include <criterion/criterion.h>
+
+using namespace ownership_world;
+
+namespace {
+
+constexpr milliseconds settleMs { 10000 };
+
+slice rangeAt(int sampled)
+{
+    const auto last = world::sample(sampled + 1).value() - 1;
+    return { world::sample(sampled), key_hash { last } };
+}
+
+std::set<target_id> holdersOf(const world& system, const std::vector<int>& samples)
+{
+    std::set<target_id> holders;
+    for (const auto& target : system.targets) {
+        for (const int sampled : samples) {
+            if (target.holds(system.now, world::sample(sampled)))
+                holders.insert(target.id);
+        }
+    }
+    return holders;
+}
+
+} // namespace
+
+Test(ownership_moves, slices_of_a_leaving_target_go_to_several_others)
+{
+    options chosen;
+    chosen.seed = 5;
+    chosen.targets = 5;
+    world system(chosen);
+    system.runFor(settleMs);
+    const std::vector<int> samples { 1, 4, 7, 10, 13 };
+    std::vector<wanted_slice> wanted;
+    for (const int sampled : samples)
+        wanted.push_back({ rangeAt(sampled), target_id { "t0" } });
+    system.want(wanted);
+    system.runFor(settleMs);
+    cr_assert(holdersOf(system, samples) == std::set { target_id { "t0" } });
+
+    system.want({});
+    system.marks[target_id { "t0" }] = table::mark::Leaving;
+    for (int i = 0; i <= system.lastHost(); ++i)
+        system.tellTable(i);
+    system.runFor(settleMs);
+    const auto holders = holdersOf(system, samples);
+    cr_assert(!holders.contains(target_id { "t0" }));
+    cr_assert_gt(holders.size(), 1);
+    cr_assert(system.violation.empty());
+}
