--- a/src/ownership/assignment.cc
+++ b/src/ownership/assignment.cc
@@ -96,7 +96,7 @@
 
 result<assignment> parseAssignment(const std::string& text)
 {
-    const auto parsed = detail::parseObject<assignment>("parse assignment", text, toAssignment);
+    auto parsed = detail::parseObject<assignment>("parse assignment", text, toAssignment);
     if (!parsed)
         return parsed;
     const auto checked = check(parsed.value());
--- a/src/ownership/authority.cc
+++ b/src/ownership/authority.cc
@@ -163,7 +163,9 @@
 std::vector<host_run> coordinator::impl::namedWitnesses(instant now) const
 {
     auto witnesses = liveWitnesses();
-    for (const auto& [host, state] : m_routes) {
+    for (const auto& entry : m_routes) {
+        const auto& host = entry.first;
+        const auto& state = entry.second;
         const bool named = std::any_of(witnesses.begin(), witnesses.end(),
             [&](const auto& each) { return each.host == host; });
         if (!named && now < state.leaseEnds)
--- a/src/ownership/ranking.cc
+++ b/src/ownership/ranking.cc
@@ -16,11 +16,13 @@
 std::vector<host_id> rankCoordinators(const service_id& service, std::span<const host_id> live)
 {
     std::vector<scored_host> scored;
+    scored.reserve(live.size());
     for (const auto& host : live)
         scored.push_back({ hashKey(service.value() + '\n' + host.value()), host });
     std::sort(scored.begin(), scored.end(), std::greater<> {});
     scored.erase(std::unique(scored.begin(), scored.end()), scored.end());
     std::vector<host_id> ranked;
+    ranked.reserve(scored.size());
     for (auto& each : scored)
         ranked.push_back(std::move(each.host));
     return ranked;
--- a/src/ownership/row_writer.h
+++ b/src/ownership/row_writer.h
@@ -27,7 +27,8 @@
     /// Read before the first copy of the write was sent.
     instant firstSent;
 };
-/// Another write came first, and this one never takes effect.
+/// Another write is in the row. This one takes no effect any more; whether it had one before the
+/// other is not known.
 struct write_lost {
     std::optional<platform::row> current;
 };
--- a/test/ownership-history-test.cc
+++ b/test/ownership-history-test.cc
@@ -34,6 +34,7 @@
 std::vector<int> allParties(const world& system)
 {
     std::vector<int> parties;
+    parties.reserve(system.hosts.size() + system.targets.size() + 1);
     for (int i = 0; i < static_cast<int>(system.hosts.size()); ++i)
         parties.push_back(i);
     for (int i = 0; i < static_cast<int>(system.targets.size()); ++i)
--- /dev/null
+++ b/test/ownership-rows-test.cc
@@ -0,0 +1,248 @@
+#include "ownership/row_writer.h"
+
+#include <algorithm>
+#include <criterion/criterion.h>
+#include <limits>
+#include <rapidcheck.h>
+#include <set>
+
+using namespace pimentomast;
+using namespace pimentomast::ownership;
+
+namespace {
+
+constexpr std::uint64_t highestHash = std::numeric_limits<std::uint64_t>::max();
+const service_id service { "weights" };
+
+assignment randomAssignment(std::vector<std::uint64_t> ends, std::uint64_t number)
+{
+    std::sort(ends.begin(), ends.end());
+    ends.erase(std::unique(ends.begin(), ends.end()), ends.end());
+    std::erase(ends, highestHash);
+    ends.push_back(highestHash);
+    assignment value { service, epoch { 3 }, sequence { number }, {} };
+    std::uint64_t first = 0;
+    for (const auto last : ends) {
+        const target_id owner { "t" + std::to_string(last % 5) };
+        const token grant { epoch { 2 }, sequence { last % 7 } };
+        value.slices.push_back({ { key_hash { first }, key_hash { last } }, owner, grant, {} });
+        if (last % 3 == 0)
+            value.slices.back().standby = target_id { "s" };
+        first = last + 1;
+    }
+    return value;
+}
+
+const owned_slice* naiveFind(const assignment& value, key_hash hash)
+{
+    for (const auto& each : value.slices) {
+        if (each.range.contains(hash))
+            return &each;
+    }
+    return nullptr;
+}
+
+instant at(int ms) { return instant { std::chrono::milliseconds(ms) }; }
+
+platform::row rowOf(const write_row& written, std::uint64_t version)
+{
+    return { written.key, written.value, row_version { version }, written.writer };
+}
+
+struct opened {
+    ownership::detail::numbering numbers { { host_id { "h" }, incarnation { 1 } }, service, 7 };
+    ownership::detail::row_writer writer { "row" };
+    ownership::detail::actions todo;
+    write_row first;
+
+    opened()
+    {
+        writer.start(at(0), row_version { 4 }, "value", numbers, todo);
+        first = std::get<write_row>(todo.back());
+    }
+    request_number readBack()
+    {
+        writer.tick(at(5000), std::chrono::milliseconds { 1000 }, numbers, todo);
+        return std::get<read_row>(todo.back()).request;
+    }
+};
+
+} // namespace
+
+Test(ownership_rows, lookup_agrees_with_a_linear_search)
+{
+    cr_assert(rc::check([](const std::vector<std::uint64_t>& ends, std::uint64_t hash) {
+        const auto value = randomAssignment(ends, 9);
+        RC_ASSERT(check(value).has_value());
+        std::vector<std::uint64_t> probes { hash, 0, highestHash };
+        probes.insert(probes.end(), ends.begin(), ends.end());
+        for (const auto probe : probes) {
+            RC_ASSERT(value.find(key_hash { probe }) == naiveFind(value, key_hash { probe }));
+            RC_ASSERT(value.find(key_hash { probe }) != nullptr);
+        }
+    }));
+}
+
+Test(ownership_rows, text_reads_back_to_an_equal_assignment)
+{
+    cr_assert(rc::check([](const std::vector<std::uint64_t>& ends, std::uint64_t number) {
+        const auto value = randomAssignment(ends, std::max<std::uint64_t>(number, 7));
+        RC_ASSERT(parseAssignment(format(value)).value() == value);
+    }));
+}
+
+Test(ownership_rows, faulty_assignments_are_refused)
+{
+    const auto whole = randomAssignment({ 10, 20 }, 9);
+    auto gap = whole;
+    gap.slices.erase(gap.slices.begin() + 1);
+    auto noOwner = whole;
+    noOwner.slices[1].owner = target_id {};
+    auto high = whole;
+    high.slices[1].grant = { epoch { 3 }, sequence { 10 } };
+    auto open = whole;
+    open.slices.pop_back();
+    for (const auto& each : { gap, noOwner, high, open, assignment {} })
+        cr_assert(check(each).has_error());
+    cr_assert(parseAssignment("{\"service\":1").has_error());
+    cr_assert(parseAssignment("{}").has_error());
+    cr_assert(parseAssignment("[1]").has_error());
+}
+
+Test(ownership_rows, coordinator_row_reads_back)
+{
+    coordinator_row row { service, epoch { 5 }, { host_id { "h" }, incarnation { highestHash } },
+        17, true, { { host_id { "a" }, incarnation { 1 } } }, { {}, {} } };
+    row.earlier[1].push_back({ host_id { "b" }, incarnation { 2 } });
+    cr_assert(parseCoordinatorRow(format(row)).value() == row);
+    cr_assert(parseCoordinatorRow("{\"epoch\":5}").has_error());
+}
+
+Test(ownership_rows, lost_answer_of_a_write_that_took_effect_is_settled_by_reading)
+{
+    opened open;
+    const auto request = open.readBack();
+    const auto state = open.writer.take(at(5001), row_read { request, rowOf(open.first, 5) });
+    const auto* done = std::get_if<ownership::detail::write_settled>(&state);
+    cr_assert(done != nullptr && done->version == row_version { 5 } && done->firstSent == at(0));
+}
+
+Test(ownership_rows, unchanged_row_leaves_the_write_open_and_sends_the_same_again)
+{
+    opened open;
+    const auto request = open.readBack();
+    const platform::row before { "row", "old", row_version { 4 }, platform::write_id { "x" } };
+    const auto state = open.writer.take(at(5001), row_read { request, before });
+    cr_assert(std::holds_alternative<ownership::detail::write_open>(state) && open.writer.isOpen());
+    open.writer.tick(at(5002), std::chrono::milliseconds { 1000 }, open.numbers, open.todo);
+    const auto& again = std::get<write_row>(open.todo.back());
+    cr_assert(again.writer == open.first.writer && again.expected == row_version { 4 });
+    const write_finished conflict { again.request,
+        platform::write_conflict { rowOf(open.first, 5) } };
+    cr_assert(std::holds_alternative<ownership::detail::write_settled>(
+        open.writer.take(at(5003), conflict)));
+}
+
+Test(ownership_rows, unknown_outcome_is_neither_accepted_nor_dropped)
+{
+    opened open;
+    const write_finished unknown { open.first.request, platform::write_unknown {} };
+    cr_assert(
+        std::holds_alternative<ownership::detail::write_open>(open.writer.take(at(1), unknown)));
+    const auto request = open.readBack();
+    (void)open.writer.take(at(5001), row_read { request, std::nullopt });
+    cr_assert(!open.writer.isOpen(), "another version than the expected one: the write is lost");
+}
+
+Test(ownership_rows, refusal_after_an_unknown_outcome_drops_nothing)
+{
+    opened open;
+    (void)open.writer.take(
+        at(1), write_finished { open.first.request, platform::write_unknown {} });
+    const auto request = open.readBack();
+    const platform::row before { "row", "old", row_version { 4 }, platform::write_id { "x" } };
+    (void)open.writer.take(at(5001), row_read { request, before });
+    open.writer.tick(at(5002), std::chrono::milliseconds { 1000 }, open.numbers, open.todo);
+    const auto again = std::get<write_row>(open.todo.back()).request;
+    const write_finished refused { again, platform::write_refused {} };
+    cr_assert(
+        std::holds_alternative<ownership::detail::write_open>(open.writer.take(at(5003), refused)));
+    cr_assert(open.writer.isOpen());
+}
+
+Test(ownership_rows, ranking_ignores_order_and_moves_only_the_services_of_a_lost_host)
+{
+    std::vector<host_id> hosts;
+    hosts.reserve(12);
+    for (int i = 0; i < 12; ++i)
+        hosts.emplace_back("h" + std::to_string(i));
+    std::set<host_id> preferred;
+    for (int i = 0; i < 100; ++i) {
+        const service_id each { "s" + std::to_string(i) };
+        const auto ranked = rankCoordinators(each, hosts);
+        const std::vector<host_id> reversed(hosts.rbegin(), hosts.rend());
+        cr_assert(ranked == rankCoordinators(each, reversed) && ranked.size() == hosts.size());
+        const std::vector<host_id> rest(hosts.begin() + 1, hosts.end());
+        const auto expected = ranked[0] == hosts[0] ? ranked[1] : ranked[0];
+        cr_assert(preferredCoordinator(each, rest) == expected);
+        preferred.insert(ranked[0]);
+    }
+    cr_assert(preferred.size() == hosts.size());
+    cr_assert(!preferredCoordinator(service, {}).has_value());
+}
+
+Test(ownership_rows, witness_keeps_the_highest_epoch)
+{
+    witness seen(incarnation { 4 });
+    cr_assert(!seen.answer().highest.has_value());
+    seen.recordRead(epoch { 3 });
+    seen.recordRead(epoch { 2 });
+    cr_assert(seen.answer().highest == epoch { 3 });
+}
+
+Test(ownership_rows, route_table_takes_only_newer_assignments_and_ends_holds)
+{
+    route_table routes;
+    cr_assert(std::holds_alternative<no_route>(routes.find(key_hash { 5 }, at(0))));
+    cr_assert(routes.take(randomAssignment({ 10 }, 8)));
+    cr_assert(!routes.take(randomAssignment({ 20 }, 7)));
+    cr_assert(!routes.take(randomAssignment({ 20 }, 8)));
+    routes.hold({ key_hash { 0 }, key_hash { 10 } }, routes.version(), at(100));
+    cr_assert(std::holds_alternative<held_route>(routes.find(key_hash { 5 }, at(0))));
+    cr_assert(std::holds_alternative<route>(routes.find(key_hash { 11 }, at(0))));
+    cr_assert(std::holds_alternative<route>(routes.find(key_hash { 5 }, at(100))));
+    cr_assert(routes.take(randomAssignment({ 10 }, 9)));
+    cr_assert(std::holds_alternative<route>(routes.find(key_hash { 5 }, at(0))));
+}
+
+Test(ownership_rows, route_lease_covers_only_slices_that_it_knows)
+{
+    route_table routes;
+    routes.requireLease(true);
+    auto value = randomAssignment({ 10 }, 8);
+    value.slices[1].grant = value.version();
+    routes.take(value);
+    const token older { epoch { 3 }, sequence { 7 } };
+    const renew_route renewal { {}, {}, incarnation { 1 }, older, 1000,
+        std::chrono::milliseconds { 50 } };
+    routes.renew(renewal, incarnation { 2 });
+    cr_assert(std::holds_alternative<lapsed_route>(routes.find(key_hash { 5 }, at(10))));
+    routes.renew(renewal, incarnation { 1 });
+    cr_assert(std::holds_alternative<route>(routes.find(key_hash { 5 }, at(10))));
+    cr_assert(std::holds_alternative<lapsed_route>(routes.find(key_hash { 11 }, at(10))));
+    cr_assert(std::holds_alternative<lapsed_route>(routes.find(key_hash { 5 }, at(51))));
+}
+
+Test(ownership_rows, contradictory_times_are_refused)
+{
+    coordinator_options chosen { service, { host_id { "h" }, incarnation { 1 } }, 1, {} };
+    cr_assert(coordinator::create(chosen).has_value());
+    chosen.times.authority = chosen.times.targetLease;
+    cr_assert(coordinator::create(chosen).has_error());
+    chosen.times = {};
+    chosen.times.drain = {};
+    cr_assert(coordinator::create(chosen).has_error());
+    chosen.times = {};
+    chosen.service = {};
+    cr_assert(coordinator::create(chosen).has_error());
+}
