--- /dev/null
+++ b/src/serve/dispatch.cc
@@ -0,0 +1,129 @@
+#include "dispatch.h"
+
+namespace pimentomast::serve::detail {
+
+result<std::unique_ptr<dispatch>> dispatch::create(
+    const routing::options& settings, const directory& owners, crash_listener listener)
+{
+    auto decisions = proxy::routed_dispatcher::create(settings, owners, std::move(listener));
+    if (!decisions)
+        return decisions.error();
+    return std::unique_ptr<dispatch>(new dispatch(owners, std::move(decisions).value()));
+}
+
+dispatch::dispatch(const directory& owners, std::unique_ptr<proxy::routed_dispatcher> decisions)
+    : m_owners(owners)
+    , m_decisions(std::move(decisions))
+{
+}
+
+void dispatch::count(const proxy::request_facts& facts)
+{
+    if (!facts.key)
+        return;
+    const auto range = m_owners.sliceOf(facts.service, *facts.key);
+    if (!range)
+        return;
+    const std::lock_guard guard(m_loadLock);
+    m_load.count(facts.arrived, facts.service, *range, *facts.key);
+}
+
+void dispatch::submit(const proxy::request_facts& facts, proxy::dispatch_sink& sink)
+{
+    count(facts);
+    m_decisions->submit(facts, sink);
+}
+
+void dispatch::sent(
+    proxy::request_id id, unsigned attempt, instant opened, proxy::dispatch_sink& sink)
+{
+    m_decisions->sent(id, attempt, opened, sink);
+}
+
+void dispatch::responded(proxy::request_id id, unsigned attempt, proxy::dispatch_sink& sink)
+{
+    m_decisions->responded(id, attempt, sink);
+}
+
+void dispatch::ended(const proxy::attempt& finished, proxy::dispatch_sink& sink)
+{
+    m_decisions->ended(finished, sink);
+}
+
+void dispatch::cancelled(proxy::request_id id, proxy::dispatch_sink& sink)
+{
+    m_decisions->cancelled(id, sink);
+}
+
+void dispatch::probed(const proxy::probe_report& report, proxy::dispatch_sink& sink)
+{
+    m_decisions->probed(report, sink);
+}
+
+void dispatch::attach(proxy::dispatch_sink& sink) { m_decisions->attach(sink); }
+
+void dispatch::detach() { m_decisions->detach(); }
+
+void dispatch::applyTable(const table::table& rows) { m_decisions->setTable(rows); }
+
+void dispatch::applyLiveHosts(std::optional<unsigned> count)
+{
+    m_decisions->call(
+        [&](instant now, routing::router& router) { return router.applyLiveHosts(now, count); });
+}
+
+void dispatch::ownersChanged(const service_id& service)
+{
+    m_decisions->call(
+        [&](instant now, routing::router& router) { return router.ownersChanged(now, service); });
+}
+
+void dispatch::report(const target_id& target, const routing::load_report& load)
+{
+    m_decisions->call(
+        [&](instant now, routing::router& router) { return router.report(now, target, load); });
+}
+
+void dispatch::heard(const routing::crash& news)
+{
+    m_decisions->call(
+        [&](instant now, routing::router& router) { return router.heard(now, news); });
+}
+
+void dispatch::pardon(routing::fingerprint print)
+{
+    m_decisions->call(
+        [&](instant now, routing::router& router) { return router.pardon(now, print); });
+}
+
+std::vector<routing::crash> dispatch::crashes() const
+{
+    std::vector<routing::crash> known;
+    m_decisions->inspect([&](const routing::router& router) { known = router.crashes(); });
+    return known;
+}
+
+routing::counters dispatch::counts() const
+{
+    routing::counters counted;
+    m_decisions->inspect([&](const routing::router& router) { counted = router.counts(); });
+    return counted;
+}
+
+std::vector<routing::target_view> dispatch::targets() const
+{
+    std::vector<routing::target_view> views;
+    m_decisions->inspect([&](const routing::router& router) { views = router.targets(); });
+    return views;
+}
+
+std::vector<wire::ServiceLoad> dispatch::takeLoads(instant now)
+{
+    const std::lock_guard guard(m_loadLock);
+    std::vector<wire::ServiceLoad> loads;
+    for (const auto& service : m_load.services())
+        loads.push_back(m_load.report(now, service));
+    return loads;
+}
+
+} // namespace pimentomast::serve::detail
