Raise the growth of windows; find requests that their target does not run

Ruled out: callers taken for flooding by chance (a longer memory changed nothing), unequal smallest windows. Requests on a new connection that goes silent are ended when the probed target runs nothing. Test: lost_request_is_found..., red before the change by construction: nothing ended such a request before its deadline.

--- a/bench/routing.cc
+++ b/bench/routing.cc
@@ -416,10 +416,10 @@
 {
     std::printf("slots %s: %u targets of %u slots, 12 hosts, load 120%% of capacity\n", of.name,
         of.keyedTargets, of.slots);
-    for (const double growth : { 0.02, 0.1, 0.3, 0.6 })
+    for (const double growth : { 0.05, 0.15, 0.3, 0.6, 1.2 })
         slotsRun(of, growth, 0.85);
     for (const double decrease : { 0.5, 0.7, 0.95 })
-        slotsRun(of, 0.3, decrease);
+        slotsRun(of, 0.6, decrease);
 }
 
 void shares(const user& of)
--- a/include/pimentomast/routing.h
+++ b/include/pimentomast/routing.h
@@ -263,7 +263,7 @@
     std::chrono::milliseconds retryBackoffMax { 500 };
     unsigned attemptsMax = 4;
     /// Growth of a window per answer, and what a shed answer leaves of it.
-    double windowGrowth = 0.3;
+    double windowGrowth = 0.6;
     double windowDecrease = 0.85;
     /// The same for answers to a caller that sends far more than others.
     double floodGrowth = 0.05;
--- a/src/routing/caller_shares.cc
+++ b/src/routing/caller_shares.cc
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr duration fadeInterval = std::chrono::milliseconds(100);
-constexpr double fadeFactor = 0.9;
+constexpr double fadeFactor = 0.95;
 constexpr double forgottenCount = 0.01;
 constexpr double floodFactor = 1.5;
 
--- a/src/routing/caller_shares.h
+++ b/src/routing/caller_shares.h
@@ -6,7 +6,8 @@
 
 namespace pimentomast::routing {
 
-/// Tells which callers send far more than others: counts of arrivals that fade over about a second.
+/// Tells which callers send far more than others: counts of arrivals that fade over about
+/// two seconds.
 class caller_shares {
 public:
     void add(instant now, const caller_id& caller);
--- a/src/routing/engine.h
+++ b/src/routing/engine.h
@@ -218,7 +218,7 @@
     void startDueProbes();
     void checkLate(target_state& target);
     [[nodiscard]] instant lateAt(const pending& inFlight) const;
-    void endSilent(target_state& target, instant probeStarted);
+    void endSilent(target_state& target, instant probeStarted, bool targetIsIdle);
     void endFrozen(target_state& target);
     void releaseAwaiting(target_state& target);
     void refuseQuarantined();
--- a/src/routing/health.cc
+++ b/src/routing/health.cc
@@ -12,6 +12,8 @@
 constexpr double trustLossOnShed = 0.8;
 constexpr double trustLossOnUnderReport = 0.9;
 
+bool isIdle(const load_report& load) { return load.running + load.queued == 0; }
+
 } // namespace
 
 void target_state::distrustIfIdle()
@@ -61,7 +63,7 @@
         noteReport(*known, good->load);
         known->health.onProbeAnswered(now);
         if (started)
-            endSilent(*known, *started);
+            endSilent(*known, *started, isIdle(good->load));
     } else {
         if (std::get<probe_failed>(ended).refused)
             onRunEnded(*known);
@@ -245,14 +247,16 @@
     }
 }
 
-// The probe was answered over a new connection while requests on older ones got no answer.
-void engine::endSilent(target_state& target, instant probeStarted)
+// The probe was answered over a new connection while requests got no answer: those on connections
+// that were older than they, and all if the target says that it runs nothing.
+void engine::endSilent(target_state& target, instant probeStarted, bool targetIsIdle)
 {
     std::vector<request_number> silent;
     for (const request_number number : target.inFlight) {
         const pending& inFlight = m_requests.at(number);
         const bool noAnswer = inFlight.wasSent && !inFlight.responded;
-        if (noAnswer && inFlight.reusedConnection && lateAt(inFlight) <= probeStarted)
+        const bool isSuspect = inFlight.reusedConnection || targetIsIdle;
+        if (noAnswer && isSuspect && lateAt(inFlight) <= probeStarted)
             silent.push_back(number);
     }
     if (silent.empty())
--- a/src/routing/window.h
+++ b/src/routing/window.h
@@ -15,7 +15,7 @@
 class window {
 public:
     struct limits {
-        double growth = 0.3;
+        double growth = 0.6;
         double decrease = 0.85;
         double floodGrowth = 0.05;
         double floodDecrease = 0.5;
--- a/test/routing-health-test.cc
+++ b/test/routing-health-test.cc
@@ -11,7 +11,10 @@
 constexpr incarnation firstRun { 1 };
 constexpr incarnation secondRun { 2 };
 
-probe_answered alive(incarnation run) { return { { run, 0, 0, 4 }, 1ms }; }
+probe_answered alive(incarnation run, unsigned running = 1)
+{
+    return { { run, running, 0, 4 }, 1ms };
+}
 
 driver makeDriver(unsigned targets, const options& settings = {})
 {
@@ -251,3 +254,15 @@
     test.probed(first.target.value(), alive(firstRun));
     cr_assert(test.all<abandon>().empty());
 }
+
+Test(routing_health, lost_request_is_found_when_the_target_runs_nothing)
+{
+    driver test = makeDriver(2);
+    const auto number = test.arrive(test.make());
+    const dispatch first = test.lastDispatch(number);
+    test.sent(first, test.now);
+    test.run(600ms);
+    test.probed(first.target.value(), alive(firstRun, 0));
+    test.run(50ms);
+    cr_assert(test.lastDispatch(number).attempt == attempt_number { 2 });
+}
