Read from the target only when the wait says so

Cause: each relay began with a read that could not have anything; one call per request. Conclusion: tests as before.

--- a/src/proxy/relay-answer.cc
+++ b/src/proxy/relay-answer.cc
@@ -12,7 +12,8 @@
 
 std::optional<attempt_result> relay::pumpDownload()
 {
-    if (m_answerState != answer_state::Done && m_download.size() < bufferBytes) {
+    const bool hasRoom = m_download.size() < bufferBytes;
+    if (m_answerState != answer_state::Done && hasRoom && (m_targetReady || m_uploadBroken)) {
         if (const auto result = readTarget())
             return result;
     }
--- a/src/proxy/relay.cc
+++ b/src/proxy/relay.cc
@@ -170,6 +170,7 @@
     const auto leftMs = std::chrono::ceil<std::chrono::milliseconds>(left).count();
     ::poll(
         watched.data(), watched.size(), static_cast<int>(std::clamp<long>(leftMs, 0, pollLimitMs)));
+    m_targetReady = (watched[1].revents & ~POLLOUT) != 0;
     if ((watched[0].revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0)
         return attempt_cancelled {};
     if (m_context.aborting)
--- a/src/proxy/relay.h
+++ b/src/proxy/relay.h
@@ -96,6 +96,8 @@
 
     std::string m_targetInput;
     bool m_targetEnded = false;
+    /// The last wait told that the target's connection can be read.
+    bool m_targetReady = false;
     std::unique_ptr<response_parser> m_answer;
     answer_state m_answerState = answer_state::Awaited;
     framing m_framing = framing::None;
