Take back an attempt whose request has gone before its dispatch

Cause: a caller may go between the router's dispatch and the proxy's taking it. The router then waited for the end of an attempt that never began, and its slot was lost for good. Change: dispatch_sink::forward returns whether the request still waited; routed_dispatcher ends the attempt as cancelled if not. The router's conversions have files of their own. Ruled out: data races; a trial under ThreadSanitizer (8 callers, pipelining, cancelling, uploads, abandoning, drain) gave no report before this change.

--- a/bench/proxy.cc
+++ b/bench/proxy.cc
@@ -60,7 +60,8 @@
     sockaddr_in address {};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(listener, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+    if (bind(listener, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0)
+        throw std::runtime_error("bind failed");
     listen(listener, 1024);
     socklen_t length = sizeof address;
     getsockname(listener, reinterpret_cast<sockaddr*>(&address), &length);
@@ -222,6 +223,7 @@
 {
     outcome result;
     std::vector<pollfd> watched;
+    watched.reserve(lanes.size());
     for (const lane& each : lanes)
         watched.push_back({ each.socket, POLLIN, 0 });
     while (true) {
@@ -287,6 +289,7 @@
         = rate > 0 ? duration(static_cast<long>(1e6 * with.connections / rate)) : duration::zero();
     std::vector<outcome> outcomes(with.clientThreads);
     std::vector<std::thread> threads;
+    threads.reserve(outcomes.size());
     const instant start = monotonic_clock::now();
     const instant end = start + seconds(with.seconds);
     for (outcome& each : outcomes) {
--- a/include/pimentomast/proxy.h
+++ b/include/pimentomast/proxy.h
@@ -177,8 +177,9 @@
 class dispatch_sink {
 public:
     virtual ~dispatch_sink() = default;
-    /// Sends the waiting request to the target.
-    virtual void forward(request_id id, const destination& to) = 0;
+    /// Sends the waiting request to the target. Returns false if it does not wait (any more), so
+    /// that no end of this attempt will be told.
+    virtual bool forward(request_id id, const destination& to) = 0;
     /// Ends the waiting request with an answer of the proxy's own.
     virtual void refuse(request_id id, const refusal& answer) = 0;
     /// Closes the running attempt's connection, unless the answer has begun. It is not reported
--- a/src/proxy/host-run.cc
+++ b/src/proxy/host-run.cc
@@ -1,5 +1,6 @@
 #include "host.h"
 
+#include "overloaded.h"
 #include "probe.h"
 #include "reason.h"
 
@@ -8,13 +9,6 @@
 namespace pimentomast::proxy::detail {
 namespace {
 
-template <class... Handlers>
-struct overloaded : Handlers... {
-    using Handlers::operator()...;
-};
-template <class... Handlers>
-overloaded(Handlers...) -> overloaded<Handlers...>;
-
 bool isHead(const exchange& request)
 {
     return request.head.parser->get().method() == http::verb::head;
@@ -22,16 +16,20 @@
 
 } // namespace
 
-void host::forward(request_id id, const destination& to)
+bool host::forward(request_id id, const destination& to)
 {
-    if (auto request = m_registry.decide(id, to))
-        execute(std::move(request), to);
+    taken found = m_registry.decide(id, to);
+    if (!found.request)
+        return found.kept;
+    execute(std::move(found.request), to);
+    return true;
 }
 
 void host::refuse(request_id id, const refusal& answer)
 {
-    if (auto request = m_registry.decide(id, answer))
-        execute(std::move(request), answer);
+    taken found = m_registry.decide(id, answer);
+    if (found.request)
+        execute(std::move(found.request), answer);
 }
 
 void host::abandon(request_id id, unsigned attempt) { m_registry.abandon(id, attempt); }
--- a/src/proxy/host.h
+++ b/src/proxy/host.h
@@ -38,7 +38,7 @@
     [[nodiscard]] const counters& counts() const override { return m_counts; }
     [[nodiscard]] gauges state() const override;
 
-    void forward(request_id id, const destination& to) override;
+    bool forward(request_id id, const destination& to) override;
     void refuse(request_id id, const refusal& answer) override;
     void abandon(request_id id, unsigned attempt) override;
     void probe(const target_id& target, const endpoint& address) override;
--- a/src/proxy/registry.cc
+++ b/src/proxy/registry.cc
@@ -27,17 +27,18 @@
     return request;
 }
 
-std::unique_ptr<exchange> registry::decide(request_id id, const decision& what)
+taken registry::decide(request_id id, const decision& what)
 {
     const std::lock_guard lock(m_mutex);
     const auto found = m_entries.find(id);
     if (found == m_entries.end())
-        return nullptr;
+        return {};
     if (found->second.parked)
-        return release(id, what);
-    if (found->second.superseded && !found->second.pending)
-        found->second.pending = what;
-    return nullptr;
+        return { release(id, what), false };
+    if (!found->second.superseded || found->second.pending)
+        return {};
+    found->second.pending = what;
+    return { nullptr, true };
 }
 
 std::unique_ptr<exchange> registry::cancel(request_id id)
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -20,14 +20,22 @@
     decision what;
 };
 
+/// What a decision took effect on.
+struct taken {
+    /// Null if the request does not wait.
+    std::unique_ptr<exchange> request;
+    /// The decision is kept until the running attempt has ended.
+    bool kept = false;
+};
+
 /// Decides who owns an exchange. Thread-safe.
 class registry {
 public:
     /// Adds a request that waits.
     void add(std::unique_ptr<exchange> request);
     /// Takes the request for this decision; keeps the decision for later if the running attempt
-    /// was abandoned; otherwise nothing.
-    [[nodiscard]] std::unique_ptr<exchange> decide(request_id id, const decision& what);
+    /// was given up; otherwise nothing.
+    [[nodiscard]] taken decide(request_id id, const decision& what);
     /// Takes out a request that waits; it is over. Null if it does not wait (any more).
     [[nodiscard]] std::unique_ptr<exchange> cancel(request_id id);
     /// Calls the function, under the lock, if the request waits.
--- a/src/proxy/routed-dispatcher.cc
+++ b/src/proxy/routed-dispatcher.cc
@@ -1,4 +1,5 @@
-#include "pimentomast/proxy.h"
+#include "overloaded.h"
+#include "router-results.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -11,68 +12,11 @@
 namespace pimentomast::proxy {
 namespace {
 
-constexpr std::chrono::milliseconds timerInterval { 5 };
-
-template <class... Handlers>
-struct overloaded : Handlers... {
-    using Handlers::operator()...;
-};
-template <class... Handlers>
-overloaded(Handlers...) -> overloaded<Handlers...>;
-
-using routing::refusal_reason;
-
-int statusOf(refusal_reason why)
-{
-    switch (why) {
-    case refusal_reason::UnknownService:
-        return 404;
-    case refusal_reason::DeadlineAfterDispatch:
-    case refusal_reason::ConnectionSilent:
-        return 504;
-    case refusal_reason::ConnectionBroken:
-        return 502;
-    case refusal_reason::Quarantined:
-        return 422;
-    default:
-        return 503;
-    }
-}
+using detail::overloaded;
+using detail::routerResult;
+using detail::statusOf;
 
-routing::attempt_result notRunResult(reason why)
-{
-    switch (why) {
-    case reason::TargetShed:
-        return routing::shed {};
-    case reason::TargetNotOwner:
-        return routing::token_refused {};
-    case reason::TargetDraining:
-        return routing::draining {};
-    default:
-        return routing::connect_failed {};
-    }
-}
-
-routing::attempt_result unknownResult(reason why)
-{
-    if (why == reason::Deadline || why == reason::TargetTimeout)
-        return routing::timed_out {};
-    return routing::broken {};
-}
-
-routing::attempt_result routerResult(const attempt& finished)
-{
-    const overloaded convert {
-        [&](const attempt_answered& answer) -> routing::attempt_result {
-            return routing::answered { answer.status, finished.firstByte, finished.total };
-        },
-        [](const attempt_not_run& refused) { return notRunResult(refused.why); },
-        [](const attempt_unknown& lost) { return unknownResult(lost.why); },
-        [](const attempt_broken&) -> routing::attempt_result { return routing::broken {}; },
-        [](const attempt_cancelled&) -> routing::attempt_result { return routing::cancelled {}; },
-    };
-    return std::visit(convert, finished.result);
-}
+constexpr std::chrono::milliseconds timerInterval { 5 };
 
 /// Lock order: the router's lock is innermost; actions are executed without it.
 class dispatcher_over_router final : public routed_dispatcher {
@@ -256,7 +200,8 @@
         to.attempt = order.attempt.value();
         to.newConnection = order.newConnection;
         to.deadline = order.deadline;
-        sink.forward(id, to);
+        if (!sink.forward(id, to))
+            finishAttempt(order, routing::cancelled {}, sink);
     }
 
     void endUnreplayable(
--- /dev/null
+++ b/src/proxy/router-results.cc
@@ -0,0 +1,63 @@
+#include "router-results.h"
+
+#include "overloaded.h"
+
+namespace pimentomast::proxy::detail {
+namespace {
+
+routing::attempt_result notRunResult(reason why)
+{
+    switch (why) {
+    case reason::TargetShed:
+        return routing::shed {};
+    case reason::TargetNotOwner:
+        return routing::token_refused {};
+    case reason::TargetDraining:
+        return routing::draining {};
+    default:
+        return routing::connect_failed {};
+    }
+}
+
+routing::attempt_result unknownResult(reason why)
+{
+    if (why == reason::Deadline || why == reason::TargetTimeout)
+        return routing::timed_out {};
+    return routing::broken {};
+}
+
+} // namespace
+
+int statusOf(routing::refusal_reason why) noexcept
+{
+    using routing::refusal_reason;
+    switch (why) {
+    case refusal_reason::UnknownService:
+        return 404;
+    case refusal_reason::DeadlineAfterDispatch:
+    case refusal_reason::ConnectionSilent:
+        return 504;
+    case refusal_reason::ConnectionBroken:
+        return 502;
+    case refusal_reason::Quarantined:
+        return 422;
+    default:
+        return 503;
+    }
+}
+
+routing::attempt_result routerResult(const attempt& finished)
+{
+    const overloaded convert {
+        [&](const attempt_answered& answer) -> routing::attempt_result {
+            return routing::answered { answer.status, finished.firstByte, finished.total };
+        },
+        [](const attempt_not_run& refused) { return notRunResult(refused.why); },
+        [](const attempt_unknown& lost) { return unknownResult(lost.why); },
+        [](const attempt_broken&) -> routing::attempt_result { return routing::broken {}; },
+        [](const attempt_cancelled&) -> routing::attempt_result { return routing::cancelled {}; },
+    };
+    return std::visit(convert, finished.result);
+}
+
+} // namespace pimentomast::proxy::detail
--- a/test/helper/fixed-dispatcher.h
+++ b/test/helper/fixed-dispatcher.h
@@ -28,7 +28,7 @@
             to = next();
         }
         if (!held)
-            sink.forward(facts.id, to);
+            (void)sink.forward(facts.id, to);
     }
 
     void ended(const proxy::attempt& finished, proxy::dispatch_sink& sink) override
@@ -48,7 +48,8 @@
             ++waiting.attempts;
             const proxy::destination to = next();
             lock.unlock();
-            return sink.forward(finished.id, to);
+            (void)sink.forward(finished.id, to);
+            return;
         }
         m_waiting.erase(finished.id);
         lock.unlock();
--- a/test/proxy-input-test.cc
+++ b/test/proxy-input-test.cc
@@ -300,6 +300,7 @@
             cr_assert(contains(idle[i].readUntil("}\n"), "HTTP/1.1 200"));
     }
     std::vector<raw_connection> excess;
+    excess.reserve(11);
     for (int i = 0; i < 11; ++i)
         excess.emplace_back(host.address());
     cr_assert(contains(excess.back().readAll(), "too-many-connections"));
--- a/test/proxy-load-test.cc
+++ b/test/proxy-load-test.cc
@@ -11,6 +11,7 @@
     target_process target("t1", { "--no-token-checks", "--slots", "100" });
     routed_fixture host({ target.address() });
     std::vector<std::thread> callers;
+    callers.reserve(16);
     std::atomic<int> right { 0 };
     for (int caller = 0; caller < 16; ++caller) {
         callers.emplace_back([&, caller] {
--- a/test/proxy-routing-test.cc
+++ b/test/proxy-routing-test.cc
@@ -72,3 +72,42 @@
     const auto reply = call(host.address(), { "GET", "/weights/g1" });
     cr_assert_eq(reply.status, 200, "%s %s", reply.failure.c_str(), reply.body.c_str());
 }
+
+namespace {
+
+/// A sink whose requests are always gone.
+class deaf_sink : public proxy::dispatch_sink {
+public:
+    bool forward(proxy::request_id, const proxy::destination&) override
+    {
+        ++forwarded;
+        return false;
+    }
+    void refuse(proxy::request_id, const proxy::refusal&) override { }
+    void abandon(proxy::request_id, unsigned) override { }
+    void probe(const target_id&, const endpoint&) override { }
+    void closeIdle(const endpoint&, instant) override { }
+
+    int forwarded = 0;
+};
+
+} // namespace
+
+Test(proxy_routing, attempt_of_a_request_that_is_gone_takes_no_slot)
+{
+    scripted_target target({});
+    routed_fixture host({ target.destination().address });
+    deaf_sink sink;
+    proxy::request_facts facts;
+    facts.id = proxy::request_id { 1000001 };
+    facts.service = service_id { "weights" };
+    facts.key = key_hash { 1 };
+    facts.arrived = monotonic_clock::now();
+    facts.deadline = facts.arrived + seconds(10);
+    host.dispatcher->submit(facts, sink);
+    cr_assert_eq(sink.forwarded, 1);
+    host.dispatcher->inspect([](const routing::router& router) {
+        for (const auto& view : router.targets())
+            cr_expect_eq(view.outstanding, 0);
+    });
+}
