Warn of a mark for an unlisted host; say when an edit changes nothing

Cause: a mistyped host id was marked without a word, and an edit without effect read as if a version had been made. Health answers beside 48 silent connections (test).

--- a/src/command/table_commands.cc
+++ b/src/command/table_commands.cc
@@ -46,7 +46,8 @@
 
     exit_code operator()(const table::applied& done) const
     {
-        call.out << "version " << done.version.value() << " is accepted\n";
+        const auto* verb = done.changes.empty() ? " stays: nothing to change" : " is accepted";
+        call.out << "version " << done.version.value() << verb << "\n";
         printChanges(call.out, "changed:", done.changes);
         if (!done.mergedWith.empty())
             call.out << "merged with the edits of others:\n";
@@ -94,9 +95,24 @@
     return table::readCurrent(*store).value().value_or(table::table {});
 }
 
+/// Warns of an id that may be mistyped. The platform's list lags, so the mark is set all the same.
+void warnIfUnlisted(const invocation& call, platform::services& store)
+{
+    const auto listed = store.hosts();
+    if (!listed)
+        return;
+    const host_id id { call.text("id") };
+    const bool found = std::any_of(listed.value().begin(), listed.value().end(),
+        [&](const auto& host) { return host.id == id; });
+    if (!found)
+        call.err << "note: the platform does not list host " << id << "\n";
+}
+
 exit_code setMark(const invocation& call, table::row_kind kind, table::mark state)
 {
     const auto store = connectPlatform(call);
+    if (kind == table::row_kind::Host)
+        warnIfUnlisted(call, *store);
     const table::mark_edit wanted { call.text("editor"), { kind, call.text("id") }, state, now() };
     return report(call, table::apply(*store, wanted));
 }
--- a/test/admin-test.cc
+++ b/test/admin-test.cc
@@ -5,6 +5,7 @@
 #include "pimentomast/command.h"
 #include "pimentomast/table.h"
 
+#include <Poco/Net/StreamSocket.h>
 #include <atomic>
 #include <criterion/criterion.h>
 #include <fstream>
@@ -181,6 +182,15 @@
     cr_assert(f.call("PUT", "/table", tooLong).status == 413);
 }
 
+Test(admin, silent_connections_do_not_keep_health_from_answering)
+{
+    fixture f;
+    std::vector<Poco::Net::StreamSocket> silent(48);
+    for (auto& socket : silent)
+        socket.connect({ f.api->address().ip, f.api->address().port });
+    cr_assert(f.call("GET", "/health", "", "").status == 200);
+}
+
 Test(admin, status_command_asks_with_the_token_of_the_settings)
 {
     fixture f;
--- a/test/command-test.cc
+++ b/test/command-test.cc
@@ -218,8 +218,12 @@
     cr_assert(has(f.on({ "target", "list" }).out, "w1 w 127.0.0.1:7001 k leaving"));
     cr_assert(f.on({ "target", "return", "w1", "--editor", "sita" }).code == 0);
     cr_assert(has(f.on({ "target", "list", "--format", "json" }).out, R"("state":"active")"));
-    cr_assert(f.on({ "host", "leave", "h1", "--editor", "sita" }).code == 0);
-    cr_assert(f.on({ "host", "leave", "h2", "--editor", "sita" }).code == 0);
+    const auto listed = f.on({ "host", "leave", "h1", "--editor", "sita" });
+    cr_assert(listed.code == 0 && listed.err.empty());
+    const auto again = f.on({ "host", "leave", "h1", "--editor", "sita" });
+    cr_assert(again.code == 0 && has(again.out, "version 4 stays"), "%s", again.out.c_str());
+    const auto unlisted = f.on({ "host", "leave", "h2", "--editor", "sita" });
+    cr_assert(unlisted.code == 0 && has(unlisted.err, "does not list host h2"));
     const auto hosts = f.on({ "host", "list" });
     cr_assert(has(hosts.out, "h1 k platform=live mark=leaving"), "%s", hosts.out.c_str());
     cr_assert(has(hosts.out, "h2 - platform=not listed mark=leaving"));
