Tell the hosts of a table that the command line applied

Cause: the command line writes the table to the platform alone; if the platform fails before a host polls it, the accepted table is in force nowhere until the outage ends (failure-configuration-test, accepted_just_before_an_outage: seen to fail after 60 s). The hosts are listed before the write and told right after it was accepted or read back. After: the same test passed within 1 s.

--- /dev/null
+++ b/src/command/notifying_store.cc
@@ -0,0 +1,87 @@
+#include "notifying_store.h"
+
+#include "pimentomast/peers.h"
+#include "pimentomast/table.h"
+
+namespace pimentomast::command::detail {
+namespace {
+
+constexpr std::chrono::milliseconds noticeTimeoutMs { 500 };
+
+/// Name by which the command line presents itself to hosts; no host is called so.
+const std::string senderName = "command-line";
+
+class notifying_store final : public platform::services {
+public:
+    explicit notifying_store(std::unique_ptr<platform::services> store)
+        : m_store(std::move(store))
+    {
+    }
+
+    result<std::optional<platform::row>> read(const std::string& key) override
+    {
+        auto found = m_store->read(key);
+        if (found && found.value() && key == table::configRow)
+            notify(found.value()->version, found.value()->value);
+        return found;
+    }
+
+    platform::write_outcome write(const std::string& key, row_version expected,
+        const std::string& value, const platform::write_id& id) override
+    {
+        if (key == table::configRow)
+            listHosts();
+        auto outcome = m_store->write(key, expected, value, id);
+        const auto* accepted = std::get_if<platform::write_accepted>(&outcome);
+        if (accepted && key == table::configRow)
+            notify(accepted->version, value);
+        return outcome;
+    }
+
+    result<void> putObject(const std::string& name, const std::string& bytes) override
+    {
+        return m_store->putObject(name, bytes);
+    }
+
+    result<std::optional<std::string>> getObject(const std::string& name) override
+    {
+        return m_store->getObject(name);
+    }
+
+    result<std::vector<platform::listed_host>> hosts() override { return m_store->hosts(); }
+
+private:
+    /// Opens clients of the listed hosts. Until then, nothing that is read is told.
+    void listHosts()
+    {
+        const auto listed = m_store->hosts();
+        if (!listed)
+            return;
+        m_clients.clear();
+        for (const auto& host : listed.value())
+            m_clients.push_back(peers::client::create(host.peers));
+    }
+
+    void notify(row_version version, const std::string& value)
+    {
+        peers::wire::Notice notice;
+        notice.set_host(senderName);
+        notice.mutable_table()->set_version(version.value());
+        notice.mutable_table()->set_value(value);
+        for (const auto& client : m_clients)
+            client->publish(notice, noticeTimeoutMs, [](const auto&) {});
+    }
+
+    std::unique_ptr<platform::services> m_store;
+    /// Their destruction waits for the notices that are under way.
+    std::vector<std::shared_ptr<peers::client>> m_clients;
+};
+
+} // namespace
+
+std::unique_ptr<platform::services> notifyHosts(std::unique_ptr<platform::services> store)
+{
+    return std::make_unique<notifying_store>(std::move(store));
+}
+
+} // namespace pimentomast::command::detail
--- a/src/command/table_commands.cc
+++ b/src/command/table_commands.cc
@@ -1,3 +1,4 @@
+#include "notifying_store.h"
 #include "subcommands.h"
 
 #include "pimentomast/table.h"
@@ -198,7 +199,7 @@
     } else {
         throw options::error("one of --platform and --settings is needed");
     }
-    return platform::connect(options).value();
+    return notifyHosts(platform::connect(options).value());
 }
 
 exit_code tableShow(const invocation& call)
