--- a/include/pimentomast/ownership.h
+++ b/include/pimentomast/ownership.h
@@ -224,6 +224,8 @@
     host_id host;
 };
 /// Answer to renew_route: the host's run, its own clock, and the newest assignment that it has.
+/// Precondition: the host names a version only once no request that it forwarded to an older owner
+/// of a slice is still in flight; until then it names the version before.
 struct route_acknowledged {
     request_number request;
     host_id host;
