Wait until gRPC has let go of a call before its channel is closed

Cause: client::~client waited for the handlers to return, but gRPC still used the call and its context after that; closing the channel meanwhile ended the process in ref_counted.h ("prior > 0"). Change: the wait ends when the call's context has been destroyed.

--- a/src/peers/client.cc
+++ b/src/peers/client.cc
@@ -5,6 +5,7 @@
 #include <condition_variable>
 #include <grpcpp/create_channel.h>
 #include <mutex>
+#include <optional>
 
 namespace pimentomast::peers {
 namespace {
@@ -38,10 +39,25 @@
     unsigned m_count = 0;
 };
 
-/// Keeps a call's messages alive until its handler has run.
+/// Keeps a call's messages alive until gRPC has let go of them, which is later than its handler's
+/// return: only then may the channel be closed.
 template <class Reply>
 struct pending_call {
-    grpc::ClientContext context;
+    explicit pending_call(std::shared_ptr<running_calls> counted)
+        : running(std::move(counted))
+    {
+        running->begin();
+    }
+    pending_call(const pending_call&) = delete;
+    pending_call& operator=(const pending_call&) = delete;
+    ~pending_call()
+    {
+        context.reset();
+        running->end();
+    }
+
+    std::shared_ptr<running_calls> running;
+    std::optional<grpc::ClientContext> context { std::in_place };
     Reply reply;
     reply_handler<Reply> done;
 };
@@ -65,22 +81,20 @@
     void call(const char* step, std::chrono::milliseconds timeout, reply_handler<Reply> done,
         const Invoke& invoke)
     {
-        auto pending = std::make_shared<pending_call<Reply>>();
-        pending->context.set_deadline(std::chrono::system_clock::now() + timeout);
+        auto pending = std::make_shared<pending_call<Reply>>(running);
+        pending->context->set_deadline(std::chrono::system_clock::now() + timeout);
         pending->done = std::move(done);
-        running.begin();
         auto complete = [this, pending, step](const grpc::Status& status) {
             if (status.ok())
                 pending->done(std::move(pending->reply));
             else
                 pending->done(error { step, address.text(), status.error_message() });
-            running.end();
         };
-        invoke(&pending->context, &pending->reply, std::move(complete));
+        invoke(&*pending->context, &pending->reply, std::move(complete));
     }
 
     endpoint address;
-    running_calls running;
+    std::shared_ptr<running_calls> running = std::make_shared<running_calls>();
     std::unique_ptr<wire::Peer::Stub> stub;
 };
 
@@ -99,7 +113,7 @@
 {
 }
 
-client::~client() { m_state->running.wait(); }
+client::~client() { m_state->running->wait(); }
 
 const endpoint& client::address() const noexcept { return m_state->address; }
 
