--- a/bench/balancing.cc
+++ b/bench/balancing.cc
@@ -27,7 +27,7 @@
 constexpr unsigned hosts = 12;
 constexpr std::size_t sketchSize = 64;
 
-std::uint64_t g_seed = 1;
+std::uint64_t runSeed = 1;
 
 struct user {
     const char* name;
@@ -179,8 +179,8 @@
         : m_policy(chosen)
         , m_settings(settings)
         , m_under(under)
-        , m_keys(g_seed)
-        , m_random(g_seed + 1)
+        , m_keys(runSeed)
+        , m_random(runSeed + 1)
     {
         for (unsigned i = 0; i < of.targets; ++i) {
             placement_target target;
@@ -363,7 +363,7 @@
 {
     planner_options settings;
     settings.churnPrice = of.churnPrice;
-    settings.seed = g_seed;
+    settings.seed = runSeed;
     return settings;
 }
 
@@ -505,6 +505,6 @@
 {
     std::setvbuf(stdout, nullptr, _IOLBF, 0);
     if (argc > 2)
-        g_seed = std::strtoull(argv[2], nullptr, 10);
+        runSeed = std::strtoull(argv[2], nullptr, 10);
     scenario(argc > 1 ? argv[1] : "all");
 }
--- a/bench/routing.cc
+++ b/bench/routing.cc
@@ -24,7 +24,7 @@
 constexpr user karoo { "karoo", 22, 9, 2, 3ms };
 constexpr duration serviceTime = 10ms;
 
-std::uint64_t g_seed = 1;
+std::uint64_t runSeed = 1;
 
 table::table makeRows(const user& of, bool keyed)
 {
@@ -50,7 +50,7 @@
 {
     setup made;
     made.betweenDomains = of.betweenDomains;
-    made.seed = g_seed;
+    made.seed = runSeed;
     made.rows = makeRows(of, keyed);
     return made;
 }
@@ -309,7 +309,7 @@
     for (int i = 0; withCrasher && i < 50; ++i)
         run.events.after(1s + i * 1s, [&run, steady] { run.arrive(steady, "bad", crasher); });
     std::uint64_t kills = 0;
-    std::mt19937_64 random(g_seed);
+    std::mt19937_64 random(runSeed);
     for (duration at = 2s; killEvery > 0s && at < 60s; at += killEvery)
         run.events.after(at, [&run, &kills, index = random()] {
             auto one = run.targets.begin();
@@ -445,7 +445,7 @@
     instant now { 1000s };
     (void)host->applyTable(now, from.rows);
     constexpr int requests = 200000;
-    std::mt19937_64 random(g_seed);
+    std::mt19937_64 random(runSeed);
     const auto began = std::chrono::steady_clock::now();
     for (int i = 1; i <= requests; ++i) {
         now += 100us;
@@ -500,6 +500,6 @@
 {
     std::setvbuf(stdout, nullptr, _IOLBF, 0);
     if (argc > 2)
-        g_seed = std::strtoull(argv[2], nullptr, 10);
+        runSeed = std::strtoull(argv[2], nullptr, 10);
     scenario(argc > 1 ? argv[1] : "all");
 }
--- a/src/routing/engine.cc
+++ b/src/routing/engine.cc
@@ -7,7 +7,7 @@
 namespace {
 
 // The unit of cost is the usual latency of the service.
-constexpr double quantum = 2;
+constexpr double callerQuantum = 2;
 
 target_health::limits healthLimits(const options& settings)
 {
@@ -110,7 +110,7 @@
         m_services, [&](const auto& each) { return rows.service(each.first) == nullptr; });
     for (const table::service_row& row : rows.services) {
         const auto [found, added]
-            = m_services.try_emplace(row.id, row, m_settings, quantum, m_random());
+            = m_services.try_emplace(row.id, row, m_settings, callerQuantum, m_random());
         found->second.row = row;
         found->second.targets.clear();
     }
@@ -129,7 +129,7 @@
     const instant coldSince = m_hasTable ? m_now : m_now - m_settings.slowStart;
     for (const table::target_row& row : rows.targets) {
         const auto [found, added] = m_targets.try_emplace(
-            row.id, row, m_healthLimits, m_windowLimits, quantum, coldSince);
+            row.id, row, m_healthLimits, m_windowLimits, callerQuantum, coldSince);
         target_state& target = found->second;
         if (!added && row.state == table::mark::Active && target.row.state != row.state)
             target.health.restart(m_now);
--- a/test/routing-choice-test.cc
+++ b/test/routing-choice-test.cc
@@ -12,6 +12,9 @@
 
 namespace {
 
+constexpr unsigned connections = 130;
+constexpr duration lag = 30s;
+
 using candidates = std::vector<weighted_choice::candidate>;
 
 candidates makeCandidates(const std::vector<double>& weights)
@@ -63,8 +66,10 @@
         virtualTime = fast.virtualTime();
         for (const int load : loads) {
             all[0].load = load % 3;
-            all[1].load = load / 3 % 3;
-            all[2].load = load / 9;
+            const int second = load / 3 % 3;
+            const int third = load / 9;
+            all[1].load = second;
+            all[2].load = third;
             fastOrder.push_back(fast.choose(all).value());
             naiveOrder.push_back(naiveChoice(all, finish, virtualTime, 2));
         }
@@ -103,9 +108,7 @@
 // Hosts start and stop at random; each is told the number of live hosts late, or not at all.
 Test(routing_choice, connections_of_all_hosts_never_exceed_the_targets)
 {
-    constexpr unsigned connections = 130;
-    constexpr duration lag = 30s;
-    const bool holds = rc::check("shares stay within the connections of a target", [&] {
+    const bool holds = rc::check("shares stay within the connections of a target", [] {
         struct host {
             host_count count { 16, lag };
             instant gone = instant::max();
--- a/test/routing-health-test.cc
+++ b/test/routing-health-test.cc
@@ -99,6 +99,24 @@
     cr_assert_not(refusedAsQuarantined(test, 7));
 }
 
+Test(routing_health, suspects_of_the_same_crashes_are_told_apart_by_the_next_one)
+{
+    driver test = makeDriver(4);
+    const auto tell = [&](std::uint64_t print, const char* target) {
+        (void)test.host->heard(
+            test.now, { fingerprint { print }, target_id { target }, firstRun, test.now, false });
+    };
+    for (const char* target : { "t1", "t2" }) {
+        tell(6, target);
+        tell(5, target);
+    }
+    cr_assert_not(refusedAsQuarantined(test, 5));
+    cr_assert_not(refusedAsQuarantined(test, 6));
+    tell(5, "t3");
+    cr_assert(refusedAsQuarantined(test, 5));
+    cr_assert_not(refusedAsQuarantined(test, 6));
+}
+
 Test(routing_health, answer_clears_a_suspect_everywhere)
 {
     driver test = makeDriver(4);
