--- a/src/admin/answers.cc
+++ b/src/admin/answers.cc
@@ -205,11 +205,22 @@
         return dispatch(node, request);
     } catch (const Poco::Exception&) {
         return refuse(400, "the body is not the JSON object that this path takes");
+    } catch (const failure& caught) {
+        return unavailable(caught.cause());
     }
 }
 
 } // namespace detail
 
+std::vector<route_description> describeRoutes()
+{
+    std::vector<route_description> all;
+    all.reserve(detail::routes.size());
+    for (const auto& each : detail::routes)
+        all.push_back({ std::string(each.method), std::string(each.path) });
+    return all;
+}
+
 bool equalInConstantTime(const std::string& given, const std::string& expected)
 {
     if (expected.empty())
--- a/src/proxy/poller.cc
+++ b/src/proxy/poller.cc
@@ -44,8 +44,7 @@
 
 void poller::watch(const caller_pointer& connection)
 {
-    const bool receives = connection->state == phase::Idle || connection->state == phase::Head;
-    if (receives && !connection->input.empty() && connection->scanned == 0) {
+    if (connection->unexamined) {
         {
             const std::lock_guard lock(m_mutex);
             m_ready.push_back(connection);
@@ -104,8 +103,11 @@
         }
         takeReady();
         const instant now = monotonic_clock::now();
-        if (now - m_swept >= pollInterval)
-            sweep(now);
+        if (now - m_swept < pollInterval)
+            continue;
+        sweep(now);
+        if (m_sweepsToo)
+            m_events.swept(now);
     }
 }
 
--- a/src/proxy/relay-answer.cc
+++ b/src/proxy/relay-answer.cc
@@ -12,7 +12,8 @@
 
 std::optional<attempt_result> relay::pumpDownload()
 {
-    if (m_answerState != answer_state::Done && m_download.size() < bufferBytes) {
+    const bool hasRoom = m_download.size() < bufferBytes;
+    if (m_answerState != answer_state::Done && hasRoom && (m_targetReady || m_uploadBroken)) {
         if (const auto result = readTarget())
             return result;
     }
@@ -26,8 +27,7 @@
         m_targetEnded = true;
     if (got.bytes > 0) {
         m_progress = monotonic_clock::now();
-        if (m_firstByte == duration::zero())
-            m_firstByte = m_progress - m_started;
+        noteFirstByte();
     }
     if (m_answerState == answer_state::Awaited) {
         if (const auto result = readAnswerHead())
@@ -42,6 +42,14 @@
     return std::nullopt;
 }
 
+void relay::noteFirstByte()
+{
+    if (m_firstByte != duration::zero())
+        return;
+    m_firstByte = std::max(m_progress - m_started, duration(1));
+    m_context.responded();
+}
+
 std::optional<attempt_result> relay::readAnswerHead()
 {
     while (m_answerState == answer_state::Awaited) {
@@ -52,7 +60,7 @@
                 : std::nullopt;
         m_answer = std::make_unique<response_parser>();
         m_answer->header_limit(answerHeadBytes + 4);
-        m_answer->body_limit(boost::none);
+        m_answer->body_limit(unlimitedBody);
         m_answer->skip(m_request.head.parser->get().method() == http::verb::head);
         boost::beast::error_code fault;
         m_answer->put(boost::asio::buffer(m_targetInput.data(), end + 4), fault);
@@ -90,9 +98,14 @@
         return result;
     if (const auto why = notRunReason(*m_answer))
         return endNotRun(*why);
+    if (m_request.rest)
+        return beginRest();
+    m_tag = continuationTag(*m_answer, m_request);
+    if (const auto length = m_answer->content_length())
+        m_total = *length;
     m_framing = answerFraming(*m_answer, m_request.head);
-    m_closesCaller = !m_request.head.keepAlive || m_framing == framing::Close
-        || !m_request.bodyDone || m_context.closing();
+    m_closesCaller = !m_request.head.keepAlive || m_framing == framing::Close || !m_request.bodyDone
+        || m_context.closing();
     m_download += answerHead(*m_answer, m_request.head, m_framing, m_closesCaller);
     m_answerState = m_answer->is_done() ? answer_state::Done : answer_state::Body;
     if (m_answerState == answer_state::Done && m_framing == framing::Chunked)
@@ -100,6 +113,15 @@
     return std::nullopt;
 }
 
+std::optional<attempt_result> relay::beginRest()
+{
+    m_total = restTotal(*m_answer, *m_request.rest);
+    if (!m_total)
+        return attempt_broken { reason::AnswerBroken };
+    m_answerState = answer_state::Body;
+    return std::nullopt;
+}
+
 void relay::sendInterim()
 {
     if (m_request.head.http10)
@@ -130,6 +152,8 @@
     addToDownload(piece);
     if (state != body_state::Done)
         return std::nullopt;
+    if (m_total && m_framing != framing::None && m_delivered != *m_total)
+        return attempt_broken { reason::AnswerBroken };
     m_answerState = answer_state::Done;
     if (m_framing == framing::Chunked)
         appendLastChunk(m_download);
@@ -138,6 +162,7 @@
 
 void relay::addToDownload(std::string_view piece)
 {
+    m_delivered += piece.size();
     if (m_framing == framing::Chunked)
         appendChunk(m_download, piece);
     else
@@ -152,7 +177,8 @@
             return attempt_cancelled {};
         if (sent.bytes > 0) {
             m_progress = monotonic_clock::now();
-            m_request.answerStarted = m_answerState != answer_state::Awaited;
+            m_request.answerStarted
+                = m_request.answerStarted || m_answerState != answer_state::Awaited;
         }
         m_download.erase(0, sent.bytes);
     }
--- a/src/proxy/relay.cc
+++ b/src/proxy/relay.cc
@@ -20,8 +20,7 @@
     , m_context(context)
     , m_started(monotonic_clock::now())
     , m_progress(m_started)
-    , m_answerBy(request.facts.deadline)
-    , m_lateAt(m_started + context.settings.lateAfter)
+    , m_answerBy(std::min(request.facts.deadline, to.deadline))
 {
 }
 
@@ -46,6 +45,14 @@
 void relay::startUpload()
 {
     const std::string id = m_context.requestPrefix + std::to_string(m_request.facts.id.value());
+    if (m_request.rest) {
+        m_framing = m_request.rest->body;
+        m_closesCaller = m_request.rest->closesCaller;
+        m_delivered = m_request.rest->delivered;
+        m_total = m_request.rest->total;
+        m_tag = m_request.rest->tag;
+        m_download = std::move(m_request.rest->unsent);
+    }
     m_upload = requestHead(m_request, m_to, id, m_started);
     const std::string held = std::move(m_request.held);
     m_request.held.clear();
@@ -86,17 +93,19 @@
 std::optional<attempt_result> relay::takeFromCaller()
 {
     caller_connection& caller = *m_request.caller;
-    if (caller.input.empty()) {
+    if (caller.input.empty() || m_needsInput) {
         const auto got = receiveInto(caller.socket, caller.input, bufferBytes);
         if (got.state == io_state::Ended || got.state == io_state::Failed)
             return attempt_cancelled {};
         if (got.bytes > 0)
             m_progress = monotonic_clock::now();
+        m_received += got.bytes;
     }
     std::string piece;
     const auto state = decodeBody(*m_request.head.parser, caller.input, piece, bufferBytes);
     if (state == body_state::Bad || caller.input.size() >= bufferBytes)
         return callerFault(reason::MalformedBody);
+    m_needsInput = state == body_state::NeedsInput;
     m_upload.erase(0, m_uploadOffset);
     m_uploadOffset = 0;
     addToUpload(piece);
@@ -124,7 +133,7 @@
         m_uploadOffset = 0;
     }
     if (uploadSent())
-        m_answerBy = m_request.facts.deadline + (m_progress - m_started);
+        m_answerBy = std::min(m_request.facts.deadline, m_to.deadline) + (m_progress - m_started);
     return std::nullopt;
 }
 
@@ -138,8 +147,8 @@
 
 std::optional<attempt_result> relay::wait()
 {
-    const bool wantsCaller = !m_request.bodyDone && !m_uploadBroken
-        && m_upload.size() - m_uploadOffset < bufferBytes;
+    const bool wantsCaller
+        = !m_request.bodyDone && !m_uploadBroken && m_upload.size() - m_uploadOffset < bufferBytes;
     const bool wantsTarget
         = m_answerState != answer_state::Done && m_download.size() < bufferBytes && !m_targetEnded;
     std::array<pollfd, 2> watched { {
@@ -156,14 +165,25 @@
         watched[1].events |= POLLOUT;
     if (watched[1].events == 0)
         watched[1].fd = -1;
-    const auto left = nextTimer() - monotonic_clock::now();
+    const instant before = monotonic_clock::now();
+    const auto left = nextTimer() - before;
     const auto leftMs = std::chrono::ceil<std::chrono::milliseconds>(left).count();
-    ::poll(watched.data(), watched.size(), static_cast<int>(std::clamp<long>(leftMs, 0, pollLimitMs)));
+    ::poll(
+        watched.data(), watched.size(), static_cast<int>(std::clamp<long>(leftMs, 0, pollLimitMs)));
+    m_targetReady = (watched[1].revents & ~POLLOUT) != 0;
     if ((watched[0].revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0)
         return attempt_cancelled {};
     if (m_context.aborting)
         return attempt_cancelled {};
-    return checkTime(monotonic_clock::now());
+    const instant now = monotonic_clock::now();
+    countCallerWait(before, now, wantsCaller && m_upload.empty());
+    return checkTime(now);
+}
+
+void relay::countCallerWait(instant before, instant now, bool waitsForCaller)
+{
+    if (waitsForCaller)
+        m_callerWait += now - before;
 }
 
 instant relay::nextTimer() const
@@ -171,7 +191,7 @@
     const instant pause = m_progress + m_context.settings.bodyTimeout;
     if (m_answerState != answer_state::Awaited || !uploadSent())
         return pause;
-    return std::min(m_answerBy, m_lateAt);
+    return m_answerBy;
 }
 
 std::optional<attempt_result> relay::checkTime(instant now)
@@ -181,43 +201,19 @@
         const bool callerPauses = (!m_request.bodyDone && m_upload.empty()) || !m_download.empty();
         return callerPauses ? callerFault(reason::BodyTimeout) : failed(reason::TargetTimeout);
     }
+    const std::chrono::duration<double> waited = m_callerWait;
+    const bool tooSlow = m_callerWait > m_context.settings.bodyTimeout
+        && double(m_received) < waited.count() * double(m_context.settings.bodyBytesPerSecond);
+    if (!m_request.bodyDone && tooSlow)
+        return callerFault(reason::BodyTimeout);
     if (pausing)
         return std::nullopt;
-    if (now >= m_answerBy)
-        return failed(reason::Deadline);
-    return now >= m_lateAt ? checkLate(now) : std::nullopt;
-}
-
-std::optional<attempt_result> relay::checkLate(instant now)
-{
-    m_lateAt = instant::max();
-    if (!m_target.used || !probeAnswered())
-        return std::nullopt;
-    m_context.pool.closeOlder(m_target.address(), now);
-    if (m_context.abandon())
-        return failed(reason::ConnectionSuspect);
-    return std::nullopt;
+    return now >= m_answerBy ? std::optional(failed(reason::Deadline)) : std::nullopt;
 }
 
-bool relay::probeAnswered()
-{
-    auto socket = m_context.pool.open(m_target.address());
-    if (!socket)
-        return false;
-    const std::string probe = "GET /pimentomast/health HTTP/1.1\r\nHost: "
-        + m_target.address().text() + "\r\nConnection: close\r\n\r\n";
-    if (sendSome(*socket, probe).bytes != probe.size())
-        return false;
-    pollfd watched { descriptor(*socket), POLLIN, 0 };
-    const auto timeout = static_cast<int>(m_context.settings.connectTimeout.count());
-    ::poll(&watched, 1, timeout);
-    const bool answered = peekState(*socket) == io_state::Ready;
-    closeConnection(*socket);
-    return answered;
-}
-
-attempt_result relay::failed(reason why) const
+attempt_result relay::failed(reason why)
 {
+    m_brokenByTarget = why == reason::TargetClosed || why == reason::TargetTimeout;
     if (m_request.answerStarted)
         return attempt_broken { reason::AnswerBroken };
     return attempt_unknown { why };
@@ -229,11 +225,26 @@
         && m_targetInput.empty() && m_answer->keep_alive();
 }
 
-relay_result relay::finish(const attempt_result& result)
+void relay::giveBackTarget()
 {
-    relay_result ended { result, false, m_fault, m_firstByte };
     if (reusableTarget())
         m_target.giveBack();
+}
+
+bool relay::keepForContinuation()
+{
+    const unsigned count = m_request.rest ? m_request.rest->count : 0;
+    if (!m_brokenByTarget || m_tag.empty() || count >= m_context.settings.continuations)
+        return false;
+    m_request.rest = continuation { m_tag, m_delivered, m_total, m_framing, m_closesCaller,
+        std::move(m_download), count + 1 };
+    return true;
+}
+
+relay_result relay::finish(const attempt_result& result)
+{
+    relay_result ended { result, false, m_fault, m_firstByte, false };
+    ended.continues = std::holds_alternative<attempt_broken>(result) && keepForContinuation();
     const bool answered = std::holds_alternative<attempt_answered>(result);
     ended.callerReusable = answered && m_request.bodyDone && !m_closesCaller;
     return ended;
--- a/src/proxy/relay.h
+++ b/src/proxy/relay.h
@@ -3,6 +3,9 @@
 #include "message.h"
 #include "target-pool.h"
 
+#include <algorithm>
+#include <atomic>
+
 #include <functional>
 
 /// One attempt of a request over one connection to a target.
@@ -10,10 +13,9 @@
 
 struct relay_context {
     const options& settings;
-    target_pool& pool;
     std::string requestPrefix;
-    /// Tells whether to give up an attempt whose connection is suspect.
-    std::function<bool()> abandon;
+    /// Called once, at the first byte of the answer.
+    std::function<void()> responded;
     /// Tells whether answers should close the caller's connection.
     std::function<bool()> closing;
     /// Set when the server is destroyed.
@@ -28,6 +30,8 @@
     /// The request itself was at fault; the caller is told by an answer of the proxy's own.
     std::optional<reason> fault;
     duration firstByte { 0 };
+    /// The answer broke off, and the request holds what is needed to go on with it.
+    bool continues = false;
 };
 
 /// Streams both bodies until the answer is whole or the attempt has failed. Runs on one worker's
@@ -38,6 +42,8 @@
         const relay_context& context);
 
     [[nodiscard]] relay_result run();
+    /// Gives the target's connection back if nothing of this exchange is left on it.
+    void giveBackTarget();
 
 private:
     enum class answer_state {
@@ -56,6 +62,7 @@
     [[nodiscard]] std::optional<attempt_result> pumpDownload();
     [[nodiscard]] std::optional<attempt_result> readTarget();
     [[nodiscard]] std::optional<attempt_result> readAnswerHead();
+    void noteFirstByte();
     [[nodiscard]] std::optional<attempt_result> beginAnswer();
     [[nodiscard]] std::optional<attempt_result> checkAnswerFraming();
     void sendInterim();
@@ -65,9 +72,10 @@
     [[nodiscard]] std::optional<attempt_result> flushToCaller();
     [[nodiscard]] std::optional<attempt_result> wait();
     [[nodiscard]] std::optional<attempt_result> checkTime(instant now);
-    [[nodiscard]] bool probeAnswered();
-    [[nodiscard]] attempt_result failed(reason why) const;
-    [[nodiscard]] std::optional<attempt_result> checkLate(instant now);
+    [[nodiscard]] attempt_result failed(reason why);
+    [[nodiscard]] std::optional<attempt_result> beginRest();
+    [[nodiscard]] bool keepForContinuation();
+    void countCallerWait(instant before, instant now, bool waitsForCaller);
     [[nodiscard]] bool uploadSent() const;
     [[nodiscard]] bool reusableTarget() const;
     [[nodiscard]] instant nextTimer() const;
@@ -82,22 +90,31 @@
     std::size_t m_uploadOffset = 0;
     std::size_t m_bytesSent = 0;
     bool m_uploadBroken = false;
+    /// The caller's input holds an incomplete chunk head or trailer.
+    bool m_needsInput = false;
     std::optional<reason> m_fault;
 
     std::string m_targetInput;
     bool m_targetEnded = false;
+    /// The last wait told that the target's connection can be read.
+    bool m_targetReady = false;
     std::unique_ptr<response_parser> m_answer;
     answer_state m_answerState = answer_state::Awaited;
     framing m_framing = framing::None;
     bool m_closesCaller = false;
+    /// Body bytes of the whole answer that were put into m_download.
+    std::uint64_t m_delivered = 0;
+    std::optional<std::uint64_t> m_total;
+    std::string m_tag;
+    bool m_brokenByTarget = false;
     std::string m_download;
-    std::size_t m_downloadOffset = 0;
 
+    std::uint64_t m_received = 0;
+    duration m_callerWait { 0 };
     instant m_started;
     instant m_progress;
     /// Time by which the answer's head must have come; time spent on the body does not count.
     instant m_answerBy;
-    instant m_lateAt;
     duration m_firstByte { 0 };
 };
 
--- a/src/settings/keys.cc
+++ b/src/settings/keys.cc
@@ -2,6 +2,7 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/IPAddress.h>
+#include <Poco/StringTokenizer.h>
 #include <Poco/NumberParser.h>
 #include <Poco/String.h>
 #include <algorithm>
@@ -15,12 +16,20 @@
 };
 
 template <class Section, class Value>
-struct member {
-    Section settings::*section;
-    Value Section::*value;
+class member {
+public:
+    member(Section settings::*section, Value Section::*value)
+        : m_section(section)
+        , m_value(value)
+    {
+    }
 
-    Value& of(settings& all) const { return all.*section.*value; }
-    const Value& of(const settings& all) const { return all.*section.*value; }
+    Value& of(settings& all) const { return all.*m_section.*m_value; }
+    const Value& of(const settings& all) const { return all.*m_section.*m_value; }
+
+private:
+    Section settings::*m_section;
+    Value Section::*m_value;
 };
 
 std::optional<std::string> readNumber(
@@ -46,7 +55,9 @@
         return "is not ip:port";
     const auto ip = text.substr(0, colon);
     Poco::Net::IPAddress address;
-    if (ip.find(':') != std::string::npos || !Poco::Net::IPAddress::tryParse(ip, address))
+    const bool valid = Poco::Net::IPAddress::tryParse(ip, address)
+        && address.family() == Poco::Net::IPAddress::IPv4 && address.toString() == ip;
+    if (!valid)
         return "is not ip:port with an IPv4 number";
     std::uint64_t port = 0;
     if (const auto fault = readNumber(text.substr(colon + 1), { 1, 65535 }, port))
@@ -142,6 +153,30 @@
         } };
 }
 
+std::optional<std::string> readSeeds(settings& all, const std::string& text)
+{
+    std::vector<endpoint> seeds;
+    const Poco::StringTokenizer parts(text, ",", Poco::StringTokenizer::TOK_TRIM);
+    for (const auto& part : parts) {
+        endpoint seed;
+        if (const auto fault = readEndpoint(part, seed))
+            return fault;
+        seeds.push_back(seed);
+    }
+    all.host.seeds = std::move(seeds);
+    return std::nullopt;
+}
+
+std::string showSeeds(const settings& all)
+{
+    std::string text;
+    for (const auto& seed : all.host.seeds)
+        text += (text.empty() ? "" : ", ") + seed.text();
+    return text;
+}
+
+key_rule seedsRule() { return { { "host", "seeds", false, false }, &readSeeds, &showSeeds }; }
+
 key_rule tokenRule()
 {
     return { { "admin", "token", true, true },
@@ -175,14 +210,14 @@
 std::vector<key_rule> makeRules()
 {
     using s = settings;
-    const member host { &s::host, &host_settings::id };
     return {
-        name("host", "id", host),
+        name("host", "id", member { &s::host, &host_settings::id }),
         name("host", "domain", member { &s::host, &host_settings::domain }),
         address("host", "callers", true, member { &s::host, &host_settings::callers }),
         address("host", "peers", true, member { &s::host, &host_settings::peers }),
         address("host", "admin", true, member { &s::host, &host_settings::admin }),
         address("host", "advertise", false, member { &s::host, &host_settings::advertise }),
+        seedsRule(),
         address("platform", "address", true, member { &s::platform, &platform_settings::address }),
         time("platform", "timeout_ms", { 10, 60000 },
             member { &s::platform, &platform_settings::timeoutMs }),
@@ -202,7 +237,6 @@
             member { &s::limits, &limit_settings::idleTimeoutMs }),
         time("limits", "connect_timeout_ms", { 10, 60000 },
             member { &s::limits, &limit_settings::connectTimeoutMs }),
-        count("limits", "queue", { 1, 1000000 }, member { &s::limits, &limit_settings::queue }),
         time("ownership", "target_lease_ms", { 100, 60000 },
             member { &s::ownership, &ownership_settings::targetLeaseMs }),
         time("ownership", "renew_ms", { 10, 30000 },
--- /dev/null
+++ b/test/command-docs-test.cc
@@ -0,0 +1,229 @@
+#include "pimentomast/admin.h"
+#include "pimentomast/command.h"
+#include "pimentomast/proxy.h"
+#include "pimentomast/routing.h"
+#include "pimentomast/settings.h"
+#include "pimentomast/table.h"
+#include "pimentomast/telemetry.h"
+
+#include <Poco/String.h>
+#include <criterion/criterion.h>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <regex>
+#include <set>
+#include <sstream>
+
+/// Compares the names in docs/OPERATING.md with the names in the code.
+using namespace pimentomast;
+
+namespace {
+
+using names = std::set<std::string>;
+using cells = std::vector<std::string>;
+
+std::string page(const std::string& path)
+{
+    std::ostringstream text;
+    text << std::ifstream(std::string(std::getenv("PIMENTOMAST_SOURCE")) + "/" + path).rdbuf();
+    return text.str();
+}
+
+cells split(const std::string& line)
+{
+    cells found;
+    std::istringstream rest(line.substr(1));
+    for (std::string cell; std::getline(rest, cell, '|');)
+        found.push_back(Poco::trim(cell));
+    return found;
+}
+
+/// Returns the rows of a section's tables whose first cell is `quoted`, without the quotes there.
+std::vector<cells> rowsOf(const std::string& section)
+{
+    std::istringstream lines(page("docs/OPERATING.md"));
+    std::vector<cells> rows;
+    bool inside = false;
+    for (std::string line; std::getline(lines, line);) {
+        if (line.starts_with("## "))
+            inside = line == "## " + section;
+        if (!inside || !line.starts_with("| `"))
+            continue;
+        rows.push_back(split(line));
+        auto& name = rows.back().front();
+        name = name.substr(1, name.size() - 2);
+    }
+    return rows;
+}
+
+names namesIn(const std::string& section)
+{
+    names found;
+    for (const auto& row : rowsOf(section))
+        cr_expect(found.insert(row.front()).second, "%s stands twice", row.front().c_str());
+    return found;
+}
+
+void expectSame(const std::string& section, const names& inCode)
+{
+    const auto onPage = namesIn(section);
+    for (const auto& name : inCode)
+        cr_expect(onPage.contains(name), "%s: %s is missing", section.c_str(), name.c_str());
+    for (const auto& name : onPage)
+        cr_expect(inCode.contains(name), "%s: %s does not exist", section.c_str(), name.c_str());
+    cr_expect(!inCode.empty());
+}
+
+/// Returns what the expression's first group matches in the sources below a folder.
+names namesInSources(const std::string& folder, const std::string& expression)
+{
+    const std::regex wanted(expression);
+    names found;
+    const auto root = std::string(std::getenv("PIMENTOMAST_SOURCE")) + "/" + folder;
+    for (const auto& file : std::filesystem::recursive_directory_iterator(root)) {
+        if (file.path().extension() != ".cc")
+            continue;
+        std::ostringstream text;
+        text << std::ifstream(file.path()).rdbuf();
+        const auto source = text.str();
+        for (std::sregex_iterator at(source.begin(), source.end(), wanted), end; at != end; ++at)
+            found.insert((*at)[1]);
+    }
+    return found;
+}
+
+/// Returns the indented lines of the README after a line, without their indentation.
+std::string indentedAfter(const std::string& start)
+{
+    std::istringstream lines(page("README.md"));
+    std::string found;
+    std::string line;
+    while (std::getline(lines, line) && line != start)
+        continue;
+    while (std::getline(lines, line) && (line.empty() || line.starts_with("    ")))
+        found += line.empty() ? "" : line.substr(4) + "\n";
+    return found;
+}
+
+/// Returns the words in `quotes` of a cell.
+names quoted(const std::string& cell)
+{
+    names found;
+    std::istringstream rest(cell);
+    std::string part;
+    for (bool inside = false; std::getline(rest, part, '`'); inside = !inside) {
+        if (inside)
+            found.insert(part);
+    }
+    return found;
+}
+
+} // namespace
+
+Test(docs, commands_and_their_options)
+{
+    names commands;
+    names options;
+    for (const auto& each : command::describeSubcommands()) {
+        commands.insert(each.words);
+        names own;
+        for (const auto& option : each.options)
+            own.insert(option.name);
+        options.insert(own.begin(), own.end());
+        for (const auto& row : rowsOf("Commands"))
+            cr_expect(row.front() != each.words || quoted(row[1]) == own, "options of %s",
+                each.words.c_str());
+    }
+    expectSame("Commands", commands);
+    expectSame("Options", options);
+}
+
+Test(docs, settings_and_their_standard_values)
+{
+    names keys;
+    for (const auto& each : settings::describeKeys())
+        keys.insert(each.section + "." + each.key);
+    expectSame("Settings", keys);
+    std::map<std::string, std::string> standard;
+    for (const auto& each : settings::show(settings::settings {}))
+        standard[each.name()] = each.value;
+    for (const auto& each : settings::describeKeys()) {
+        if (each.required)
+            standard[each.section + "." + each.key] = "required";
+    }
+    standard["host.advertise"] = "as `host.peers`";
+    standard["log.file"] = "none";
+    for (const auto& row : rowsOf("Settings"))
+        cr_expect(row[1] == standard[row.front()], "%s", row.front().c_str());
+}
+
+Test(docs, columns)
+{
+    names columns;
+    for (const auto& each : table::columns()) {
+        columns.insert(each.name);
+        for (const auto& row : rowsOf("Columns"))
+            cr_expect(row.front() != each.name || row[1] == each.usedBy, "%s", each.name.c_str());
+    }
+    expectSame("Columns", columns);
+}
+
+Test(docs, routes_of_the_administration_api)
+{
+    names routes;
+    for (const auto& each : admin::describeRoutes())
+        routes.insert(each.method + " " + each.path);
+    expectSame("Administration API", routes);
+}
+
+Test(docs, metrics_and_their_labels)
+{
+    names metrics;
+    for (const auto& each : telemetry::families()) {
+        metrics.insert(std::string(each.name));
+        const auto label = each.label.empty() ? "" : "`" + std::string(each.label) + "`";
+        for (const auto& row : rowsOf("Metrics"))
+            cr_expect(row.front() != each.name || row[1] == label, "%s", row.front().c_str());
+    }
+    expectSame("Metrics", metrics);
+}
+
+Test(docs, exit_codes)
+{
+    names codes;
+    for (int code = 0; code <= static_cast<int>(command::exit_code::Unknown); ++code)
+        codes.insert(std::to_string(code));
+    expectSame("Exit codes", codes);
+}
+
+Test(docs, refusal_and_retry_reasons)
+{
+    names refusals;
+    for (std::size_t index = 0; index <= static_cast<std::size_t>(proxy::reason::Last); ++index)
+        refusals.insert(std::string(name(static_cast<proxy::reason>(index))));
+    for (std::size_t index = 0; index < routing::refusalReasons; ++index)
+        refusals.insert(std::string(name(static_cast<routing::refusal_reason>(index))));
+    expectSame("Refusal reasons", refusals);
+    names retries;
+    for (std::size_t index = 0; index < routing::retryReasons; ++index)
+        retries.insert(std::string(name(static_cast<routing::retry_reason>(index))));
+    expectSame("Retry reasons", retries);
+}
+
+Test(docs, reasons_of_health_and_events_of_the_log)
+{
+    expectSame("Health", namesInSources("src/serve", "return \\{ false, \"([a-z-]+)\" \\}"));
+    expectSame("Logs", namesInSources("src", "log\\([^;\"]*severity::[A-Za-z]+,\\s*\"([a-z-]+)\""));
+}
+
+Test(docs, examples_of_the_readme_are_accepted)
+{
+    const auto settingsText = indentedAfter("A settings file:");
+    const auto values = settings::parse(settingsText);
+    cr_assert(values.has_value(), "%s", settingsText.c_str());
+    const auto tableText = indentedAfter("A table:");
+    const auto rows = table::parse(tableText);
+    cr_assert(rows.has_value() && rows.value().targets.size() == 2, "%s", tableText.c_str());
+}
--- a/test/stand-ins/target-admin.h
+++ b/test/stand-ins/target-admin.h
@@ -3,22 +3,24 @@
 #include "target-state.h"
 
 #include <Poco/JSON/Array.h>
-#include <Poco/NumberParser.h>
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/NumberParser.h>
 
 /// Handlers of grants, health, control and record.
 namespace stand_in {
 
 namespace net = Poco::Net;
 
-inline void sendText(net::HTTPServerResponse& response, int status, const std::string& type,
-    const std::string& text)
+inline void sendText(
+    net::HTTPServerResponse& response, int status, const std::string& type, const std::string& text)
 {
     response.setStatusAndReason(static_cast<net::HTTPResponse::HTTPStatus>(status));
     response.setContentType(type);
-    response.sendBuffer(text.data(), text.size());
+    response.setContentLength64(static_cast<Poco::Int64>(text.size()));
+    // sendBuffer() would send only once the handler has returned.
+    response.send() << text << std::flush;
 }
 
 inline grant_message readGrant(std::istream& in)
@@ -31,14 +33,15 @@
     message.echoUs = object->optValue<Poco::Int64>("echo_us", 0);
     message.leaseMs = object->optValue<Poco::Int64>("lease_ms", 0);
     message.adopt = object->optValue("adopt", false);
+    message.repeats = object->optValue<Poco::UInt64>("repeats", 0);
     const auto slices = object->getArray("slices");
     for (std::size_t i = 0; slices && i < slices->size(); ++i) {
         const auto entry = slices->getObject(static_cast<unsigned>(i));
         granted_slice slice;
-        slice.range.first = pm::key_hash {
-            Poco::NumberParser::parseHex64(entry->getValue<std::string>("first")) };
-        slice.range.last = pm::key_hash {
-            Poco::NumberParser::parseHex64(entry->getValue<std::string>("last")) };
+        slice.range.first = pm::key_hash { Poco::NumberParser::parseHex64(
+            entry->getValue<std::string>("first")) };
+        slice.range.last
+            = pm::key_hash { Poco::NumberParser::parseHex64(entry->getValue<std::string>("last")) };
         slice.grant.coordinator = pm::epoch { entry->getValue<Poco::UInt64>("epoch") };
         slice.grant.assignment = pm::sequence { entry->getValue<Poco::UInt64>("sequence") };
         message.slices.push_back(slice);
@@ -50,15 +53,15 @@
 {
     const behaviour now = state.switches.get();
     Poco::JSON::Object load;
-    load.set("running", now.wrongRunning >= 0 ? now.wrongRunning : static_cast<int>(state.running()));
+    load.set(
+        "running", now.wrongRunning >= 0 ? now.wrongRunning : static_cast<int>(state.running()));
     load.set("queued", std::max(now.wrongQueued, 0));
     load.set("slots", now.slots);
     return load;
 }
 
-inline std::string grantAnswer(target_state& state, std::int64_t receivedUs)
+inline Poco::JSON::Array heldSlices(const grant_book& book)
 {
-    const grant_book book = state.book();
     Poco::JSON::Array held;
     for (const held_slice& slice : book.held()) {
         Poco::JSON::Object entry;
@@ -69,11 +72,22 @@
         entry.set("draining", slice.draining);
         held.add(entry);
     }
+    return held;
+}
+
+/// The slices that are held are listed unless they are just those that the message repeated.
+inline std::string grantAnswer(
+    target_state& state, const grant_message& message, std::int64_t receivedUs)
+{
+    const grant_book book = state.book();
     Poco::JSON::Object answer;
     answer.set("incarnation", book.incarnation());
     answer.set("clock_us", receivedUs);
     answer.set("epoch", book.epoch());
-    answer.set("held", held);
+    if (book.repeatsExactly(message))
+        answer.set("repeats", message.repeats);
+    else
+        answer.set("held", heldSlices(book));
     answer.set("load", reportedLoad(state));
     return line(answer);
 }
@@ -91,14 +105,15 @@
             return;
         m_state.passFreeze();
         const std::int64_t receivedUs = nowUs();
-        const grant_answer answer = m_state.receive(readGrant(request.stream()), receivedUs);
+        const grant_message message = readGrant(request.stream());
+        const grant_answer answer = m_state.receive(message, receivedUs);
         if (answer == grant_answer::OldEpoch) {
             const std::string highest
                 = "{\"epoch\":" + std::to_string(m_state.book().epoch()) + "}\n";
             return sendText(response, 409, "application/json", highest);
         }
         const int status = answer == grant_answer::Accepted ? 200 : 409;
-        sendText(response, status, "application/json", grantAnswer(m_state, receivedUs));
+        sendText(response, status, "application/json", grantAnswer(m_state, message, receivedUs));
     }
 
 private:
--- a/test/stand-ins/target-run.h
+++ b/test/stand-ins/target-run.h
@@ -41,6 +41,7 @@
 
     void handleRequest(net::HTTPServerRequest& request, net::HTTPServerResponse& response) override
     {
+        response.setStatusAndReason(net::HTTPResponse::HTTP_OK);
         m_state.passFreeze();
         m_socket = static_cast<net::HTTPServerRequestImpl&>(request).socket();
         try {
@@ -170,8 +171,10 @@
         if (resets)
             throw reset_requested {};
         const auto length = request.getContentLength64();
+        // POCO takes a chunked body that was broken off for a whole one.
         received.whole = length == net::HTTPMessage::UNKNOWN_CONTENT_LENGTH
-            || static_cast<std::uint64_t>(length) == received.bytes;
+            ? !callerGone()
+            : static_cast<std::uint64_t>(length) == received.bytes;
         return received;
     }
 
@@ -239,8 +242,7 @@
         const std::string range = request.get("Range", "");
         const bool current = request.get("If-Range", tag) == tag;
         if (range.starts_with("bytes=") && current) {
-            begin = Poco::NumberParser::parseUnsigned64(
-                range.substr(6, range.find('-') - 6));
+            begin = Poco::NumberParser::parseUnsigned64(range.substr(6, range.find('-') - 6));
             response.setStatusAndReason(net::HTTPResponse::HTTP_PARTIAL_CONTENT);
             response.set("Content-Range",
                 "bytes " + std::to_string(begin) + "-" + std::to_string(length - 1) + "/"
