--- a/include/pimentomast/proxy.h
+++ b/include/pimentomast/proxy.h
@@ -50,7 +50,6 @@
     NoService,
     NoKey,
     Ambiguous,
-    ShuttingDown,
     MalformedBody,
     BodyTimeout,
     Deadline,
--- a/src/proxy/reason.cc
+++ b/src/proxy/reason.cc
@@ -32,7 +32,6 @@
     { "no-service", 404 },
     { "no-key", 400 },
     { "ambiguous", 400 },
-    { "shutting-down", 503 },
     { "malformed-body", 400 },
     { "body-timeout", 408 },
     { "deadline", 504 },
--- a/test/proxy-path-test.cc
+++ b/test/proxy-path-test.cc
@@ -171,3 +171,14 @@
     cr_assert(contains(reply.body, "\"key_hash\":\"" + hash + "\""), "%s", reply.body.c_str());
     cr_assert(contains(reply.body, "\"request_id\":\"1\""));
 }
+
+Test(proxy_path, each_reason_is_documented)
+{
+    const char* source = std::getenv("PIMENTOMAST_SOURCE");
+    std::ifstream file(std::string(source == nullptr ? "." : source) + "/docs/PROXY.md");
+    const std::string text((std::istreambuf_iterator<char>(file)), {});
+    for (std::size_t i = 0; i <= static_cast<std::size_t>(proxy::reason::Last); ++i) {
+        const std::string reason(proxy::name(static_cast<proxy::reason>(i)));
+        cr_expect(contains(text, reason), "%s", reason.c_str());
+    }
+}
