--- a/src/ownership/coordinator_impl.h
+++ b/src/ownership/coordinator_impl.h
@@ -13,6 +13,10 @@
 struct sent_grant {
     request_number request;
     bool adopt = false;
+    sequence number;
+    /// Refers to slices that were listed before.
+    bool repeats = false;
+    std::vector<granted_slice> slices;
 };
 
 /// What the holder knows of one target.
@@ -30,6 +34,9 @@
     request_number lastSent;
     /// When every grant that it was given has run out, if the previous holder gave it none.
     instant leaseEnds {};
+    /// Message whose list of slices the target took last, and that list; 0 if it must be sent anew.
+    sequence agreed;
+    std::vector<granted_slice> agreedSlices;
     std::vector<held_slice> held;
     target_load load;
     std::deque<sent_grant> outstanding;
@@ -97,6 +104,9 @@
 /// Returns a first assignment: the hash space in shares by weight. Precondition: not empty.
 [[nodiscard]] std::vector<owned_slice> splitByWeight(
     const std::vector<table::target_row>& targets, token grant);
+/// Returns the slices of each owner, in order.
+[[nodiscard]] std::map<target_id, std::vector<owned_slice>> byOwner(
+    const std::vector<owned_slice>& slices);
 /// Gives the ranges of the moves to their new owners with the given token.
 [[nodiscard]] std::vector<owned_slice> applyMoves(
     const std::vector<owned_slice>& slices, const std::vector<move>& moves, token grant);
@@ -188,7 +198,10 @@
     detail::target_state& targetState(instant now, const target_id& id);
     /// Returns the number of the message, or nothing if none could be sent.
     std::optional<request_number> sendGrant(instant now, detail::target_state& target);
+    void listSlices(const detail::target_state& target, grant_message& message) const;
     std::vector<granted_slice> slicesFor(const target_id& id) const;
+    static std::vector<held_slice> heldBy(
+        const detail::target_state& target, const grant_reply& reply);
     std::vector<slice> withheldFrom(const target_id& id) const;
     std::optional<detail::sent_grant> takeOutstanding(
         detail::target_state& target, request_number request);
@@ -207,8 +220,8 @@
     void planMove(
         instant now, const slice& range, const target_id& from, const target_id& to, bool forced);
     bool mayMoveByConsent(instant now) const;
-    void planLeaving(
-        instant now, const owned_slice& each, const std::map<target_id, double>& shares);
+    void planLeaving(instant now);
+    void planLostSlices(instant now);
     bool isMoving(const slice& range) const;
     bool isPostponed(instant now, const slice& range) const;
     bool canOwn(const target_id& id) const;
@@ -287,6 +300,8 @@
     detail::row_writer m_assignmentWriter;
     row_version m_assignmentVersion;
     std::optional<assignment> m_assignment;
+    /// Index of the assignment, so that a target's slices are found without reading all.
+    std::map<target_id, std::vector<owned_slice>> m_ownedBy;
     assignment m_proposed;
     instant m_nextCommit {};
 
