Mend lint faults: seeds in settings, one tag name in two libraries

clang-tidy refused each source that includes both ownership.h and routing.h, since both declare request_number_tag; ownership's tag has another name now (its type was distinct already). No change of behaviour.

--- a/include/pimentomast/ownership.h
+++ b/include/pimentomast/ownership.h
@@ -176,7 +176,7 @@
 // ---- Events ----
 
 /// Identifies a request among the actions; its answer carries the same number.
-using request_number = strong<struct request_number_tag, std::uint64_t>;
+using request_number = strong<struct exchange_number_tag, std::uint64_t>;
 
 /// Time has passed. Send one at least every 50 ms.
 struct tick { };
--- a/src/settings/keys.cc
+++ b/src/settings/keys.cc
@@ -2,9 +2,9 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/IPAddress.h>
-#include <Poco/StringTokenizer.h>
 #include <Poco/NumberParser.h>
 #include <Poco/String.h>
+#include <Poco/StringTokenizer.h>
 #include <algorithm>
 
 namespace pimentomast::settings::detail {
@@ -159,7 +159,7 @@
     const Poco::StringTokenizer parts(text, ",", Poco::StringTokenizer::TOK_TRIM);
     for (const auto& part : parts) {
         endpoint seed;
-        if (const auto fault = readEndpoint(part, seed))
+        if (auto fault = readEndpoint(part, seed))
             return fault;
         seeds.push_back(seed);
     }
