--- a/src/command/notifying_store.cc
+++ b/src/command/notifying_store.cc
@@ -3,6 +3,9 @@
 #include "pimentomast/peers.h"
 #include "pimentomast/table.h"
 
+#include <condition_variable>
+#include <mutex>
+
 namespace pimentomast::command::detail {
 namespace {
 
@@ -11,6 +14,21 @@
 /// Name by which the command line presents itself to hosts; no host is called so.
 const std::string senderName = "command-line";
 
+/// Counts the answers to notices that are under way.
+struct open_notices {
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::size_t open = 0;
+};
+
+/// Clients are kept until the process ends: gRPC 1.51 may abort when one is destroyed while its
+/// connection still fails.
+std::vector<std::shared_ptr<peers::client>>& clients()
+{
+    static auto& kept = *new std::vector<std::shared_ptr<peers::client>>;
+    return kept;
+}
+
 class notifying_store final : public platform::services {
 public:
     explicit notifying_store(std::unique_ptr<platform::services> store)
@@ -57,9 +75,9 @@
         const auto listed = m_store->hosts();
         if (!listed)
             return;
-        m_clients.clear();
+        clients().reserve(clients().size() + listed.value().size());
         for (const auto& host : listed.value())
-            m_clients.push_back(peers::client::create(host.peers));
+            clients().push_back(peers::client::create(host.peers));
     }
 
     void notify(row_version version, const std::string& value)
@@ -68,13 +86,19 @@
         notice.set_host(senderName);
         notice.mutable_table()->set_version(version.value());
         notice.mutable_table()->set_value(value);
-        for (const auto& client : m_clients)
-            client->publish(notice, noticeTimeoutMs, [](const auto&) {});
+        const auto state = std::make_shared<open_notices>();
+        state->open = clients().size();
+        for (const auto& client : clients())
+            client->publish(notice, noticeTimeoutMs, [state](const auto&) {
+                const std::lock_guard lock(state->mutex);
+                --state->open;
+                state->changed.notify_all();
+            });
+        std::unique_lock lock(state->mutex);
+        state->changed.wait_for(lock, 2 * noticeTimeoutMs, [&] { return state->open == 0; });
     }
 
     std::unique_ptr<platform::services> m_store;
-    /// Their destruction waits for the notices that are under way.
-    std::vector<std::shared_ptr<peers::client>> m_clients;
 };
 
 } // namespace
--- a/test/stand-ins/cutter.cc
+++ b/test/stand-ins/cutter.cc
@@ -21,6 +21,7 @@
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/Net/NetException.h>
+#include <Poco/NumberFormatter.h>
 #include <Poco/StreamCopier.h>
 #include <atomic>
 #include <boost/program_options.hpp>
@@ -71,7 +72,8 @@
 struct connection {
     StreamSocket caller;
     StreamSocket server;
-    pid_t source = 0;
+    /// Process of the caller; -1 until a rule needs it.
+    std::atomic<pid_t> source = -1;
     std::atomic<bool> silenced = false;
     std::atomic<bool> ended = false;
     std::mutex breakMutex {};
@@ -90,23 +92,17 @@
 /// Returns the inode of the socket whose local port this is, or an empty string.
 std::string inodeOfPort(std::uint16_t port)
 {
-    std::ifstream table("/proc/net/tcp");
-    std::string line;
-    std::getline(table, line);
-    while (std::getline(table, line)) {
-        std::istringstream fields(line);
-        std::string slot;
-        std::string local;
-        std::string skipped;
-        std::string inode;
-        fields >> slot >> local;
-        for (int i = 0; i < 7; ++i)
-            fields >> skipped;
-        fields >> inode;
-        if (std::stoul(local.substr(local.find(':') + 1), nullptr, 16) == port)
-            return inode;
-    }
-    return {};
+    std::ostringstream text;
+    text << std::ifstream("/proc/net/tcp").rdbuf();
+    const auto table = text.str();
+    const auto entry = table.find(": 0100007F:" + Poco::NumberFormatter::formatHex(port, 4) + " ");
+    if (entry == std::string::npos)
+        return {};
+    std::istringstream fields(table.substr(entry, table.find('\n', entry) - entry));
+    std::string field;
+    for (int i = 0; i < 10; ++i)
+        fields >> field;
+    return field;
 }
 
 bool holdsSocket(pid_t process, const std::string& inode)
@@ -210,10 +206,18 @@
     void forEach(pid_t source, Change change)
     {
         for (auto& known : m_connections)
-            if (const auto open = known.lock(); open && (source == 0 || open->source == source))
+            if (const auto open = known.lock(); open && (source == 0 || sourceOf(*open) == source))
                 change(*open);
     }
 
+    /// Looks the process up, which costs a reading of the kernel's whole table of connections.
+    pid_t sourceOf(connection& open)
+    {
+        if (open.source == -1)
+            open.source = m_sources.find(open.caller);
+        return open.source;
+    }
+
     mode modeOf(pid_t source)
     {
         const std::lock_guard lock(m_mutex);
@@ -221,11 +225,21 @@
         return own != m_modes.end() ? own->second : m_modes[0];
     }
 
-    bool held(const connection& open, direction way)
+    mode modeOf(connection& open)
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            if (m_modes.size() == 1)
+                return m_modes[0];
+        }
+        return modeOf(sourceOf(open));
+    }
+
+    bool held(connection& open, direction way)
     {
         if (open.silenced)
             return true;
-        const auto current = modeOf(open.source);
+        const auto current = modeOf(open);
         return current == mode::DropBoth
             || current == (way == direction::Forward ? mode::DropForward : mode::DropBackward);
     }
@@ -240,8 +254,7 @@
     void begin(const std::shared_ptr<connection>& open)
     {
         try {
-            open->source = m_sources.find(open->caller);
-            while (modeOf(open->source) == mode::DropBoth)
+            while (modeOf(*open) == mode::DropBoth)
                 std::this_thread::sleep_for(10ms);
             open->server.connect(m_to);
             open->caller.setNoDelay(true);
@@ -256,7 +269,7 @@
             m_connections.remove_if([](const auto& known) { return known.expired(); });
             m_connections.push_back(open);
         }
-        if (modeOf(open->source) == mode::Refuse)
+        if (modeOf(*open) == mode::Refuse)
             return open->reset();
         std::thread([self = shared_from_this(), open] {
             self->pump(open, direction::Backward);
