Let few witnesses not hold up the next coordinator; mend lint and test folders

Cause: failure_ownership.owner_and_coordinator_are_killed waited 60 s in 2 of 5 runs: the first coordinator was killed while its row still named itself as the only witness, and the next one waited for a majority of that set, which is gone, up to the limit of an outage. Ruled out: lost assignment or grant; the row showed earlier = [[h3]] with h3 dead. Change: a holder needs a majority and two hosts at least; the next one needs so many that those left are no majority. Both still share a host. Also: actions of a witness question are carried out, not dropped. Tests' folders come from mkdtemp: names by process id met folders of earlier runs (telemetry log_lines_can_be_json read two lines).

--- a/src/ownership/coordinator_impl.h
+++ b/src/ownership/coordinator_impl.h
@@ -175,8 +175,8 @@
     void tickWitnessRounds(instant now);
     void askWitnesses(instant now, const std::vector<std::vector<host_run>>& sets);
     std::vector<std::vector<host_run>> ownSets() const;
-    bool majorities(
-        const std::vector<std::vector<host_run>>& sets, const std::set<host_run>& agreed) const;
+    bool mayGoOn(const std::set<host_run>& agreed) const;
+    bool earlierEnded(const std::set<host_run>& agreed) const;
     void countRound(instant now, const detail::witness_round& round);
     void earlierSeen(instant now);
     bool storeInDoubt(instant now) const;
--- a/src/ownership/witness_rounds.cc
+++ b/src/ownership/witness_rounds.cc
@@ -7,19 +7,42 @@
 namespace {
 constexpr std::size_t keptRounds = 8;
 
-bool isMajority(const std::vector<host_run>& set, const std::set<host_run>& agreed)
+constexpr std::size_t leastQuorum = 2;
+
+/// Returns how many witnesses of a set a holder needs to go on without the store: a majority, and
+/// at least one other host, so that a set of one never suffices.
+std::size_t quorum(std::size_t size) { return std::max(size / 2 + 1, leastQuorum); }
+
+std::size_t countAgreed(const std::vector<host_run>& set, const std::set<host_run>& agreed)
 {
     const auto count = std::count_if(
         set.begin(), set.end(), [&](const auto& each) { return agreed.contains(each); });
-    return 2 * static_cast<std::size_t>(count) > set.size();
+    return static_cast<std::size_t>(count);
+}
+
+bool isQuorum(const std::vector<host_run>& set, const std::set<host_run>& agreed)
+{
+    return countAgreed(set, agreed) >= quorum(set.size());
+}
+
+/// Whether so many witnesses know the newer epoch that those left are no quorum.
+bool preventsQuorum(const std::vector<host_run>& set, const std::set<host_run>& agreed)
+{
+    return set.size() < countAgreed(set, agreed) + quorum(set.size());
 }
 } // namespace
 
-bool coordinator::impl::majorities(
-    const std::vector<std::vector<host_run>>& sets, const std::set<host_run>& agreed) const
+bool coordinator::impl::mayGoOn(const std::set<host_run>& agreed) const
 {
+    const auto sets = ownSets();
     return std::all_of(
-        sets.begin(), sets.end(), [&](const auto& each) { return isMajority(each, agreed); });
+        sets.begin(), sets.end(), [&](const auto& each) { return isQuorum(each, agreed); });
+}
+
+bool coordinator::impl::earlierEnded(const std::set<host_run>& agreed) const
+{
+    return std::all_of(m_row.earlier.begin(), m_row.earlier.end(),
+        [&](const auto& each) { return preventsQuorum(each, agreed); });
 }
 
 std::vector<std::vector<host_run>> coordinator::impl::ownSets() const
@@ -99,11 +122,11 @@
 
 void coordinator::impl::countRound(instant now, const detail::witness_round& round)
 {
-    if (!m_earlierSeen && majorities(m_row.earlier, round.agreed))
+    if (!m_earlierSeen && earlierEnded(round.agreed))
         earlierSeen(now);
     const auto& times = m_options.times;
     const bool tooLong = round.sent >= m_storeConfirmed + times.maxOutage;
-    if (!tooLong && majorities(ownSets(), round.agreed))
+    if (!tooLong && mayGoOn(round.agreed))
         m_authorityUntil = std::max(m_authorityUntil, round.sent + times.authority);
 }
 
--- a/src/serve/control.cc
+++ b/src/serve/control.cc
@@ -117,6 +117,7 @@
 void control::applyMembership(const std::vector<membership::member>& live)
 {
     std::vector<ownership::host_run> runs;
+    runs.reserve(live.size());
     for (const auto& host : live)
         runs.push_back({ host.id, host.run });
     {
@@ -167,12 +168,9 @@
 
 ownership::witness_answer control::answerWitness(const service_id& service, epoch asked)
 {
-    const std::lock_guard guard(m_lock);
-    const auto found = m_services.find(service);
-    if (found == m_services.end())
-        return { m_options.self.run, {} };
-    const auto todo
-        = found->second.core.step(monotonic_clock::now(), ownership::witness_asked { 0, asked });
+    const auto todo = stepCore(service, ownership::witness_asked { 0, asked });
+    // An answer that needs a read of the store is not waited for: the asker asks again.
+    perform(service, todo);
     for (const auto& action : todo) {
         if (const auto* answered = std::get_if<ownership::answer_witness>(&action))
             return answered->answer;
@@ -218,15 +216,17 @@
 
 void control::deliver(const service_id& service, const ownership::event& happened)
 {
-    std::vector<ownership::action> todo;
-    {
-        const std::lock_guard guard(m_lock);
-        const auto found = m_services.find(service);
-        if (found == m_services.end())
-            return;
-        todo = found->second.core.step(monotonic_clock::now(), happened);
-    }
-    perform(service, todo);
+    perform(service, stepCore(service, happened));
+}
+
+std::vector<ownership::action> control::stepCore(
+    const service_id& service, const ownership::event& happened)
+{
+    const std::lock_guard guard(m_lock);
+    const auto found = m_services.find(service);
+    if (found == m_services.end())
+        return {};
+    return found->second.core.step(monotonic_clock::now(), happened);
 }
 
 void control::deliverToAll(const ownership::event& happened)
--- a/src/serve/control.h
+++ b/src/serve/control.h
@@ -82,6 +82,8 @@
 
     [[nodiscard]] service_state makeState(const table::service_row& row) const;
     void startService(const table::service_row& row);
+    [[nodiscard]] std::vector<ownership::action> stepCore(
+        const service_id& service, const ownership::event& happened);
     void deliver(const service_id& service, const ownership::event& happened);
     void deliverToAll(const ownership::event& happened);
     void perform(const service_id& service, const std::vector<ownership::action>& todo);
--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -127,7 +127,7 @@
     m_admin = admin::server::start({ m_values.host.admin, m_values.admin.token }, *this).value();
 }
 
-void node::putTable(std::shared_ptr<const table::table> rows)
+void node::putTable(const std::shared_ptr<const table::table>& rows)
 {
     m_directory.putTable(rows);
     m_proxy->setTable(rows);
--- a/src/serve/node.h
+++ b/src/serve/node.h
@@ -52,7 +52,7 @@
 private:
     void createParts();
     void startListening();
-    void putTable(std::shared_ptr<const table::table> rows);
+    void putTable(const std::shared_ptr<const table::table>& rows);
     void putAssignment(const ownership::assignment& newer, const host_id& coordinator);
     void runControlTimer();
     void reportLoads(instant now);
--- a/src/serve/placement.cc
+++ b/src/serve/placement.cc
@@ -32,11 +32,11 @@
     auto planner = balancing::planner::create(options);
     if (!planner)
         return planner.error();
-    return placement(std::move(planner).value());
+    return placement(planner.value());
 }
 
-placement::placement(balancing::planner planner)
-    : m_planner(std::move(planner))
+placement::placement(const balancing::planner& planner)
+    : m_planner(planner)
 {
 }
 
--- a/src/serve/placement.h
+++ b/src/serve/placement.h
@@ -30,7 +30,7 @@
         instant since;
     };
 
-    explicit placement(balancing::planner planner);
+    explicit placement(const balancing::planner& planner);
     void followOwners(instant now, const ownership::assignment& committed);
     void followTargets(instant now, const std::vector<ownership::target_view>& targets);
     [[nodiscard]] std::vector<balancing::placed_slice> slices(
--- a/src/serve/status.cc
+++ b/src/serve/status.cc
@@ -9,7 +9,6 @@
 
 using Poco::JSON::Array;
 using Poco::JSON::Object;
-using telemetry::metric;
 
 Object::Ptr describe(const coordination_status& service)
 {
--- a/test/helper/network.cc
+++ b/test/helper/network.cc
@@ -4,6 +4,7 @@
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
+#include <Poco/Path.h>
 #include <Poco/StreamCopier.h>
 #include <Poco/TemporaryFile.h>
 #include <arpa/inet.h>
@@ -127,11 +128,16 @@
 
 std::string scratchFolder()
 {
-    static Poco::TemporaryFile folder;
-    folder.createDirectories();
-    if (std::getenv("PIMENTOMAST_KEEP"))
-        folder.keep();
-    return folder.path();
+    // Made anew by mkdtemp: names by process id alone meet the folders of earlier processes.
+    static const std::string path = [] {
+        std::string name = Poco::Path::temp() + "pimentomast-XXXXXX";
+        if (!mkdtemp(name.data()))
+            throw std::runtime_error("no folder for the test's files");
+        if (!std::getenv("PIMENTOMAST_KEEP"))
+            Poco::TemporaryFile::registerForDeletion(name);
+        return name;
+    }();
+    return path;
 }
 
 } // namespace pimentomast::test
--- a/test/ownership-moves-test.cc
+++ b/test/ownership-moves-test.cc
@@ -37,6 +37,7 @@
     system.runFor(settleMs);
     const std::vector<int> samples { 1, 4, 7, 10, 13 };
     std::vector<wanted_slice> wanted;
+    wanted.reserve(samples.size());
     for (const int sampled : samples)
         wanted.push_back({ rangeAt(sampled), target_id { "t0" } });
     system.want(wanted);
