--- a/src/proxy/relay-answer.cc
+++ b/src/proxy/relay-answer.cc
@@ -135,6 +135,7 @@
 
 attempt_result relay::endNotRun(reason why)
 {
+    m_refused = true;
     m_answerState = answer_state::Body;
     std::string ignored;
     if (m_answer->is_done()
--- a/src/proxy/relay.h
+++ b/src/proxy/relay.h
@@ -100,6 +100,8 @@
     bool m_targetReady = false;
     std::unique_ptr<response_parser> m_answer;
     answer_state m_answerState = answer_state::Awaited;
+    /// The target refused without running, so it may have left the request's body unread.
+    bool m_refused = false;
     framing m_framing = framing::None;
     bool m_closesCaller = false;
     /// Body bytes of the whole answer that were put into m_download.
--- a/test/proxy-failure-test.cc
+++ b/test/proxy-failure-test.cc
@@ -164,6 +164,21 @@
     cr_assert_eq(target.runs("/ledger/k1"), 1);
 }
 
+Test(proxy_failure, connection_is_not_reused_after_a_refusal_that_may_have_left_the_body_unread)
+{
+    const scripted_answer refusal { "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 2\r\n"
+                                    "Pimentomast-Outcome: not-run\r\n\r\nno",
+        ending::KeepOpen };
+    const scripted_answer answer { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+        ending::KeepOpen };
+    scripted_target target({ refusal, answer, answer });
+    proxy_fixture host({ target.destination() }, 2);
+    cr_assert(contains(ask(host, postOf("/ledger/k1", "sale")), "200 OK"));
+    cr_assert_eq(target.connections(), 2);
+    cr_assert(contains(ask(host, lastGet), "200 OK"));
+    cr_assert_eq(target.connections(), 2);
+}
+
 Test(proxy_failure, body_too_long_to_hold_is_not_sent_again)
 {
     scripted_target shedding({ { "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 2\r\n"
