--- a/src/peers/client.cc
+++ b/src/peers/client.cc
@@ -39,7 +39,7 @@
     unsigned m_count = 0;
 };
 
-/// Keeps a call's messages alive until gRPC has let go of them, which is later than its handler's
+/// Keeps a call's messages alive until gRPC has released them, which is later than its handler's
 /// return: only then may the channel be closed.
 template <class Reply>
 struct pending_call {
