--- a/src/proxy/relay.cc
+++ b/src/proxy/relay.cc
@@ -222,8 +222,8 @@
 bool relay::reusableTarget() const
 {
     const bool bodyUnread = m_refused && m_request.head.hasBody;
-    return m_answerState == answer_state::Done && !bodyUnread && uploadSent() && !m_uploadBroken && !m_targetEnded
-        && m_targetInput.empty() && m_answer->keep_alive();
+    return m_answerState == answer_state::Done && !bodyUnread && uploadSent() && !m_uploadBroken
+        && !m_targetEnded && m_targetInput.empty() && m_answer->keep_alive();
 }
 
 void relay::giveBackTarget()
