Name witnesses before the first takeover; bind no successor to a set of one

Cause: a started host computed its exchange interval before it had read the platform's list, took itself for complete and waited 500 ms for its first exchange. The first coordinator's row so named nobody but itself for 0.5 s and more. A row with one witness holds its successor up for the whole outage limit (no lost slice moves, no leaving target is emptied) when that coordinator is cut off or killed. Ruled out: the table's spread (version 2 was in force on both reachable hosts within 0.2 s), the move itself (never started), gRPC's reconnect backoff. Change: a started host exchanges every 100 ms until each listed host is heard; it takes no service over before that, or 1.5 s; the row is rewritten at once when a host joins; a holder's own word alone lets it go on nowhere, and a set of one binds no successor. A new log line, live-hosts-changed.

--- a/include/pimentomast/membership.h
+++ b/include/pimentomast/membership.h
@@ -60,6 +60,9 @@
     /// Returns the hosts heard from within the sighting timeout that are not leaving, with self
     /// unless it leaves; sorted by id.
     [[nodiscard]] std::vector<member> live(instant now) const;
+    /// Returns whether the platform's list was read and each host on it that does not leave is
+    /// live.
+    [[nodiscard]] bool complete(instant now) const;
     /// Returns how many hosts may have connections open to targets: every host that is listed, or
     /// was listed or heard from within the departure timeout, and self. A host that cannot be
     /// reached counts, for it may still reach the targets.
@@ -91,6 +94,7 @@
     std::map<host_id, entry> m_hosts;
     std::mt19937_64 m_random;
     bool m_leaving = false;
+    bool m_listRead = false;
 };
 
 struct freshness_options {
--- a/include/pimentomast/ownership.h
+++ b/include/pimentomast/ownership.h
@@ -244,6 +244,11 @@
 /// The entry hosts that are live as far as known.
 struct membership_changed {
     std::vector<host_run> live;
+    /// Whether each host that the platform lists is live. A host that has just started takes no
+    /// service over before that or the settling time, so that its row names the others.
+    bool complete = true;
+
+    bool operator==(const membership_changed&) const = default;
 };
 struct wanted_slice {
     slice range;
@@ -367,6 +372,8 @@
     std::chrono::milliseconds routeLease { 1500 };
     /// Reads and writes of the store are given up after this.
     std::chrono::milliseconds storeTimeout { 1000 };
+    /// How long a host that has just started waits at most until it has heard of all others.
+    std::chrono::milliseconds settling { 1500 };
 };
 
 struct coordinator_options {
--- a/src/membership/host_view.cc
+++ b/src/membership/host_view.cc
@@ -24,6 +24,7 @@
 
 void host_view::list(instant now, const std::vector<platform::listed_host>& hosts)
 {
+    m_listRead = true;
     for (auto& [id, known] : m_hosts)
         known.listed = false;
     for (const auto& host : hosts) {
@@ -83,6 +84,14 @@
     return members;
 }
 
+bool host_view::complete(instant now) const
+{
+    return m_listRead && std::all_of(m_hosts.begin(), m_hosts.end(), [&](const auto& host) {
+        const auto& known = host.second;
+        return !known.listed || known.leaving || heardRecently(known, now);
+    });
+}
+
 unsigned host_view::connectionSharers(instant now) const
 {
     const auto sharers = std::count_if(m_hosts.begin(), m_hosts.end(),
--- a/src/ownership/authority.cc
+++ b/src/ownership/authority.cc
@@ -15,6 +15,8 @@
 
 void coordinator::impl::tickStandby(instant now)
 {
+    if (!m_firstTick)
+        m_firstTick = now;
     const bool timedOut = m_pollRequest && now - m_pollSent >= m_options.times.storeTimeout;
     if (timedOut) {
         m_pollRequest.reset();
@@ -89,9 +91,14 @@
     return static_cast<std::size_t>(self - ranked.begin());
 }
 
+bool coordinator::impl::hasSettled(instant now) const
+{
+    return m_complete || (m_firstTick && now - *m_firstTick >= m_options.times.settling);
+}
+
 bool coordinator::impl::mayChallenge(instant now) const
 {
-    if (!m_observing || m_stopping || m_rows.empty())
+    if (!m_observing || m_stopping || m_rows.empty() || !hasSettled(now))
         return false;
     const auto& times = m_options.times;
     duration wait = times.stagger * static_cast<std::int64_t>(challengeRank());
--- a/src/ownership/coordinator.cc
+++ b/src/ownership/coordinator.cc
@@ -1,5 +1,7 @@
 #include "coordinator_impl.h"
 
+#include <algorithm>
+
 namespace pimentomast::ownership {
 
 namespace {
@@ -8,7 +10,7 @@
     return { times.targetLease, times.targetRenewal, times.authority, times.authorityRenewal,
         times.fastPoll, times.slowPoll, times.stagger, times.witnessRound, times.maxOutage,
         times.clockMargin, times.holdAnswer, times.drain, times.retryMove, times.routeLease,
-        times.storeTimeout };
+        times.storeTimeout, times.settling };
 }
 
 result<void> checkTimes(const timings& times)
@@ -163,7 +165,15 @@
         refreshTargets(now);
 }
 
-void coordinator::impl::on(instant, const membership_changed& happened) { m_live = happened.live; }
+void coordinator::impl::on(instant now, const membership_changed& happened)
+{
+    const bool grown = happened.live.size() > m_live.size();
+    m_live = happened.live;
+    m_complete = happened.complete;
+    // The row names a new host at once: the more witnesses it names, the more of them may be lost.
+    if (grown)
+        m_nextRenewal = std::min(m_nextRenewal, now);
+}
 
 void coordinator::impl::on(instant, const placement_wanted& happened)
 {
--- a/src/ownership/coordinator_impl.h
+++ b/src/ownership/coordinator_impl.h
@@ -155,6 +155,7 @@
     std::optional<coordinator_row> recordRow(const std::optional<platform::row>& row);
     void answerQueries();
     std::size_t challengeRank() const;
+    bool hasSettled(instant now) const;
     bool mayChallenge(instant now) const;
     void challenge(instant now);
     void become(role next, const std::string& reason);
@@ -260,6 +261,9 @@
     instant m_stopBegan {};
     std::vector<table::target_row> m_rows;
     std::vector<host_run> m_live;
+    /// Whether m_live holds each host that the platform lists.
+    bool m_complete = true;
+    std::optional<instant> m_firstTick;
     std::vector<wanted_slice> m_wanted;
 
     // Observation of the row while standing by.
--- a/src/ownership/witness_rounds.cc
+++ b/src/ownership/witness_rounds.cc
@@ -7,8 +7,10 @@
 namespace {
 constexpr std::size_t keptRounds = 8;
 
-/// Returns how many witnesses of a set a holder needs to go on without the store.
-std::size_t quorum(std::size_t size) { return size / 2 + 1; }
+/// Returns how many witnesses of a set a holder needs to go on without the store. Its own word is
+/// never enough, so that a set of one binds no successor: a holder that had not yet heard of any
+/// other host would hold its successor up for as long as an outage may last.
+std::size_t quorum(std::size_t size) { return std::max<std::size_t>(size / 2 + 1, 2); }
 
 std::size_t countAgreed(const std::vector<host_run>& set, const std::set<host_run>& agreed)
 {
--- a/src/serve/control.cc
+++ b/src/serve/control.cc
@@ -18,6 +18,15 @@
     return options.seed ^ hashKey(service.value()).value();
 }
 
+void logMembers(const ownership::membership_changed& members)
+{
+    std::string hosts;
+    for (const auto& host : members.live)
+        hosts += (hosts.empty() ? "" : " ") + host.host.value();
+    telemetry::log(telemetry::severity::Info, "live-hosts-changed",
+        { { "hosts", hosts }, { "complete", members.complete ? "yes" : "no" } });
+}
+
 std::vector<table::target_row> targetsOf(const table::table& rows, const service_id& service)
 {
     std::vector<table::target_row> targets;
@@ -93,7 +102,7 @@
         return;
     auto state = makeState(row);
     // A coordinator without members and targets asks for nothing, so there are no actions yet.
-    (void)state.core.step(monotonic_clock::now(), ownership::membership_changed { m_live });
+    (void)state.core.step(monotonic_clock::now(), m_members);
     if (m_stopping)
         (void)state.core.step(monotonic_clock::now(), ownership::stop {});
     m_services.emplace(row.id, std::move(state));
@@ -114,19 +123,20 @@
     }
 }
 
-void control::applyMembership(const std::vector<membership::member>& live)
+void control::applyMembership(const std::vector<membership::member>& live, bool complete)
 {
-    std::vector<ownership::host_run> runs;
-    runs.reserve(live.size());
+    ownership::membership_changed members;
     for (const auto& host : live)
-        runs.push_back({ host.id, host.run });
+        members.live.push_back({ host.id, host.run });
+    members.complete = complete;
     {
         const std::lock_guard guard(m_lock);
-        if (m_live == runs)
+        if (m_members == members)
             return;
-        m_live = runs;
+        m_members = members;
     }
-    deliverToAll(ownership::membership_changed { std::move(runs) });
+    logMembers(members);
+    deliverToAll(members);
 }
 
 void control::tick() { deliverToAll(ownership::tick {}); }
--- a/src/serve/control.h
+++ b/src/serve/control.h
@@ -57,7 +57,8 @@
 
     /// Starts coordinators for new keyed services and tells all of their targets.
     void applyTable(const table::table& rows);
-    void applyMembership(const std::vector<membership::member>& live);
+    /// complete tells whether each host that the platform lists is live.
+    void applyMembership(const std::vector<membership::member>& live, bool complete);
     /// Call at least every 50 ms.
     void tick();
     /// Proposes better placements for the services that this host coordinates.
@@ -107,7 +108,7 @@
     handlers m_calls;
     mutable std::mutex m_lock;
     std::map<service_id, service_state> m_services;
-    std::vector<ownership::host_run> m_live;
+    ownership::membership_changed m_members { {}, false };
     bool m_stopping = false;
     std::mutex m_grantLock;
     std::map<target_id, unsigned> m_grantsRunning;
--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -152,7 +152,7 @@
         m_book->setLeaving(markedLeaving());
         m_spread->setLeaving(markedLeaving());
         m_spread->tick(now);
-        m_control->applyMembership(m_book->live(now));
+        m_control->applyMembership(m_book->live(now), m_book->complete(now));
         m_control->tick();
         m_dispatch->applyLiveHosts(m_book->connectionSharers(now));
         m_proxy->setHealthy(currentHealth().accepting);
--- a/src/serve/peer_book.cc
+++ b/src/serve/peer_book.cc
@@ -26,6 +26,12 @@
     return m_view.live(now);
 }
 
+bool peer_book::complete(instant now) const
+{
+    const std::lock_guard guard(m_lock);
+    return m_view.complete(now);
+}
+
 unsigned peer_book::connectionSharers(instant now) const
 {
     const std::lock_guard guard(m_lock);
--- a/src/serve/peer_book.h
+++ b/src/serve/peer_book.h
@@ -24,6 +24,8 @@
     void setLeaving(bool leaving);
 
     [[nodiscard]] std::vector<membership::member> live(instant now) const;
+    /// Returns whether the platform's list was read and each host on it that stays is live.
+    [[nodiscard]] bool complete(instant now) const;
     [[nodiscard]] unsigned connectionSharers(instant now) const;
     /// Returns the peers to call in this round of exchange.
     [[nodiscard]] std::vector<client_pointer> exchangePeers(instant now);
--- a/src/serve/spread.cc
+++ b/src/serve/spread.cc
@@ -85,17 +85,17 @@
         = due(m_nextHosts, now, m_options.hostsIntervalMs) && !m_readingHosts.exchange(true);
     if (readHostsNow)
         boost::asio::post(m_pool, [this] { readHosts(); });
-    if (!due(m_nextExchange, now, exchangeInterval(now, hosts)))
+    if (!due(m_nextExchange, now, exchangeInterval(now)))
         return;
     for (const auto& peer : m_book.exchangePeers(now))
         exchangeWith(peer);
 }
 
-duration spread::exchangeInterval(instant now, unsigned hosts) const
+duration spread::exchangeInterval(instant now) const
 {
     const bool starting = now - m_started < startTimeS;
-    const bool alone = m_book.live(now).size() < hosts;
-    return starting && alone ? startIntervalMs : m_options.exchangeIntervalMs;
+    const bool waits = starting && !m_book.complete(now);
+    return waits ? startIntervalMs : m_options.exchangeIntervalMs;
 }
 
 void spread::readConfig()
--- a/src/serve/spread.h
+++ b/src/serve/spread.h
@@ -77,7 +77,7 @@
     void takeAssignment(const wire::Assignment& message);
     void notifyAll(const wire::Notice& notice);
     [[nodiscard]] wire::Digest digest(instant now) const;
-    [[nodiscard]] duration exchangeInterval(instant now, unsigned hosts) const;
+    [[nodiscard]] duration exchangeInterval(instant now) const;
     [[nodiscard]] bool due(instant& next, instant now, duration interval) const;
 
     spread_options m_options;
--- a/test/membership-test.cc
+++ b/test/membership-test.cc
@@ -41,6 +41,18 @@
     cr_assert_eq(view.live(start + 4s).size(), 1);
 }
 
+Test(membership, view_is_complete_once_the_list_is_read_and_all_that_stay_are_heard)
+{
+    auto view = viewOf("a");
+    cr_assert(!view.complete(start));
+    view.list(start, { listed("a", 1), listed("b", 2), listed("c", 3) });
+    view.sight(start, seen("b", 1));
+    cr_assert(!view.complete(start));
+    view.sight(start, seen("c", 1, true));
+    cr_assert(view.complete(start));
+    cr_assert(!view.complete(start + 4s));
+}
+
 Test(membership, unreachable_host_still_shares_connections)
 {
     auto view = viewOf("a");
--- a/test/ownership-gap-test.cc
+++ b/test/ownership-gap-test.cc
@@ -97,7 +97,7 @@
 
 namespace {
 
-/// Returns the gap after the holder and an owner were lost at once.
+/// Returns the gap after the holder (restarted, if it is the only host) and an owner were lost.
 milliseconds gapAfterDoubleLoss(int hosts, std::uint64_t seed)
 {
     options chosen;
@@ -108,7 +108,10 @@
     const auto holder = system.holder();
     cr_assert(holder.has_value());
     system.targets[seed % 3].frozenUntil = system.now + 100'000'000;
-    system.hosts[static_cast<std::size_t>(*holder)].pausedUntil = system.now + 100'000'000;
+    if (hosts == 1)
+        system.restartHost(0);
+    else
+        system.hosts[static_cast<std::size_t>(*holder)].pausedUntil = system.now + 100'000'000;
     return longestGap(system, milliseconds { 10000 });
 }
 
@@ -117,7 +120,49 @@
 Test(ownership_gap, few_witnesses_do_not_delay_the_next_coordinator)
 {
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        cr_assert(gapAfterDoubleLoss(1, seed) <= milliseconds { 5000 });
         cr_assert(gapAfterDoubleLoss(2, seed) <= milliseconds { 5000 });
         cr_assert(gapAfterDoubleLoss(3, seed) <= milliseconds { 5000 });
     }
 }
+
+namespace {
+
+bool writes(const std::vector<action>& todo)
+{
+    return std::any_of(todo.begin(), todo.end(),
+        [](const auto& each) { return std::holds_alternative<write_row>(each); });
+}
+
+/// Answers the poll of a started host with a missing row; returns what it does.
+std::vector<action> pollMissingRow(coordinator& host, instant now)
+{
+    for (const auto& each : host.step(now, tick {})) {
+        if (const auto* read = std::get_if<read_row>(&each))
+            return host.step(now, row_read { read->request, {} });
+    }
+    return {};
+}
+
+} // namespace
+
+Test(ownership_gap, started_host_takes_over_once_it_has_heard_of_all_or_settled)
+{
+    const host_run self { host_id { "h1" }, incarnation { 1 } };
+    const host_run other { host_id { "h2" }, incarnation { 2 } };
+    table::target_row target;
+    target.id = target_id { "t" };
+    for (const bool heard : { true, false }) {
+        auto host = coordinator::create({ service_id { "s" }, self, 1, {} }).value();
+        const instant started { std::chrono::seconds { 100 } };
+        (void)host.step(started, table_changed { { target } });
+        (void)host.step(started, membership_changed { { self }, false });
+        cr_assert(!writes(pollMissingRow(host, started)));
+        const auto later = started + std::chrono::seconds { 1 };
+        if (heard)
+            (void)host.step(later, membership_changed { { self, other }, true });
+        cr_assert_eq(writes(pollMissingRow(host, later)), heard);
+        if (!heard)
+            cr_assert(writes(pollMissingRow(host, started + std::chrono::seconds { 2 })));
+    }
+}
