Hold a request sent again until its lost target's fate is known

Cause: the crash quarantine counts a crash once a probe sees a refused connection or another run. When the death looks like a reset, the same request, sent again by its caller meanwhile, met the next target before the first crash was known, so that three or four targets could die of it; a failed probe also released retries. Ruled out: blaming each reset at once (a link that resets one connection would put innocent requests under suspicion). Change: a request whose connection broke, and each copy that arrives, waits until a probe answers, is refused, or 2 s have passed. Requests that timed out at a frozen target are remembered as suspects, too. Other requests are not held.

--- a/src/routing/attempts.cc
+++ b/src/routing/attempts.cc
@@ -7,7 +7,6 @@
 namespace {
 
 constexpr duration drainingPause = std::chrono::milliseconds(200);
-constexpr duration lostAttemptsKept = std::chrono::seconds(10);
 constexpr double trustGain = 0.01;
 
 template <class Map, class Key>
@@ -79,7 +78,8 @@
         ended.mayHaveRun = true;
         if (target != nullptr) {
             target->health.onFailure(self.m_now);
-            target->noteLost({ ended.taken.print, ended.run, self.m_now }, lostAttemptsKept);
+            self.noteLoss(ended, *target);
+            self.m_unsettled[ended.taken.print] = { target->row.id, self.m_now };
         }
         const bool mayRepeat = ended.taken.repeatable && !ended.responded
             && ended.attempt.value() < self.m_settings.attemptsMax;
@@ -92,8 +92,10 @@
 
     void operator()(const timed_out&) const
     {
-        if (target != nullptr)
+        if (target != nullptr) {
             target->health.onFailure(self.m_now);
+            self.noteLoss(ended, *target);
+        }
         ended.mayHaveRun = true;
         self.end(ended, outcome::Unknown, refusal_reason::DeadlineAfterDispatch);
     }
--- a/src/routing/engine.h
+++ b/src/routing/engine.h
@@ -68,6 +68,12 @@
     instant at;
 };
 
+/// A request's connection broke, and no probe has told yet whether its target crashed.
+struct unsettled_loss {
+    target_id target;
+    instant at;
+};
+
 struct target_state {
     target_state(const table::target_row& from, const target_health::limits& healthLimits,
         const window::limits& windowLimits, double quantum, instant coldSince);
@@ -203,6 +209,7 @@
     [[nodiscard]] duration failureBackoff(const pending& failed) const;
     [[nodiscard]] duration shedBackoff(const pending& failed) const;
     void awaitProbe(pending& failed);
+    bool awaitFate(pending& waiting);
     void clearSuspect(const pending& ended);
     void adaptWindow(target_state& target, const request& taken, bool wasShed);
     void noteLatency(const request& taken, const answered& result);
@@ -221,6 +228,9 @@
     void endSilent(target_state& target, instant probeStarted, bool targetIsIdle);
     void endFrozen(target_state& target);
     void releaseAwaiting(target_state& target);
+    void releaseAwaiting(target_state& target, pending& waiting);
+    void noteLoss(const pending& lost, target_state& target);
+    void settleLosses(const target_state& target, instant until);
     void refuseQuarantined();
     void noteReport(target_state& target, const load_report& load);
     void onRunEnded(target_state& target);
@@ -260,6 +270,7 @@
     std::map<fingerprint, unsigned> m_inFlightPrints;
     host_count m_hosts;
     quarantine m_quarantine;
+    std::map<fingerprint, unsettled_loss> m_unsettled;
     std::mt19937_64 m_random;
     unsigned m_inFlight = 0;
     counters m_counts;
--- a/src/routing/health.cc
+++ b/src/routing/health.cc
@@ -9,6 +9,7 @@
 constexpr double errorShareToEject = 0.5;
 constexpr double errorShareUsualMax = 0.2;
 constexpr unsigned errorSamplesMin = 10;
+constexpr duration lostAttemptsKept = std::chrono::seconds(10);
 constexpr double trustLossOnShed = 0.8;
 constexpr double trustLossOnUnderReport = 0.9;
 
@@ -62,8 +63,10 @@
         noteRun(*known, good->load.run);
         noteReport(*known, good->load);
         known->health.onProbeAnswered(now);
-        if (started)
+        if (started) {
+            settleLosses(*known, *started);
             endSilent(*known, *started, isIdle(good->load));
+        }
     } else {
         if (std::get<probe_failed>(ended).refused)
             onRunEnded(*known);
@@ -100,6 +103,20 @@
     if (target.row.state == table::mark::Active)
         blameCrash(target, run);
     target.lost.clear();
+    settleLosses(target, m_now);
+}
+
+void engine::noteLoss(const pending& lost, target_state& target)
+{
+    target.noteLost({ lost.taken.print, lost.run, m_now }, lostAttemptsKept);
+}
+
+// Whether the target's run outlived these losses is known now.
+void engine::settleLosses(const target_state& target, instant until)
+{
+    std::erase_if(m_unsettled, [&](const auto& each) {
+        return each.second.target == target.row.id && each.second.at <= until;
+    });
 }
 
 // Suspects: what was in flight when the run ended, and what had just lost its connection to it.
@@ -287,7 +304,8 @@
 void engine::abandonAttempt(pending& inFlight, retry_reason retry, refusal_reason reason)
 {
     m_out.emplace_back(abandon { inFlight.taken.number, inFlight.attempt });
-    leaveTarget(inFlight);
+    if (target_state* target = leaveTarget(inFlight))
+        noteLoss(inFlight, *target);
     inFlight.mayHaveRun = true;
     const bool mayRepeat
         = inFlight.taken.repeatable && inFlight.attempt.value() < m_settings.attemptsMax;
--- a/src/routing/retries.cc
+++ b/src/routing/retries.cc
@@ -8,6 +8,7 @@
 
 constexpr unsigned backoffDoublingsMax = 10;
 constexpr duration quietBackoff = std::chrono::milliseconds(2);
+constexpr duration crashUnsettledMax = std::chrono::seconds(2);
 
 } // namespace
 
@@ -57,15 +58,32 @@
 void engine::awaitProbe(pending& failed)
 {
     const request_number number = failed.taken.number;
-    const target_id at = failed.target;
     retryOrEnd(failed, retry_reason::ConnectionBroken, refusal_reason::ConnectionBroken);
-    pending* still = find(number);
-    if (still == nullptr)
-        return;
-    m_backoffs.erase({ still->notBefore, number });
-    still->notBefore = m_now + m_settings.probeTimeout;
-    m_backoffs.emplace(still->notBefore, number);
-    m_targets.at(at).awaitingProbe.push_back(number);
+    if (pending* still = find(number))
+        awaitFate(*still);
+}
+
+// A request that was just lost with its connection, or that the caller sends again, waits until a
+// probe has told whether it may have crashed its target, or for a bounded time. Returns whether it
+// waits.
+bool engine::awaitFate(pending& waiting)
+{
+    const auto found = m_unsettled.find(waiting.taken.print);
+    if (found == m_unsettled.end())
+        return false;
+    const instant until = found->second.at + crashUnsettledMax;
+    target_state* target = findTarget(found->second.target);
+    if (target == nullptr || until <= m_now) {
+        m_unsettled.erase(found);
+        return false;
+    }
+    const request_number number = waiting.taken.number;
+    m_backoffs.erase({ waiting.notBefore, number });
+    waiting.where = phase::BackingOff;
+    waiting.notBefore = until;
+    m_backoffs.emplace(until, number);
+    target->awaitingProbe.push_back(number);
+    return true;
 }
 
 void engine::releaseAwaiting(target_state& target)
@@ -73,18 +91,31 @@
     const auto numbers = std::exchange(target.awaitingProbe, {});
     for (const request_number number : numbers) {
         pending* waiting = find(number);
-        if (waiting == nullptr || waiting->where != phase::BackingOff)
-            continue;
-        m_backoffs.erase({ waiting->notBefore, number });
-        backOff(*waiting);
-        m_backoffs.emplace(waiting->notBefore, number);
+        if (waiting != nullptr && waiting->where == phase::BackingOff)
+            releaseAwaiting(target, *waiting);
+    }
+}
+
+void engine::releaseAwaiting(target_state& target, pending& waiting)
+{
+    const request_number number = waiting.taken.number;
+    if (m_unsettled.contains(waiting.taken.print)) {
+        target.awaitingProbe.push_back(number);
+        return;
+    }
+    m_backoffs.erase({ waiting.notBefore, number });
+    if (!waiting.retry) {
+        place(waiting);
+        return;
     }
+    backOff(waiting);
+    m_backoffs.emplace(waiting.notBefore, number);
 }
 
 // A shed request cost its target next to nothing, and the window bounds how often it is sent.
 void engine::resume(pending& waiting)
 {
-    const bool isBudgeted = waiting.retry != retry_reason::TargetShed;
+    const bool isBudgeted = waiting.retry && waiting.retry != retry_reason::TargetShed;
     if (isBudgeted && !mayRetry(waiting)) {
         waiting.where = phase::Parked;
         findService(waiting.taken.service)->parked.push_back(waiting.taken.number);
--- a/test/routing-health-test.cc
+++ b/test/routing-health-test.cc
@@ -69,6 +69,27 @@
     cr_assert_eq(test.all<tell_hosts>().size(), 2);
 }
 
+Test(routing_health, request_sent_again_waits_until_its_targets_fate_is_known)
+{
+    driver test = makeDriver(4);
+    request bad = test.make("c", 5);
+    bad.repeatable = false;
+    request_number number = test.arrive(bad);
+    for (const incarnation next : { secondRun, incarnation { 3 } }) {
+        const dispatch attempt = test.lastDispatch(number);
+        cr_assert_eq(attempt.number, number);
+        test.finish(attempt, broken {});
+        bad.number = request_number { ++test.lastNumber };
+        number = test.arrive(bad);
+        test.probed(attempt.target.value(), probe_failed { false });
+        cr_assert_neq(test.lastDispatch(number).number, number);
+        const auto innocent = test.arrive(test.make("c", 6));
+        cr_assert_eq(test.lastDispatch(innocent).number, innocent);
+        test.probed(attempt.target.value(), alive(next));
+    }
+    cr_assert(test.refusal(number)->reason == refusal_reason::Quarantined);
+}
+
 Test(routing_health, news_from_other_hosts_count_once_for_each_run)
 {
     driver test = makeDriver(4);
