Test that a late request at a leaving target is waited for

Targets that check no tokens run whatever comes. A host whose request is still on its way to the older owner of a moved slice confirms the newer assignment at once, so the new owner is used while the older one runs that request.

The test holds the bytes of a POST on the link between one host and the owner, marks the owner as leaving, waits until another target was granted the key, sends another POST of the key through another host, then lets the late bytes pass.

--- a/test/failure-ownership-test.cc
+++ b/test/failure-ownership-test.cc
@@ -1,6 +1,8 @@
 #include "helper.h"
 
+#include <algorithm>
 #include <criterion/criterion.h>
+#include <future>
 
 using namespace pimentomast;
 using namespace pimentomast::test;
@@ -31,6 +33,54 @@
     cr_assert(taken, "nobody took over from %s", lost.c_str());
 }
 
+cluster_options uncheckedTargets()
+{
+    return { 3,
+        { { "w1", "weights", false }, { "w2", "weights", false }, { "w3", "weights", false } } };
+}
+
+std::future<http_reply> post(const cluster& system, std::size_t host, const std::string& query)
+{
+    const http_call request { "POST", "/weights/k0?" + query, "one crate" };
+    return std::async(
+        std::launch::async, [&system, host, request] { return system.send(host, request); });
+}
+
+bool hasRun(const cluster& system, const std::string& name)
+{
+    const auto all = system.runs();
+    return std::any_of(all.begin(), all.end(),
+        [&](const run& each) { return each.path.find(name) != std::string::npos; });
+}
+
+/// Waits until another target was granted the key k0.
+void expectGrantedElsewhere(const cluster& system, const std::string& owner)
+{
+    const auto hash = hashKey("k0").value();
+    const bool granted = waitUntil([&] {
+        const auto all = system.holdings();
+        return std::any_of(all.begin(), all.end(), [&](const holding& each) {
+            return each.target != owner && each.first <= hash && hash <= each.last;
+        });
+    });
+    cr_assert(granted, "the key was granted to nobody but %s", owner.c_str());
+}
+
+/// Fails the test if two targets ran requests of the key k0 at the same time.
+void expectOneTargetAtATime(const cluster& system)
+{
+    const auto all = system.runs();
+    for (const auto& one : all)
+        for (const auto& other : all)
+            cr_assert(one.target == other.target || one.startUs >= other.endUs
+                    || other.startUs >= one.endUs || !one.path.starts_with("/weights/k0?")
+                    || !other.path.starts_with("/weights/k0?"),
+                "%s ran %s for %lld us while %s ran %s for %lld us", one.target.c_str(),
+                one.path.c_str(), static_cast<long long>(one.endUs - one.startUs),
+                other.target.c_str(), other.path.c_str(),
+                static_cast<long long>(other.endUs - other.startUs));
+}
+
 } // namespace
 
 Test(failure_ownership, owner_is_killed)
@@ -136,9 +186,7 @@
 
 Test(failure_ownership, targets_that_check_no_tokens_under_frozen_hosts)
 {
-    cluster_options options { 3,
-        { { "w1", "weights", false }, { "w2", "weights", false }, { "w3", "weights", false } } };
-    scenario run(options, weightsLoad(10));
+    scenario run(uncheckedTargets(), weightsLoad(10));
     const auto owner = run.system.ownerOf("weights", "k0");
     const auto coordinator = run.system.coordinatorOf("weights");
     run.system.host(coordinator).running.freeze();
@@ -148,3 +196,28 @@
     run.system.startTarget(owner);
     run.finish();
 }
+
+Test(failure_ownership, request_is_late_at_a_leaving_target_that_checks_no_tokens)
+{
+    auto options = uncheckedTargets();
+    options.deadlineMs = 30000;
+    cluster system(options);
+    const auto owner = system.ownerOf("weights", "k0");
+    const std::size_t coordinator = system.coordinatorOf("weights") == "h1" ? 0 : 1;
+    const std::size_t other = 1 - coordinator;
+    system.cut("target/" + owner, "drop-forward", system.hosts()[other].running.id());
+    auto late = post(system, other, "request=late&service_ms=500");
+    std::this_thread::sleep_for(milliseconds(500));
+    cr_assert(system.apply(system.table({ owner }), 1) == 0);
+    expectGrantedElsewhere(system, owner);
+    auto next = post(system, coordinator, "request=next&service_ms=3000");
+    // The next request may start only after the late one, so this usually waits to its limit.
+    (void)waitUntil([&] { return hasRun(system, "request=next"); }, longerThanLease);
+    system.cut("target/" + owner, "pass", system.hosts()[other].running.id());
+    // A probe that was late too may have had the host give the late request up.
+    (void)late.get();
+    const auto nextReply = next.get();
+    expectOneTargetAtATime(system);
+    cr_assert(nextReply.status == 200, "%d %s", nextReply.status, nextReply.body.c_str());
+    cr_assert(jsonField(nextReply.body, "target") != owner);
+}
