Add crash list and crash pardon to the command line

Cause: pardons of requests that crash targets existed in the administration API alone, and nothing told an operator the fingerprint that a pardon needs.

Change: GET /crashes lists the fingerprints under suspicion with their crashes; `crash list` and `crash pardon` ask the host of the settings, as `status` does. The router tells its suspects. A pardon of a fingerprint that is neither suspected nor refused is answered 404 and now also does nothing; before, one that had been pardoned already was answered 200.

--- a/bench/shared/baseline.cc
+++ b/bench/shared/baseline.cc
@@ -76,6 +76,7 @@
         return m_later.empty() ? instant::max() : m_later.begin()->first;
     }
     [[nodiscard]] std::vector<crash> crashes() const override { return {}; }
+    [[nodiscard]] std::vector<suspect> suspects() const override { return {}; }
     [[nodiscard]] const counters& counts() const noexcept override { return m_counts; }
     [[nodiscard]] std::vector<target_view> targets() const override { return {}; }
 
--- a/include/pimentomast/admin.h
+++ b/include/pimentomast/admin.h
@@ -26,7 +26,10 @@
     [[nodiscard]] virtual health currentHealth() const = 0;
     /// Returns a JSON object. It must hold no secret.
     [[nodiscard]] virtual std::string statusJson() const = 0;
-    /// Allows requests with this fingerprint again; false if it is not quarantined.
+    /// Returns the requests that are suspected or refused because targets crashed while they ran:
+    /// {"requests":[{"fingerprint","refused","crashes":[{"target","incarnation","seconds_ago"}]}]}.
+    [[nodiscard]] virtual std::string crashesJson() const = 0;
+    /// Clears this fingerprint on every host; false if it is neither suspected nor refused.
     virtual bool pardon(std::uint64_t fingerprint) = 0;
     /// The platform that the table is kept in.
     [[nodiscard]] virtual platform::services& platform() = 0;
--- a/include/pimentomast/routing.h
+++ b/include/pimentomast/routing.h
@@ -163,6 +163,14 @@
     bool forgiven = false;
 };
 
+/// A fingerprint under suspicion, and the ended runs of targets on which it was in flight.
+struct suspect {
+    fingerprint print;
+    /// Its requests are refused; otherwise they go on, one at a time.
+    bool refused = false;
+    std::vector<crash> crashes;
+};
+
 /// Forward the request now, over a pooled or new connection to the target.
 struct dispatch {
     request_number number;
@@ -337,6 +345,8 @@
 
     /// All crashes that count now, for the exchange between hosts.
     [[nodiscard]] virtual std::vector<crash> crashes() const = 0;
+    /// All fingerprints that are suspected or refused now, sorted.
+    [[nodiscard]] virtual std::vector<suspect> suspects() const = 0;
     [[nodiscard]] virtual const counters& counts() const noexcept = 0;
     [[nodiscard]] virtual std::vector<target_view> targets() const = 0;
 };
--- a/src/admin/answers.cc
+++ b/src/admin/answers.cc
@@ -153,6 +153,8 @@
     return show(table::apply(node.platform(), wanted));
 }
 
+answer getCrashes(node& node, const request&) { return { 200, node.crashesJson() }; }
+
 answer postPardon(node& node, const request& request)
 {
     const auto body = parseBody(request);
@@ -161,7 +163,7 @@
     if (!Poco::NumberParser::tryParseHex64(digits, fingerprint))
         return refuse(400, "fingerprint must be a hexadecimal number");
     if (!node.pardon(fingerprint))
-        return refuse(404, "this fingerprint is not quarantined");
+        return refuse(404, "no request with this fingerprint is suspected or refused");
     return { 200, "{}" };
 }
 
@@ -179,6 +181,7 @@
     route { "GET", "/history", &getHistory },
     route { "PUT", "/table", &putTable },
     route { "POST", "/marks", &postMark },
+    route { "GET", "/crashes", &getCrashes },
     route { "POST", "/pardons", &postPardon },
 };
 
--- a/src/command/host_commands.cc
+++ b/src/command/host_commands.cc
@@ -3,13 +3,16 @@
 #include "pimentomast/serve.h"
 
 #include <Poco/Exception.h>
+#include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
+#include <Poco/NumberParser.h>
 #include <Poco/StreamCopier.h>
 #include <Poco/Timespan.h>
+#include <sstream>
 
 /// Subcommands about one entry host.
 namespace pimentomast::command::detail {
@@ -17,27 +20,89 @@
 
 namespace net = Poco::Net;
 
-constexpr long statusTimeoutSeconds = 5;
+constexpr long adminTimeoutSeconds = 5;
 
-std::string askStatus(const settings::settings& values)
+/// A request to the administration API of the host that the settings describe.
+struct admin_call {
+    /// For errors.
+    std::string step;
+    std::string method;
+    std::string path;
+    std::string body;
+};
+
+struct admin_answer {
+    int status = 0;
+    std::string body;
+};
+
+admin_answer ask(const settings::settings& values, const admin_call& asked)
 {
     const auto& address = values.host.admin;
     try {
         net::HTTPClientSession session(address.ip, address.port);
-        session.setTimeout(Poco::Timespan(statusTimeoutSeconds, 0));
-        net::HTTPRequest request("GET", "/status", net::HTTPMessage::HTTP_1_1);
+        session.setTimeout(Poco::Timespan(adminTimeoutSeconds, 0));
+        net::HTTPRequest request(asked.method, asked.path, net::HTTPMessage::HTTP_1_1);
         request.set("Authorization", "Bearer " + values.admin.token);
-        session.sendRequest(request);
+        request.setContentLength64(static_cast<Poco::Int64>(asked.body.size()));
+        session.sendRequest(request) << asked.body;
         net::HTTPResponse response;
-        std::string body;
-        Poco::StreamCopier::copyToString(session.receiveResponse(response), body);
-        if (response.getStatus() == net::HTTPResponse::HTTP_OK)
-            return body;
-        throw failure({ "read status", address.text(),
-            "the host answered " + std::to_string(response.getStatus()) });
+        admin_answer answer;
+        Poco::StreamCopier::copyToString(session.receiveResponse(response), answer.body);
+        answer.status = response.getStatus();
+        return answer;
     } catch (const Poco::Exception& caught) {
-        throw failure({ "read status", address.text(), caught.displayText() });
+        throw failure({ asked.step, address.text(), caught.displayText() });
+    }
+}
+
+Poco::JSON::Object::Ptr parseObject(const std::string& body)
+{
+    return Poco::JSON::Parser().parse(body).extract<Poco::JSON::Object::Ptr>();
+}
+
+/// Returns the reason that a refusal gives, as the end of a sentence.
+std::string reasonIn(const admin_answer& refusal)
+{
+    const auto reason = parseObject(refusal.body)->optValue<std::string>("reason", "");
+    return reason.empty() ? "" : ": " + reason;
+}
+
+/// Returns the body of an answer with status 200. Throws failure on any other.
+std::string askBody(const settings::settings& values, const admin_call& asked)
+{
+    const auto answer = ask(values, asked);
+    if (answer.status == net::HTTPResponse::HTTP_OK)
+        return answer.body;
+    const auto status = "the host answered " + std::to_string(answer.status);
+    throw failure({ asked.step, values.host.admin.text(), status + reasonIn(answer) });
+}
+
+void printSuspect(std::ostream& out, const Poco::JSON::Object& request)
+{
+    out << request.getValue<std::string>("fingerprint")
+        << (request.getValue<bool>("refused") ? " refused" : " suspected");
+    const auto crashes = request.getArray("crashes");
+    for (const auto& each : *crashes) {
+        const auto& crash = *each.extract<Poco::JSON::Object::Ptr>();
+        out << " " << crash.getValue<std::string>("target") << "/"
+            << crash.getValue<std::string>("incarnation") << " "
+            << crash.getValue<std::string>("seconds_ago") << "s";
     }
+    out << "\n";
+}
+
+/// Returns the JSON body that names a fingerprint. Throws if the text is no hexadecimal number.
+std::string fingerprintBody(const std::string& digits)
+{
+    Poco::UInt64 unused = 0;
+    if (!Poco::NumberParser::tryParseHex64(digits, unused))
+        throw options::error("the fingerprint must be a hexadecimal number");
+    Poco::JSON::Object body;
+    body.set("fingerprint", digits);
+    std::ostringstream text;
+    body.stringify(text);
+    return text.str();
 }
 
 } // namespace
@@ -64,15 +129,38 @@
 
 exit_code status(const invocation& call)
 {
-    const auto body = askStatus(loadSettings(call));
+    const auto body = askBody(loadSettings(call), { "read status", "GET", "/status", "" });
     if (call.json()) {
         call.out << body << "\n";
         return exit_code::Success;
     }
-    const auto parsed = Poco::JSON::Parser().parse(body);
-    parsed.extract<Poco::JSON::Object::Ptr>()->stringify(call.out, 2);
+    parseObject(body)->stringify(call.out, 2);
     call.out << "\n";
     return exit_code::Success;
 }
 
+exit_code crashList(const invocation& call)
+{
+    const auto body = askBody(loadSettings(call), { "read crashes", "GET", "/crashes", "" });
+    if (call.json()) {
+        call.out << body << "\n";
+        return exit_code::Success;
+    }
+    const auto requests = parseObject(body)->getArray("requests");
+    for (const auto& each : *requests)
+        printSuspect(call.out, *each.extract<Poco::JSON::Object::Ptr>());
+    return exit_code::Success;
+}
+
+exit_code crashPardon(const invocation& call)
+{
+    const auto digits = call.text("fingerprint");
+    (void)askBody(loadSettings(call), { "pardon", "POST", "/pardons", fingerprintBody(digits) });
+    if (call.json())
+        call.out << R"({"pardoned":")" << digits << "\"}\n";
+    else
+        call.out << "pardoned " << digits << "\n";
+    return exit_code::Success;
+}
+
 } // namespace pimentomast::command::detail
--- a/src/command/subcommands.cc
+++ b/src/command/subcommands.cc
@@ -72,6 +72,14 @@
             option_list().settings().done(), "", &checkSettings },
         { "status", "Shows the state of the entry host that the settings describe.",
             option_list().settings().done(), "", &status },
+        { "crash list", "Lists the requests that are suspected or refused because targets crashed.",
+            option_list().settings().done(), "", &crashList },
+        { "crash pardon", "Allows a request that crashed targets again, on every host.",
+            option_list()
+                .settings()
+                .required("fingerprint", "fingerprint of the request, as crash list shows it")
+                .done(),
+            "fingerprint", &crashPardon },
         { "table show", "Shows the table in force; its version goes to standard error.",
             option_list().platform().done(), "", &tableShow },
         { "table check", "Checks a table without applying it, and compares it if asked to.",
--- a/src/command/subcommands.h
+++ b/src/command/subcommands.h
@@ -45,6 +45,8 @@
 exit_code serve(const invocation& call);
 exit_code checkSettings(const invocation& call);
 exit_code status(const invocation& call);
+exit_code crashList(const invocation& call);
+exit_code crashPardon(const invocation& call);
 exit_code tableShow(const invocation& call);
 exit_code tableCheck(const invocation& call);
 exit_code tableApply(const invocation& call);
--- a/src/routing/engine.cc
+++ b/src/routing/engine.cc
@@ -219,6 +219,8 @@
 
 std::vector<crash> engine::crashes() const { return m_quarantine.all(); }
 
+std::vector<suspect> engine::suspects() const { return m_quarantine.suspects(); }
+
 std::vector<target_view> engine::targets() const
 {
     std::vector<target_view> views;
--- a/src/routing/engine.h
+++ b/src/routing/engine.h
@@ -145,6 +145,7 @@
     actions tick(instant now) override;
     [[nodiscard]] instant nextDue() const override;
     [[nodiscard]] std::vector<crash> crashes() const override;
+    [[nodiscard]] std::vector<suspect> suspects() const override;
     [[nodiscard]] const counters& counts() const noexcept override { return m_counts; }
     [[nodiscard]] std::vector<target_view> targets() const override;
 
--- a/src/routing/quarantine.cc
+++ b/src/routing/quarantine.cc
@@ -71,6 +71,21 @@
     return known;
 }
 
+std::vector<suspect> quarantine::suspects() const
+{
+    const auto known = all();
+    std::vector<suspect> found;
+    for (const auto& [print, ruling] : m_verdicts) {
+        suspect each { print, ruling == verdict::Refused, {} };
+        std::copy_if(
+            known.begin(), known.end(), std::back_inserter(each.crashes), [&](const crash& news) {
+                return news.print == each.print && !news.forgiven && !forgiven(each.print, news.at);
+            });
+        found.push_back(std::move(each));
+    }
+    return found;
+}
+
 bool quarantine::forgiven(fingerprint print, instant at) const
 {
     const auto found = m_forgiven.find(print);
@@ -134,7 +149,7 @@
     suspicion_map open;
     run_set explained;
     for (const run_id& id : runsInOrder()) {
-        suspect(id, open, explained);
+        addSuspects(id, open, explained);
         while (const auto guilty = findGuilty(open, explained))
             convict(*guilty, open, explained);
     }
@@ -144,7 +159,7 @@
 }
 
 // A crash with a guilty request in flight says nothing about the others.
-void quarantine::suspect(const run_id& id, suspicion_map& open, run_set& explained) const
+void quarantine::addSuspects(const run_id& id, suspicion_map& open, run_set& explained) const
 {
     const ended_run& ended = m_runs.at(id);
     const auto isGuilty = [&](fingerprint print) { return judge(print) == verdict::Refused; };
--- a/src/routing/quarantine.h
+++ b/src/routing/quarantine.h
@@ -44,6 +44,8 @@
     [[nodiscard]] bool empty() const noexcept { return m_verdicts.empty(); }
     /// All crashes and forgivenesses that have not expired.
     [[nodiscard]] std::vector<crash> all() const;
+    /// All fingerprints with a verdict other than Clear, sorted.
+    [[nodiscard]] std::vector<suspect> suspects() const;
 
 private:
     struct run_id {
@@ -60,7 +62,7 @@
 
     [[nodiscard]] bool forgiven(fingerprint print, instant at) const;
     [[nodiscard]] std::vector<run_id> runsInOrder() const;
-    void suspect(const run_id& id, suspicion_map& open, run_set& explained) const;
+    void addSuspects(const run_id& id, suspicion_map& open, run_set& explained) const;
     void convict(fingerprint guilty, suspicion_map& open, run_set& explained);
     [[nodiscard]] std::size_t backgroundOf(const run_set& own, const run_set& explained) const;
     [[nodiscard]] bool isGuilty(const run_set& own, const run_set& explained) const;
--- a/src/serve/dispatch.cc
+++ b/src/serve/dispatch.cc
@@ -103,6 +103,13 @@
     return known;
 }
 
+std::vector<routing::suspect> dispatch::suspects() const
+{
+    std::vector<routing::suspect> known;
+    m_decisions->inspect([&](const routing::router& router) { known = router.suspects(); });
+    return known;
+}
+
 routing::counters dispatch::counts() const
 {
     routing::counters counted;
--- a/src/serve/dispatch.h
+++ b/src/serve/dispatch.h
@@ -42,6 +42,7 @@
     void pardon(routing::fingerprint print);
 
     [[nodiscard]] std::vector<routing::crash> crashes() const;
+    [[nodiscard]] std::vector<routing::suspect> suspects() const;
     [[nodiscard]] routing::counters counts() const;
     [[nodiscard]] std::vector<routing::target_view> targets() const;
     /// Returns the rates of every keyed service since the last call.
--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -221,10 +221,11 @@
 bool node::pardon(std::uint64_t fingerprint)
 {
     const routing::fingerprint print { fingerprint };
-    const auto crashes = m_dispatch->crashes();
+    const auto suspects = m_dispatch->suspects();
     const bool known = std::any_of(
-        crashes.begin(), crashes.end(), [&](const auto& news) { return news.print == print; });
-    m_dispatch->pardon(print);
+        suspects.begin(), suspects.end(), [&](const auto& each) { return each.print == print; });
+    if (known)
+        m_dispatch->pardon(print);
     return known;
 }
 
--- a/src/serve/node.h
+++ b/src/serve/node.h
@@ -34,6 +34,7 @@
     // admin::node
     [[nodiscard]] admin::health currentHealth() const override;
     [[nodiscard]] std::string statusJson() const override;
+    [[nodiscard]] std::string crashesJson() const override;
     bool pardon(std::uint64_t fingerprint) override;
     [[nodiscard]] platform::services& platform() override { return m_announcing; }
     [[nodiscard]] telemetry::registry& metrics() override;
--- a/src/serve/status.cc
+++ b/src/serve/status.cc
@@ -2,6 +2,7 @@
 
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
+#include <Poco/NumberFormatter.h>
 #include <sstream>
 
 namespace pimentomast::serve::detail {
@@ -10,6 +11,8 @@
 using Poco::JSON::Array;
 using Poco::JSON::Object;
 
+constexpr int fingerprintDigits = 16;
+
 Object::Ptr describe(const coordination_status& service)
 {
     Object::Ptr object = new Object;
@@ -39,8 +42,45 @@
     return object;
 }
 
+Object::Ptr describe(const routing::crash& news, instant now)
+{
+    Object::Ptr object = new Object(Poco::JSON_PRESERVE_KEY_ORDER);
+    object->set("target", news.target.value());
+    object->set("incarnation", std::to_string(news.run.value()));
+    const auto age = std::chrono::duration_cast<std::chrono::seconds>(now - news.at);
+    object->set("seconds_ago", static_cast<Poco::Int64>(age.count()));
+    return object;
+}
+
+Object::Ptr describe(const routing::suspect& request, instant now)
+{
+    Object::Ptr object = new Object(Poco::JSON_PRESERVE_KEY_ORDER);
+    object->set("fingerprint",
+        Poco::NumberFormatter::formatHex(
+            static_cast<Poco::UInt64>(request.print.value()), fingerprintDigits));
+    object->set("refused", request.refused);
+    Array::Ptr crashes = new Array;
+    for (const auto& news : request.crashes)
+        crashes->add(describe(news, now));
+    object->set("crashes", crashes);
+    return object;
+}
+
 } // namespace
 
+std::string node::crashesJson() const
+{
+    const auto now = monotonic_clock::now();
+    Array::Ptr requests = new Array;
+    for (const auto& each : m_dispatch->suspects())
+        requests->add(describe(each, now));
+    Object all;
+    all.set("requests", requests);
+    std::ostringstream text;
+    all.stringify(text);
+    return text.str();
+}
+
 std::string node::statusJson() const
 {
     const auto now = monotonic_clock::now();
--- a/test/admin-test.cc
+++ b/test/admin-test.cc
@@ -34,6 +34,11 @@
         return leaving ? admin::health { false, "leaving" } : admin::health { true, "" };
     }
     [[nodiscard]] std::string statusJson() const override { return R"({"host":"k1"})"; }
+    [[nodiscard]] std::string crashesJson() const override
+    {
+        return R"({"requests":[{"fingerprint":"0000000000000abc","refused":true,"crashes":[)"
+               R"({"target":"w1","incarnation":"7","seconds_ago":12}]}]})";
+    }
     bool pardon(std::uint64_t fingerprint) override { return fingerprint == 0xabc; }
     [[nodiscard]] platform::services& platform() override { return *m_store; }
     [[nodiscard]] telemetry::registry& metrics() override { return m_metrics; }
@@ -45,6 +50,19 @@
     telemetry::registry m_metrics;
 };
 
+bool has(const std::string& text, const std::string& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+bool has(const test::http_reply& reply, const std::string& part) { return has(reply.body, part); }
+
+struct printed {
+    int code = -1;
+    std::string out;
+    std::string err;
+};
+
 struct fixture {
     endpoint platform = test::freeAddress();
     test::process server = test::process::start(
@@ -67,6 +85,22 @@
         return test::call(api->address(), request);
     }
 
+    /// Runs a command with settings that name this API and the token.
+    [[nodiscard]] printed command(
+        std::vector<std::string> arguments, const std::string& token = secret) const
+    {
+        const auto path = test::scratchFolder() + "/settings.ini";
+        std::ofstream(path) << "[host]\nid = k1\ndomain = k\ncallers = 127.0.0.1:1\n"
+                               "peers = 127.0.0.1:2\nadmin = "
+                            << api->address().text() << "\n[platform]\naddress = 127.0.0.1:3\n"
+                            << "[admin]\ntoken = " << token << "\n";
+        arguments.insert(arguments.end(), { "--settings", path });
+        std::ostringstream out;
+        std::ostringstream err;
+        const int code = command::run(arguments, out, err);
+        return { code, out.str(), err.str() };
+    }
+
     [[nodiscard]] test::http_reply apply(
         const std::string& editor, int base, const std::string& text) const
     {
@@ -80,11 +114,6 @@
     }
 };
 
-bool has(const test::http_reply& reply, const std::string& part)
-{
-    return reply.body.find(part) != std::string::npos;
-}
-
 } // namespace
 
 Test(admin, health_needs_no_token_and_follows_the_node)
@@ -194,21 +223,26 @@
 Test(admin, status_command_asks_with_the_token_of_the_settings)
 {
     fixture f;
-    const auto path = test::scratchFolder() + "/settings.ini";
-    const auto writeSettings = [&](const std::string& token) {
-        std::ofstream(path) << "[host]\nid = k1\ndomain = k\ncallers = 127.0.0.1:1\n"
-                               "peers = 127.0.0.1:2\nadmin = "
-                            << f.api->address().text() << "\n[platform]\naddress = 127.0.0.1:3\n"
-                            << "[admin]\ntoken = " << token << "\n";
-    };
-    std::ostringstream out;
-    std::ostringstream err;
-    writeSettings(secret);
-    cr_assert(command::run({ "status", "--settings", path }, out, err) == 0);
-    cr_assert(out.str().find("\"host\": \"k1\"") != std::string::npos, "%s", out.str().c_str());
-    writeSettings("another-token-of-16");
-    cr_assert(command::run({ "status", "--settings", path }, out, err) == 1);
-    cr_assert(err.str().find("401") != std::string::npos);
+    const auto shown = f.command({ "status" });
+    cr_assert(shown.code == 0 && has(shown.out, "\"host\": \"k1\""), "%s", shown.out.c_str());
+    const auto refused = f.command({ "status" }, "another-token-of-16");
+    cr_assert(refused.code == 1 && has(refused.err, "401"));
+}
+
+Test(admin, crash_commands_list_and_pardon)
+{
+    fixture f;
+    const auto listed = f.command({ "crash", "list" });
+    cr_assert(listed.out == "0000000000000abc refused w1/7 12s\n", "%s", listed.out.c_str());
+    const auto json = f.command({ "crash", "list", "--format", "json" });
+    cr_assert(has(json.out, R"("seconds_ago":12)"));
+    const auto pardoned = f.command({ "crash", "pardon", "abc", "--format", "json" });
+    cr_assert(pardoned.code == 0 && has(pardoned.out, R"("pardoned":"abc")"));
+    const auto unknown = f.command({ "crash", "pardon", "abd" });
+    cr_assert(
+        unknown.code == 1 && has(unknown.err, "suspected or refused"), "%s", unknown.err.c_str());
+    cr_assert(f.command({ "crash", "pardon", "xyz" }).code == 2);
+    cr_assert(f.command({ "crash", "list" }, "another-token-of-16").code == 1);
 }
 
 Test(admin, address_in_use_is_refused)
--- a/test/failure-outcomes-test.cc
+++ b/test/failure-outcomes-test.cc
@@ -1,6 +1,9 @@
 #include "helper.h"
 
+#include "pimentomast/command.h"
+
 #include <criterion/criterion.h>
+#include <sstream>
 
 using namespace pimentomast;
 using namespace pimentomast::test;
@@ -9,6 +12,8 @@
 /// answers, silent connections, crashes and moves.
 namespace {
 
+using words = std::vector<std::string>;
+
 load::options ledgerLoad(unsigned seed) { return { .services = { "ledger" }, .seed = seed }; }
 
 cluster_options threeLedgers()
@@ -36,6 +41,16 @@
     return tell(system, sale(id));
 }
 
+/// Runs a command with the settings of a host, and returns what it prints.
+std::string crashCommand(cluster& system, const std::string& host, words arguments)
+{
+    arguments.insert(arguments.end(), { "--settings", system.host(host).settingsFile });
+    std::ostringstream out;
+    std::ostringstream err;
+    cr_assert(command::run(arguments, out, err) == 0, "%s", err.str().c_str());
+    return out.str();
+}
+
 } // namespace
 
 Test(failure_outcomes, sale_is_reset_at_each_stage)
@@ -162,4 +177,12 @@
     for (const auto& run : system.runs())
         crashes += run.path == path ? 1 : 0;
     cr_assert(crashes <= 2, "%zu targets crashed", crashes);
+    const auto listed = crashCommand(system, "h1", { "crash", "list" });
+    cr_assert(listed.find(" refused ") != std::string::npos, "%s", listed.c_str());
+    const auto print = listed.substr(0, listed.find(' '));
+    (void)crashCommand(system, "h2", { "crash", "pardon", print });
+    for (const auto* host : { "h1", "h2", "h3" })
+        cr_assert(waitUntil([&] {
+            return crashCommand(system, host, { "crash", "list" }).empty();
+        }));
 }
--- a/test/routing-health-test.cc
+++ b/test/routing-health-test.cc
@@ -79,6 +79,11 @@
     const crash other { fingerprint { 5 }, target_id { "t2" }, firstRun, test.now, false };
     (void)test.host->heard(test.now, other);
     cr_assert(refusedAsQuarantined(test, 5));
+    const auto listed = test.host->suspects();
+    cr_assert(listed.size() == 1 && listed.front().refused && listed.front().crashes.size() == 2);
+    (void)test.host->pardon(test.now, fingerprint { 5 });
+    cr_assert(test.host->suspects().empty());
+    cr_assert_not(refusedAsQuarantined(test, 5));
 }
 
 Test(routing_health, innocent_companion_of_a_crashing_request_is_not_refused)
