Replace a corrupt table from the command line; take editor and base by default

Cause: a `config` row that cannot be read as a table refused every edit, so that only a write to the platform by hand could mend it. `--editor` and `--base` had to be typed for each edit.

Without a corrupt version it merges like any edit, so of two operators who repair at once one merges or is told a conflict. `table history` shows corrupt versions and goes on below them; it stopped there with an error. Changes are shown against the newest version that can be read.

`table show` writes the version into the first line, and `table apply` takes it as the base; it refuses a `--base` that contradicts the file. Ruled out: the newest version as the standard base, which would take back what others applied since the file was shown. The editor is the login name unless given.

--- a/include/pimentomast/table.h
+++ b/include/pimentomast/table.h
@@ -101,6 +101,12 @@
 /// Returns the CSV form, which parse() reads back to an equal table.
 [[nodiscard]] std::string format(const table& rows);
 
+/// Returns the CSV form after a line that names the version; parse() skips such a line.
+[[nodiscard]] std::string formatWithVersion(const table& rows);
+
+/// Returns the version that the first line of a CSV text names; empty if it names none.
+[[nodiscard]] std::optional<config_version> namedVersion(const std::string& csv);
+
 /// Name and meaning of a column, and the kinds of row that use it.
 struct column_description {
     std::string name;
@@ -240,6 +246,14 @@
     std::string csv;
     /// Time of the edit for the history, ISO 8601.
     std::string at;
+    /// Replaces a version in the store that cannot be read as a table, which else refuses the edit.
+    bool replaceCorrupt = false;
+};
+
+/// A version in the store that cannot be read as a table.
+struct corrupt_version {
+    config_version version;
+    std::string value;
 };
 
 /// What another editor changed since the base of an edit.
@@ -251,10 +265,12 @@
 /// The edit is in the store as this version.
 struct applied {
     config_version version;
-    /// What the edit changed, in comparison with the version that it replaced.
+    /// What the edit changed, in comparison with the newest version that can be read.
     std::vector<change> changes;
     /// What others had changed since the base; not empty if the edit was merged with it.
     std::vector<other_change> mergedWith;
+    /// What the edit replaced; the history keeps it.
+    std::optional<corrupt_version> replaced {};
 };
 /// The edit is no valid table; nothing changed.
 struct invalid {
@@ -271,7 +287,8 @@
 using apply_outcome = std::variant<applied, conflict, invalid, not_applied, apply_unknown>;
 
 /// Checks an edit, merges it with what came since its base, and writes it by compare-and-set; a
-/// lost race is merged again. Nothing changes unless the whole edit is taken. Thread-safe.
+/// lost race is merged again. Nothing changes unless the whole edit is taken. In place of a corrupt
+/// version it is taken as it is, without a merge, and only as the next version. Thread-safe.
 [[nodiscard]] apply_outcome apply(platform::services& store, const edit& wanted);
 
 /// Adds or changes the mark of a target or host; everything else stays. Thread-safe.
@@ -290,7 +307,8 @@
 /// Builds the table of a row read from the store (or received from a peer). Thread-safe.
 [[nodiscard]] result<table> decode(config_version version, const std::string& value);
 
-/// One version in the history, newest first, and how it differs from the one before it.
+/// One version in the history, newest first, and how it differs from the newest one before it that
+/// can be read.
 struct history_entry {
     config_version version;
     std::string editor;
@@ -298,6 +316,8 @@
     std::vector<change> changes;
     /// The version before it is no longer kept, so changes is empty.
     bool oldest = false;
+    /// The value of a version that cannot be read as a table; editor, at and changes are empty.
+    std::optional<std::string> corrupt {};
 };
 
 /// Returns up to `limit` versions, newest first. Thread-safe.
--- a/src/command/subcommands.cc
+++ b/src/command/subcommands.cc
@@ -27,7 +27,7 @@
     }
     option_list& number(const char* name, const char* meaning)
     {
-        m_all.add_options()(name, options::value<std::uint64_t>()->required(), meaning);
+        m_all.add_options()(name, options::value<std::uint64_t>(), meaning);
         return *this;
     }
     option_list& number(const char* name, std::uint64_t standard, const char* meaning)
@@ -44,7 +44,8 @@
     }
     option_list& editor()
     {
-        return required("editor", "name of the operator, kept in the history");
+        return text(
+            "editor", "name of the operator, kept in the history; standard: the login name");
     }
     options::options_description done()
     {
@@ -88,7 +89,8 @@
         { "table apply", "Applies an edited table.",
             option_list()
                 .required("file", "CSV file with the table")
-                .number("base", "version that the edit started from; 0 for the first table")
+                .number("base", "version that the edit started from; standard: as the file says")
+                .flag("replace-corrupt", "replaces a table in force that cannot be read")
                 .platform()
                 .editor()
                 .done(),
--- a/src/command/table_commands.cc
+++ b/src/command/table_commands.cc
@@ -9,6 +9,7 @@
 #include <Poco/JSON/Object.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Timestamp.h>
+#include <cstdlib>
 #include <fstream>
 #include <sstream>
 
@@ -31,6 +32,34 @@
     return text.str();
 }
 
+/// Returns the operator's name: the option, else the login name. Throws if there is neither.
+std::string editorOf(const invocation& call)
+{
+    if (const auto given = call.text("editor"); !given.empty())
+        return given;
+    for (const auto* name : { "LOGNAME", "USER" })
+        if (const auto* login = std::getenv(name); login != nullptr && *login != '\0')
+            return login;
+    throw options::error("--editor is needed: the environment has no login name");
+}
+
+/// Returns the version that the edit started from. Throws if neither option nor file tells it, or
+/// if they contradict each other.
+config_version baseOf(const invocation& call, const std::string& csv)
+{
+    const auto named = table::namedVersion(csv);
+    if (!call.values.count("base")) {
+        if (!named)
+            throw options::error("--base is needed: the file does not name its version");
+        return *named;
+    }
+    const config_version given { call.values["base"].as<std::uint64_t>() };
+    if (named && *named != given)
+        throw options::error("the file was shown at version " + std::to_string(named->value())
+            + ", not at the one of --base");
+    return given;
+}
+
 void printChanges(
     std::ostream& out, const std::string& title, const std::vector<table::change>& changes)
 {
@@ -54,6 +83,9 @@
             call.out << "merged with the edits of others:\n";
         for (const auto& other : done.mergedWith)
             call.out << "  " << other.what.text() << " (" << other.editor << ")\n";
+        if (done.replaced)
+            call.out << "replaced the corrupt value of version " << done.replaced->version.value()
+                     << ", which the history keeps:\n  " << done.replaced->value << "\n";
         return exit_code::Success;
     }
     exit_code operator()(const table::conflict& refused) const
@@ -111,10 +143,11 @@
 
 exit_code setMark(const invocation& call, table::row_kind kind, table::mark state)
 {
+    const auto editor = editorOf(call);
     const auto store = connectPlatform(call);
     if (kind == table::row_kind::Host)
         warnIfUnlisted(call, *store);
-    const table::mark_edit wanted { call.text("editor"), { kind, call.text("id") }, state, now() };
+    const table::mark_edit wanted { editor, { kind, call.text("id") }, state, now() };
     return report(call, table::apply(*store, wanted));
 }
 
@@ -183,6 +216,10 @@
 
 void printEntry(std::ostream& out, const table::history_entry& entry)
 {
+    if (entry.corrupt) {
+        out << "version " << entry.version.value() << " is corrupt:\n  " << *entry.corrupt << "\n";
+        return;
+    }
     out << "version " << entry.version.value() << " by " << entry.editor << " at " << entry.at
         << "\n";
     if (entry.oldest)
@@ -226,7 +263,7 @@
         return exit_code::Success;
     }
     call.err << "version " << rows.version.value() << " by " << rows.editor << "\n";
-    call.out << table::format(rows);
+    call.out << table::formatWithVersion(rows);
     return exit_code::Success;
 }
 
@@ -254,12 +291,10 @@
 
 exit_code tableApply(const invocation& call)
 {
-    const table::edit wanted {
-        call.text("editor"),
-        config_version { call.values["base"].as<std::uint64_t>() },
-        readFile(call.text("file")),
-        now(),
-    };
+    const auto editor = editorOf(call);
+    const auto csv = readFile(call.text("file"));
+    const bool replaceCorrupt = call.values.count("replace-corrupt") > 0;
+    const table::edit wanted { editor, baseOf(call, csv), csv, now(), replaceCorrupt };
     const auto store = connectPlatform(call);
     return report(call, table::apply(*store, wanted));
 }
--- a/src/table/csv.cc
+++ b/src/table/csv.cc
@@ -1,6 +1,7 @@
 #include "cells.h"
 
 #include <algorithm>
+#include <charconv>
 #include <csv.h>
 #include <memory>
 
@@ -9,6 +10,7 @@
 
 constexpr std::size_t maxBytes = 4194304;
 constexpr std::string_view byteOrderMark = "\xEF\xBB\xBF";
+constexpr std::string_view versionMark = "# version ";
 
 using record = std::vector<std::string>;
 
@@ -68,18 +70,30 @@
     return std::move(found.records);
 }
 
+std::string_view withoutMark(std::string_view csv)
+{
+    if (csv.starts_with(byteOrderMark))
+        csv.remove_prefix(byteOrderMark.size());
+    return csv;
+}
+
 bool isColumn(const std::string& name)
 {
     return std::any_of(columns().begin(), columns().end(),
         [&](const auto& column) { return column.name == name; });
 }
 
-std::string headerFault(const record& header)
+/// Whether the line names the version, also after a spreadsheet filled it up with empty cells.
+bool namesVersion(const record& fields)
+{
+    return !fields.empty() && fields.front().starts_with(versionMark);
+}
+
+std::string headerFault(const record& header, const std::string& label)
 {
     std::string faults;
     const auto add = [&](const std::string& column, const std::string& reason) {
-        faults += (faults.empty() ? "" : "\n") + std::string("row 1, column ") + column + ": "
-            + reason;
+        faults += (faults.empty() ? "" : "\n") + label + ", column " + column + ": " + reason;
     };
     for (auto name = header.begin(); name != header.end(); ++name) {
         if (!isColumn(*name))
@@ -123,19 +137,19 @@
 {
     if (csv.size() > maxBytes)
         return csvError("table", "is larger than " + std::to_string(maxBytes) + " bytes");
-    std::string_view text = csv;
-    if (text.starts_with(byteOrderMark))
-        text.remove_prefix(byteOrderMark.size());
-    auto records = split(text);
+    auto records = split(withoutMark(csv));
     if (!records)
         return records.error();
-    if (records.value().empty() || records.value().front().empty())
-        return csvError("row 1", "the header with the names of the columns is missing");
-    const auto header = records.value().front();
-    if (const auto fault = headerFault(header); !fault.empty())
+    const bool versioned = !records.value().empty() && namesVersion(records.value().front());
+    const std::size_t headerIndex = versioned ? 1 : 0;
+    const auto headerLabel = "row " + std::to_string(headerIndex + 1);
+    if (records.value().size() <= headerIndex || records.value()[headerIndex].empty())
+        return csvError(headerLabel, "the header with the names of the columns is missing");
+    const auto header = records.value()[headerIndex];
+    if (const auto fault = headerFault(header, headerLabel); !fault.empty())
         return error { "read table", "", fault };
     std::vector<raw_row> rows;
-    for (std::size_t index = 1; index < records.value().size(); ++index) {
+    for (std::size_t index = headerIndex + 1; index < records.value().size(); ++index) {
         const auto& fields = records.value()[index];
         const auto label = "row " + std::to_string(index + 1);
         if (fields.size() > header.size())
@@ -167,3 +181,27 @@
 }
 
 } // namespace pimentomast::table::detail
+
+namespace pimentomast::table {
+
+std::string formatWithVersion(const table& rows)
+{
+    return std::string(detail::versionMark) + std::to_string(rows.version.value()) + "\n"
+        + format(rows);
+}
+
+std::optional<config_version> namedVersion(const std::string& csv)
+{
+    const auto records = detail::split(detail::withoutMark(csv));
+    if (!records || records.value().empty() || !detail::namesVersion(records.value().front()))
+        return std::nullopt;
+    const auto digits = records.value().front().front().substr(detail::versionMark.size());
+    std::uint64_t number = 0;
+    const auto* end = digits.data() + digits.size();
+    const auto read = std::from_chars(digits.data(), end, number);
+    if (read.ec != std::errc {} || read.ptr != end)
+        return std::nullopt;
+    return config_version { number };
+}
+
+} // namespace pimentomast::table
--- a/src/table/history.cc
+++ b/src/table/history.cc
@@ -120,21 +120,19 @@
     {
     }
 
-    [[nodiscard]] bool done() const { return !m_next; }
+    [[nodiscard]] bool done() const { return m_next.version == config_version {}; }
 
     result<history_entry> step()
     {
-        const auto version = m_next->version;
-        const auto value = decodeValue(m_next->value);
-        if (!value)
-            return value.error();
-        const auto after = parseValue(value.value(), version);
+        const auto current = m_next;
+        const auto value = decodeValue(current.value);
+        const auto after = decode(current.version, current.value);
         if (!after)
-            return after.error();
+            return corruptEntry(current);
         auto before = readBefore(value.value());
         if (!before)
             return before.error();
-        history_entry entry { version, value.value().editor, value.value().at, {}, false };
+        history_entry entry { current.version, value.value().editor, value.value().at, {}, false };
         entry.oldest = !before.value();
         if (before.value())
             entry.changes = difference(*before.value(), after.value());
@@ -142,10 +140,19 @@
     }
 
 private:
-    /// Moves on to the previous version; an empty optional if it is not kept.
+    result<history_entry> corruptEntry(const stored_version& current)
+    {
+        const auto before = detail::readableBefore(m_store, current.version);
+        if (!before)
+            return before.error();
+        m_next = before.value() ? before.value()->stored : stored_version {};
+        return history_entry { current.version, "", "", {}, !before.value(), current.value };
+    }
+
+    /// Moves on to the previous version; an empty optional if none before this one can be read.
     result<std::optional<table>> readBefore(const config_value& value)
     {
-        m_next.reset();
+        m_next = {};
         if (value.previous.value() == 0)
             return std::optional<table> { table {} };
         const auto kept = detail::readVersion(m_store, value.previous);
@@ -153,15 +160,20 @@
             return kept.error();
         if (!kept.value())
             return std::optional<table> {};
-        m_next = kept.value();
-        const auto rows = decode(m_next->version, m_next->value);
-        if (!rows)
-            return rows.error();
-        return std::optional<table> { rows.value() };
+        m_next = *kept.value();
+        if (const auto rows = decode(m_next.version, m_next.value))
+            return std::optional<table> { rows.value() };
+        const auto readable = detail::readableBefore(m_store, m_next.version);
+        if (!readable)
+            return readable.error();
+        if (!readable.value())
+            return std::optional<table> {};
+        return std::optional<table> { readable.value()->rows };
     }
 
     platform::services& m_store;
-    std::optional<stored_version> m_next;
+    /// Version 0: the walk is over.
+    stored_version m_next;
 };
 
 } // namespace
@@ -208,6 +220,22 @@
     return kept;
 }
 
+result<std::optional<readable_version>> readableBefore(
+    platform::services& store, config_version version)
+{
+    auto number = version.value();
+    for (unsigned step = 0; step < historyLength && number > 1; ++step) {
+        const auto kept = readVersion(store, config_version { --number });
+        if (!kept)
+            return kept.error();
+        if (!kept.value())
+            continue;
+        if (const auto rows = decode(kept.value()->version, kept.value()->value))
+            return std::optional { readable_version { *kept.value(), rows.value() } };
+    }
+    return std::optional<readable_version> {};
+}
+
 result<std::vector<history_entry>> entriesBetween(
     platform::services& store, config_version base, config_version last)
 {
--- a/src/table/history.h
+++ b/src/table/history.h
@@ -24,6 +24,16 @@
 [[nodiscard]] result<std::optional<stored_version>> readVersion(
     platform::services& store, config_version version);
 
+/// A kept version that can be read.
+struct readable_version {
+    stored_version stored;
+    table rows;
+};
+
+/// Reads the newest kept version below this one that can be read; empty if there is none.
+[[nodiscard]] result<std::optional<readable_version>> readableBefore(
+    platform::services& store, config_version version);
+
 /// Returns the entries of all versions after `base`, up to and with `last`, newest first.
 [[nodiscard]] result<std::vector<history_entry>> entriesBetween(
     platform::services& store, config_version base, config_version last);
--- a/src/table/json.cc
+++ b/src/table/json.cc
@@ -58,6 +58,14 @@
     return object;
 }
 
+Object toObject(const corrupt_version& shown)
+{
+    auto object = ordered();
+    object.set("version", shown.version.value());
+    object.set("value", shown.value);
+    return object;
+}
+
 Object toObject(const history_entry& shown);
 
 template <class Item>
@@ -77,6 +85,8 @@
     object.set("at", shown.at);
     object.set("oldest", shown.oldest);
     object.set("changes", toArray(shown.changes));
+    if (shown.corrupt)
+        object.set("corrupt", *shown.corrupt);
     return object;
 }
 
@@ -96,6 +106,8 @@
         object.set("version", shown.version.value());
         object.set("changes", toArray(shown.changes));
         object.set("merged_with", toArray(shown.mergedWith));
+        if (shown.replaced)
+            object.set("replaced", toObject(*shown.replaced));
         return object;
     }
     Object operator()(const conflict& shown) const
--- a/src/table/store.cc
+++ b/src/table/store.cc
@@ -16,8 +16,17 @@
 struct current_state {
     table rows;
     std::optional<stored_version> stored;
+    /// Set if the stored value cannot be read as a table.
+    std::optional<error> fault {};
 };
 
+error corruptFault(config_version version, const error& cause)
+{
+    return { "read table in force", "platform",
+        "version " + std::to_string(version.value()) + " is corrupt (" + cause.text()
+            + "); `table apply --replace-corrupt` replaces it" };
+}
+
 result<current_state> readState(platform::services& store)
 {
     const auto row = store.read(std::string(configRow));
@@ -26,10 +35,11 @@
     if (!row.value())
         return current_state {};
     const auto version = config_version { row.value()->version.value() };
-    auto rows = decode(version, row.value()->value);
+    const stored_version stored { version, row.value()->value };
+    const auto rows = decode(version, stored.value);
     if (!rows)
-        return rows.error();
-    return current_state { rows.value(), stored_version { version, row.value()->value } };
+        return current_state { {}, stored, corruptFault(version, rows.error()) };
+    return current_state { rows.value(), stored };
 }
 
 result<table> readBase(platform::services& store, const current_state& current, config_version base)
@@ -116,6 +126,20 @@
     }
 };
 
+/// Writes rows as the version after the given one, which the history keeps.
+attempt writeNext(platform::services& store, const std::optional<stored_version>& before,
+    const table& rows, const std::string& at, applied done)
+{
+    if (before) {
+        if (const auto kept = detail::keepVersion(store, *before); !kept)
+            return not_applied { kept.error() };
+    }
+    const auto version = before ? before->version : config_version {};
+    const auto outcome = platform::writeSettled(store, std::string(configRow),
+        row_version { version.value() }, detail::encode(rows, version, at), platform::newWriteId());
+    return std::visit(write_result { std::move(done) }, outcome);
+}
+
 /// Writes a merged edit over the version that it was merged with.
 attempt write(
     platform::services& store, const current_state& current, const merged& both, const edit& wanted)
@@ -123,18 +147,23 @@
     auto others = nameEditors(store, wanted.base, current.rows, both.theirs);
     if (!others)
         return not_applied { others.error() };
-    applied done { current.rows.version, difference(current.rows, both.rows), others.value() };
+    applied done { current.rows.version, difference(current.rows, both.rows), others.value(), {} };
     if (current.stored && done.changes.empty())
         return done;
-    if (current.stored) {
-        if (const auto kept = detail::keepVersion(store, *current.stored); !kept)
-            return not_applied { kept.error() };
-    }
-    const auto value = detail::encode(both.rows, current.rows.version, wanted.at);
-    const row_version expected { current.rows.version.value() };
-    const auto outcome = platform::writeSettled(
-        store, std::string(configRow), expected, value, platform::newWriteId());
-    return std::visit(write_result { std::move(done) }, outcome);
+    return writeNext(store, current.stored, both.rows, wanted.at, std::move(done));
+}
+
+/// Writes an edit in place of a version that cannot be read.
+attempt replace(platform::services& store, const stored_version& corrupt, const table& mine,
+    const std::string& at)
+{
+    const auto before = detail::readableBefore(store, corrupt.version);
+    if (!before)
+        return not_applied { before.error() };
+    const auto rows = before.value() ? before.value()->rows : table {};
+    applied done { corrupt.version, difference(rows, mine), {},
+        corrupt_version { corrupt.version, corrupt.value } };
+    return writeNext(store, corrupt, mine, at, std::move(done));
 }
 
 bool isEditor(const std::string& name)
@@ -150,6 +179,10 @@
     if (!current)
         return not_applied { current.error() };
     const auto& now = current.value();
+    if (now.fault && wanted.replaceCorrupt)
+        return replace(store, *now.stored, mine, wanted.at);
+    if (now.fault)
+        return not_applied { *now.fault };
     if (wanted.base > now.rows.version)
         return not_applied { { "read base of edit", "platform",
             "version " + std::to_string(wanted.base.value()) + " does not exist yet" } };
@@ -192,6 +225,8 @@
     const auto current = readState(store);
     if (!current)
         return current.error();
+    if (current.value().fault)
+        return *current.value().fault;
     if (!current.value().stored)
         return std::optional<table> {};
     return std::optional<table> { current.value().rows };
--- a/test/command-test.cc
+++ b/test/command-test.cc
@@ -105,6 +105,8 @@
 
 Test(command, wrong_command_lines_exit_with_2)
 {
+    unsetenv("LOGNAME");
+    unsetenv("USER");
     for (const auto& arguments : std::vector<words> { {}, { "tables" }, { "table" },
              { "table", "drop" }, { "--colour" }, { "table", "show" }, { "serve" },
              { "table", "show", "--platform", "127.0.0.1:1", "--colour" },
@@ -112,7 +114,8 @@
              { "table", "show", "--platform", "127.0.0.1:1", "--format", "xml" },
              { "table", "show", "--platform", "127.0.0.1:1", "surplus" },
              { "table", "apply", "x.csv", "--platform", "127.0.0.1:1", "--base", "1" },
-             { "table", "apply", "x.csv", "--platform", "127.0.0.1:1", "--editor", "a" },
+             { "table", "apply", tableFile("x.csv", 1, 1), "--platform", "127.0.0.1:1", "--editor",
+                 "a" },
              { "table", "apply", "x.csv", "--platform", "127.0.0.1:1", "--editor", "a", "--base",
                  "one" },
              { "target", "leave", "--platform", "127.0.0.1:1", "--editor", "a" } }) {
@@ -233,6 +236,55 @@
     cr_assert(unknown.code == 1 && has(unknown.err, "no such row"));
 }
 
+Test(command, corrupt_table_is_replaced_on_demand_and_kept)
+{
+    const fixture f;
+    cr_assert(f.apply(tableFile("a.csv", 1, 1), 0, "hari").code == 0);
+    cr_assert(f.apply(tableFile("b.csv", 2, 1), 1, "hari").code == 0);
+    test::put(f.platform, "/rows/config", R"({"expected":2,"value":"{broken","writer":"fault"})");
+    const auto path = tableFile("c.csv", 3, 1);
+    const auto refused = f.apply(path, 1, "sita");
+    cr_assert(
+        refused.code == 1 && has(refused.err, "--replace-corrupt"), "%s", refused.err.c_str());
+    const auto replace = [&](const std::string& editor, const std::string& edited) {
+        return f.on(
+            { "table", "apply", edited, "--base", "1", "--editor", editor, "--replace-corrupt" });
+    };
+    const auto replaced = replace("sita", path);
+    cr_assert(replaced.code == 0, "%s", replaced.err.c_str());
+    for (const auto* part : { "version 4 is accepted", "version 3", "{broken", "weight: 1 -> 3" })
+        cr_expect(has(replaced.out, part), "%s", replaced.out.c_str());
+    const auto history = f.on({ "table", "history" });
+    for (const auto* part : { "version 4 by sita", "version 3", "{broken", "version 1 by hari" })
+        cr_expect(has(history.out, part), "%s", history.out.c_str());
+    cr_assert(replace("maya", tableFile("d.csv", 4, 1)).code == 4);
+    cr_assert(has(f.on({ "table", "show" }).err, "version 4 by sita"));
+}
+
+Test(command, editor_and_base_are_read_from_the_login_and_the_shown_file)
+{
+    const fixture f;
+    setenv("LOGNAME", "hari", 1);
+    const auto first = tableFile("first.csv", 1, 1);
+    cr_assert(f.on({ "table", "apply", first }).code == 2);
+    cr_assert(f.on({ "table", "apply", first, "--base", "0" }).code == 0);
+    const auto shown = f.on({ "table", "show" }).out;
+    cr_assert(shown.starts_with("# version 1\n"), "%s", shown.c_str());
+    const auto edited = [&](const std::string& name, const std::string& weight) {
+        auto text = shown;
+        return file(name, text.replace(text.find(",k,1,") + 3, 1, weight));
+    };
+    const auto hari = edited("hari.csv", "2");
+    cr_assert(f.on({ "table", "apply", hari, "--base", "2" }).code == 2);
+    cr_assert(f.on({ "table", "apply", hari }).code == 0);
+    const auto late = f.on({ "table", "apply", edited("sita.csv", "3"), "--editor", "sita" });
+    cr_assert(late.code == 4 && has(late.err, "hari has 2"), "%s", late.err.c_str());
+    cr_assert(has(f.on({ "table", "show" }).err, "version 2 by hari"));
+    unsetenv("LOGNAME");
+    unsetenv("USER");
+    cr_assert(f.on({ "table", "apply", hari }).code == 2);
+}
+
 Test(command, outage_of_the_platform_exits_with_1_and_names_the_peer)
 {
     const fixture f;
--- a/test/table-store-test.cc
+++ b/test/table-store-test.cc
@@ -226,6 +226,27 @@
     cr_assert(table::readCurrent(with.store).value()->version == config_version { 1 });
 }
 
+Test(table_store, corrupt_version_is_replaced_by_one_editor_and_the_other_one_merges)
+{
+    store_with_table with;
+    (void)std::get<applied>(apply(with.store, "hari", 1, rowsWith("2", "1")));
+    (void)with.store.write("config", row_version { 2 }, "{broken", platform::newWriteId());
+    const auto replaceBy = [&](const std::string& editor, const std::string& csv) {
+        return table::apply(with.store, { editor, config_version { 1 }, csv, "", true });
+    };
+    with.store.beforeWrite = [&](const std::string& key) {
+        if (key != table::configRow)
+            return;
+        with.store.beforeWrite = nullptr;
+        const auto first = std::get<applied>(replaceBy("hari", rowsWith("4", "1")));
+        cr_assert(first.version == config_version { 4 } && first.replaced->value == "{broken");
+    };
+    const auto second = std::get<applied>(replaceBy("sita", rowsWith("1", "3")));
+    cr_assert(second.version == config_version { 5 } && !second.replaced);
+    cr_assert(second.mergedWith.size() == 1);
+    cr_assert(weightOf(with.store, "w1") == 4 && weightOf(with.store, "w2") == 3);
+}
+
 Test(table_store, marks_are_edits_of_one_cell)
 {
     store_with_table with;
