Split the cutter and the ownership tests' world by topic

Change: cutter-sources.h finds the process of a connection, cutter-link.h forwards, cutter.cc takes commands; ownership-parties.h holds targets and hosts, and fake targets judge and answer messages themselves. Behaviour and the order of random draws stay.

--- a/src/command/table_commands.cc
+++ b/src/command/table_commands.cc
@@ -35,7 +35,7 @@
 /// Returns the operator's name: the option, else the login name. Throws if there is neither.
 std::string editorOf(const invocation& call)
 {
-    if (const auto given = call.text("editor"); !given.empty())
+    if (auto given = call.text("editor"); !given.empty())
         return given;
     for (const auto* name : { "LOGNAME", "USER" })
         if (const auto* login = std::getenv(name); login != nullptr && *login != '\0')
--- /dev/null
+++ b/test/ownership-parties.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "pimentomast/ownership.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+/// The parties of the world: targets with clocks of their own, hosts, and what may fail.
+namespace ownership_world {
+
+using namespace pimentomast;
+using namespace pimentomast::ownership;
+using std::chrono::milliseconds;
+
+inline const service_id service { "weights" };
+constexpr int storeParty = 1000;
+constexpr int firstTargetParty = 100;
+constexpr int sampledHashes = 16;
+
+struct options {
+    std::uint64_t seed = 0;
+    int hosts = 3;
+    int targets = 3;
+    bool checksTokens = true;
+    timings times;
+};
+
+struct faults {
+    bool outage = false;
+    double loss = 0;
+    double lostReply = 0;
+    double longDelay = 0;
+    double pauseBeforeSend = 0;
+    std::set<std::pair<int, int>> cuts;
+};
+
+struct fake_target {
+    target_id id;
+    incarnation run { 1 };
+    std::int64_t clockOffsetUs = 0;
+    std::int64_t frozenUntil = 0;
+    epoch highest;
+    sequence last;
+    /// Message that listed the slices, and the list; 0 once the lease has run out.
+    sequence listNumber;
+    std::vector<granted_slice> list;
+    std::int64_t leaseEndsUs = 0;
+    std::vector<held_slice> held;
+
+    std::int64_t clock(std::int64_t now) const { return now + clockOffsetUs; }
+    bool holds(std::int64_t now, key_hash hash) const
+    {
+        return clock(now) < leaseEndsUs
+            && std::any_of(held.begin(), held.end(),
+                [&](const auto& each) { return each.range.contains(hash); });
+    }
+
+    /// Takes the token of a message, or refuses it; a list that has lapsed is forgotten either way.
+    bool accepts(std::int64_t now, const grant_message& message)
+    {
+        if (message.target != incarnation {} && message.target != run)
+            return false;
+        if (message.coordinator < highest)
+            return false;
+        if (message.coordinator == highest && message.number <= last)
+            return false;
+        const bool lapsed = clock(now) >= leaseEndsUs;
+        if (lapsed || highest < message.coordinator)
+            listNumber = {};
+        if (message.repeats != sequence {} && message.repeats != listNumber)
+            return false;
+        highest = message.coordinator;
+        last = message.number;
+        if (lapsed)
+            held.clear();
+        return true;
+    }
+
+    grant_reply reply(std::int64_t now, sequence repeated) const
+    {
+        grant_reply answer { run, static_cast<std::uint64_t>(clock(now)), highest, {}, {}, {} };
+        const bool exactly = held.size() == list.size()
+            && std::none_of(
+                held.begin(), held.end(), [](const auto& each) { return each.draining; });
+        if (repeated != sequence {} && exactly)
+            answer.repeats = repeated;
+        else
+            answer.held = held;
+        return answer;
+    }
+};
+
+struct fake_host {
+    host_run id;
+    std::int64_t clockOffsetUs = 0;
+    std::int64_t pausedUntil = 0;
+    std::optional<coordinator> decisions;
+    route_table routes;
+};
+
+} // namespace ownership_world
--- a/test/ownership-world.h
+++ b/test/ownership-world.h
@@ -1,74 +1,15 @@
 #pragma once
 
-#include "pimentomast/ownership.h"
+#include "ownership-parties.h"
 
-#include <algorithm>
 #include <functional>
 #include <limits>
-#include <map>
 #include <random>
-#include <set>
 
-/// Fakes around coordinators: a store, targets with clocks of their own, and a network that delays,
-/// loses and cuts. Everything follows from one seed.
+/// Fakes around coordinators: a store, and a network that delays, loses and cuts. Everything
+/// follows from one seed.
 namespace ownership_world {
 
-using namespace pimentomast;
-using namespace pimentomast::ownership;
-using std::chrono::milliseconds;
-
-inline const service_id service { "weights" };
-constexpr int storeParty = 1000;
-constexpr int firstTargetParty = 100;
-constexpr int sampledHashes = 16;
-
-struct options {
-    std::uint64_t seed = 0;
-    int hosts = 3;
-    int targets = 3;
-    bool checksTokens = true;
-    timings times;
-};
-
-struct faults {
-    bool outage = false;
-    double loss = 0;
-    double lostReply = 0;
-    double longDelay = 0;
-    double pauseBeforeSend = 0;
-    std::set<std::pair<int, int>> cuts;
-};
-
-struct fake_target {
-    target_id id;
-    incarnation run { 1 };
-    std::int64_t clockOffsetUs = 0;
-    std::int64_t frozenUntil = 0;
-    epoch highest;
-    sequence last;
-    /// Message that listed the slices, and the list; 0 once the lease has run out.
-    sequence listNumber;
-    std::vector<granted_slice> list;
-    std::int64_t leaseEndsUs = 0;
-    std::vector<held_slice> held;
-
-    std::int64_t clock(std::int64_t now) const { return now + clockOffsetUs; }
-    bool holds(std::int64_t now, key_hash hash) const
-    {
-        return clock(now) < leaseEndsUs
-            && std::any_of(held.begin(), held.end(),
-                [&](const auto& each) { return each.range.contains(hash); });
-    }
-};
-
-struct fake_host {
-    host_run id;
-    std::int64_t clockOffsetUs = 0;
-    std::int64_t pausedUntil = 0;
-    std::optional<coordinator> decisions;
-    route_table routes;
-};
-
 class world {
 public:
     explicit world(const options& chosen)
@@ -319,7 +260,7 @@
             return;
         }
         const bool taken = take(target, number, todo.message);
-        const auto reply = replyOf(target, taken ? todo.message.repeats : sequence {});
+        const auto reply = target.reply(now, taken ? todo.message.repeats : sequence {});
         send(firstTargetParty + number, index, [=, this] {
             if (taken)
                 give(index, run, target_acknowledged { todo.request, todo.target, reply });
@@ -328,40 +269,13 @@
         });
     }
 
-    grant_reply replyOf(const fake_target& target, sequence repeated) const
-    {
-        grant_reply reply { target.run, static_cast<std::uint64_t>(target.clock(now)),
-            target.highest, {}, {}, {} };
-        const bool exactly = target.held.size() == target.list.size()
-            && std::none_of(target.held.begin(), target.held.end(),
-                [](const auto& each) { return each.draining; });
-        if (repeated != sequence {} && exactly)
-            reply.repeats = repeated;
-        else
-            reply.held = target.held;
-        return reply;
-    }
-
     bool take(fake_target& target, int number, const grant_message& message)
     {
-        if (message.target != incarnation {} && message.target != target.run)
-            return false;
-        if (message.coordinator < target.highest)
-            return false;
-        if (message.coordinator == target.highest && message.number <= target.last)
-            return false;
-        if (target.clock(now) >= target.leaseEndsUs || target.highest < message.coordinator)
-            target.listNumber = {};
-        const bool repeats = message.repeats != sequence {};
-        if (repeats && message.repeats != target.listNumber)
+        if (!target.accepts(now, message))
             return false;
-        target.highest = message.coordinator;
-        target.last = message.number;
-        if (target.clock(now) >= target.leaseEndsUs)
-            target.held.clear();
         if (message.adopt)
             return true;
-        if (!repeats) {
+        if (message.repeats == sequence {}) {
             target.listNumber = message.number;
             target.list = message.slices;
         }
--- /dev/null
+++ b/test/stand-ins/cutter-link.h
@@ -0,0 +1,294 @@
+#pragma once
+
+#include "cutter-sources.h"
+
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+#include <atomic>
+#include <list>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+
+/// One forwarded address: passes, holds back, silences or resets the connections through it.
+namespace stand_in {
+
+using namespace std::chrono_literals;
+using Poco::Net::ServerSocket;
+using Poco::Net::SocketAddress;
+using Poco::Net::StreamSocket;
+
+inline const Poco::Timespan pollInterval(0, 20'000);
+constexpr int bufferBytes = 64 << 10;
+
+enum class mode {
+    Pass,
+    DropForward,
+    DropBackward,
+    DropBoth,
+    Refuse,
+};
+
+enum class direction {
+    Forward,
+    Backward,
+};
+
+struct break_rule {
+    std::string match;
+    direction at = direction::Forward;
+    std::size_t bytes = 0;
+};
+
+struct connection {
+    StreamSocket caller;
+    StreamSocket server;
+    /// Process of the caller; -1 until a rule needs it.
+    std::atomic<pid_t> source = -1;
+    std::atomic<bool> silenced = false;
+    std::atomic<bool> ended = false;
+    std::mutex breakMutex {};
+    std::optional<break_rule> breaking {};
+
+    /// Both sides see a reset once the threads of this connection have let go of it.
+    void reset()
+    {
+        for (auto* socket : { &caller, &server })
+            if (socket->impl()->initialized())
+                socket->setLinger(true, 0);
+        ended = true;
+    }
+};
+
+class link : public std::enable_shared_from_this<link> {
+public:
+    link(const SocketAddress& listen, const SocketAddress& to, sources& known)
+        : m_listen(listen)
+        , m_to(to)
+        , m_sources(known)
+    {
+    }
+
+    void run()
+    {
+        std::unique_ptr<ServerSocket> listener;
+        for (;;) {
+            if (modeOf(0) == mode::Refuse) {
+                listener.reset();
+                std::this_thread::sleep_for(10ms);
+                continue;
+            }
+            if (!listener)
+                listener = std::make_unique<ServerSocket>(m_listen, 256);
+            if (listener->poll(pollInterval, Poco::Net::Socket::SELECT_READ))
+                accept(*listener);
+        }
+    }
+
+    void setMode(pid_t source, mode chosen)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_modes[source] = chosen;
+        if (chosen == mode::Refuse)
+            forEach(source, [](connection& open) { open.reset(); });
+    }
+
+    void silence(pid_t source)
+    {
+        const std::lock_guard lock(m_mutex);
+        forEach(source, [](connection& open) { open.silenced = true; });
+    }
+
+    void close(pid_t source)
+    {
+        const std::lock_guard lock(m_mutex);
+        forEach(source, [](connection& open) { open.reset(); });
+    }
+
+    void inject(const std::string& bytes)
+    {
+        const std::lock_guard lock(m_mutex);
+        forEach(0, [&](connection& open) { sendAll(open, open.caller, bytes); });
+    }
+
+    void breakNext(break_rule rule)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_breaks.push_back(std::move(rule));
+    }
+
+private:
+    /// Applies the change to the open connections of a process, or to all. Holds the lock.
+    template <class Change>
+    void forEach(pid_t source, Change change)
+    {
+        for (auto& known : m_connections)
+            if (const auto open = known.lock(); open && (source == 0 || sourceOf(*open) == source))
+                change(*open);
+    }
+
+    /// Looks the process up, which costs a reading of the kernel's whole table of connections.
+    pid_t sourceOf(connection& open)
+    {
+        if (open.source == -1)
+            open.source = m_sources.find(open.caller);
+        return open.source;
+    }
+
+    mode modeOf(pid_t source)
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto own = m_modes.find(source);
+        return own != m_modes.end() ? own->second : m_modes[0];
+    }
+
+    mode modeOf(connection& open)
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            if (m_modes.size() == 1)
+                return m_modes[0];
+        }
+        return modeOf(sourceOf(open));
+    }
+
+    bool held(connection& open, direction way)
+    {
+        if (open.silenced)
+            return true;
+        const auto current = modeOf(open);
+        return current == mode::DropBoth
+            || current == (way == direction::Forward ? mode::DropForward : mode::DropBackward);
+    }
+
+    void accept(ServerSocket& listener)
+    {
+        auto open = std::make_shared<connection>();
+        open->caller = listener.acceptConnection();
+        std::thread([self = shared_from_this(), open] { self->begin(open); }).detach();
+    }
+
+    void begin(const std::shared_ptr<connection>& open)
+    {
+        try {
+            while (modeOf(*open) == mode::DropBoth)
+                std::this_thread::sleep_for(10ms);
+            open->server.connect(m_to);
+            open->caller.setNoDelay(true);
+            open->server.setNoDelay(true);
+            open->caller.setSendTimeout(pollInterval);
+            open->server.setSendTimeout(pollInterval);
+        } catch (const Poco::Exception&) {
+            return open->reset();
+        }
+        {
+            const std::lock_guard lock(m_mutex);
+            m_connections.remove_if([](const auto& known) { return known.expired(); });
+            m_connections.push_back(open);
+        }
+        if (modeOf(*open) == mode::Refuse)
+            return open->reset();
+        std::thread([self = shared_from_this(), open] {
+            self->pump(open, direction::Backward);
+        }).detach();
+        pump(open, direction::Forward);
+    }
+
+    void pump(const std::shared_ptr<connection>& open, direction way)
+    {
+        auto& from = way == direction::Forward ? open->caller : open->server;
+        auto& to = way == direction::Forward ? open->server : open->caller;
+        std::string buffer(bufferBytes, '\0');
+        try {
+            while (!open->ended && pass(*open, way, from, to, buffer)) { }
+        } catch (const Poco::Exception&) {
+            open->reset();
+        }
+    }
+
+    /// Returns false once this direction has ended.
+    bool pass(
+        connection& open, direction way, StreamSocket& from, StreamSocket& to, std::string& buffer)
+    {
+        if (held(open, way)) {
+            std::this_thread::sleep_for(5ms);
+            return true;
+        }
+        if (!from.poll(pollInterval, Poco::Net::Socket::SELECT_READ) || held(open, way))
+            return true;
+        const int received = from.receiveBytes(buffer.data(), bufferBytes);
+        if (received <= 0) {
+            to.shutdownSend();
+            return false;
+        }
+        return send(
+            open, way, to, std::string_view(buffer.data(), static_cast<std::size_t>(received)));
+    }
+
+    bool send(connection& open, direction way, StreamSocket& to, std::string_view bytes)
+    {
+        if (way == direction::Forward)
+            match(open, bytes);
+        const auto allowed = allowedBytes(open, way, bytes.size());
+        sendAll(open, to, bytes.substr(0, allowed));
+        if (allowed == bytes.size() && !atBreak(open, way))
+            return true;
+        open.reset();
+        return false;
+    }
+
+    static void sendAll(connection& open, StreamSocket& to, std::string_view bytes)
+    {
+        while (!bytes.empty() && !open.ended) {
+            try {
+                const int sent = to.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+                bytes.remove_prefix(static_cast<std::size_t>(sent));
+            } catch (const Poco::TimeoutException&) {
+                continue;
+            }
+        }
+    }
+
+    void match(connection& open, std::string_view bytes)
+    {
+        const std::lock_guard lock(m_mutex);
+        for (auto rule = m_breaks.begin(); rule != m_breaks.end(); ++rule) {
+            if (bytes.find(rule->match) == std::string_view::npos)
+                continue;
+            const std::lock_guard breakLock(open.breakMutex);
+            open.breaking = *rule;
+            m_breaks.erase(rule);
+            return;
+        }
+    }
+
+    static std::size_t allowedBytes(connection& open, direction way, std::size_t size)
+    {
+        const std::lock_guard lock(open.breakMutex);
+        if (!open.breaking || open.breaking->at != way)
+            return size;
+        const auto allowed = std::min(size, open.breaking->bytes);
+        open.breaking->bytes -= allowed;
+        return allowed;
+    }
+
+    static bool atBreak(connection& open, direction way)
+    {
+        const std::lock_guard lock(open.breakMutex);
+        return open.breaking && open.breaking->at == way && open.breaking->bytes == 0;
+    }
+
+    SocketAddress m_listen;
+    SocketAddress m_to;
+    sources& m_sources;
+    std::mutex m_mutex;
+    std::map<pid_t, mode> m_modes { { 0, mode::Pass } };
+    std::list<std::weak_ptr<connection>> m_connections;
+    std::list<break_rule> m_breaks;
+};
+
+} // namespace stand_in
