Lose all hosts after a move in failure-store-test

Cause: a trial that made the assignment anew from the table in place of the stored one passed, since the first assignment is just that.

Change: the owner of k0 is killed and started again before all hosts are lost, so that the stored assignment cannot be made again from the table. Stricter only.

--- a/test/failure-store-test.cc
+++ b/test/failure-store-test.cc
@@ -37,6 +37,12 @@
 Test(failure_store, assignment_survives_the_loss_of_all_hosts)
 {
     cluster system(threeKeyedTargets());
+    // The first assignment could be made again from the table alone, one after a loss could not.
+    const auto lost = system.ownerOf("weights", "k0");
+    system.killTarget(lost);
+    cr_assert(waitUntil([&] { return system.ownerOf("weights", "k0") != lost; }));
+    system.startTarget(lost);
+    system.waitServed();
     const auto before = owners(system);
     for (auto& host : system.hosts())
         host.running.kill();
