Let an old answer of the store come after a newer table in failure-configuration-test

Cause: a trial without the rule that a host takes only a higher version was not noticed by the watch over versions, since no older table ever came.

Change: the store's answer to one host is held back while a newer table is applied and told between hosts. The settings of a cluster may now continue [platform], whose section stands last for it. Stricter only.

--- a/test/failure-configuration-test.cc
+++ b/test/failure-configuration-test.cc
@@ -84,6 +84,22 @@
     watch.stop();
 }
 
+Test(failure_configuration, answer_of_the_store_comes_after_a_newer_table)
+{
+    auto options = threeKeyedTargets();
+    options.settings = "timeout_ms = 20000\n";
+    cluster system(options);
+    version_watch watch(system);
+    system.cut("platform/h1", "drop-backward");
+    // Until then h1 has asked the store, whose answer with version 1 is held up.
+    std::this_thread::sleep_for(seconds(1));
+    cr_assert(system.apply(system.table({ "w1" }), 1) == 0);
+    system.waitVersion(2);
+    system.cut("platform/h1", "pass");
+    std::this_thread::sleep_for(seconds(1));
+    watch.stop();
+}
+
 Test(failure_configuration, applied_by_two_at_once)
 {
     cluster system(threeKeyedTargets());
--- a/test/helper.h
+++ b/test/helper.h
@@ -128,7 +128,8 @@
     /// Services whose POST may run more than once, besides GET and HEAD of all services.
     std::set<std::string> repeatablePosts {};
     unsigned deadlineMs = 10000;
-    /// Lines of the hosts' settings besides the required ones, for example "[drain]\n...".
+    /// Lines of the hosts' settings besides the required ones, for example "[drain]\n..."; lines
+    /// before the first section belong to [platform].
     std::string settings {};
     /// Puts the cutter between all parties; without it they are connected directly.
     bool cut = true;
--- a/test/helper/cluster.cc
+++ b/test/helper/cluster.cc
@@ -92,7 +92,7 @@
     file << "[host]\nid = " << host.id << "\ndomain = d" << host.id.substr(1)
          << "\ncallers = " << host.callers.text() << "\npeers = " << host.peers.text()
          << "\nadmin = " << host.admin.text() << "\nadvertise = " << host.shownPeers.text()
-         << "\n[platform]\naddress = " << platform.text() << "\n[admin]\ntoken = " << adminToken
+         << "\n[admin]\ntoken = " << adminToken << "\n[platform]\naddress = " << platform.text()
          << "\n"
          << m_options.settings;
 }
