Reset no connection at the end of a drain

failure-drain-test/shutdown_of_hosts_one_by_one_under_load_breaks_no_exchange failed now and then with "Connection reset by peer". Two causes, each with a test in proxy-drain-test that failed before:

- The kernel resets what stands in the backlog of a listener that is closed.
The last accept left connections there: those that completed between it and the close, and all of them if it met the poller's own accept, since the failed accept ended the loop.

Now a socket filter leaves new SYNs unanswered, handshakes that are under way get 200 ms, accepting is under a lock and ends when the backlog is empty, and then the listener is closed. Idle connections stay for drainIdle (2 s) after their last answer or accepting, then are half-closed and read out, also at the ordinary idleTimeout. Weighed and not tried: shutdown of the listener (resets the backlog like close) and listen(0) (still lets one connection in, changes nothing for those between accept and close).

--- a/include/pimentomast/proxy.h
+++ b/include/pimentomast/proxy.h
@@ -267,6 +267,8 @@
     std::size_t replayBytes = 65536;
     std::chrono::milliseconds headTimeout { 10000 };
     std::chrono::milliseconds idleTimeout { 75000 };
+    /// The same once a drain has stopped accepting: the time left for a last request.
+    std::chrono::milliseconds drainIdle { 2000 };
     /// Longest pause within a body, in either direction.
     std::chrono::milliseconds bodyTimeout { 30000 };
     /// Least rate of an upload, over the time spent waiting for the caller's bytes, once that is
@@ -300,7 +302,8 @@
     /// Sets what GET /pimentomast/health answers to the balancer: 200 or 503. Thread-safe.
     virtual void setHealthy(bool healthy) = 0;
     /// Goes on accepting for the given time while each answer closes its connection, then stops
-    /// accepting and returns once every exchange has ended, however long it takes. Call once.
+    /// accepting, and returns once every exchange has ended, however long it takes, and every
+    /// caller has closed or has had its time to. Call once.
     virtual void drain(duration accepting) = 0;
     /// Returns the counters, which live as long as the server. Thread-safe.
     [[nodiscard]] virtual const counters& counts() const = 0;
--- a/src/proxy/host.cc
+++ b/src/proxy/host.cc
@@ -11,9 +11,11 @@
 
 constexpr std::string_view healthPath = "/pimentomast/health";
 constexpr std::chrono::seconds lingerTime { 2 };
-/// Pause after a failed accept (no descriptors left), so that the poller does not spin.
 constexpr std::chrono::seconds poolSweepInterval { 1 };
+/// Pause after a failed accept (no descriptors left), so that the poller does not spin.
 constexpr std::chrono::milliseconds acceptPause { 10 };
+/// Time in which connections that are being made when a drain stops new ones become acceptable.
+constexpr std::chrono::milliseconds handshakeTime { 200 };
 
 std::string refusalText(reason why, bool withBody)
 {
@@ -42,7 +44,12 @@
         [this] { onClosed(); },
         [this](instant now) { onSweep(now); },
     };
-    const poller_timeouts timeouts { settings.headTimeout, settings.idleTimeout, lingerTime };
+    const poller_timeouts timeouts {
+        settings.headTimeout,
+        settings.idleTimeout,
+        settings.drainIdle,
+        lingerTime,
+    };
     m_workers = std::make_unique<worker_pool<job>>(
         settings.workers, [this](job work) { run(std::move(work)); });
     for (unsigned i = 0; i < settings.pollers; ++i)
@@ -96,6 +103,7 @@
 
 void host::accept()
 {
+    const std::lock_guard lock(m_acceptMutex);
     while (peekAcceptable(m_listener)) {
         try {
             adopt(m_listener.acceptConnection());
@@ -308,13 +316,24 @@
     pollerOf(*caller).watch(caller);
 }
 
+// The kernel resets each connection that stands in the backlog of a listener when it is closed.
+void host::stopAccepting()
+{
+    (void)stopHandshakes(m_listener);
+    std::this_thread::sleep_for(handshakeTime);
+    m_pollers.front()->stopListening();
+    const instant limit = monotonic_clock::now() + lingerTime;
+    while (peekAcceptable(m_listener) && monotonic_clock::now() < limit)
+        accept();
+    const std::lock_guard lock(m_acceptMutex);
+    m_listener.close();
+}
+
 void host::drain(duration accepting)
 {
     m_draining = true;
     std::this_thread::sleep_for(accepting);
-    accept();
-    m_pollers.front()->stopListening();
-    m_listener.close();
+    stopAccepting();
     for (const auto& watcher : m_pollers)
         watcher->closeIdle();
     std::unique_lock lock(m_closedMutex);
--- a/src/proxy/host.h
+++ b/src/proxy/host.h
@@ -47,6 +47,7 @@
 
 private:
     void accept();
+    void stopAccepting();
     void adopt(const Poco::Net::StreamSocket& socket);
     void onInput(const caller_pointer& caller);
     void onGone(const caller_pointer& caller);
@@ -97,6 +98,8 @@
     std::atomic<bool> m_aborting { false };
     std::atomic<std::uint64_t> m_nextId { 1 };
     std::atomic<std::size_t> m_running { 0 };
+    /// Taken before the poller's lock.
+    std::mutex m_acceptMutex;
     mutable std::mutex m_closedMutex;
     std::condition_variable m_allClosed;
     std::size_t m_connections = 0;
--- a/src/proxy/io.cc
+++ b/src/proxy/io.cc
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <linux/filter.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 
@@ -58,6 +60,21 @@
     return ::poll(&watched, 1, 0) == 1 && (watched.revents & POLLIN) != 0;
 }
 
+bool stopHandshakes(const Poco::Net::Socket& listener) noexcept
+{
+    // The filter sees each segment from its TCP header on; byte 13 holds the flags.
+    std::array<sock_filter, 5> steps { {
+        BPF_STMT(BPF_LD | BPF_B | BPF_ABS, 13),
+        BPF_STMT(BPF_ALU | BPF_AND | BPF_K, TH_SYN | TH_ACK),
+        BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, TH_SYN, 0, 1),
+        BPF_STMT(BPF_RET | BPF_K, 0),
+        BPF_STMT(BPF_RET | BPF_K, 0xffffffff),
+    } };
+    const sock_fprog filter { static_cast<unsigned short>(steps.size()), steps.data() };
+    return ::setsockopt(descriptor(listener), SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof filter)
+        == 0;
+}
+
 void endSending(Poco::Net::StreamSocket& socket) noexcept
 {
     ::shutdown(descriptor(socket), SHUT_WR);
--- a/src/proxy/io.h
+++ b/src/proxy/io.h
@@ -35,6 +35,10 @@
 /// Tells whether accepting from the listener would not wait.
 bool peekAcceptable(const Poco::Net::Socket& listener);
 
+/// Has the kernel leave new connections' first segments unanswered, while those that are being made
+/// are completed. Returns false if the kernel can't.
+bool stopHandshakes(const Poco::Net::Socket& listener) noexcept;
+
 /// Ends the sending side in order; never throws.
 void endSending(Poco::Net::StreamSocket& socket) noexcept;
 
--- a/src/proxy/poller.cc
+++ b/src/proxy/poller.cc
@@ -192,7 +192,7 @@
 {
     switch (connection.state) {
     case phase::Idle:
-        return m_closesIdle || now >= connection.since + m_timeouts.idle;
+        return now >= connection.since + (m_closesIdle ? m_timeouts.lastIdle : m_timeouts.idle);
     case phase::Head:
         return now >= connection.since + m_timeouts.head;
     case phase::Lingering:
@@ -227,10 +227,21 @@
         return;
     if (connection->state == phase::Head)
         m_events.headLate(connection);
+    else if (idle)
+        linger(connection);
     else
         drop(connection);
 }
 
+// A request that crosses the end of an idle connection must not meet a reset.
+void poller::linger(const caller_pointer& connection)
+{
+    connection->state = phase::Lingering;
+    connection->since = monotonic_clock::now();
+    endSending(connection->socket);
+    watch(connection);
+}
+
 void poller::drop(const caller_pointer& connection)
 {
     closeConnection(connection->socket);
--- a/src/proxy/poller.h
+++ b/src/proxy/poller.h
@@ -36,6 +36,8 @@
 struct poller_timeouts {
     duration head;
     duration idle;
+    /// In place of idle after closeIdle().
+    duration lastIdle;
     duration linger;
 };
 
@@ -53,7 +55,7 @@
     bool unwatch(const caller_pointer& connection);
     /// Makes this poller call swept at intervals.
     void sweepsToo() { m_sweepsToo = true; }
-    /// Closes idle connections from now on.
+    /// From now on closes connections that were idle for the time of a drain.
     void closeIdle();
     /// Calls accept whenever the listener can accept, until it returns false.
     void listen(const Poco::Net::ServerSocket& listener, std::function<void()> accept);
@@ -70,6 +72,7 @@
     void takeReady();
     void sweep(instant now);
     void expire(const caller_pointer& connection);
+    void linger(const caller_pointer& connection);
     void drop(const caller_pointer& connection);
     void wake();
     [[nodiscard]] caller_pointer find(const Poco::Net::Socket& socket);
--- a/test/proxy-drain-test.cc
+++ b/test/proxy-drain-test.cc
@@ -2,6 +2,7 @@
 #include "stand-ins/pattern.h"
 
 #include <criterion/criterion.h>
+#include <future>
 #include <thread>
 
 using namespace pimentomast;
@@ -60,6 +61,46 @@
     cr_assert_eq(host.server->state().running, 0);
 }
 
+Test(proxy_drain, request_on_a_new_connection_is_answered_after_the_listener_has_gone)
+{
+    target_process target("t1", { "--no-token-checks" });
+    proxy::options settings;
+    settings.drainIdle = patience;
+    proxy_fixture host({ target.destination() }, 1, settings);
+    std::future<void> drained;
+    raw_connection late(host.address());
+    drained = std::async(std::launch::async, [&] { host.server->drain(milliseconds(0)); });
+    cr_assert(waitUntil([&] {
+        return contains(call(host.address(), { "GET", "/weights/g1" }).failure, "refused");
+    }));
+    std::this_thread::sleep_for(milliseconds(300));
+    late.send("GET /weights/late HTTP/1.1\r\nHost: h\r\n\r\n");
+    cr_expect(contains(late.readAll(), "\"path\":\"/weights/late\""));
+}
+
+Test(proxy_drain, connections_are_refused_or_answered_while_the_listener_goes)
+{
+    target_process target("t1", { "--no-token-checks", "--slots", "100" });
+    for (unsigned round = 0; round < 5; ++round) {
+        proxy_fixture host({ target.destination() });
+        std::vector<std::future<std::string>> callers;
+        for (unsigned i = 0; i < 8; ++i) {
+            callers.push_back(std::async(std::launch::async, [address = host.address()] {
+                http_reply reply;
+                reply.status = 200;
+                while (reply.status == 200)
+                    reply = call(address, { "GET", "/weights/g1" });
+                return std::to_string(reply.status) + " " + reply.failure;
+            }));
+        }
+        host.server->drain(milliseconds(50));
+        for (auto& caller : callers) {
+            const std::string end = caller.get();
+            cr_expect(contains(end, "0 Connection refused"), "round %u: %s", round, end.c_str());
+        }
+    }
+}
+
 Test(proxy_drain, destruction_ends_running_exchanges_at_once)
 {
     target_process target("t1", { "--no-token-checks" });
