Refuse a callers' address on which another process listens

POCO's bind sets SO_REUSEPORT unless told not to, so that a second process with the same port started and took a part of the connections (seen: "started" while another listener of the test held the port). The proxy binds without it. serve names section and key of the address that can't be used, for callers, peers and admin alike; before, peers and admin named only the address.

command-test/serve_refuses_an_address_on_which_another_process_listens failed before (no refusal within 60 s, keys not named) and passes.

--- a/src/proxy/host.cc
+++ b/src/proxy/host.cc
@@ -350,7 +350,9 @@
     constexpr int backlog = 4096;
     try {
         Poco::Net::ServerSocket listener;
-        listener.bind(Poco::Net::SocketAddress(settings.listen.ip, settings.listen.port), true);
+        // Without the last argument POCO lets other processes listen on the port too.
+        listener.bind(
+            Poco::Net::SocketAddress(settings.listen.ip, settings.listen.port), true, false);
         listener.listen(backlog);
         listener.setBlocking(false);
         return std::make_unique<detail::host>(settings, decisions, watcher, listener);
--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -46,6 +46,16 @@
     return options;
 }
 
+/// Returns the started part. Throws the failure, with the setting of its address, if there is none.
+template <class Part>
+std::unique_ptr<Part> startedAt(const std::string& key, result<std::unique_ptr<Part>> part)
+{
+    if (part)
+        return std::move(part).value();
+    const error& cause = part.error();
+    throw failure({ cause.step, cause.peer, "[host] " + key + ": " + cause.reason });
+}
+
 } // namespace
 
 node::node(const settings::settings& values)
@@ -120,11 +130,13 @@
 
 void node::startListening()
 {
-    m_proxy = proxy::server::start(proxyOptions(m_values), *m_dispatch, *this).value();
+    m_proxy
+        = startedAt("callers", proxy::server::start(proxyOptions(m_values), *m_dispatch, *this));
     m_proxy->setHealthy(false);
     m_dispatch->attach(m_proxy->sink());
-    m_peers = peers::server::start(m_values.host.peers, *this).value();
-    m_admin = admin::server::start({ m_values.host.admin, m_values.admin.token }, *this).value();
+    m_peers = startedAt("peers", peers::server::start(m_values.host.peers, *this));
+    m_admin = startedAt(
+        "admin", admin::server::start({ m_values.host.admin, m_values.admin.token }, *this));
 }
 
 void node::putTable(const std::shared_ptr<const table::table>& rows)
--- a/test/command-test.cc
+++ b/test/command-test.cc
@@ -3,6 +3,7 @@
 #include "helper.h"
 
 #include <Poco/JSON/Parser.h>
+#include <Poco/Net/ServerSocket.h>
 #include <criterion/criterion.h>
 #include <fstream>
 #include <sstream>
@@ -242,6 +243,26 @@
     cr_assert(f.on({ "table", "show" }).code == 1);
 }
 
+Test(command, serve_refuses_an_address_on_which_another_process_listens)
+{
+    for (const std::string key : { "callers", "peers", "admin" }) {
+        const auto taken = test::freeAddress();
+        const Poco::Net::ServerSocket other(Poco::Net::SocketAddress(taken.ip, taken.port));
+        std::string text = "[platform]\naddress = 127.0.0.1:9\n[admin]\ntoken = " + secret
+            + "\n[host]\nid = k1\ndomain = d\n";
+        for (const std::string each : { "callers", "peers", "admin" })
+            text += each + " = " + (each == key ? taken : test::freeAddress()).text() + "\n";
+        const auto log = test::scratchFolder() + "/" + key;
+        auto host = test::process::start(
+            "pimentomast", { "serve", "--settings", file(key + ".ini", text) }, log);
+        cr_expect_eq(host.wait(), 1);
+        std::ostringstream said;
+        said << std::ifstream(log).rdbuf();
+        cr_expect(has(said.str(), "[host] " + key) && has(said.str(), taken.text()), "%s",
+            said.str().c_str());
+    }
+}
+
 Test(command, main_program_returns_the_exit_code)
 {
     const auto log = test::scratchFolder() + "/out";
