Price moves by parts of load and keys

Cause: the price was requests per second for each key in use.

Change: a move must save a part of the service's load above the price times the part of the keys that it moves. Keys hash evenly, so the part of the hash space stands for the part of the keys; keysInUse is gone, and with it the need to count distinct keys at all (weighed: distinct counts per slice and host, merged by the coordinator; memory and messages for the same answer).

With the lower default the test of a leaving target's pace failed: moves for balance also took slices off leaving targets, beyond drainMovesPerRound. Only ready targets count as overloaded now.

Test price_does_not_depend_on_the_scale_of_the_load, seen to fail before. The fixture's keysInUse went with the field.

--- a/bench/balancing.cc
+++ b/bench/balancing.cc
@@ -35,8 +35,8 @@
     unsigned domains;
     double churnPrice;
 };
-constexpr user shrestha { "shrestha", 24, 3, 0.02 };
-constexpr user karoo { "karoo", 22, 4, 0.1 };
+constexpr user shrestha { "shrestha", 24, 3, 0.25 };
+constexpr user karoo { "karoo", 22, 4, 0.25 };
 
 struct key_load {
     key_hash hash;
@@ -241,10 +241,8 @@
     void measureLoads()
     {
         m_loads.clear();
-        for (placed_slice& each : m_slices) {
+        for (placed_slice& each : m_slices)
             each.load = 0;
-            each.keysInUse = 0;
-        }
         for (const key_load& each : m_keys.keys()) {
             if (m_policy == policy::Rendezvous) {
                 const auto owner = m_owners.find(each.hash);
@@ -254,7 +252,6 @@
             }
             placed_slice& home = sliceOf(each.hash);
             home.load += each.rate;
-            home.keysInUse += 1;
             if (home.owner)
                 m_loads[*home.owner] += each.rate;
         }
@@ -318,9 +315,7 @@
     void commit(instant now, const proposal& change)
     {
         if (const auto* moved = std::get_if<move_slice>(&change)) {
-            double keys = 0;
-            for (const key_load& each : m_keys.keys())
-                keys += moved->keys.contains(each.hash) ? 1 : 0;
+            const double keys = keysIn(moved->keys);
             const bool wasLost = !moved->from || stateOf(*moved->from) == target_state::Lost;
             m_totals.slicesMoved += 1;
             m_totals.keysMoved += keys;
@@ -329,6 +324,14 @@
         apply(now, m_slices, change).value();
     }
 
+    [[nodiscard]] double keysIn(const slice& range) const
+    {
+        double count = 0;
+        for (const key_load& each : m_keys.keys())
+            count += range.contains(each.hash) ? 1 : 0;
+        return count;
+    }
+
     // Keys of a lost owner that cannot be replaced stay unavailable for the whole round.
     void countRound(bool storeOut)
     {
@@ -342,7 +345,7 @@
         for (const placed_slice& each : m_slices)
             if (each.owner && stateOf(*each.owner) == target_state::Lost)
                 m_totals.unavailableKeySeconds
-                    += each.keysInUse * std::chrono::duration<double>(round).count();
+                    += keysIn(each.keys) * std::chrono::duration<double>(round).count();
     }
 
     policy m_policy;
@@ -467,7 +470,7 @@
 
 void sweeps(const user& of)
 {
-    sweep(of, "price", { 0, 0.005, 0.02, 0.1, 0.5, 1 },
+    sweep(of, "price", { 0, 0.05, 0.1, 0.25, 0.5, 1, 2, 4 },
         [](planner_options& to, double value) { to.churnPrice = value; });
     sweep(of, "tolerance", { 0.05, 0.15, 0.3, 0.5 },
         [](planner_options& to, double value) { to.tolerance = value; });
--- a/include/pimentomast/balancing.h
+++ b/include/pimentomast/balancing.h
@@ -67,8 +67,6 @@
     std::optional<target_id> owner;
     /// Requests per second.
     double load = 0;
-    /// Keys in use, as a measure of what a move costs; 0 if unknown.
-    double keysInUse = 0;
     /// When its owner last changed.
     instant moved {};
 };
@@ -122,9 +120,10 @@
     unsigned slicesPerTarget = 8;
     /// Load above a target's even share, as a part of it, that is left alone.
     double tolerance = 0.15;
-    /// Requests per second above the tolerated load that a move must save for each key in use that
-    /// it moves.
-    double churnPrice = 1;
+    /// A move must take a part of the service's load off overloaded targets that is above this
+    /// price times the part of the service's keys that it moves. Keys hash evenly, so a slice's
+    /// part of the hash space is its part of the keys.
+    double churnPrice = 0.25;
     /// A key with more than this part of the mean load of a target is cut out if its owner is
     /// loaded above the tolerance.
     double hotShare = 0.1;
--- a/include/pimentomast/table.h
+++ b/include/pimentomast/table.h
@@ -45,8 +45,9 @@
     std::chrono::milliseconds deadline { 10000 };
     /// Requests that may wait on one host.
     unsigned queue = 256;
-    /// Price of moving one key, in the unit of load (requests per second) that the move must save.
-    double churnPrice = 1;
+    /// A planned move must save a part of the service's load that is above this price times the
+    /// part of the service's keys that it moves.
+    double churnPrice = 0.25;
 
     [[nodiscard]] bool keyed() const noexcept { return !std::holds_alternative<no_source>(key); }
     bool operator==(const service_row&) const = default;
--- a/src/balancing/changes.cc
+++ b/src/balancing/changes.cc
@@ -37,9 +37,7 @@
         found->keys.last = key_hash { change.at.value() - 1 };
         const double part = width(found->keys) / width(change.keys);
         upper.load = found->load * (1 - part);
-        upper.keysInUse = found->keysInUse * (1 - part);
         found->load *= part;
-        found->keysInUse *= part;
         slices.insert(found + 1, upper);
         return boost::outcome_v2::success();
     }
@@ -55,7 +53,6 @@
             return misfit("neighbours have different owners");
         first->keys.last = second->keys.last;
         first->load += second->load;
-        first->keysInUse += second->keysInUse;
         first->moved = std::max(first->moved, second->moved);
         slices.erase(second);
         return boost::outcome_v2::success();
--- a/src/balancing/planning.h
+++ b/src/balancing/planning.h
@@ -49,6 +49,7 @@
     [[nodiscard]] std::uint64_t rank(const target_id& id, const slice& keys) const;
     [[nodiscard]] std::optional<target_id> leastLoaded(const placed_slice& moving) const;
     [[nodiscard]] std::optional<candidate> bestMove() const;
+    /// Load that the move must save.
     [[nodiscard]] double price(const placed_slice& moving) const;
     [[nodiscard]] bool isSingleKey(const placed_slice& one) const;
     [[nodiscard]] bool isOverloaded(const target_id& id) const;
--- a/src/balancing/rebalancing.cc
+++ b/src/balancing/rebalancing.cc
@@ -1,6 +1,7 @@
 #include "planning.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace pimentomast::balancing {
 
@@ -12,7 +13,7 @@
 bool planning::isOverloaded(const target_id& id) const
 {
     const auto found = m_seats.find(id);
-    return found != m_seats.end() && excess(found->second, 0) > 0;
+    return found != m_seats.end() && isReady(id) && excess(found->second, 0) > 0;
 }
 
 void planning::cutHotKeys()
@@ -44,14 +45,14 @@
             continue;
         const bool isKey = part.keys.contains(key.hash);
         part.load = isKey ? rate : part.load * (whole.load - rate) / std::max(whole.load, 1e-9);
-        part.keysInUse = isKey ? 1 : part.keysInUse;
     }
 }
 
 double planning::price(const placed_slice& moving) const
 {
-    const double keys = isSingleKey(moving) ? 1 : std::max(1.0, moving.keysInUse);
-    return m_settings.churnPrice * keys;
+    const double partOfKeys = std::ldexp(
+        static_cast<double>(moving.keys.last.value() - moving.keys.first.value()) + 1, -64);
+    return m_settings.churnPrice * partOfKeys * m_totalLoad;
 }
 
 std::optional<planning::candidate> planning::bestMove() const
--- a/test/balancing-planner-test.cc
+++ b/test/balancing-planner-test.cc
@@ -36,10 +36,8 @@
     input.now = now;
     input.targets = makeTargets(targets);
     input.slices = makePlanner().initial(instant {}, input.targets);
-    for (placed_slice& each : input.slices) {
+    for (placed_slice& each : input.slices)
         each.load = 10;
-        each.keysInUse = 100;
-    }
     return input;
 }
 
@@ -82,6 +80,18 @@
     cr_assert(makePlanner(10).plan(input).empty());
 }
 
+Test(balancing_planner, price_does_not_depend_on_the_scale_of_the_load)
+{
+    for (const double scale : { 0.001, 1.0, 1000.0 }) {
+        plan_input input = makeInput(6);
+        input.slices[0].load = 60;
+        for (placed_slice& each : input.slices)
+            each.load *= scale;
+        cr_assert_not(makePlanner(0.25).plan(input).empty());
+        cr_assert(makePlanner(4).plan(input).empty());
+    }
+}
+
 Test(balancing_planner, hot_key_becomes_its_own_slice_and_moves)
 {
     plan_input input = makeInput(6);
