Cut, move and join slices in the running product

Causes, in serve and the coordinator: - Only moves were passed on. Cuts came about by moves of parts, but joins never did, so each hot key left up to three slices for ever. - An installation starts with one slice for each target, so a target that is busy without one hot key could shed nothing. The planner now halves such slices, for the sake of a move only. - Loads were matched by a slice's first hash: after a cut the rest kept the hot key's load until the next report and looked overloaded; its tenure began anew. Reports now name both ends; what was counted before a cut is spread over its parts, hot keys where they are. A part keeps its tenure. - Rates of one second were used as they were; they are smoothed (half-life 5 s). - The sketch's error was not sent, so any key in a full sketch looked hot. - An empty plan was not delivered: old wishes stayed and were carried out later. - Moves under way were unknown to the planner; they count as made now.

A join is a commit that gives neighbours of one owner the highest of their tokens. It drains nothing: the owner stays, and no key of the joined slice had another owner since that token was given. Weighed: a move to the same owner (drains for nothing).

--- a/include/pimentomast/ownership.h
+++ b/include/pimentomast/ownership.h
@@ -249,9 +249,12 @@
     slice range;
     target_id owner;
 };
-/// Owners proposed by the balancing library. Ranges that are not named stay as they are.
+/// Owners proposed by the balancing library, in place of what was proposed before. Ranges that are
+/// not named stay as they are; a range that is a part of a slice is cut out of it.
 struct placement_wanted {
     std::vector<wanted_slice> slices;
+    /// Neighbouring slices of one owner within each range become one slice.
+    std::vector<slice> joins;
 };
 /// This host shuts down: gives up authority and takes none again.
 struct stop { };
@@ -412,6 +415,8 @@
     /// The targets as this holder sees them; empty in any other role.
     [[nodiscard]] std::vector<target_view> targets(instant now) const;
     [[nodiscard]] std::size_t runningMoves() const noexcept;
+    /// The moves under way whose new owner is known.
+    [[nodiscard]] std::vector<wanted_slice> moving() const;
 
 private:
     class impl;
--- a/src/balancing/planning.h
+++ b/src/balancing/planning.h
@@ -18,7 +18,7 @@
     void drainLeaving();
     /// Cuts hot keys of overloaded targets into slices of their own.
     void cutHotKeys();
-    /// Moves slices off overloaded targets while a move pays for itself.
+    /// Moves slices, or halves of them, off overloaded targets while a move pays for itself.
     void rebalance();
     /// Moves keys that are no longer hot back beside their neighbours when there are many slices.
     void returnCold();
@@ -54,6 +54,10 @@
     [[nodiscard]] bool isSingleKey(const placed_slice& one) const;
     [[nodiscard]] bool isOverloaded(const target_id& id) const;
     void cut(const hot_key& key);
+    /// Halves slices of overloaded targets that are too busy to move as they are.
+    void cutBroad();
+    /// Returns whether a move was made.
+    bool moveForBalance();
     void propose(const proposal& change);
     void move(std::size_t index, const target_id& to, bool planned);
     [[nodiscard]] bool isReady(const target_id& id) const;
--- a/src/balancing/rebalancing.cc
+++ b/src/balancing/rebalancing.cc
@@ -48,6 +48,21 @@
     }
 }
 
+void planning::cutBroad()
+{
+    const double most = 2 * meanLoad() / m_settings.slicesPerTarget;
+    for (std::size_t i = 0; i < m_slices.size();) {
+        const placed_slice& each = m_slices[i];
+        const bool isBroad = each.load > most && !isSingleKey(each) && each.owner;
+        if (!isBroad || m_slices.size() >= m_settings.slicesMax || !isOverloaded(*each.owner)) {
+            ++i;
+            continue;
+        }
+        const auto half = (each.keys.last.value() - each.keys.first.value()) / 2;
+        propose(split_slice { each.keys, key_hash { each.keys.first.value() + half + 1 } });
+    }
+}
+
 double planning::price(const placed_slice& moving) const
 {
     const double partOfKeys = std::ldexp(
@@ -81,14 +96,29 @@
     return best;
 }
 
-void planning::rebalance()
+bool planning::moveForBalance()
 {
     for (unsigned moved = 0; moved < m_settings.movesPerRound; ++moved) {
         const auto best = bestMove();
         if (!best)
-            return;
+            return moved > 0;
         move(best->slice, best->to, true);
     }
+    return m_settings.movesPerRound > 0;
+}
+
+// Slices are halved only for the sake of a move.
+void planning::rebalance()
+{
+    planning halved(*this);
+    halved.cutBroad();
+    if (!halved.moveForBalance()) {
+        moveForBalance();
+        return;
+    }
+    m_slices = std::move(halved.m_slices);
+    m_seats = std::move(halved.m_seats);
+    m_proposals = std::move(halved.m_proposals);
 }
 
 std::size_t planning::usualSlices() const { return m_settings.slicesPerTarget * m_seats.size(); }
--- a/src/ownership/authority.cc
+++ b/src/ownership/authority.cc
@@ -136,6 +136,7 @@
     m_ownedBy.clear();
     m_targets.clear();
     m_moves.clear();
+    m_joinedOwners.clear();
     m_rounds.clear();
     m_routes.clear();
     m_awaitedGrants.clear();
--- a/src/ownership/commit.cc
+++ b/src/ownership/commit.cc
@@ -11,6 +11,7 @@
 constexpr std::chrono::milliseconds commitRetryMs { 100 };
 constexpr std::chrono::milliseconds grantWaitMs { 100 };
 constexpr std::chrono::milliseconds republishMs { 500 };
+constexpr std::chrono::milliseconds joinHoldMs { 200 };
 } // namespace
 
 bool coordinator::impl::decideOwner(move& each, std::map<target_id, double>& shares) const
@@ -26,11 +27,40 @@
     return true;
 }
 
+std::vector<slice> coordinator::impl::possibleJoins(instant now) const
+{
+    if (!mayMoveByConsent(now))
+        return {};
+    std::vector<slice> possible;
+    for (const auto& range : m_joins) {
+        if (!isMoving(range))
+            possible.push_back(range);
+    }
+    return possible;
+}
+
+// Keys whose token changes wait at the hosts for the new assignment.
+void coordinator::impl::holdJoined()
+{
+    for (const auto& each : m_assignment->slices) {
+        const auto* next = m_proposed.find(each.range.first);
+        const bool joined = next->range != each.range && next->range.contains(each.range.last);
+        if (next->owner != each.owner || !joined)
+            continue;
+        m_joinedOwners.insert(each.owner);
+        std::set<request_number> ignored;
+        if (next->grant != each.grant)
+            sendHolds(each.range, joinHoldMs, ignored);
+    }
+}
+
 void coordinator::impl::commit(instant now)
 {
     const bool cleared = std::any_of(m_moves.begin(), m_moves.end(),
         [](const auto& each) { return each.phase == move_phase::Cleared; });
-    if (!cleared || m_assignmentWriter.isOpen() || now < m_nextCommit || m_releasing)
+    const auto joins = possibleJoins(now);
+    const bool waits = m_assignmentWriter.isOpen() || now < m_nextCommit || m_releasing;
+    if ((!cleared && joins.empty()) || waits)
         return;
     auto shares = sharesPerWeight();
     std::vector<move> chosen;
@@ -40,17 +70,20 @@
         each.phase = move_phase::Committing;
         chosen.push_back(each);
     }
-    if (chosen.empty())
-        return;
     m_proposed = *m_assignment;
     m_proposed.number = sequence { m_assignment->number.value() + 1 };
     m_proposed.slices = detail::applyMoves(m_assignment->slices, chosen, m_proposed.version());
+    m_proposed.slices = detail::joinNeighbours(m_proposed.slices, joins);
+    m_joins.clear();
+    if (m_proposed.slices == m_assignment->slices)
+        return;
+    holdJoined();
     m_assignmentWriter.start(now, m_assignmentVersion, format(m_proposed), m_numbers, m_todo);
 }
 
 void coordinator::impl::committedMoves(instant now)
 {
-    std::set<target_id> gained;
+    std::set<target_id> gained = std::exchange(m_joinedOwners, {});
     for (const auto& each : m_moves) {
         if (each.phase == move_phase::Committing)
             gained.insert(each.to);
@@ -70,6 +103,7 @@
 void coordinator::impl::dropMoves(instant now)
 {
     m_nextCommit = now + commitRetryMs;
+    m_joinedOwners.clear();
     for (auto& each : m_moves) {
         if (each.phase != move_phase::Committing)
             continue;
--- a/src/ownership/coordinator.cc
+++ b/src/ownership/coordinator.cc
@@ -58,6 +58,8 @@
 const assignment* coordinator::committed() const noexcept { return m_impl->committed(); }
 std::size_t coordinator::runningMoves() const noexcept { return m_impl->runningMoves(); }
 
+std::vector<wanted_slice> coordinator::moving() const { return m_impl->moving(); }
+
 std::vector<target_view> coordinator::targets(instant now) const { return m_impl->targets(now); }
 
 coordinator::impl::impl(const coordinator_options& options)
@@ -168,6 +170,7 @@
 void coordinator::impl::on(instant, const placement_wanted& happened)
 {
     m_wanted = happened.slices;
+    m_joins = happened.joins;
 }
 
 void coordinator::impl::on(instant now, const stop&)
--- a/src/ownership/coordinator_impl.h
+++ b/src/ownership/coordinator_impl.h
@@ -110,6 +110,10 @@
 /// Gives the ranges of the moves to their new owners with the given token.
 [[nodiscard]] std::vector<owned_slice> applyMoves(
     const std::vector<owned_slice>& slices, const std::vector<move>& moves, token grant);
+/// Joins neighbours of one owner that lie in one of the ranges. A joined slice has the highest of
+/// their tokens: no key of it had another owner since that one was given.
+[[nodiscard]] std::vector<owned_slice> joinNeighbours(
+    const std::vector<owned_slice>& slices, const std::vector<slice>& ranges);
 
 } // namespace detail
 
@@ -128,6 +132,7 @@
     const assignment* committed() const noexcept;
     std::vector<target_view> targets(instant now) const;
     std::size_t runningMoves() const noexcept { return m_moves.size(); }
+    std::vector<wanted_slice> moving() const;
 
 private:
     // Events.
@@ -239,6 +244,8 @@
     // Commit (commit.cc).
     void commit(instant now);
     bool decideOwner(detail::move& each, std::map<target_id, double>& shares) const;
+    std::vector<slice> possibleJoins(instant now) const;
+    void holdJoined();
     void committedMoves(instant now);
     void dropMoves(instant now);
     void noteGranted(const target_id& id, request_number request);
@@ -261,6 +268,7 @@
     std::vector<table::target_row> m_rows;
     std::vector<host_run> m_live;
     std::vector<wanted_slice> m_wanted;
+    std::vector<slice> m_joins;
 
     // Observation of the row while standing by.
     std::optional<request_number> m_pollRequest;
@@ -303,6 +311,8 @@
     /// Index of the assignment, so that a target's slices are found without reading all.
     std::map<target_id, std::vector<owned_slice>> m_ownedBy;
     assignment m_proposed;
+    /// Owners of slices that the open commit joins.
+    std::set<target_id> m_joinedOwners;
     instant m_nextCommit {};
 
     std::map<target_id, detail::target_state> m_targets;
--- a/src/ownership/moves.cc
+++ b/src/ownership/moves.cc
@@ -34,6 +34,16 @@
     commit(now);
 }
 
+std::vector<wanted_slice> coordinator::impl::moving() const
+{
+    std::vector<wanted_slice> all;
+    for (const auto& each : m_moves) {
+        if (!each.to.value().empty())
+            all.push_back({ each.range, each.to });
+    }
+    return all;
+}
+
 bool coordinator::impl::isMoving(const slice& range) const
 {
     return std::any_of(m_moves.begin(), m_moves.end(),
--- a/src/ownership/slices.cc
+++ b/src/ownership/slices.cc
@@ -102,4 +102,26 @@
     return result;
 }
 
+std::vector<owned_slice> joinNeighbours(
+    const std::vector<owned_slice>& slices, const std::vector<slice>& ranges)
+{
+    std::vector<owned_slice> result;
+    for (const auto& each : slices) {
+        const auto covers = [&](const slice& range) {
+            return range.first <= result.back().range.first && each.range.last <= range.last;
+        };
+        const bool joins = !result.empty() && result.back().owner == each.owner
+            && std::any_of(ranges.begin(), ranges.end(), covers);
+        if (!joins) {
+            result.push_back(each);
+            continue;
+        }
+        auto& joined = result.back();
+        joined.range.last = each.range.last;
+        joined.grant = std::max(joined.grant, each.grant);
+        joined.standby.reset();
+    }
+    return result;
+}
+
 } // namespace pimentomast::ownership::detail
--- a/src/ownership/takeover.cc
+++ b/src/ownership/takeover.cc
@@ -94,6 +94,7 @@
     become(role::Holder, "took the assignment over");
     m_targets.clear();
     m_moves.clear();
+    m_joinedOwners.clear();
     m_postponed.clear();
     m_awaitedGrants.clear();
     m_nextCommit = now;
--- a/src/serve/control.cc
+++ b/src/serve/control.cc
@@ -146,13 +146,13 @@
             if (!committed || state.core.currentRole() != ownership::role::Holder)
                 continue;
             wishes.push_back({ service,
-                state.places.plan(now, *committed, state.core.targets(now), state.targets) });
+                state.places.plan(now, *committed, state.core.moving(), state.core.targets(now),
+                    state.targets) });
         }
     }
-    for (const auto& each : wishes) {
-        if (!each.wanted.slices.empty())
-            deliver(each.service, each.wanted);
-    }
+    // No wishes replace the last ones too, or they would be carried out when they no longer hold.
+    for (const auto& each : wishes)
+        deliver(each.service, each.wanted);
 }
 
 void control::takeLoad(const host_id& host, const wire::LoadReport& report)
--- a/src/serve/load.cc
+++ b/src/serve/load.cc
@@ -1,5 +1,8 @@
 #include "load.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace pimentomast::serve::detail {
 namespace {
 
@@ -7,10 +10,17 @@
 constexpr std::chrono::seconds sketchHalfLifeS { 10 };
 constexpr std::size_t reportedKeys = 32;
 constexpr std::size_t mergedKeys = 64;
+constexpr std::chrono::seconds rateHalfLifeS { 5 };
+constexpr double negligibleRate = 0.01;
 constexpr std::chrono::seconds reportLifeS { 10 };
 
 double seconds(duration span) { return std::chrono::duration<double>(span).count(); }
 
+double width(const slice& range)
+{
+    return static_cast<double>(range.last.value() - range.first.value()) + 1;
+}
+
 } // namespace
 
 load_meter::entry& load_meter::find(instant now, const service_id& service)
@@ -26,7 +36,7 @@
 {
     auto& counted = find(now, service);
     counted.keys.add(now, key);
-    ++counted.slices[range.first];
+    ++counted.slices[range];
 }
 
 wire::ServiceLoad load_meter::report(instant now, const service_id& service)
@@ -35,17 +45,19 @@
     const double elapsed = seconds(now - counted.since);
     wire::ServiceLoad load;
     load.set_service(service.value());
-    for (const auto& [first, requests] : counted.slices) {
+    for (const auto& [range, requests] : counted.slices) {
         if (elapsed <= 0)
             break;
         auto* message = load.add_slices();
-        message->set_first(first.value());
+        message->set_first(range.first.value());
+        message->set_last(range.last.value());
         message->set_requests_per_second(static_cast<double>(requests) / elapsed);
     }
     for (const auto& key : counted.keys.top(now, reportedKeys)) {
         auto* message = load.add_hot_keys();
         message->set_hash(key.hash.value());
         message->set_requests_per_second(key.rate);
+        message->set_error(key.error);
     }
     counted.slices.clear();
     counted.since = now;
@@ -62,27 +74,59 @@
 
 void load_sum::take(instant now, const host_id& host, const wire::ServiceLoad& load)
 {
-    report taken { now, {}, {} };
-    for (const auto& part : load.slices())
-        taken.slices[key_hash { part.first() }] += part.requests_per_second();
+    auto& taken = m_reports[host];
+    const bool follows = current(taken, now);
+    const double kept = follows ? std::exp2(-seconds(now - taken.at) / seconds(rateHalfLifeS)) : 0;
+    for (auto& [range, rate] : taken.slices)
+        rate *= kept;
+    for (const auto& part : load.slices()) {
+        const slice range { key_hash { part.first() }, key_hash { part.last() } };
+        taken.slices[range] += part.requests_per_second() * (1 - kept);
+    }
+    std::erase_if(taken.slices, [](const auto& part) { return part.second < negligibleRate; });
+    taken.keys.clear();
     for (const auto& key : load.hot_keys())
-        taken.keys.push_back({ key_hash { key.hash() }, key.requests_per_second(), 0 });
-    m_reports[host] = std::move(taken);
+        taken.keys.push_back({ key_hash { key.hash() }, key.requests_per_second(), key.error() });
+    taken.at = now;
 }
 
-bool load_sum::current(const report& taken, instant now) { return now - taken.at <= reportLifeS; }
+bool load_sum::current(const report& taken, instant now)
+{
+    return taken.at != instant {} && now - taken.at <= reportLifeS;
+}
 
-double load_sum::slice(instant now, key_hash first) const
+double load_sum::rate(instant now, const slice& range) const
 {
     double sum = 0;
     for (const auto& [host, taken] : m_reports) {
-        const auto found = taken.slices.find(first);
-        if (current(taken, now) && found != taken.slices.end())
-            sum += found->second;
+        if (!current(taken, now))
+            continue;
+        for (const auto& [counted, rate] : taken.slices)
+            sum += partOf(taken, counted, rate, range);
     }
     return sum;
 }
 
+// Hot keys count where they are; what is left is spread evenly over the counted slice.
+double load_sum::partOf(const report& taken, const slice& counted, double rate, const slice& range)
+{
+    const slice common { std::max(counted.first, range.first), std::min(counted.last, range.last) };
+    if (common.last < common.first)
+        return 0;
+    if (common == counted)
+        return rate;
+    double hot = 0;
+    double hotInRange = 0;
+    for (const auto& key : taken.keys) {
+        const double sure = key.rate - key.error;
+        hot += counted.contains(key.hash) ? sure : 0;
+        hotInRange += common.contains(key.hash) ? sure : 0;
+    }
+    const double scale = hot > rate ? rate / hot : 1;
+    const double rest = std::max(0.0, rate - hot) * width(common) / width(counted);
+    return hotInRange * scale + rest;
+}
+
 std::vector<balancing::hot_key> load_sum::hotKeys(instant now) const
 {
     std::vector<std::vector<balancing::hot_key>> lists;
--- a/src/serve/load.h
+++ b/src/serve/load.h
@@ -22,7 +22,7 @@
 private:
     struct entry {
         balancing::sketch keys;
-        std::map<key_hash, std::uint64_t> slices;
+        std::map<slice, std::uint64_t> slices;
         instant since;
     };
 
@@ -31,23 +31,26 @@
     std::map<service_id, entry> m_services;
 };
 
-/// Adds up the hosts' reports for one service. Pure; not thread-safe.
+/// Adds up the hosts' reports for one service, smoothed over time. Reports may be about slices as
+/// they were before a cut or a join. Pure; not thread-safe.
 class load_sum {
 public:
-    /// Replaces what a host reported before.
+    /// Takes a host's next report; what it reported before fades.
     void take(instant now, const host_id& host, const wire::ServiceLoad& load);
-    /// Returns the requests per second of the slice that starts at this hash.
-    [[nodiscard]] double slice(instant now, key_hash first) const;
+    /// Returns the requests per second of the keys in a range.
+    [[nodiscard]] double rate(instant now, const slice& range) const;
     [[nodiscard]] std::vector<balancing::hot_key> hotKeys(instant now) const;
 
 private:
     struct report {
         instant at;
-        std::map<key_hash, double> slices;
+        std::map<slice, double> slices;
         std::vector<balancing::hot_key> keys;
     };
 
     [[nodiscard]] static bool current(const report& taken, instant now);
+    [[nodiscard]] static double partOf(
+        const report& taken, const slice& counted, double rate, const slice& range);
 
     std::map<host_id, report> m_reports;
 };
--- a/src/serve/placement.cc
+++ b/src/serve/placement.cc
@@ -22,6 +22,43 @@
     return found == views.end() ? nullptr : &*found;
 }
 
+struct wish_visitor {
+    ownership::placement_wanted& wanted;
+
+    void operator()(const balancing::move_slice& change) const
+    {
+        wanted.slices.push_back({ change.keys, change.to });
+    }
+    void operator()(const balancing::merge_slices& change) const
+    {
+        wanted.joins.push_back({ change.first.first, change.second.last });
+    }
+    void operator()(const balancing::split_slice&) const { }
+};
+
+using placed_slices = std::vector<balancing::placed_slice>;
+
+void cutBefore(placed_slices& placed, key_hash hash)
+{
+    const auto found = std::find_if(placed.begin(), placed.end(),
+        [&](const auto& each) { return each.keys.first < hash && hash <= each.keys.last; });
+    if (found != placed.end())
+        (void)balancing::apply(instant {}, placed, balancing::split_slice { found->keys, hash });
+}
+
+void makeMove(instant now, placed_slices& placed, const ownership::wanted_slice& move)
+{
+    cutBefore(placed, move.range.first);
+    if (move.range.last.value() < UINT64_MAX)
+        cutBefore(placed, key_hash { move.range.last.value() + 1 });
+    for (auto& each : placed) {
+        if (!move.range.contains(each.keys.first))
+            continue;
+        each.owner = move.owner;
+        each.moved = now;
+    }
+}
+
 } // namespace
 
 result<placement> placement::create(const table::service_row& service, std::uint64_t seed)
@@ -46,17 +83,16 @@
 }
 
 ownership::placement_wanted placement::plan(instant now, const ownership::assignment& committed,
+    const std::vector<ownership::wanted_slice>& moving,
     const std::vector<ownership::target_view>& views, const std::vector<table::target_row>& rows)
 {
     followOwners(now, committed);
     followTargets(now, views);
-    const balancing::plan_input input { now, slices(now, committed), targets(views, rows),
+    const balancing::plan_input input { now, slices(now, committed, moving), targets(views, rows),
         m_load.hotKeys(now) };
     ownership::placement_wanted wanted;
-    for (const auto& proposal : m_planner.plan(input)) {
-        if (const auto* move = std::get_if<balancing::move_slice>(&proposal))
-            wanted.slices.push_back({ move->keys, move->to });
-    }
+    for (const auto& proposal : m_planner.plan(input))
+        std::visit(wish_visitor { wanted }, proposal);
     return wanted;
 }
 
@@ -64,9 +100,11 @@
 {
     std::map<key_hash, tenure> current;
     for (const auto& owned : committed.slices) {
-        const auto known = m_tenures.find(owned.range.first);
-        const bool stays = known != m_tenures.end() && known->second.owner == owned.owner;
-        current[owned.range.first] = { owned.owner, stays ? known->second.since : now };
+        // The slice before this one, if it was cut out of that.
+        const auto after = m_tenures.upper_bound(owned.range.first);
+        const bool known = after != m_tenures.begin();
+        const bool stays = known && std::prev(after)->second.owner == owned.owner;
+        current[owned.range.first] = { owned.owner, stays ? std::prev(after)->second.since : now };
     }
     m_tenures = std::move(current);
 }
@@ -81,18 +119,22 @@
     }
 }
 
-std::vector<balancing::placed_slice> placement::slices(
-    instant now, const ownership::assignment& committed) const
+std::vector<balancing::placed_slice> placement::slices(instant now,
+    const ownership::assignment& committed,
+    const std::vector<ownership::wanted_slice>& moving) const
 {
     std::vector<balancing::placed_slice> placed;
     for (const auto& owned : committed.slices) {
         balancing::placed_slice part;
         part.keys = owned.range;
         part.owner = owned.owner;
-        part.load = m_load.slice(now, owned.range.first);
         part.moved = m_tenures.at(owned.range.first).since;
         placed.push_back(part);
     }
+    for (const auto& each : moving)
+        makeMove(now, placed, each);
+    for (auto& each : placed)
+        each.load = m_load.rate(now, each.keys);
     return placed;
 }
 
--- a/src/serve/placement.h
+++ b/src/serve/placement.h
@@ -18,9 +18,11 @@
         const table::service_row& service, std::uint64_t seed);
 
     void takeLoad(instant now, const host_id& host, const wire::ServiceLoad& load);
-    /// Returns the owners that the planner wants; empty if all is well.
+    /// Returns the owners and joins that the planner wants; empty if all is well. A cut needs no
+    /// word of its own: a move of a part of a slice cuts it. Moves under way count as made.
     [[nodiscard]] ownership::placement_wanted plan(instant now,
-        const ownership::assignment& committed, const std::vector<ownership::target_view>& targets,
+        const ownership::assignment& committed, const std::vector<ownership::wanted_slice>& moving,
+        const std::vector<ownership::target_view>& targets,
         const std::vector<table::target_row>& rows);
 
 private:
@@ -33,8 +35,9 @@
     explicit placement(const balancing::planner& planner);
     void followOwners(instant now, const ownership::assignment& committed);
     void followTargets(instant now, const std::vector<ownership::target_view>& targets);
-    [[nodiscard]] std::vector<balancing::placed_slice> slices(
-        instant now, const ownership::assignment& committed) const;
+    [[nodiscard]] std::vector<balancing::placed_slice> slices(instant now,
+        const ownership::assignment& committed,
+        const std::vector<ownership::wanted_slice>& moving) const;
     [[nodiscard]] std::vector<balancing::placement_target> targets(
         const std::vector<ownership::target_view>& views,
         const std::vector<table::target_row>& rows) const;
--- /dev/null
+++ b/test/serve-placement-test.cc
@@ -0,0 +1,144 @@
+#include "ownership-world.h"
+#include "serve/placement.h"
+
+#include <criterion/criterion.h>
+
+using namespace ownership_world;
+using serve::detail::placement;
+
+namespace {
+
+constexpr milliseconds roundMs { 1000 };
+constexpr double evenRate = 400;
+constexpr double hotRate = 200;
+constexpr std::size_t targetCount = 4;
+constexpr std::size_t usualSlices = 8 * targetCount;
+
+table::service_row serviceRow()
+{
+    table::service_row row;
+    row.id = service;
+    row.key = table::path_segment { 1 };
+    return row;
+}
+
+double partOfSpace(const slice& range)
+{
+    return std::ldexp(static_cast<double>(range.last.value() - range.first.value()) + 1, -64);
+}
+
+/// A coordinator and the planner as serve wires them, under a load with one hot key.
+class placed_world {
+public:
+    placed_world() { system.runFor(milliseconds { 10000 }); }
+
+    const assignment& committed() { return *decisions().committed(); }
+
+    double rateOf(const slice& range, key_hash hot) const
+    {
+        return evenRate * partOfSpace(range) + (range.contains(hot) ? hotRate : 0);
+    }
+
+    void run(key_hash hot, int rounds)
+    {
+        for (int i = 0; i < rounds; ++i) {
+            report(hot);
+            const auto now = time();
+            const auto& core = decisions();
+            system.place(
+                m_places.plan(now, *core.committed(), core.moving(), core.targets(now), rows()));
+            system.runFor(roundMs);
+        }
+    }
+
+    double imbalance(key_hash hot)
+    {
+        std::map<target_id, double> loads;
+        for (const auto& each : committed().slices)
+            loads[each.owner] += rateOf(each.range, hot);
+        double worst = 0;
+        for (const auto& [id, load] : loads)
+            worst = std::max(worst, load);
+        return worst * targetCount / (evenRate + hotRate);
+    }
+
+    world system { options { 3, 3, targetCount, true, {} } };
+
+private:
+    coordinator& decisions() { return *system.hosts[holder()].decisions; }
+    std::size_t holder() const { return static_cast<std::size_t>(system.holder().value()); }
+    instant time() const { return system.hostTime(system.hosts[holder()]); }
+
+    void report(key_hash hot)
+    {
+        serve::detail::wire::ServiceLoad load;
+        for (const auto& each : committed().slices) {
+            auto* part = load.add_slices();
+            part->set_first(each.range.first.value());
+            part->set_last(each.range.last.value());
+            part->set_requests_per_second(rateOf(each.range, hot));
+        }
+        auto* key = load.add_hot_keys();
+        key->set_hash(hot.value());
+        key->set_requests_per_second(hotRate);
+        m_places.takeLoad(time(), host_id { "h0" }, load);
+    }
+
+    std::vector<table::target_row> rows() const
+    {
+        std::vector<table::target_row> all(system.targets.size());
+        for (std::size_t i = 0; i < all.size(); ++i)
+            all[i].id = system.targets[i].id;
+        return all;
+    }
+
+    placement m_places { placement::create(serviceRow(), 1).value() };
+};
+
+} // namespace
+
+Test(serve_placement, hot_key_is_cut_out_and_moved)
+{
+    placed_world run;
+    const key_hash hot { 1U << 20U };
+    cr_assert_gt(run.imbalance(hot), 1.9);
+    run.run(hot, 40);
+    const auto* own = run.committed().find(hot);
+    cr_assert_eq(own->range.first, own->range.last);
+    cr_assert_leq(run.imbalance(hot), 1.4);
+    cr_assert(run.system.violation.empty());
+}
+
+Test(serve_placement, slices_of_many_former_hot_keys_are_joined_again)
+{
+    placed_world run;
+    std::size_t most = 0;
+    for (std::uint64_t i = 0; i < 40; ++i) {
+        const key_hash hot { 0x9e3779b97f4a7c15U * (i + 1) };
+        run.run(hot, 15);
+        most = std::max(most, run.committed().slices.size());
+    }
+    cr_assert_leq(most, usualSlices * 3 / 2);
+    for (int i = 0; i < sampledHashes; ++i)
+        cr_assert_eq(run.system.owners(world::sample(i)), 1);
+    cr_assert(run.system.violation.empty());
+}
+
+Test(serve_placement, former_load_of_a_slice_is_not_counted_for_a_part_of_it)
+{
+    serve::detail::load_sum sum;
+    const instant now { std::chrono::seconds { 100 } };
+    const key_hash hot { 1000 };
+    serve::detail::wire::ServiceLoad load;
+    auto* whole = load.add_slices();
+    whole->set_first(0);
+    whole->set_last(9999);
+    whole->set_requests_per_second(110);
+    auto* key = load.add_hot_keys();
+    key->set_hash(hot.value());
+    key->set_requests_per_second(100);
+    sum.take(now, host_id { "h0" }, load);
+    cr_assert_float_eq(sum.rate(now, { key_hash { 0 }, key_hash { 9999 } }), 110, 0.01);
+    cr_assert_float_eq(sum.rate(now, { key_hash { 0 }, key_hash { 999 } }), 1, 0.01);
+    cr_assert_float_eq(sum.rate(now, { hot, hot }), 100, 0.01);
+}
