Measure placement with real processes

bench-placement: three hosts, the stand-in platform, eight keyed targets, a Zipf load whose hot keys move; events by option. The senders of bench-unavailability moved to bench/shared for both.

--- /dev/null
+++ b/bench/placement.cc
@@ -0,0 +1,351 @@
+#include "shared/senders.h"
+
+#include "pimentomast/ownership.h"
+
+#include <algorithm>
+#include <boost/program_options.hpp>
+#include <cmath>
+#include <cstdio>
+#include <cstdlib>
+#include <iostream>
+#include <numeric>
+
+/// Measures placement with real processes on the loopback interface: three hosts, the stand-in
+/// platform and eight targets under a Zipf load whose hot keys move. Prints one block for each
+/// event. Usage: bench-placement [--event NAME] [--seconds N] [--hot-seconds N] [--outage-seconds
+/// N]
+namespace {
+
+using namespace pimentomast;
+using namespace pimentomast::bench;
+using std::chrono::seconds;
+using test::http_call;
+
+constexpr unsigned targetCount = 8;
+constexpr std::size_t keyCount = 2000;
+constexpr double zipfExponent = 0.9;
+constexpr unsigned senders = 24;
+constexpr milliseconds sendInterval { 4 };
+constexpr milliseconds sampleInterval { 200 };
+constexpr seconds windowS { 5 };
+const std::string service = "weights";
+
+struct settings {
+    std::string event;
+    unsigned runSeconds = 60;
+    unsigned hotSeconds = 20;
+    unsigned outageSeconds = 30;
+};
+
+test::cluster_options installation()
+{
+    test::cluster_options options;
+    for (unsigned i = 1; i <= targetCount; ++i)
+        options.targets.push_back({ "w" + std::to_string(i), service });
+    options.cut = false;
+    return options;
+}
+
+/// Draws keys by Zipf popularity; the ranks of all keys change at each move of the hot keys.
+class keyspace {
+public:
+    keyspace()
+    {
+        std::vector<double> weights;
+        for (std::size_t i = 0; i < keyCount; ++i)
+            weights.push_back(1 / std::pow(static_cast<double>(i + 1), zipfExponent));
+        m_ranks = std::discrete_distribution<std::size_t>(weights.begin(), weights.end());
+    }
+
+    static std::string name(std::size_t index) { return "k" + std::to_string(index); }
+    void moveHotKeys() { m_shift += keyCount / 7; }
+    http_call draw(std::mt19937_64& random) const
+    {
+        auto ranks = m_ranks;
+        const auto index = (ranks(random) + m_shift) % keyCount;
+        return { "GET", "/" + service + "/" + name(index) + "?service_ms=2" };
+    }
+
+private:
+    std::discrete_distribution<std::size_t> m_ranks;
+    std::atomic<std::size_t> m_shift = 0;
+};
+
+/// Follows the committed assignment in the platform.
+class move_counter {
+public:
+    explicit move_counter(const cluster& system)
+        : m_system(system)
+    {
+        for (std::size_t i = 0; i < keyCount; ++i)
+            m_keys.push_back(hashKey(keyspace::name(i)));
+    }
+
+    void look()
+    {
+        const auto row = test::getJson(m_system.platform(), "/rows/assignment%2F" + service);
+        if (!row || !row->has("value"))
+            return;
+        const auto read = ownership::parseAssignment(row->getValue<std::string>("value"));
+        if (!read)
+            return;
+        if (m_last)
+            compare(*m_last, read.value());
+        m_last = read.value();
+        slicesMost = std::max(slicesMost, m_last->slices.size());
+    }
+
+    bool owns(const std::string& target) const
+    {
+        return std::any_of(m_last->slices.begin(), m_last->slices.end(),
+            [&](const auto& each) { return each.owner.value() == target; });
+    }
+
+    unsigned slicesMoved = 0;
+    unsigned keysMoved = 0;
+    std::size_t slicesMost = 0;
+
+private:
+    void compare(const ownership::assignment& before, const ownership::assignment& after)
+    {
+        if (before.version() == after.version())
+            return;
+        for (const auto& each : after.slices)
+            slicesMoved += before.find(each.range.first)->owner != each.owner ? 1 : 0;
+        for (const auto key : m_keys)
+            keysMoved += before.find(key)->owner != after.find(key)->owner ? 1 : 0;
+    }
+
+    const cluster& m_system;
+    std::vector<key_hash> m_keys;
+    std::optional<ownership::assignment> m_last;
+};
+
+/// One run: the load, what happens meanwhile, and what is counted.
+class placement_run {
+public:
+    explicit placement_run(const settings& chosen)
+        : m_settings(chosen)
+    {
+    }
+
+    void run()
+    {
+        pass(seconds(10));
+        m_moves.slicesMoved = m_moves.keysMoved = 0;
+        m_fromUs = nowUs();
+        m_end = monotonic_clock::now() + seconds(m_settings.runSeconds);
+        strike();
+        pass(std::chrono::duration_cast<milliseconds>(m_end - monotonic_clock::now()));
+        m_toUs = nowUs();
+        report(m_load.stop());
+    }
+
+private:
+    /// Lets time pass, counts moves and moves the hot keys when that is due.
+    void pass(milliseconds span)
+    {
+        const auto end = monotonic_clock::now() + span;
+        while (monotonic_clock::now() < end) {
+            m_moves.look();
+            if (monotonic_clock::now() >= m_nextHot) {
+                m_nextHot += seconds(m_settings.hotSeconds);
+                m_keys.moveHotKeys();
+            }
+            std::this_thread::sleep_for(sampleInterval);
+        }
+    }
+
+    milliseconds part(unsigned parts) const { return seconds(m_settings.runSeconds) / parts; }
+
+    void strike()
+    {
+        const auto& event = m_settings.event;
+        if (event == "domain-killed")
+            killDomain();
+        else if (event == "rolling-hosts")
+            rollHosts();
+        else if (event == "rolling-targets")
+            rollTargets();
+        else if (event == "store-outage")
+            outage();
+        else if (event == "misleading")
+            mislead();
+    }
+
+    void killDomain()
+    {
+        pass(part(3));
+        for (const auto* id : { "w1", "w4", "w7" })
+            m_system.killTarget(id);
+        pass(part(3));
+        for (const auto* id : { "w1", "w4", "w7" })
+            m_system.startTarget(id);
+    }
+
+    void rollHosts()
+    {
+        for (std::size_t i = 0; i < m_system.hosts().size(); ++i) {
+            auto& host = m_system.hosts()[i];
+            m_load.use(i, false);
+            pass(seconds(1));
+            host.running.terminate();
+            host.running.wait();
+            m_system.startHost(host.id);
+            m_system.waitVersion(m_version, { host.id });
+            m_system.waitServed(service);
+            m_load.use(i, true);
+            pass(part(5));
+        }
+    }
+
+    void rollTargets()
+    {
+        const auto turn = part(targetCount);
+        for (auto& target : m_system.targets()) {
+            const auto end = monotonic_clock::now() + turn;
+            m_system.apply(m_system.table({ target.spec.id }), m_version++);
+            while (m_moves.owns(target.spec.id) && monotonic_clock::now() < end)
+                pass(sampleInterval);
+            m_left += m_moves.owns(target.spec.id) ? 1 : 0;
+            m_system.killTarget(target.spec.id);
+            m_system.startTarget(target.spec.id);
+            m_system.apply(m_system.table(), m_version++);
+            pass(std::chrono::duration_cast<milliseconds>(end - monotonic_clock::now()));
+        }
+    }
+
+    void outage()
+    {
+        pass(part(4));
+        m_system.platformFault(R"({"outage":"silent"})");
+        // The platform answers nothing now, so there is nothing to look at.
+        std::this_thread::sleep_for(seconds(m_settings.outageSeconds));
+        m_system.platformFault(R"({"outage":"none"})");
+    }
+
+    void mislead()
+    {
+        m_system.targetFault("w1", R"({"wrong_running":0})");
+        m_system.targetFault("w2", R"({"wrong_running":50})");
+    }
+
+    /// Max over mean of the answers of the targets that run, in windows.
+    std::vector<double> imbalances(const std::vector<sample>& samples) const
+    {
+        const auto widthUs = std::chrono::microseconds(windowS).count();
+        std::map<std::int64_t, std::map<std::string, double>> windows;
+        for (const auto& each : samples) {
+            if (each.answered && each.endUs >= m_fromUs && each.endUs < m_toUs)
+                windows[(each.endUs - m_fromUs) / widthUs][each.target] += 1;
+        }
+        std::vector<double> found;
+        for (const auto& [at, counts] : windows) {
+            double most = 0;
+            double sum = 0;
+            for (const auto& [target, count] : counts) {
+                most = std::max(most, count);
+                sum += count;
+            }
+            found.push_back(most * static_cast<double>(counts.size()) / sum);
+        }
+        return found;
+    }
+
+    /// Time in which no target took requests for a key, summed over the keys.
+    double unavailableKeySeconds() const
+    {
+        const auto held = m_system.holdings();
+        double sumUs = 0;
+        for (std::size_t i = 0; i < keyCount; ++i) {
+            const auto hash = hashKey(keyspace::name(i)).value();
+            std::vector<std::pair<std::int64_t, std::int64_t>> spans;
+            for (const auto& each : held) {
+                if (each.first <= hash && hash <= each.last)
+                    spans.emplace_back(each.fromUs, each.toUs);
+            }
+            std::sort(spans.begin(), spans.end());
+            auto servedUs = m_fromUs;
+            for (const auto& [fromUs, toUs] : spans) {
+                sumUs += static_cast<double>(
+                    std::max<std::int64_t>(0, std::min(fromUs, m_toUs) - servedUs));
+                servedUs = std::max(servedUs, toUs);
+            }
+            sumUs += static_cast<double>(std::max<std::int64_t>(0, m_toUs - servedUs));
+        }
+        return sumUs / 1e6;
+    }
+
+    void report(const std::vector<sample>& samples) const
+    {
+        std::vector<double> latencies;
+        std::map<std::string, unsigned> refused;
+        unsigned sent = 0;
+        for (const auto& each : samples) {
+            if (each.startUs < m_fromUs)
+                continue;
+            ++sent;
+            if (each.answered)
+                latencies.push_back(static_cast<double>(each.endUs - each.startUs) / 1000);
+            else
+                ++refused[each.reason];
+        }
+        const auto uneven = imbalances(samples);
+        const double mean = std::accumulate(uneven.begin(), uneven.end(), 0.0)
+            / static_cast<double>(std::max<std::size_t>(1, uneven.size()));
+        std::array<double, 1> busy {};
+        (void)getloadavg(busy.data(), 1);
+        std::printf(
+            "%s: %u s, load average %.0f\n  imbalance mean %.2f worst %.2f; slices moved %u, "
+            "keys moved %u, slices at most %zu; unavailable %.1f key-s\n"
+            "  p50 %.1f p99 %.1f ms; sent %u, refused",
+            m_settings.event.c_str(), m_settings.runSeconds, busy[0], mean, percentile(uneven, 1),
+            m_moves.slicesMoved, m_moves.keysMoved, m_moves.slicesMost, unavailableKeySeconds(),
+            percentile(latencies, 0.5), percentile(latencies, 0.99), sent);
+        for (const auto& [reason, count] : refused)
+            std::printf(" %s=%u", reason.c_str(), count);
+        std::printf(refused.empty() ? " none" : "");
+        if (m_settings.event == "rolling-targets")
+            std::printf("; targets restarted before they were empty: %u", m_left);
+        std::printf("\n");
+    }
+
+    settings m_settings;
+    cluster m_system { installation() };
+    keyspace m_keys;
+    move_counter m_moves { m_system };
+    std::uint64_t m_version = 1;
+    unsigned m_left = 0;
+    std::int64_t m_fromUs = 0;
+    std::int64_t m_toUs = 0;
+    instant m_end {};
+    instant m_nextHot = monotonic_clock::now() + seconds(m_settings.hotSeconds);
+    steady_senders m_load { m_system, { 0, 1, 2 }, senders, sendInterval,
+        [this](auto& random) { return m_keys.draw(random); } };
+};
+
+} // namespace
+
+int main(int count, char** arguments)
+{
+    namespace options = boost::program_options;
+    settings chosen;
+    options::options_description described("bench-placement");
+    described.add_options()("event", options::value(&chosen.event),
+        "hot-keys, domain-killed, rolling-hosts, rolling-targets, store-outage or misleading; "
+        "default: each in turn")("seconds", options::value(&chosen.runSeconds), "length of a run")(
+        "hot-seconds", options::value(&chosen.hotSeconds),
+        "time between two moves of the hot keys")(
+        "outage-seconds", options::value(&chosen.outageSeconds), "length of the store's outage");
+    options::variables_map given;
+    options::store(options::parse_command_line(count, arguments, described), given);
+    options::notify(given);
+    std::setvbuf(stdout, nullptr, _IOLBF, 0);
+    const std::vector<std::string> all { "hot-keys", "domain-killed", "rolling-hosts",
+        "rolling-targets", "store-outage", "misleading" };
+    for (const auto& event : chosen.event.empty() ? all : std::vector { chosen.event }) {
+        auto one = chosen;
+        one.event = event;
+        placement_run(one).run();
+    }
+}
--- a/bench/unavailability.cc
+++ b/bench/unavailability.cc
@@ -1,4 +1,4 @@
-#include "helper.h"
+#include "shared/senders.h"
 
 #include <algorithm>
 #include <boost/program_options.hpp>
@@ -13,7 +13,8 @@
 namespace {
 
 using namespace pimentomast;
-using namespace pimentomast::test;
+using namespace pimentomast::bench;
+using test::cluster_options;
 
 constexpr unsigned senders = 40;
 constexpr milliseconds sendInterval { 10 };
@@ -23,72 +24,6 @@
 const std::string service = "weights";
 const std::string key = "k0";
 
-std::int64_t nowUs() { return monotonic_clock::now().time_since_epoch().count(); }
-
-struct sample {
-    std::int64_t startUs = 0;
-    std::int64_t endUs = 0;
-    bool answered = false;
-    std::string target;
-};
-
-/// Asks for one key at a fixed rate through some hosts, whether or not earlier requests wait.
-class steady_senders {
-public:
-    steady_senders(const cluster& system, std::vector<std::size_t> hosts)
-        : m_system(system)
-        , m_hosts(std::move(hosts))
-        , m_begin(monotonic_clock::now())
-    {
-        for (unsigned i = 0; i < senders; ++i)
-            m_threads.emplace_back([this, i] { run(i); });
-    }
-
-    std::vector<sample> stop()
-    {
-        m_stopping = true;
-        for (auto& thread : m_threads)
-            thread.join();
-        std::sort(m_samples.begin(), m_samples.end(),
-            [](const sample& one, const sample& other) { return one.endUs < other.endUs; });
-        return std::move(m_samples);
-    }
-
-private:
-    void run(unsigned index)
-    {
-        const std::chrono::microseconds cycle = sendInterval * senders;
-        const http_call request { "GET", "/" + service + "/" + key };
-        for (unsigned turn = index; !m_stopping; ++turn) {
-            waitForSlot(index, cycle);
-            sample taken;
-            taken.startUs = nowUs();
-            const auto reply = m_system.send(m_hosts[turn % m_hosts.size()], request);
-            taken.endUs = nowUs();
-            taken.answered = reply.status == 200 && reply.whole;
-            taken.target = taken.answered ? jsonField(reply.body, "target") : "";
-            const std::lock_guard lock(m_mutex);
-            m_samples.push_back(taken);
-        }
-    }
-
-    void waitForSlot(unsigned index, std::chrono::microseconds cycle) const
-    {
-        const auto offset = std::chrono::microseconds(sendInterval) * index;
-        const auto passed = monotonic_clock::now() - m_begin - offset;
-        const auto turns = passed.count() < 0 ? 0 : passed / cycle + 1;
-        std::this_thread::sleep_for(offset + cycle * turns - (monotonic_clock::now() - m_begin));
-    }
-
-    const cluster& m_system;
-    std::vector<std::size_t> m_hosts;
-    instant m_begin;
-    std::atomic<bool> m_stopping = false;
-    std::mutex m_mutex;
-    std::vector<sample> m_samples;
-    std::vector<std::thread> m_threads;
-};
-
 struct measured {
     double gapMs = 0;
     double p99BeforeMs = 0;
@@ -97,16 +32,6 @@
     unsigned failed = 0;
 };
 
-double percentile(std::vector<double> values, double share)
-{
-    if (values.empty())
-        return 0;
-    std::sort(values.begin(), values.end());
-    const auto rank
-        = static_cast<std::size_t>(std::ceil(share * static_cast<double>(values.size())));
-    return values[std::max<std::size_t>(rank, 1) - 1];
-}
-
 double p99Ms(const std::vector<sample>& samples, std::int64_t fromUs, std::int64_t toUs)
 {
     std::vector<double> latencies;
@@ -176,7 +101,7 @@
 
 cluster_options installation()
 {
-    auto options = threeKeyedTargets();
+    auto options = test::threeKeyedTargets();
     options.targets.push_back({ "w4", service });
     options.cut = false;
     return options;
@@ -191,7 +116,10 @@
     for (std::size_t i = 0; i < system.hosts().size(); ++i)
         if (system.hosts()[i].id != harmed.coordinator)
             hosts.push_back(i);
-    steady_senders load(system, hosts);
+    test::http_call asked;
+    asked.path = "/" + service + "/" + key;
+    steady_senders load(
+        system, hosts, senders, sendInterval, [asked](std::mt19937_64&) { return asked; });
     std::this_thread::sleep_for(settleTime);
     const auto faultUs = nowUs();
     chosen.strike(harmed);
