--- a/src/balancing/rebalancing.cc
+++ b/src/balancing/rebalancing.cc
@@ -1,6 +1,7 @@
 #include "planning.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace pimentomast::balancing {
 
@@ -12,7 +13,7 @@
 bool planning::isOverloaded(const target_id& id) const
 {
     const auto found = m_seats.find(id);
-    return found != m_seats.end() && excess(found->second, 0) > 0;
+    return found != m_seats.end() && isReady(id) && excess(found->second, 0) > 0;
 }
 
 void planning::cutHotKeys()
@@ -44,14 +45,29 @@
             continue;
         const bool isKey = part.keys.contains(key.hash);
         part.load = isKey ? rate : part.load * (whole.load - rate) / std::max(whole.load, 1e-9);
-        part.keysInUse = isKey ? 1 : part.keysInUse;
+    }
+}
+
+void planning::cutBroad()
+{
+    const double most = 2 * meanLoad() / m_settings.slicesPerTarget;
+    for (std::size_t i = 0; i < m_slices.size();) {
+        const placed_slice& each = m_slices[i];
+        const bool isBroad = each.load > most && !isSingleKey(each) && each.owner;
+        if (!isBroad || m_slices.size() >= m_settings.slicesMax || !isOverloaded(*each.owner)) {
+            ++i;
+            continue;
+        }
+        const auto half = (each.keys.last.value() - each.keys.first.value()) / 2;
+        propose(split_slice { each.keys, key_hash { each.keys.first.value() + half + 1 } });
     }
 }
 
 double planning::price(const placed_slice& moving) const
 {
-    const double keys = isSingleKey(moving) ? 1 : std::max(1.0, moving.keysInUse);
-    return m_settings.churnPrice * keys;
+    const double partOfKeys = std::ldexp(
+        static_cast<double>(moving.keys.last.value() - moving.keys.first.value()) + 1, -64);
+    return m_settings.churnPrice * partOfKeys * m_totalLoad;
 }
 
 std::optional<planning::candidate> planning::bestMove() const
@@ -80,14 +96,29 @@
     return best;
 }
 
-void planning::rebalance()
+bool planning::moveForBalance()
 {
     for (unsigned moved = 0; moved < m_settings.movesPerRound; ++moved) {
         const auto best = bestMove();
         if (!best)
-            return;
+            return moved > 0;
         move(best->slice, best->to, true);
     }
+    return m_settings.movesPerRound > 0;
+}
+
+// Slices are halved only for the sake of a move.
+void planning::rebalance()
+{
+    planning halved(*this);
+    halved.cutBroad();
+    if (!halved.moveForBalance()) {
+        moveForBalance();
+        return;
+    }
+    m_slices = std::move(halved.m_slices);
+    m_seats = std::move(halved.m_seats);
+    m_proposals = std::move(halved.m_proposals);
 }
 
 std::size_t planning::usualSlices() const { return m_settings.slicesPerTarget * m_seats.size(); }
