--- a/bench/placement.cc
+++ b/bench/placement.cc
@@ -255,7 +255,7 @@
     /// Time in which no target took requests for a key, summed over the keys.
     double unavailableKeySeconds() const
     {
-        const auto held = m_system.holdings();
+        const auto held = m_system.records().holdings;
         double sumUs = 0;
         for (std::size_t i = 0; i < keyCount; ++i) {
             const auto hash = hashKey(keyspace::name(i)).value();
--- a/test/failure-ownership-test.cc
+++ b/test/failure-ownership-test.cc
@@ -58,7 +58,7 @@
 {
     const auto hash = hashKey("k0").value();
     const bool granted = waitUntil([&] {
-        const auto all = system.holdings();
+        const auto all = system.records().holdings;
         return std::any_of(all.begin(), all.end(), [&](const holding& each) {
             return each.target != owner && each.first <= hash && hash <= each.last;
         });
