--- a/src/routing/dispatching.cc
+++ b/src/routing/dispatching.cc
@@ -199,6 +199,7 @@
     waiting.dispatched = m_now;
     waiting.wasSent = false;
     waiting.responded = false;
+    waiting.silentSince.reset();
     target.inFlight.insert(taken.number);
     ++service.inFlight;
     ++m_inFlightPrints[taken.print];
--- a/src/routing/engine.h
+++ b/src/routing/engine.h
@@ -50,6 +50,8 @@
     bool wasSent = false;
     bool reusedConnection = false;
     bool responded = false;
+    /// Start of the first probe of this attempt that showed its connection as silent.
+    std::optional<instant> silentSince;
     bool callerGone = false;
     /// An earlier attempt may have run.
     bool mayHaveRun = false;
@@ -227,6 +229,7 @@
     void checkLate(target_state& target);
     [[nodiscard]] instant lateAt(const pending& inFlight) const;
     void endSilent(target_state& target, instant probeStarted, bool targetIsIdle);
+    [[nodiscard]] static bool isSilent(pending& suspect, instant probeStarted);
     void endFrozen(target_state& target);
     void releaseAwaiting(target_state& target);
     void releaseAwaiting(target_state& target, pending& waiting);
--- a/src/routing/health.cc
+++ b/src/routing/health.cc
@@ -9,6 +9,7 @@
 constexpr double errorShareToEject = 0.5;
 constexpr double errorShareUsualMax = 0.2;
 constexpr unsigned errorSamplesMin = 10;
+constexpr duration silenceConfirmed = std::chrono::seconds(2);
 constexpr duration lostAttemptsKept = std::chrono::seconds(10);
 constexpr double trustLossOnShed = 0.8;
 constexpr double trustLossOnUnderReport = 0.9;
@@ -270,10 +271,12 @@
 {
     std::vector<request_number> silent;
     for (const request_number number : target.inFlight) {
-        const pending& inFlight = m_requests.at(number);
+        pending& inFlight = m_requests.at(number);
         const bool noAnswer = inFlight.wasSent && !inFlight.responded;
         const bool isSuspect = inFlight.reusedConnection || targetIsIdle;
-        if (noAnswer && isSuspect && lateAt(inFlight) <= probeStarted)
+        if (!noAnswer || !isSuspect || probeStarted < lateAt(inFlight))
+            inFlight.silentSince.reset();
+        else if (isSilent(inFlight, probeStarted))
             silent.push_back(number);
     }
     if (silent.empty())
@@ -288,6 +291,17 @@
     }
 }
 
+// A busy target may answer a probe before it reads a request that arrived earlier. One that may not
+// be repeated ends only if a later probe shows the same.
+bool engine::isSilent(pending& suspect, instant probeStarted)
+{
+    if (suspect.taken.repeatable)
+        return true;
+    if (!suspect.silentSince)
+        suspect.silentSince = probeStarted;
+    return probeStarted - *suspect.silentSince >= silenceConfirmed;
+}
+
 // An ejected target answers nothing new; what may run again does so elsewhere.
 void engine::endFrozen(target_state& target)
 {
--- a/test/routing-health-test.cc
+++ b/test/routing-health-test.cc
@@ -282,6 +282,12 @@
     test.sent(first, test.now - 5s);
     test.run(550ms);
     test.probed(first.target.value(), alive(firstRun));
+    // One probe may be answered by a busy target before it reads an earlier request.
+    test.run(1500ms);
+    test.probed(first.target.value(), alive(firstRun));
+    cr_assert_not(test.refusal(number));
+    test.run(1500ms);
+    test.probed(first.target.value(), alive(firstRun));
     test.run(50ms);
     cr_assert(test.refusal(number)->certainty == outcome::Unknown);
     cr_assert(test.refusal(number)->reason == refusal_reason::ConnectionSilent);
