Confirm a route version only when no older owner runs a request

Cause: serve confirmed the newest assignment for route leases as soon as it had it, also while its own request to a moved slice's older owner was in flight. Targets that check no tokens then ran one key at two places.

Ruled out: keeping the requests in the router (an abandoned or timed-out attempt leaves it, but may still run); counting an attempt when the router decides (another assignment could be confirmed between the look-up and the count); waiting for the deadline after each closed connection (a key of a killed target would wait 10 s in place of the target's lease); withholding the lease from a host that has not drained (its request would outlast the lease, on which the holder goes).

Change: forwarded_requests, pure, counts attempts with key and owner and names the version that may be confirmed. The directory holds it beside the route table and, under one lock, looks the route up again just before an attempt goes out; a route that has changed ends the attempt as not run. The answer to a renewal also names the newest version that the host has, so that a host which waits for its requests keeps its lease of the version before. An attempt without a whole answer counts for one target lease after its connection was closed. Hosts of before this change name no such version and are taken at their confirmed one.

--- a/include/pimentomast/ownership.h
+++ b/include/pimentomast/ownership.h
@@ -227,15 +227,18 @@
     request_number request;
     host_id host;
 };
-/// Answer to renew_route: the host's run, its own clock, and the newest assignment that it has.
-/// Precondition: the host names a version only once no request that it forwarded to an older owner
-/// of a slice is still in flight; until then it names the version before.
+/// Answer to renew_route: the host's run, its own clock, and the version that it confirms.
+/// Precondition: the host confirms a version only once no request that it forwarded to an older
+/// owner of a slice is still in flight (see forwarded_requests); until then it names the version
+/// before.
 struct route_acknowledged {
     request_number request;
     host_id host;
     incarnation run;
     std::uint64_t clockUs = 0;
     token version;
+    /// Newest assignment that the host has; lower than version: the same.
+    token known;
 };
 /// The targets of the service, from the operators' table.
 struct table_changed {
@@ -453,6 +456,7 @@
 
     /// Whether requests need a route lease: some target of the service does not check tokens.
     void requireLease(bool required) noexcept { m_leaseRequired = required; }
+    [[nodiscard]] bool leaseRequired() const noexcept { return m_leaseRequired; }
     /// Extends the route lease. It covers the slices whose token is not above its version. It is
     /// ignored if it is for another run of this host, an older epoch, or an assignment not yet
     /// here.
@@ -475,4 +479,39 @@
     instant m_leaseUntil {};
 };
 
+/// One attempt of one request of this host.
+struct forward_id {
+    std::uint64_t request = 0;
+    unsigned attempt = 0;
+
+    auto operator<=>(const forward_id&) const = default;
+};
+
+/// Requests of one service that this host forwarded and that may still run at their targets, for
+/// services with targets that do not check tokens.
+class forwarded_requests {
+public:
+    /// The attempt goes out to the key's owner.
+    void begin(forward_id attempt, key_hash key, const target_id& owner);
+    /// The attempt was answered whole, or was certainly not run. Unknown ones are ignored.
+    void end(forward_id attempt);
+    /// The attempt's connection was closed without a whole answer; the target may run it until then
+    /// at most. Unknown ones are ignored.
+    void giveUp(forward_id attempt, instant until);
+    /// Returns the version that this host may confirm: the assignment's own if it gives each key in
+    /// flight to the target that was sent the request, otherwise the one that was returned last.
+    /// Precondition: no assignment has a lower version than one passed before.
+    [[nodiscard]] token confirm(instant now, const assignment& newest);
+
+private:
+    struct forwarded {
+        key_hash key;
+        target_id owner;
+        instant until = instant::max();
+    };
+
+    std::map<forward_id, forwarded> m_running;
+    token m_confirmed;
+};
+
 } // namespace pimentomast::ownership
--- a/src/ownership/coordinator_impl.h
+++ b/src/ownership/coordinator_impl.h
@@ -91,7 +91,8 @@
     instant clockReceived {};
     request_number answered;
     request_number lastSent;
-    /// Newest assignment that the host has.
+    /// Newest assignment that the host has, and the newest under which all of its requests run.
+    token known;
     token confirmed;
     /// When every route lease that it was given has run out.
     instant leaseEnds {};
--- a/src/ownership/routes.cc
+++ b/src/ownership/routes.cc
@@ -61,11 +61,13 @@
     message.host = host.host;
     message.run = state.run;
     // A host that lacks the newest assignment gets no lease, so that its older one runs out. One
-    // that the row does not name gets none, so that a new coordinator knows whom to ask.
-    const bool confirmed = state.confirmed >= m_assignment->version();
+    // that has it keeps its lease of the version before while requests to older owners run, since
+    // these would outlast the lease. One that the row does not name gets none, so that a new
+    // coordinator knows whom to ask.
+    const bool isCurrent = state.known >= m_assignment->version();
     const bool named = std::any_of(m_row.witnesses.begin(), m_row.witnesses.end(),
         [&](const auto& each) { return each.host == host.host; });
-    if (confirmed && named && state.run != incarnation {}) {
+    if (isCurrent && named && state.run != incarnation {}) {
         message.version = m_leasable;
         message.echoUs = state.clockUs;
         message.lease = times.routeLease;
@@ -91,6 +93,7 @@
     state.clockUs = happened.clockUs;
     state.clockReceived = now;
     state.confirmed = happened.version;
+    state.known = std::max(happened.known, happened.version);
 }
 
 } // namespace pimentomast::ownership
--- a/src/serve/control.cc
+++ b/src/serve/control.cc
@@ -357,11 +357,11 @@
 
 void control::renewOwnRoute(const service_id& service, const ownership::renew_route& order)
 {
-    m_routes.renewRoute(service, order);
-    const auto reading = clockUs(monotonic_clock::now());
+    const auto now = monotonic_clock::now();
+    const auto versions = m_routes.renewRoute(now, service, order);
     deliver(service,
-        ownership::route_acknowledged {
-            order.request, order.host, m_options.self.run, reading, m_routes.version(service) });
+        ownership::route_acknowledged { order.request, order.host, m_options.self.run, clockUs(now),
+            versions.confirmed, versions.known });
 }
 
 void control::perform(const service_id& service, const ownership::renew_route& order)
@@ -378,10 +378,7 @@
             if (!reply)
                 return;
             const auto& answer = reply.value();
-            const token version { epoch { answer.epoch() }, sequence { answer.sequence() } };
-            deliver(service,
-                ownership::route_acknowledged { order.request, order.host,
-                    incarnation { answer.incarnation() }, answer.clock_us(), version });
+            deliver(service, fromWire(answer, order));
         });
 }
 
--- a/src/serve/directory.cc
+++ b/src/serve/directory.cc
@@ -27,7 +27,7 @@
     }
 };
 
-bool needsRouteLease(const table::table& rows, const service_id& service)
+bool hasUncheckedTarget(const table::table& rows, const service_id& service)
 {
     return std::any_of(rows.targets.begin(), rows.targets.end(),
         [&](const auto& target) { return target.service == service && !target.checksTokens; });
@@ -64,7 +64,7 @@
     const std::unique_lock guard(m_lock);
     m_rows = std::move(rows);
     for (auto& [service, known] : m_services)
-        known.routes.requireLease(needsRouteLease(*m_rows, service));
+        known.routes.requireLease(hasUncheckedTarget(*m_rows, service));
 }
 
 bool directory::putAssignment(const ownership::assignment& newer, const host_id& coordinator)
@@ -72,7 +72,7 @@
     const std::unique_lock guard(m_lock);
     auto& known = m_services[newer.service];
     if (m_rows)
-        known.routes.requireLease(needsRouteLease(*m_rows, newer.service));
+        known.routes.requireLease(hasUncheckedTarget(*m_rows, newer.service));
     if (!known.routes.take(newer))
         return false;
     known.coordinator = coordinator;
@@ -109,10 +109,49 @@
     m_services[service].routes.hold(range, version, until);
 }
 
-void directory::renewRoute(const service_id& service, const ownership::renew_route& renewal)
+route_versions directory::renewRoute(
+    instant now, const service_id& service, const ownership::renew_route& renewal)
 {
     const std::unique_lock guard(m_lock);
-    m_services[service].routes.renew(renewal, m_self);
+    auto& known = m_services[service];
+    known.routes.renew(renewal, m_self);
+    const auto* newest = known.routes.current();
+    if (!newest)
+        return {};
+    return { newest->version(), known.forwarded.confirm(now, *newest) };
+}
+
+bool directory::needsRouteLease(const service_id& service) const
+{
+    const std::shared_lock guard(m_lock);
+    const auto found = m_services.find(service);
+    return found != m_services.end() && found->second.routes.leaseRequired();
+}
+
+bool directory::beginForward(instant now, const service_id& service, key_hash key,
+    const ownership::forward_id& attempt, const ownership::route& to)
+{
+    const std::unique_lock guard(m_lock);
+    auto& known = m_services[service];
+    const auto outcome = known.routes.find(key, now);
+    const auto* found = std::get_if<ownership::route>(&outcome);
+    if (!found || found->owner != to.owner || found->grant != to.grant)
+        return false;
+    known.forwarded.begin(attempt, key, to.owner);
+    return true;
+}
+
+void directory::endForward(const service_id& service, const ownership::forward_id& attempt)
+{
+    const std::unique_lock guard(m_lock);
+    m_services[service].forwarded.end(attempt);
+}
+
+void directory::giveUpForward(
+    instant now, const service_id& service, const ownership::forward_id& attempt)
+{
+    const std::unique_lock guard(m_lock);
+    m_services[service].forwarded.giveUp(attempt, now + m_cancelLimit);
 }
 
 void directory::describe(wire::Digest& digest) const
--- a/src/serve/directory.h
+++ b/src/serve/directory.h
@@ -12,12 +12,21 @@
 
 namespace pimentomast::serve::detail {
 
+/// What a host says of a service's assignments when its route lease is renewed.
+struct route_versions {
+    token known;
+    /// No request to an older owner may still run.
+    token confirmed;
+};
+
 /// The configuration and the assignments that are in force on this host. Thread-safe; its lock is
 /// innermost: no other lock is taken while it is held.
 class directory : public routing::owner_lookup {
 public:
-    explicit directory(incarnation self)
+    /// A request whose connection was closed is taken to run at its target for cancelLimit more.
+    directory(incarnation self, duration cancelLimit)
         : m_self(self)
+        , m_cancelLimit(cancelLimit)
     {
     }
 
@@ -39,7 +48,20 @@
     /// Returns the host that committed the newest assignment; empty if unknown.
     [[nodiscard]] host_id coordinator(const service_id& service) const;
     void hold(const service_id& service, slice range, token version, instant until);
-    void renewRoute(const service_id& service, const ownership::renew_route& renewal);
+    /// Renews the route lease and returns what to answer.
+    route_versions renewRoute(
+        instant now, const service_id& service, const ownership::renew_route& renewal);
+
+    /// Whether requests of the service go out under a route lease.
+    [[nodiscard]] bool needsRouteLease(const service_id& service) const;
+    /// Counts an attempt as in flight if its route still holds; returns whether it does.
+    [[nodiscard]] bool beginForward(instant now, const service_id& service, key_hash key,
+        const ownership::forward_id& attempt, const ownership::route& to);
+    /// The attempt was answered whole, or was certainly not run.
+    void endForward(const service_id& service, const ownership::forward_id& attempt);
+    /// The attempt's connection was closed now, without a whole answer.
+    void giveUpForward(
+        instant now, const service_id& service, const ownership::forward_id& attempt);
 
     /// Adds the versions of all assignments to a digest.
     void describe(wire::Digest& digest) const;
@@ -49,11 +71,13 @@
 private:
     struct entry {
         ownership::route_table routes;
+        ownership::forwarded_requests forwarded;
         host_id coordinator;
     };
 
     mutable std::shared_mutex m_lock;
     incarnation m_self;
+    duration m_cancelLimit;
     std::shared_ptr<const table::table> m_rows;
     std::map<service_id, entry> m_services;
 };
--- a/src/serve/dispatch.cc
+++ b/src/serve/dispatch.cc
@@ -3,7 +3,7 @@
 namespace pimentomast::serve::detail {
 
 result<std::unique_ptr<dispatch>> dispatch::create(
-    const routing::options& settings, const directory& owners, crash_listener listener)
+    const routing::options& settings, directory& owners, crash_listener listener)
 {
     auto decisions = proxy::routed_dispatcher::create(settings, owners, std::move(listener));
     if (!decisions)
@@ -11,8 +11,9 @@
     return std::unique_ptr<dispatch>(new dispatch(owners, std::move(decisions).value()));
 }
 
-dispatch::dispatch(const directory& owners, std::unique_ptr<proxy::routed_dispatcher> decisions)
+dispatch::dispatch(directory& owners, std::unique_ptr<proxy::routed_dispatcher> decisions)
     : m_owners(owners)
+    , m_forwards(owners)
     , m_decisions(std::move(decisions))
 {
 }
@@ -31,36 +32,49 @@
 void dispatch::submit(const proxy::request_facts& facts, proxy::dispatch_sink& sink)
 {
     count(facts);
-    m_decisions->submit(facts, sink);
+    m_forwards.add(facts);
+    tracking_sink tracked(m_forwards, *this, sink);
+    m_decisions->submit(facts, tracked);
 }
 
 void dispatch::sent(
     proxy::request_id id, unsigned attempt, instant opened, proxy::dispatch_sink& sink)
 {
-    m_decisions->sent(id, attempt, opened, sink);
+    tracking_sink tracked(m_forwards, *this, sink);
+    m_decisions->sent(id, attempt, opened, tracked);
 }
 
 void dispatch::responded(proxy::request_id id, unsigned attempt, proxy::dispatch_sink& sink)
 {
-    m_decisions->responded(id, attempt, sink);
+    tracking_sink tracked(m_forwards, *this, sink);
+    m_decisions->responded(id, attempt, tracked);
 }
 
 void dispatch::ended(const proxy::attempt& finished, proxy::dispatch_sink& sink)
 {
-    m_decisions->ended(finished, sink);
+    m_forwards.end(finished);
+    tracking_sink tracked(m_forwards, *this, sink);
+    m_decisions->ended(finished, tracked);
 }
 
 void dispatch::cancelled(proxy::request_id id, proxy::dispatch_sink& sink)
 {
-    m_decisions->cancelled(id, sink);
+    m_forwards.forget(id);
+    tracking_sink tracked(m_forwards, *this, sink);
+    m_decisions->cancelled(id, tracked);
 }
 
 void dispatch::probed(const proxy::probe_report& report, proxy::dispatch_sink& sink)
 {
-    m_decisions->probed(report, sink);
+    tracking_sink tracked(m_forwards, *this, sink);
+    m_decisions->probed(report, tracked);
 }
 
-void dispatch::attach(proxy::dispatch_sink& sink) { m_decisions->attach(sink); }
+void dispatch::attach(proxy::dispatch_sink& sink)
+{
+    m_attached = std::make_unique<tracking_sink>(m_forwards, *this, sink);
+    m_decisions->attach(*m_attached);
+}
 
 void dispatch::detach() { m_decisions->detach(); }
 
--- a/src/serve/dispatch.h
+++ b/src/serve/dispatch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "directory.h"
+#include "forward_tracker.h"
 #include "load.h"
 #include "pimentomast/proxy.h"
 #include "pimentomast/routing.h"
@@ -9,10 +10,11 @@
 
 namespace pimentomast::serve::detail {
 
-/// Joins the proxy's dispatcher to this host's directory, and counts load.
+/// Joins the proxy's dispatcher to this host's directory, counts load, and tracks what is in
+/// flight.
 ///
-/// Thread-safe. Lock order: router, then directory; the load's lock is taken alone. No lock is held
-/// while the sink or a handler is called.
+/// Thread-safe. Lock order: router, then directory; the load's and the tracker's locks are taken
+/// alone. No lock is held while the sink or a handler is called.
 class dispatch : public proxy::dispatcher {
 public:
     /// Tells the other hosts of a crash. Must not block.
@@ -20,7 +22,7 @@
 
     /// Fails on settings out of range. owners must outlive the object.
     [[nodiscard]] static result<std::unique_ptr<dispatch>> create(
-        const routing::options& settings, const directory& owners, crash_listener listener);
+        const routing::options& settings, directory& owners, crash_listener listener);
 
     void submit(const proxy::request_facts& facts, proxy::dispatch_sink& sink) override;
     void sent(proxy::request_id id, unsigned attempt, instant opened,
@@ -48,10 +50,12 @@
     [[nodiscard]] std::vector<wire::ServiceLoad> takeLoads(instant now);
 
 private:
-    dispatch(const directory& owners, std::unique_ptr<proxy::routed_dispatcher> decisions);
+    dispatch(directory& owners, std::unique_ptr<proxy::routed_dispatcher> decisions);
     void count(const proxy::request_facts& facts);
 
     const directory& m_owners;
+    forward_tracker m_forwards;
+    std::unique_ptr<tracking_sink> m_attached;
     std::unique_ptr<proxy::routed_dispatcher> m_decisions;
     std::mutex m_loadLock;
     load_meter m_load;
--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -52,7 +52,7 @@
     : m_values(values)
     , m_run(drawIncarnation())
     , m_store(platform::connect({ values.platform.address, values.platform.timeoutMs }).value())
-    , m_directory(m_run)
+    , m_directory(m_run, values.ownership.targetLeaseMs)
     , m_announcing(*m_store, [this](config_version version, const std::string& value) {
         m_spread->announce(version, value);
     })
@@ -267,13 +267,15 @@
 peers::wire::RouteRenewalReply node::renewRoute(const peers::wire::RouteRenewal& renewal)
 {
     const service_id service { renewal.service() };
-    m_directory.renewRoute(service, fromWire(renewal));
-    const auto version = m_directory.version(service);
+    const auto now = monotonic_clock::now();
+    const auto versions = m_directory.renewRoute(now, service, fromWire(renewal));
     peers::wire::RouteRenewalReply reply;
     reply.set_incarnation(m_run.value());
-    reply.set_clock_us(clockUs(monotonic_clock::now()));
-    reply.set_epoch(version.coordinator.value());
-    reply.set_sequence(version.assignment.value());
+    reply.set_clock_us(clockUs(now));
+    reply.set_epoch(versions.confirmed.coordinator.value());
+    reply.set_sequence(versions.confirmed.assignment.value());
+    reply.set_known_epoch(versions.known.coordinator.value());
+    reply.set_known_sequence(versions.known.assignment.value());
     return reply;
 }
 
--- a/src/serve/wire.cc
+++ b/src/serve/wire.cc
@@ -97,6 +97,19 @@
     return renewal;
 }
 
+ownership::route_acknowledged fromWire(
+    const wire::RouteRenewalReply& message, const ownership::renew_route& asked)
+{
+    ownership::route_acknowledged answer;
+    answer.request = asked.request;
+    answer.host = asked.host;
+    answer.run = incarnation { message.incarnation() };
+    answer.clockUs = message.clock_us();
+    answer.version = { epoch { message.epoch() }, sequence { message.sequence() } };
+    answer.known = { epoch { message.known_epoch() }, sequence { message.known_sequence() } };
+    return answer;
+}
+
 std::uint64_t clockUs(instant now) noexcept
 {
     return static_cast<std::uint64_t>(now.time_since_epoch().count());
--- a/src/serve/wire.h
+++ b/src/serve/wire.h
@@ -20,6 +20,9 @@
 [[nodiscard]] wire::RouteRenewal toWire(
     const service_id& service, const ownership::renew_route& renewal);
 [[nodiscard]] ownership::renew_route fromWire(const wire::RouteRenewal& message);
+/// Returns a host's answer to the renewal.
+[[nodiscard]] ownership::route_acknowledged fromWire(
+    const wire::RouteRenewalReply& message, const ownership::renew_route& asked);
 
 /// Returns the clock's reading in microseconds, as route leases carry it.
 [[nodiscard]] std::uint64_t clockUs(instant now) noexcept;
--- a/test/failure-ownership-test.cc
+++ b/test/failure-ownership-test.cc
@@ -205,6 +205,8 @@
     const auto owner = system.ownerOf("weights", "k0");
     const std::size_t coordinator = system.coordinatorOf("weights") == "h1" ? 0 : 1;
     const std::size_t other = 1 - coordinator;
+    // A target that seemed idle would make the host give the late request up.
+    system.targetFault(owner, R"({"wrong_running":1})");
     system.cut("target/" + owner, "drop-forward", system.hosts()[other].running.id());
     auto late = post(system, other, "request=late&service_ms=500");
     std::this_thread::sleep_for(milliseconds(500));
@@ -214,10 +216,10 @@
     // The next request may start only after the late one, so this usually waits to its limit.
     (void)waitUntil([&] { return hasRun(system, "request=next"); }, longerThanLease);
     system.cut("target/" + owner, "pass", system.hosts()[other].running.id());
-    // A probe that was late too may have had the host give the late request up.
-    (void)late.get();
+    const auto lateReply = late.get();
     const auto nextReply = next.get();
     expectOneTargetAtATime(system);
+    cr_assert(lateReply.status == 200, "%d %s", lateReply.status, lateReply.body.c_str());
     cr_assert(nextReply.status == 200, "%d %s", nextReply.status, nextReply.body.c_str());
     cr_assert(jsonField(nextReply.body, "target") != owner);
 }
--- a/test/ownership-world.h
+++ b/test/ownership-world.h
@@ -453,7 +453,7 @@
         host.routes.renew(todo, host.id.run);
         const auto clock = hostTime(host).time_since_epoch().count();
         const route_acknowledged answer { todo.request, host.id.host, host.id.run,
-            static_cast<std::uint64_t>(clock), host.routes.version() };
+            static_cast<std::uint64_t>(clock), host.routes.version(), host.routes.version() };
         send(other, index, [=, this] { give(index, run, answer); });
     }
 
