--- a/src/ownership/routes.cc
+++ b/src/ownership/routes.cc
@@ -34,7 +34,7 @@
         return own;
     return std::all_of(m_earlierRoutes.begin(), m_earlierRoutes.end(), [&](const auto& host) {
         const auto found = m_routes.find(host);
-        return found != m_routes.end() && found->second.confirmed.coordinator == m_row.number;
+        return found != m_routes.end() && found->second.confirmed >= m_assignment->version();
     });
 }
 
