--- a/test/ownership-history-test.cc
+++ b/test/ownership-history-test.cc
@@ -170,10 +170,17 @@
     return true;
 }
 
-bool checkHistories(bool checksTokens)
+/// Two clocks drift apart by 18 ms at most over authority and a lease, which is within the margin.
+constexpr double allowedDrift = 0.004;
+constexpr double excessiveDrift = 0.2;
+constexpr std::uint64_t mostSeeds = 200;
+
+bool checkHistories(bool checksTokens, double drift = 0)
 {
-    return rc::check([checksTokens](std::uint64_t seed) {
-        world system(optionsFor(seed, checksTokens));
+    return rc::check([checksTokens, drift](std::uint64_t seed) {
+        auto chosen = optionsFor(seed, checksTokens);
+        chosen.drift = drift;
+        world system(chosen);
         randomHistory(system);
         heal(system);
         if (!system.violation.empty())
@@ -193,3 +200,24 @@
 {
     cr_assert(checkHistories(false));
 }
+
+Test(ownership_history, never_two_owners_while_clocks_drift_within_the_margin)
+{
+    cr_assert(checkHistories(true, allowedDrift));
+    cr_assert(checkHistories(false, allowedDrift));
+}
+
+Test(ownership_history, clocks_that_drift_far_beyond_the_margin_give_two_owners)
+{
+    for (const bool checksTokens : { true, false }) {
+        std::uint64_t seed = 1;
+        for (std::string violation; violation.empty(); ++seed) {
+            cr_assert_leq(seed, mostSeeds, "no counterexample");
+            auto chosen = optionsFor(seed, checksTokens);
+            chosen.drift = excessiveDrift;
+            world system(chosen);
+            randomHistory(system);
+            violation = system.violation;
+        }
+    }
+}
--- a/test/ownership-world.h
+++ b/test/ownership-world.h
@@ -28,6 +28,8 @@
     int targets = 3;
     bool checksTokens = true;
     timings times;
+    /// Each clock runs faster or slower than true time by at most this part.
+    double drift = 0;
 };
 
 struct faults {
@@ -39,10 +41,16 @@
     std::set<std::pair<int, int>> cuts;
 };
 
+inline std::int64_t scaled(std::int64_t now, double rate)
+{
+    return static_cast<std::int64_t>(static_cast<double>(now) * rate);
+}
+
 struct fake_target {
     target_id id;
     incarnation run { 1 };
     std::int64_t clockOffsetUs = 0;
+    double rate = 1;
     std::int64_t frozenUntil = 0;
     epoch highest;
     sequence last;
@@ -52,7 +60,7 @@
     std::int64_t leaseEndsUs = 0;
     std::vector<held_slice> held;
 
-    std::int64_t clock(std::int64_t now) const { return now + clockOffsetUs; }
+    std::int64_t clock(std::int64_t now) const { return scaled(now, rate) + clockOffsetUs; }
     bool holds(std::int64_t now, key_hash hash) const
     {
         return clock(now) < leaseEndsUs
@@ -64,6 +72,7 @@
 struct fake_host {
     host_run id;
     std::int64_t clockOffsetUs = 0;
+    double rate = 1;
     std::int64_t pausedUntil = 0;
     std::optional<coordinator> decisions;
     route_table routes;
@@ -79,6 +88,7 @@
             fake_target target;
             target.id = target_id { "t" + std::to_string(i) };
             target.clockOffsetUs = between(1'000'000, 90'000'000);
+            target.rate = drawRate();
             targets.push_back(std::move(target));
         }
         hosts.resize(static_cast<std::size_t>(chosen.hosts));
@@ -123,6 +133,7 @@
         host = {};
         host.id = { host_id { "h" + std::to_string(index) }, incarnation { ++m_runs } };
         host.clockOffsetUs = between(0, 50'000'000);
+        host.rate = drawRate();
         host.decisions.emplace(
             coordinator::create({ service, host.id, m_runs << 32U, m_options.times }).value());
         tellTable(index);
@@ -190,7 +201,7 @@
 
     instant hostTime(const fake_host& host) const
     {
-        return instant { std::chrono::microseconds(now + host.clockOffsetUs) };
+        return instant { std::chrono::microseconds(scaled(now, host.rate) + host.clockOffsetUs) };
     }
 
 private:
@@ -198,6 +209,13 @@
 
     void at(std::int64_t when, job todo) { m_queue.emplace(when, std::move(todo)); }
 
+    double drawRate()
+    {
+        const double drift = m_options.drift;
+        return drift > 0 ? std::uniform_real_distribution<double>(1 - drift, 1 + drift)(m_random)
+                         : 1;
+    }
+
     std::int64_t delay()
     {
         return chance(current.longDelay) ? between(10'000, 3'000'000) : between(500, 5'000);
