--- a/test/ownership-parties.h
+++ b/test/ownership-parties.h
@@ -24,6 +24,8 @@
     int targets = 3;
     bool checksTokens = true;
     timings times;
+    /// Each clock runs faster or slower than true time by at most this part.
+    double drift = 0;
 };
 
 struct faults {
@@ -35,10 +37,16 @@
     std::set<std::pair<int, int>> cuts;
 };
 
+inline std::int64_t scaled(std::int64_t now, double rate)
+{
+    return static_cast<std::int64_t>(static_cast<double>(now) * rate);
+}
+
 struct fake_target {
     target_id id;
     incarnation run { 1 };
     std::int64_t clockOffsetUs = 0;
+    double rate = 1;
     std::int64_t frozenUntil = 0;
     epoch highest;
     sequence last;
@@ -48,7 +56,7 @@
     std::int64_t leaseEndsUs = 0;
     std::vector<held_slice> held;
 
-    std::int64_t clock(std::int64_t now) const { return now + clockOffsetUs; }
+    std::int64_t clock(std::int64_t now) const { return scaled(now, rate) + clockOffsetUs; }
     bool holds(std::int64_t now, key_hash hash) const
     {
         return clock(now) < leaseEndsUs
@@ -94,6 +102,7 @@
 struct fake_host {
     host_run id;
     std::int64_t clockOffsetUs = 0;
+    double rate = 1;
     std::int64_t pausedUntil = 0;
     std::optional<coordinator> decisions;
     route_table routes;
--- a/test/ownership-world.h
+++ b/test/ownership-world.h
@@ -20,6 +20,7 @@
             fake_target target;
             target.id = target_id { "t" + std::to_string(i) };
             target.clockOffsetUs = between(1'000'000, 90'000'000);
+            target.rate = drawRate();
             targets.push_back(std::move(target));
         }
         hosts.resize(static_cast<std::size_t>(chosen.hosts));
@@ -64,6 +65,7 @@
         host = {};
         host.id = { host_id { "h" + std::to_string(index) }, incarnation { ++m_runs } };
         host.clockOffsetUs = between(0, 50'000'000);
+        host.rate = drawRate();
         host.decisions.emplace(
             coordinator::create({ service, host.id, m_runs << 32U, m_options.times }).value());
         tellTable(index);
@@ -132,7 +134,7 @@
 
     instant hostTime(const fake_host& host) const
     {
-        return instant { std::chrono::microseconds(now + host.clockOffsetUs) };
+        return instant { std::chrono::microseconds(scaled(now, host.rate) + host.clockOffsetUs) };
     }
 
 private:
@@ -140,6 +142,13 @@
 
     void at(std::int64_t when, job todo) { m_queue.emplace(when, std::move(todo)); }
 
+    double drawRate()
+    {
+        const double drift = m_options.drift;
+        return drift > 0 ? std::uniform_real_distribution<double>(1 - drift, 1 + drift)(m_random)
+                         : 1;
+    }
+
     std::int64_t delay()
     {
         return chance(current.longDelay) ? between(10'000, 3'000'000) : between(500, 5'000);
@@ -368,7 +377,7 @@
         host.routes.renew(todo, host.id.run);
         const auto clock = hostTime(host).time_since_epoch().count();
         const route_acknowledged answer { todo.request, host.id.host, host.id.run,
-            static_cast<std::uint64_t>(clock), host.routes.version() };
+            static_cast<std::uint64_t>(clock), host.routes.version(), host.routes.version() };
         send(other, index, [=, this] { give(index, run, answer); });
     }
 
