Give an isolated coordinator an assignment that differs in failure-ownership-test

Cause: trials in which a coordinator kept its authority for ever and targets took grants of an older epoch were not noticed, since the isolated coordinator granted the same slices to the same targets.

Change: once another host coordinates, the owner of k0 is marked as leaving, so that slices move under the new coordinator alone. Stricter only.

--- a/test/failure-ownership-test.cc
+++ b/test/failure-ownership-test.cc
@@ -127,9 +127,12 @@
 {
     scenario run(threeKeyedTargets(), weightsLoad(9));
     const auto coordinator = run.system.coordinatorOf("weights");
+    const auto owner = run.system.ownerOf("weights", "k0");
     run.system.isolateHost(coordinator, "drop-both");
     expectNewCoordinator(run.system, coordinator);
-    std::this_thread::sleep_for(longerThanLease);
+    // Now the isolated coordinator's assignment differs from the one in force.
+    cr_assert(run.system.apply(run.system.table({ owner }), 1) == 0);
+    std::this_thread::sleep_for(2 * longerThanLease);
     run.system.isolateHost(coordinator, "pass");
     run.finish();
 }
