Let the cutter find the process of gRPC's connections

Cause: in a trial without its authority's end an isolated coordinator still learned of the newer epoch from a witness. The cutter looked for the process of a connection in the kernel's table of IPv4 sockets alone, but gRPC reaches IPv4 addresses through IPv6 sockets: what an isolated host sent to its peers was never cut.

Change: the table of IPv6 sockets is read too.

Tests: coordinator_is_isolated_but_reaches_its_targets and host_is_cut_off_and_comes_back pass.

--- a/test/stand-ins/cutter-sources.h
+++ b/test/stand-ins/cutter-sources.h
@@ -12,13 +12,14 @@
 /// Finds the process at the other end of a loopback connection.
 namespace stand_in {
 
-/// Returns the inode of the socket whose local port this is, or an empty string.
-inline std::string inodeOfPort(std::uint16_t port)
+/// Returns the inode of the socket whose local address is this in a table of the kernel, or an
+/// empty string.
+inline std::string inodeIn(const std::string& file, const std::string& address)
 {
     std::ostringstream text;
-    text << std::ifstream("/proc/net/tcp").rdbuf();
+    text << std::ifstream(file).rdbuf();
     const auto table = text.str();
-    const auto entry = table.find(": 0100007F:" + Poco::NumberFormatter::formatHex(port, 4) + " ");
+    const auto entry = table.find(": " + address + " ");
     if (entry == std::string::npos)
         return {};
     std::istringstream fields(table.substr(entry, table.find('\n', entry) - entry));
@@ -28,6 +29,15 @@
     return field;
 }
 
+/// Returns the inode of the socket whose local port this is, or an empty string. gRPC reaches IPv4
+/// addresses through IPv6 sockets, which have a table of their own.
+inline std::string inodeOfPort(std::uint16_t port)
+{
+    const auto address = "0100007F:" + Poco::NumberFormatter::formatHex(port, 4);
+    const auto found = inodeIn("/proc/net/tcp", address);
+    return found.empty() ? inodeIn("/proc/net/tcp6", "0000000000000000FFFF0000" + address) : found;
+}
+
 inline bool holdsSocket(pid_t process, const std::string& inode)
 {
     const auto wanted = "socket:[" + inode + "]";
