Compare both ports where the cutter looks for the process of a connection

Cause: an ended connection of the same caller's port stays in the kernel's table without an inode, and was taken for the living one; with tens of thousands of them, cuts by process missed connections.

Change: the table's line must have both addresses. Stricter only.

Tests: coordinator_is_isolated_but_reaches_its_targets, coordinator_without_store_*, and host_is_cut_off_and_comes_back pass.

--- a/test/stand-ins/cutter-sources.h
+++ b/test/stand-ins/cutter-sources.h
@@ -12,14 +12,14 @@
 /// Finds the process at the other end of a loopback connection.
 namespace stand_in {
 
-/// Returns the inode of the socket whose local address is this in a table of the kernel, or an
-/// empty string.
-inline std::string inodeIn(const std::string& file, const std::string& address)
+/// Returns the inode of the socket with these addresses in a table of the kernel, or an empty
+/// string.
+inline std::string inodeIn(const std::string& file, const std::string& addresses)
 {
     std::ostringstream text;
     text << std::ifstream(file).rdbuf();
     const auto table = text.str();
-    const auto entry = table.find(": " + address + " ");
+    const auto entry = table.find(": " + addresses + " ");
     if (entry == std::string::npos)
         return {};
     std::istringstream fields(table.substr(entry, table.find('\n', entry) - entry));
@@ -29,13 +29,19 @@
     return field;
 }
 
-/// Returns the inode of the socket whose local port this is, or an empty string. gRPC reaches IPv4
-/// addresses through IPv6 sockets, which have a table of their own.
-inline std::string inodeOfPort(std::uint16_t port)
+/// Returns the inode of the caller's socket of a loopback connection, or an empty string. Both
+/// ports are compared, since ended connections of the same caller's port stay in the table for a
+/// while. gRPC reaches IPv4 addresses through IPv6 sockets, which have a table of their own.
+inline std::string inodeOfCaller(const Poco::Net::StreamSocket& accepted)
 {
-    const auto address = "0100007F:" + Poco::NumberFormatter::formatHex(port, 4);
-    const auto found = inodeIn("/proc/net/tcp", address);
-    return found.empty() ? inodeIn("/proc/net/tcp6", "0000000000000000FFFF0000" + address) : found;
+    const auto loopback = [](const Poco::Net::SocketAddress& address) {
+        return "0100007F:" + Poco::NumberFormatter::formatHex(address.port(), 4);
+    };
+    const auto from = loopback(accepted.peerAddress());
+    const auto to = loopback(accepted.address());
+    const std::string mapped = "0000000000000000FFFF0000";
+    const auto found = inodeIn("/proc/net/tcp", from + " " + to);
+    return found.empty() ? inodeIn("/proc/net/tcp6", mapped + from + " " + mapped + to) : found;
 }
 
 inline bool holdsSocket(pid_t process, const std::string& inode)
@@ -64,7 +70,7 @@
         const std::lock_guard lock(m_mutex);
         if (m_processes.empty())
             return 0;
-        const auto inode = inodeOfPort(accepted.peerAddress().port());
+        const auto inode = inodeOfCaller(accepted);
         for (const auto process : m_processes)
             if (!inode.empty() && holdsSocket(process, inode))
                 return process;
