--- a/bench/proxy.cc
+++ b/bench/proxy.cc
@@ -21,8 +21,9 @@
 /// Requests per second, latency and CPU per request through one proxy, against going straight to
 /// the same target in the same run. Target and proxy are processes of their own.
 ///
-/// The target answers from one thread per connection, each with one read and one write, so that
-/// the comparison is with as little work as a target can do.
+/// The targets answer from one thread per connection, each with one read and one write, so that
+/// the comparison is with as little work as a target can do. With --router the proxy asks the real
+/// router, of a service without keys or of one whose owners are answered in the same process.
 namespace {
 
 using namespace pimentomast;
@@ -32,8 +33,13 @@
 constexpr std::string_view answerText
     = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 33\r\n\r\n"
       "{\"key\":\"g17\",\"weight_kg\":\"41.50\"}";
+constexpr std::string_view healthText
+    = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 60\r\n\r\n"
+      "{\"incarnation\":1,\"load\":{\"running\":1,\"queued\":0,\"slots\":64}}";
 
 struct settings {
+    std::string router = "none";
+    unsigned targets = 6;
     unsigned connections = 64;
     unsigned clientThreads = 2;
     unsigned seconds = 5;
@@ -91,12 +97,17 @@
 void answerForever(int connection)
 {
     std::array<char, 8192> head {};
-    while (recv(connection, head.data(), head.size(), 0) > 0)
-        send(connection, answerText.data(), answerText.size(), MSG_NOSIGNAL);
+    while (recv(connection, head.data(), head.size(), 0) > 0) {
+        const bool probed = std::string_view(head.data()).starts_with("GET /pimentomast");
+        const std::string_view text = probed ? healthText : answerText;
+        send(connection, text.data(), text.size(), MSG_NOSIGNAL);
+        if (probed)
+            break;
+    }
     close(connection);
 }
 
-[[noreturn]] void runTarget(int listener)
+void runTarget(int listener)
 {
     while (true) {
         const int connection = accept(listener, nullptr, nullptr);
@@ -105,18 +116,108 @@
     }
 }
 
-[[noreturn]] void runProxy(const settings& with, std::uint16_t targetPort, int portPipe)
+[[noreturn]] void runTargets(const std::vector<int>& listeners)
+{
+    for (const int listener : listeners)
+        std::thread(runTarget, listener).detach();
+    while (true)
+        pause();
+}
+
+using ports = std::vector<std::uint16_t>;
+
+target_id targetId(std::uint64_t number) { return target_id { "t" + std::to_string(number) }; }
+
+/// Spreads the keys over the targets.
+class spread_owners : public routing::owner_lookup {
+public:
+    explicit spread_owners(std::size_t targets)
+        : m_targets(targets)
+    {
+    }
+    routing::owner_answer find(instant, const service_id&, key_hash key) const override
+    {
+        return routing::owned_by { targetId(key.value() % m_targets),
+            token { epoch { 1 }, sequence { 1 } } };
+    }
+
+private:
+    std::size_t m_targets;
+};
+
+std::shared_ptr<table::table> rowsOf(const settings& with, const ports& targets)
 {
-    const endpoint target { "127.0.0.1", targetPort };
-    test::fixed_dispatcher dispatcher(
-        { { target_id { "t1" }, target, token { epoch { 1 }, sequence { 1 } }, 1000 } });
-    dispatcher.keepsResults = false;
+    auto rows = std::make_shared<table::table>(*test::proxyTable());
+    if (with.router == "unkeyed")
+        rows->services.back().key = table::no_source {};
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+        table::target_row row;
+        row.id = targetId(i);
+        row.service = service_id { "weights" };
+        row.address = { "127.0.0.1", targets[i] };
+        row.slots = 64;
+        row.connections = 64;
+        rows->targets.push_back(row);
+    }
+    return rows;
+}
+
+/// Decides as an entry host does, or by turns if there is no router.
+class decider {
+public:
+    decider(const settings& with, const ports& targets)
+        : m_owners(targets.size())
+        , m_rows(rowsOf(with, targets))
+        , m_fixed(destinations(targets))
+    {
+        m_fixed.keepsResults = false;
+        routing::options options;
+        options.workers = with.workers;
+        if (with.router != "none")
+            m_routed = proxy::routed_dispatcher::create(options, m_owners, {}).value();
+    }
+
+    proxy::dispatcher& get()
+    {
+        return m_routed ? static_cast<proxy::dispatcher&>(*m_routed) : m_fixed;
+    }
+
+    void start(proxy::server& server)
+    {
+        server.setTable(m_rows);
+        if (!m_routed)
+            return;
+        m_routed->attach(server.sink());
+        m_routed->setTable(*m_rows);
+        m_routed->call(
+            [](instant now, routing::router& router) { return router.applyLiveHosts(now, 1); });
+    }
+
+private:
+    static std::vector<proxy::destination> destinations(const ports& targets)
+    {
+        std::vector<proxy::destination> all;
+        for (std::size_t i = 0; i < targets.size(); ++i)
+            all.push_back({ targetId(i), { "127.0.0.1", targets[i] },
+                token { epoch { 1 }, sequence { 1 } }, 1000 });
+        return all;
+    }
+
+    spread_owners m_owners;
+    std::shared_ptr<const table::table> m_rows;
+    test::fixed_dispatcher m_fixed;
+    std::unique_ptr<proxy::routed_dispatcher> m_routed;
+};
+
+[[noreturn]] void runProxy(const settings& with, const ports& targets, int portPipe)
+{
+    decider decisions(with, targets);
     test::silent_observer observer;
     proxy::options options;
     options.workers = with.workers;
     options.pollers = with.pollers;
-    const auto server = proxy::server::start(options, dispatcher, observer).value();
-    server->setTable(test::proxyTable());
+    const auto server = proxy::server::start(options, decisions.get(), observer).value();
+    decisions.start(*server);
     const std::uint16_t port = server->address().port;
     (void)write(portPipe, &port, sizeof port);
     while (true)
@@ -166,6 +267,7 @@
 /// One connection of a client, which sends its next request at a set time or at once.
 struct lane {
     int socket = -1;
+    std::string request;
     std::string input;
     instant due;
     bool waiting = false;
@@ -176,13 +278,11 @@
     std::uint64_t wrong = 0;
 };
 
-const std::string requestText = "GET /weights/g17 HTTP/1.1\r\nHost: bench\r\n\r\n";
-
 void sendDue(lane& each, instant now, instant end)
 {
     if (each.waiting || each.due > now || now >= end)
         return;
-    (void)send(each.socket, requestText.data(), requestText.size(), MSG_NOSIGNAL);
+    (void)send(each.socket, each.request.data(), each.request.size(), MSG_NOSIGNAL);
     each.waiting = true;
 }
 
@@ -251,12 +351,14 @@
     std::uint64_t wrong = 0;
 };
 
-std::vector<lane> openLanes(const settings& with, std::uint16_t port, duration period)
+std::vector<lane> openLanes(const settings& with, const ports& servers, duration period)
 {
     std::vector<lane> lanes(with.connections / with.clientThreads);
     const instant start = monotonic_clock::now();
     for (std::size_t i = 0; i < lanes.size(); ++i) {
-        lanes[i].socket = connectTo(port);
+        lanes[i].socket = connectTo(servers[i % servers.size()]);
+        lanes[i].request
+            = "GET /weights/g" + std::to_string(i) + " HTTP/1.1\r\nHost: bench\r\n\r\n";
         lanes[i].due = start + period * static_cast<long>(i) / static_cast<long>(lanes.size());
     }
     return lanes;
@@ -283,7 +385,7 @@
 }
 
 /// rate zero: as many requests as the connections can carry.
-figures measure(const settings& with, std::uint16_t port, double rate)
+figures measure(const settings& with, const ports& servers, double rate)
 {
     const duration period
         = rate > 0 ? duration(static_cast<long>(1e6 * with.connections / rate)) : duration::zero();
@@ -293,8 +395,8 @@
     const instant start = monotonic_clock::now();
     const instant end = start + seconds(with.seconds);
     for (outcome& each : outcomes) {
-        threads.emplace_back([&with, &each, port, period, end] {
-            std::vector<lane> lanes = openLanes(with, port, period);
+        threads.emplace_back([&with, &each, &servers, period, end] {
+            std::vector<lane> lanes = openLanes(with, servers, period);
             each = drive(lanes, end, period);
             for (const lane& open : lanes)
                 close(open.socket);
@@ -313,12 +415,12 @@
               << std::flush;
 }
 
-void compare(const settings& with, const child& proxy, std::uint16_t targetPort,
+void compare(const settings& with, const child& proxy, const ports& targets,
     std::uint16_t proxyPort, const std::string& what, double rate)
 {
-    print(what + " straight", measure(with, targetPort, rate), 0);
+    print(what + " straight", measure(with, targets, rate), 0);
     const microseconds before = proxy.cpu();
-    const figures through = measure(with, proxyPort, rate);
+    const figures through = measure(with, { proxyPort }, rate);
     const double cpuUs = static_cast<double>((proxy.cpu() - before).count())
         / static_cast<double>(std::max<std::uint64_t>(through.requests, 1));
     print(what + " proxy", through, cpuUs);
@@ -338,6 +440,8 @@
     known.add_options()("proxy-cores", po::value(&with.proxyCores), "cores of the proxy");
     known.add_options()("workers", po::value(&with.workers), "workers of the proxy");
     known.add_options()("pollers", po::value(&with.pollers), "pollers of the proxy");
+    known.add_options()("router", po::value(&with.router), "none, keyed or unkeyed");
+    known.add_options()("targets", po::value(&with.targets), "targets");
     po::variables_map values;
     po::store(po::parse_command_line(count, arguments, known), values);
     po::notify(values);
@@ -352,22 +456,24 @@
 {
     constexpr unsigned targetCore = 0;
     constexpr unsigned targetCores = 2;
-    std::uint16_t targetPort = 0;
-    const int listener = listenOnFreePort(targetPort);
-    const child target(targetCore, targetCores, [&] { runTarget(listener); });
-    std::array<int, 2> ports {};
-    if (pipe(ports.data()) != 0)
+    ports targetPorts(with.targets);
+    std::vector<int> listeners;
+    for (std::uint16_t& port : targetPorts)
+        listeners.push_back(listenOnFreePort(port));
+    const child target(targetCore, targetCores, [&] { runTargets(listeners); });
+    std::array<int, 2> told {};
+    if (pipe(told.data()) != 0)
         throw std::runtime_error("pipe failed");
     const child proxy(
-        targetCore + targetCores, with.proxyCores, [&] { runProxy(with, targetPort, ports[1]); });
+        targetCore + targetCores, with.proxyCores, [&] { runProxy(with, targetPorts, told[1]); });
     std::uint16_t proxyPort = 0;
-    if (::read(ports[0], &proxyPort, sizeof proxyPort) != sizeof proxyPort)
+    if (::read(told[0], &proxyPort, sizeof proxyPort) != sizeof proxyPort)
         throw std::runtime_error("the proxy did not start");
     pin(targetCore + targetCores + with.proxyCores, with.clientThreads);
     std::cout << "what\trequests/s\tp50 us\tp99 us\tp99.9 us\tproxy CPU us/request\twrong\n";
     for (unsigned round = 0; round < with.rounds; ++round) {
-        compare(with, proxy, targetPort, proxyPort, "half load", with.rate);
-        compare(with, proxy, targetPort, proxyPort, "full load", 0);
+        compare(with, proxy, targetPorts, proxyPort, "half load", with.rate);
+        compare(with, proxy, targetPorts, proxyPort, "full load", 0);
     }
 }
 
