Give a job to the worker that became idle last

perf at 7,500 requests/s with the router: 16 % of the proxy's samples are in futex calls (5.7 % waking from contended locks), 21 % in task switches and spin unlocks of the kernel. The workers woke in turn, so 128 threads shared the work of two or three. Now the one that slept last gets the job, through a condition of its own.

--- a/src/proxy/worker-pool.h
+++ b/src/proxy/worker-pool.h
@@ -4,20 +4,27 @@
 #include <deque>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace pimentomast::proxy::detail {
 
 /// A fixed number of threads that take jobs in their order. Thread-safe.
+///
+/// The thread that became idle last gets the next job: few threads stay in use, whose stacks and
+/// buffers are still in the caches.
 template <class Job>
 class worker_pool {
 public:
     worker_pool(unsigned threads, std::function<void(Job)> run)
         : m_run(std::move(run))
+        , m_workers(threads)
     {
-        for (unsigned i = 0; i < threads; ++i)
-            m_threads.emplace_back([this] { work(); });
+        m_idle.reserve(threads);
+        for (worker& each : m_workers)
+            each.thread = std::thread([this, &each] { work(each); });
     }
     worker_pool(const worker_pool&) = delete;
     worker_pool& operator=(const worker_pool&) = delete;
@@ -29,41 +36,61 @@
             const std::lock_guard lock(m_mutex);
             m_stopped = true;
         }
-        m_available.notify_all();
-        for (std::thread& thread : m_threads)
-            thread.join();
+        for (worker& each : m_workers)
+            each.wake.notify_one();
+        for (worker& each : m_workers)
+            each.thread.join();
     }
 
     void push(Job job)
     {
-        {
-            const std::lock_guard lock(m_mutex);
+        std::unique_lock lock(m_mutex);
+        if (m_idle.empty()) {
             m_jobs.push_back(std::move(job));
+            return;
         }
-        m_available.notify_one();
+        worker& chosen = *m_idle.back();
+        m_idle.pop_back();
+        chosen.job = std::move(job);
+        lock.unlock();
+        chosen.wake.notify_one();
     }
 
 private:
-    void work()
+    struct worker {
+        std::condition_variable wake;
+        std::optional<Job> job;
+        std::thread thread;
+    };
+
+    void work(worker& self)
+    {
+        while (auto job = next(self))
+            m_run(std::move(*job));
+    }
+
+    /// Returns nothing once the pool has stopped.
+    std::optional<Job> next(worker& self)
     {
-        while (true) {
-            std::unique_lock lock(m_mutex);
-            m_available.wait(lock, [this] { return m_stopped || !m_jobs.empty(); });
-            if (m_stopped)
-                return;
-            Job job = std::move(m_jobs.front());
-            m_jobs.pop_front();
-            lock.unlock();
-            m_run(std::move(job));
+        std::unique_lock lock(m_mutex);
+        if (m_jobs.empty()) {
+            m_idle.push_back(&self);
+            self.wake.wait(lock, [&] { return m_stopped || self.job; });
+            return m_stopped ? std::nullopt : std::exchange(self.job, std::nullopt);
         }
+        if (m_stopped)
+            return std::nullopt;
+        std::optional<Job> job = std::move(m_jobs.front());
+        m_jobs.pop_front();
+        return job;
     }
 
     std::function<void(Job)> m_run;
     std::mutex m_mutex;
-    std::condition_variable m_available;
     std::deque<Job> m_jobs;
     bool m_stopped = false;
-    std::vector<std::thread> m_threads;
+    std::vector<worker> m_workers;
+    std::vector<worker*> m_idle;
 };
 
 } // namespace pimentomast::proxy::detail
