Keep the pause that a shedding target asks for

The proxy dropped the Retry-After of a target's 503, so that routing, which knows such a pause, always saw none. The attempt's result carries it now, and routing closes the target's window for that time, at most shedPauseMax (5 s). The request itself no longer waits for it: routing would have held it back even while another target had room.

--- a/include/pimentomast/proxy.h
+++ b/include/pimentomast/proxy.h
@@ -133,6 +133,8 @@
 /// No byte could have reached the target, or it said that it refused before running.
 struct attempt_not_run {
     proxy::reason why = reason::Internal;
+    /// Pause that the target asked for when it shed the request.
+    std::optional<duration> retryAfter {};
 };
 /// The target may have run the request; the caller has seen nothing of an answer.
 struct attempt_unknown {
--- a/include/pimentomast/routing.h
+++ b/include/pimentomast/routing.h
@@ -261,6 +261,8 @@
     std::chrono::milliseconds reportAge { 500 };
     std::chrono::milliseconds retryBackoff { 10 };
     std::chrono::milliseconds retryBackoffMax { 500 };
+    /// Longest pause of a target's window that its shed answer can ask for.
+    std::chrono::milliseconds shedPauseMax { 5000 };
     unsigned attemptsMax = 4;
     /// Growth of a window per answer, and what a shed answer leaves of it.
     double windowGrowth = 0.6;
--- a/src/proxy/message.cc
+++ b/src/proxy/message.cc
@@ -166,6 +166,16 @@
     }
 }
 
+std::optional<duration> retryAfter(const response_parser& answer)
+{
+    constexpr unsigned longestS = 86400;
+    const std::string text(view(answer.get()[http::field::retry_after]));
+    unsigned wantedS = 0;
+    if (!Poco::NumberParser::tryParseUnsigned(text, wantedS))
+        return std::nullopt;
+    return std::chrono::seconds(std::min(wantedS, longestS));
+}
+
 std::string continuationTag(const response_parser& answer, const exchange& request)
 {
     const auto& asked = request.head.parser->get();
--- a/src/proxy/message.h
+++ b/src/proxy/message.h
@@ -22,6 +22,9 @@
 /// Tells whether the target says that it refused the request before running it, and why.
 [[nodiscard]] std::optional<reason> notRunReason(const response_parser& answer);
 
+/// Returns the pause that the answer asks for in seconds; nothing for a date or no such field.
+[[nodiscard]] std::optional<duration> retryAfter(const response_parser& answer);
+
 /// Returns the strong validator by which the rest of the answer may be asked for; empty if there is
 /// none or the request is not one to continue.
 [[nodiscard]] std::string continuationTag(const response_parser& answer, const exchange& request);
--- a/src/proxy/relay-answer.cc
+++ b/src/proxy/relay-answer.cc
@@ -141,7 +141,7 @@
     if (m_answer->is_done()
         || decodeBody(*m_answer, m_targetInput, ignored, bufferBytes) == body_state::Done)
         m_answerState = answer_state::Done;
-    return attempt_not_run { why };
+    return attempt_not_run { why, retryAfter(*m_answer) };
 }
 
 std::optional<attempt_result> relay::decodeAnswer()
--- a/src/proxy/router-results.cc
+++ b/src/proxy/router-results.cc
@@ -5,11 +5,11 @@
 namespace pimentomast::proxy::detail {
 namespace {
 
-routing::attempt_result notRunResult(reason why)
+routing::attempt_result notRunResult(const attempt_not_run& refused)
 {
-    switch (why) {
+    switch (refused.why) {
     case reason::TargetShed:
-        return routing::shed {};
+        return routing::shed { refused.retryAfter };
     case reason::TargetNotOwner:
         return routing::token_refused {};
     case reason::TargetDraining:
@@ -52,7 +52,7 @@
         [&](const attempt_answered& answer) -> routing::attempt_result {
             return routing::answered { answer.status, finished.firstByte, finished.total };
         },
-        [](const attempt_not_run& refused) { return notRunResult(refused.why); },
+        [](const attempt_not_run& refused) { return notRunResult(refused); },
         [](const attempt_unknown& lost) { return unknownResult(lost.why); },
         [](const attempt_broken&) -> routing::attempt_result { return routing::broken {}; },
         [](const attempt_cancelled&) -> routing::attempt_result { return routing::cancelled {}; },
--- a/src/routing/attempts.cc
+++ b/src/routing/attempts.cc
@@ -45,7 +45,8 @@
         ended.retryAfter = result.retryAfter.value_or(duration {});
         if (target != nullptr) {
             self.adaptWindow(*target, ended.taken, true);
-            target->shedUntil = std::max(target->shedUntil, self.m_now + ended.retryAfter);
+            const auto pause = std::min<duration>(ended.retryAfter, self.m_settings.shedPauseMax);
+            target->shedUntil = std::max(target->shedUntil, self.m_now + pause);
             target->distrustIfIdle();
         }
         self.retryOrEnd(ended, retry_reason::TargetShed, refusal_reason::TargetShed);
--- a/src/routing/retries.cc
+++ b/src/routing/retries.cc
@@ -28,14 +28,15 @@
 }
 
 // Full jitter: M. Brooker, "Exponential Backoff and Jitter", AWS Architecture Blog, 2015. After a
-// shed answer the window spaces out the attempts already.
+// shed answer the window spaces out the attempts already. The pause that the target asked for holds
+// back its window, not the request, which another target may serve at once.
 void engine::backOff(pending& failed)
 {
     const bool wasShed = failed.retry == retry_reason::TargetShed;
     const duration bound = wasShed ? shedBackoff(failed) : failureBackoff(failed);
     std::uniform_int_distribution<duration::rep> jitter(0, bound.count());
     failed.where = phase::BackingOff;
-    failed.notBefore = m_now + failed.retryAfter + duration(jitter(m_random));
+    failed.notBefore = m_now + duration(jitter(m_random));
 }
 
 duration engine::failureBackoff(const pending& failed) const
--- a/test/proxy-routing-test.cc
+++ b/test/proxy-routing-test.cc
@@ -38,6 +38,18 @@
     cr_assert(target.heads().empty());
 }
 
+Test(proxy_routing, pause_that_a_target_asks_for_is_kept)
+{
+    scripted_target target({ { "HTTP/1.1 503 Busy\r\nPimentomast-Outcome: not-run\r\n"
+                               "Retry-After: 1\r\nContent-Length: 0\r\n\r\n" },
+        { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\ngoats" } });
+    routed_fixture host({ target.destination().address });
+    const auto started = monotonic_clock::now();
+    const auto reply = call(host.address(), { "GET", "/weights/g1" });
+    cr_assert_eq(reply.status, 200, "%s %s", reply.failure.c_str(), reply.body.c_str());
+    cr_assert_geq((monotonic_clock::now() - started).count(), 1000000);
+}
+
 Test(proxy_routing, unrepeatable_request_that_lost_its_connection_ends_unknown)
 {
     scripted_target target({ { "", ending::Reset } });
