--- /dev/null
+++ b/bench/balancing/run.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "policies.h"
+
+/// Placement of one service in simulated time.
+namespace pimentomast::bench {
+
+struct totals {
+    double imbalanceSum = 0;
+    double imbalanceWorst = 0;
+    unsigned rounds = 0;
+    double slicesMoved = 0;
+    double keysMoved = 0;
+    double unavailableKeySeconds = 0;
+    std::size_t slicesMost = 0;
+};
+
+struct conditions {
+    duration length = 2h;
+    duration hotKeysMoveEvery = 10min;
+    /// Changes the targets at the start of a round.
+    std::function<void(instant start, instant now, std::vector<placement_target>&)> change;
+    /// While true no change can be committed.
+    std::function<bool(duration sinceStart)> storeOut;
+    /// Part of its real load that a target reports.
+    std::function<double(const target_id&)> reported;
+};
+
+enum class policy {
+    Planner,
+    Rendezvous,
+    Greedy,
+};
+
+/// Runs one installation under a policy; the settings are the planner's.
+totals runPlacement(
+    const user& of, policy chosen, const planner_options& settings, const conditions& under);
+
+} // namespace pimentomast::bench
--- a/bench/placement.cc
+++ b/bench/placement.cc
@@ -1,10 +1,7 @@
-#include "shared/senders.h"
-
-#include "pimentomast/ownership.h"
+#include "placement/watch.h"
 
 #include <algorithm>
 #include <boost/program_options.hpp>
-#include <cmath>
 #include <cstdio>
 #include <cstdlib>
 #include <iostream>
@@ -19,16 +16,12 @@
 using namespace pimentomast;
 using namespace pimentomast::bench;
 using std::chrono::seconds;
-using test::http_call;
 
 constexpr unsigned targetCount = 8;
-constexpr std::size_t keyCount = 2000;
-constexpr double zipfExponent = 0.9;
 constexpr unsigned senders = 24;
 constexpr milliseconds sendInterval { 4 };
 constexpr milliseconds sampleInterval { 200 };
 constexpr seconds windowS { 5 };
-const std::string service = "weights";
 
 struct settings {
     std::string event;
@@ -46,81 +39,6 @@
     return options;
 }
 
-/// Draws keys by Zipf popularity; the ranks of all keys change at each move of the hot keys.
-class keyspace {
-public:
-    keyspace()
-    {
-        std::vector<double> weights;
-        for (std::size_t i = 0; i < keyCount; ++i)
-            weights.push_back(1 / std::pow(static_cast<double>(i + 1), zipfExponent));
-        m_ranks = std::discrete_distribution<std::size_t>(weights.begin(), weights.end());
-    }
-
-    static std::string name(std::size_t index) { return "k" + std::to_string(index); }
-    void moveHotKeys() { m_shift += keyCount / 7; }
-    http_call draw(std::mt19937_64& random) const
-    {
-        auto ranks = m_ranks;
-        const auto index = (ranks(random) + m_shift) % keyCount;
-        return { "GET", "/" + service + "/" + name(index) + "?service_ms=2" };
-    }
-
-private:
-    std::discrete_distribution<std::size_t> m_ranks;
-    std::atomic<std::size_t> m_shift = 0;
-};
-
-/// Follows the committed assignment in the platform.
-class move_counter {
-public:
-    explicit move_counter(const cluster& system)
-        : m_system(system)
-    {
-        for (std::size_t i = 0; i < keyCount; ++i)
-            m_keys.push_back(hashKey(keyspace::name(i)));
-    }
-
-    void look()
-    {
-        const auto row = test::getJson(m_system.platform(), "/rows/assignment%2F" + service);
-        if (!row || !row->has("value"))
-            return;
-        const auto read = ownership::parseAssignment(row->getValue<std::string>("value"));
-        if (!read)
-            return;
-        if (m_last)
-            compare(*m_last, read.value());
-        m_last = read.value();
-        slicesMost = std::max(slicesMost, m_last->slices.size());
-    }
-
-    bool owns(const std::string& target) const
-    {
-        return std::any_of(m_last->slices.begin(), m_last->slices.end(),
-            [&](const auto& each) { return each.owner.value() == target; });
-    }
-
-    unsigned slicesMoved = 0;
-    unsigned keysMoved = 0;
-    std::size_t slicesMost = 0;
-
-private:
-    void compare(const ownership::assignment& before, const ownership::assignment& after)
-    {
-        if (before.version() == after.version())
-            return;
-        for (const auto& each : after.slices)
-            slicesMoved += before.find(each.range.first)->owner != each.owner ? 1 : 0;
-        for (const auto key : m_keys)
-            keysMoved += before.find(key)->owner != after.find(key)->owner ? 1 : 0;
-    }
-
-    const cluster& m_system;
-    std::vector<key_hash> m_keys;
-    std::optional<ownership::assignment> m_last;
-};
-
 /// One run: the load, what happens meanwhile, and what is counted.
 class placement_run {
 public:
@@ -252,30 +170,6 @@
         return found;
     }
 
-    /// Time in which no target took requests for a key, summed over the keys.
-    double unavailableKeySeconds() const
-    {
-        const auto held = m_system.holdings();
-        double sumUs = 0;
-        for (std::size_t i = 0; i < keyCount; ++i) {
-            const auto hash = hashKey(keyspace::name(i)).value();
-            std::vector<std::pair<std::int64_t, std::int64_t>> spans;
-            for (const auto& each : held) {
-                if (each.first <= hash && hash <= each.last)
-                    spans.emplace_back(each.fromUs, each.toUs);
-            }
-            std::sort(spans.begin(), spans.end());
-            auto servedUs = m_fromUs;
-            for (const auto& [fromUs, toUs] : spans) {
-                sumUs += static_cast<double>(
-                    std::max<std::int64_t>(0, std::min(fromUs, m_toUs) - servedUs));
-                servedUs = std::max(servedUs, toUs);
-            }
-            sumUs += static_cast<double>(std::max<std::int64_t>(0, m_toUs - servedUs));
-        }
-        return sumUs / 1e6;
-    }
-
     void report(const std::vector<sample>& samples) const
     {
         std::vector<double> latencies;
@@ -300,8 +194,9 @@
             "keys moved %u, slices at most %zu; unavailable %.1f key-s\n"
             "  p50 %.1f p99 %.1f ms; sent %u, refused",
             m_settings.event.c_str(), m_settings.runSeconds, busy[0], mean, percentile(uneven, 1),
-            m_moves.slicesMoved, m_moves.keysMoved, m_moves.slicesMost, unavailableKeySeconds(),
-            percentile(latencies, 0.5), percentile(latencies, 0.99), sent);
+            m_moves.slicesMoved, m_moves.keysMoved, m_moves.slicesMost,
+            unavailableKeySeconds(m_system, m_fromUs, m_toUs), percentile(latencies, 0.5),
+            percentile(latencies, 0.99), sent);
         for (const auto& [reason, count] : refused)
             std::printf(" %s=%u", reason.c_str(), count);
         std::printf(refused.empty() ? " none" : "");
