--- a/bench/placement.cc
+++ b/bench/placement.cc
@@ -1,10 +1,7 @@
-#include "shared/senders.h"
-
-#include "pimentomast/ownership.h"
+#include "placement/watch.h"
 
 #include <algorithm>
 #include <boost/program_options.hpp>
-#include <cmath>
 #include <cstdio>
 #include <cstdlib>
 #include <iostream>
@@ -19,16 +16,12 @@
 using namespace pimentomast;
 using namespace pimentomast::bench;
 using std::chrono::seconds;
-using test::http_call;
 
 constexpr unsigned targetCount = 8;
-constexpr std::size_t keyCount = 2000;
-constexpr double zipfExponent = 0.9;
 constexpr unsigned senders = 24;
 constexpr milliseconds sendInterval { 4 };
 constexpr milliseconds sampleInterval { 200 };
 constexpr seconds windowS { 5 };
-const std::string service = "weights";
 
 struct settings {
     std::string event;
@@ -46,81 +39,6 @@
     return options;
 }
 
-/// Draws keys by Zipf popularity; the ranks of all keys change at each move of the hot keys.
-class keyspace {
-public:
-    keyspace()
-    {
-        std::vector<double> weights;
-        for (std::size_t i = 0; i < keyCount; ++i)
-            weights.push_back(1 / std::pow(static_cast<double>(i + 1), zipfExponent));
-        m_ranks = std::discrete_distribution<std::size_t>(weights.begin(), weights.end());
-    }
-
-    static std::string name(std::size_t index) { return "k" + std::to_string(index); }
-    void moveHotKeys() { m_shift += keyCount / 7; }
-    http_call draw(std::mt19937_64& random) const
-    {
-        auto ranks = m_ranks;
-        const auto index = (ranks(random) + m_shift) % keyCount;
-        return { "GET", "/" + service + "/" + name(index) + "?service_ms=2" };
-    }
-
-private:
-    std::discrete_distribution<std::size_t> m_ranks;
-    std::atomic<std::size_t> m_shift = 0;
-};
-
-/// Follows the committed assignment in the platform.
-class move_counter {
-public:
-    explicit move_counter(const cluster& system)
-        : m_system(system)
-    {
-        for (std::size_t i = 0; i < keyCount; ++i)
-            m_keys.push_back(hashKey(keyspace::name(i)));
-    }
-
-    void look()
-    {
-        const auto row = test::getJson(m_system.platform(), "/rows/assignment%2F" + service);
-        if (!row || !row->has("value"))
-            return;
-        const auto read = ownership::parseAssignment(row->getValue<std::string>("value"));
-        if (!read)
-            return;
-        if (m_last)
-            compare(*m_last, read.value());
-        m_last = read.value();
-        slicesMost = std::max(slicesMost, m_last->slices.size());
-    }
-
-    bool owns(const std::string& target) const
-    {
-        return std::any_of(m_last->slices.begin(), m_last->slices.end(),
-            [&](const auto& each) { return each.owner.value() == target; });
-    }
-
-    unsigned slicesMoved = 0;
-    unsigned keysMoved = 0;
-    std::size_t slicesMost = 0;
-
-private:
-    void compare(const ownership::assignment& before, const ownership::assignment& after)
-    {
-        if (before.version() == after.version())
-            return;
-        for (const auto& each : after.slices)
-            slicesMoved += before.find(each.range.first)->owner != each.owner ? 1 : 0;
-        for (const auto key : m_keys)
-            keysMoved += before.find(key)->owner != after.find(key)->owner ? 1 : 0;
-    }
-
-    const cluster& m_system;
-    std::vector<key_hash> m_keys;
-    std::optional<ownership::assignment> m_last;
-};
-
 /// One run: the load, what happens meanwhile, and what is counted.
 class placement_run {
 public:
@@ -147,7 +65,8 @@
     {
         const auto end = monotonic_clock::now() + span;
         while (monotonic_clock::now() < end) {
-            m_moves.look();
+            if (!m_storeOut)
+                m_moves.look();
             if (monotonic_clock::now() >= m_nextHot) {
                 m_nextHot += seconds(m_settings.hotSeconds);
                 m_keys.moveHotKeys();
@@ -219,8 +138,9 @@
     {
         pass(part(4));
         m_system.platformFault(R"({"outage":"silent"})");
-        // The platform answers nothing now, so there is nothing to look at.
-        std::this_thread::sleep_for(seconds(m_settings.outageSeconds));
+        m_storeOut = true;
+        pass(seconds(m_settings.outageSeconds));
+        m_storeOut = false;
         m_system.platformFault(R"({"outage":"none"})");
     }
 
@@ -230,13 +150,14 @@
         m_system.targetFault("w2", R"({"wrong_running":50})");
     }
 
-    /// Max over mean of the answers of the targets that run, in windows.
+    /// Max over mean of the answers of the targets that answered, in whole windows.
     std::vector<double> imbalances(const std::vector<sample>& samples) const
     {
         const auto widthUs = std::chrono::microseconds(windowS).count();
+        const auto wholeUs = m_toUs - (m_toUs - m_fromUs) % widthUs;
         std::map<std::int64_t, std::map<std::string, double>> windows;
         for (const auto& each : samples) {
-            if (each.answered && each.endUs >= m_fromUs && each.endUs < m_toUs)
+            if (each.answered && each.endUs >= m_fromUs && each.endUs < wholeUs)
                 windows[(each.endUs - m_fromUs) / widthUs][each.target] += 1;
         }
         std::vector<double> found;
@@ -252,30 +173,6 @@
         return found;
     }
 
-    /// Time in which no target took requests for a key, summed over the keys.
-    double unavailableKeySeconds() const
-    {
-        const auto held = m_system.records().holdings;
-        double sumUs = 0;
-        for (std::size_t i = 0; i < keyCount; ++i) {
-            const auto hash = hashKey(keyspace::name(i)).value();
-            std::vector<std::pair<std::int64_t, std::int64_t>> spans;
-            for (const auto& each : held) {
-                if (each.first <= hash && hash <= each.last)
-                    spans.emplace_back(each.fromUs, each.toUs);
-            }
-            std::sort(spans.begin(), spans.end());
-            auto servedUs = m_fromUs;
-            for (const auto& [fromUs, toUs] : spans) {
-                sumUs += static_cast<double>(
-                    std::max<std::int64_t>(0, std::min(fromUs, m_toUs) - servedUs));
-                servedUs = std::max(servedUs, toUs);
-            }
-            sumUs += static_cast<double>(std::max<std::int64_t>(0, m_toUs - servedUs));
-        }
-        return sumUs / 1e6;
-    }
-
     void report(const std::vector<sample>& samples) const
     {
         std::vector<double> latencies;
@@ -300,13 +197,17 @@
             "keys moved %u, slices at most %zu; unavailable %.1f key-s\n"
             "  p50 %.1f p99 %.1f ms; sent %u, refused",
             m_settings.event.c_str(), m_settings.runSeconds, busy[0], mean, percentile(uneven, 1),
-            m_moves.slicesMoved, m_moves.keysMoved, m_moves.slicesMost, unavailableKeySeconds(),
-            percentile(latencies, 0.5), percentile(latencies, 0.99), sent);
+            m_moves.slicesMoved, m_moves.keysMoved, m_moves.slicesMost,
+            unavailableKeySeconds(m_system, m_fromUs, m_toUs), percentile(latencies, 0.5),
+            percentile(latencies, 0.99), sent);
         for (const auto& [reason, count] : refused)
             std::printf(" %s=%u", reason.c_str(), count);
         std::printf(refused.empty() ? " none" : "");
         if (m_settings.event == "rolling-targets")
             std::printf("; targets restarted before they were empty: %u", m_left);
+        std::printf("\n  imbalance by window:");
+        for (const double each : uneven)
+            std::printf(" %.2f", each);
         std::printf("\n");
     }
 
@@ -316,6 +217,7 @@
     move_counter m_moves { m_system };
     std::uint64_t m_version = 1;
     unsigned m_left = 0;
+    bool m_storeOut = false;
     std::int64_t m_fromUs = 0;
     std::int64_t m_toUs = 0;
     instant m_end {};
