Add up loads in one pass, and pace their reports

Cause: the coordinator went through all reported slices of all hosts once for each slice of the assignment, each second; and a host's report grew by 29 bytes for each slice, 59 KB each second at the planner's 2,048 slices, above the 17 KB/s for control. Ruled out: dropping quiet slices from reports (a hot service has none at that size). Change: load_sum::rates takes all ranges and goes through each report once, by a map of the ranges' first hashes. A host's next report is due after bytes / 6 KB/s, between 1 and 10 s; a report counts for 2.5 gaps, at least 10 s.

--- a/bench/capacity.cc
+++ b/bench/capacity.cc
@@ -1,5 +1,6 @@
 #include "pimentomast/ownership.h"
 #include "serve/grant_codec.h"
+#include "serve/load.h"
 #include "serve/wire.h"
 
 #include <ctime>
@@ -291,6 +292,40 @@
               << std::setw(14) << wire.seconds() / rounds * 1000 << "\n";
 }
 
+void measureLoads(std::size_t slices)
+{
+    constexpr unsigned hosts = 12;
+    constexpr unsigned rounds = 5;
+    const auto owned = assignmentOf(slices).slices;
+    std::vector<slice> ranges;
+    serve::detail::load_meter meter;
+    const service_id service { "weights" };
+    for (const auto& each : owned) {
+        ranges.push_back(each.range);
+        meter.count(instant { 1000s }, service, each.range, each.range.first);
+    }
+    const auto load = meter.report(instant { 1001s }, service);
+    const double interval
+        = std::chrono::duration<double>(serve::detail::reportInterval(load.ByteSizeLong())).count();
+    serve::detail::load_sum sum;
+    stopwatch taking;
+    stopwatch adding;
+    for (unsigned round = 0; round < rounds; ++round) {
+        const instant now { 1001s + std::chrono::seconds(round) };
+        for (unsigned host = 0; host < hosts; ++host)
+            (void)taking.run([&] {
+                sum.take(now, host_id { "host" + std::to_string(host) }, load);
+                return true;
+            });
+        (void)adding.run([&] { return sum.rates(now, ranges); });
+    }
+    std::cout << std::setw(8) << slices << std::setw(10) << load.ByteSizeLong() << std::setw(12)
+              << std::setprecision(1) << interval << std::setw(10)
+              << static_cast<double>(load.ByteSizeLong()) / interval / 1000 << std::setw(12)
+              << std::setprecision(3) << taking.seconds() / rounds / interval * 100 << std::setw(12)
+              << adding.seconds() / rounds * 100 << "\n";
+}
+
 void measureDigest(unsigned services)
 {
     constexpr int rounds = 200;
@@ -337,6 +372,12 @@
            "the row, ms to send and take it.\n";
     for (const std::size_t slices : { 200U, 1000U, 2000U, 6000U })
         measureAssignment(slices);
+    std::cout
+        << "\nLoad reports of 12 hosts: slices, bytes of a host's report, s between two, KB/s of "
+           "a host,\n% of a core to take them and % of a core to add them up each second, at the "
+           "coordinator.\n";
+    for (const std::size_t slices : { 200U, 500U, 1000U, 2000U })
+        measureLoads(slices);
     std::cout << "\nDigest: services, bytes, microseconds to send and take it.\n";
     for (const unsigned services : { 5U, 50U, 200U })
         measureDigest(services);
--- a/src/serve/load.cc
+++ b/src/serve/load.cc
@@ -13,6 +13,10 @@
 constexpr std::chrono::seconds rateHalfLifeS { 2 };
 constexpr double negligibleRate = 0.01;
 constexpr std::chrono::seconds reportLifeS { 10 };
+constexpr double gapsOfLife = 2.5;
+constexpr std::chrono::seconds reportIntervalMinS { 1 };
+constexpr std::chrono::seconds reportIntervalMaxS { 10 };
+constexpr double reportBytesPerSecond = 6000;
 
 double seconds(duration span) { return std::chrono::duration<double>(span).count(); }
 
@@ -72,6 +76,13 @@
     return ids;
 }
 
+duration reportInterval(std::size_t bytes)
+{
+    const std::chrono::duration<double> span(static_cast<double>(bytes) / reportBytesPerSecond);
+    return std::clamp<duration>(
+        std::chrono::duration_cast<duration>(span), reportIntervalMinS, reportIntervalMaxS);
+}
+
 void load_sum::take(instant now, const host_id& host, const wire::ServiceLoad& load)
 {
     auto& taken = m_reports[host];
@@ -87,24 +98,35 @@
     taken.keys.clear();
     for (const auto& key : load.hot_keys())
         taken.keys.push_back({ key_hash { key.hash() }, key.requests_per_second(), key.error() });
+    taken.gap = follows ? now - taken.at : duration {};
     taken.at = now;
 }
 
 bool load_sum::current(const report& taken, instant now)
 {
-    return taken.at != instant {} && now - taken.at <= reportLifeS;
+    const duration life = std::max<duration>(
+        reportLifeS, std::chrono::duration_cast<duration>(gapsOfLife * taken.gap));
+    return taken.at != instant {} && now - taken.at <= life;
 }
 
-double load_sum::rate(instant now, const slice& range) const
+std::vector<double> load_sum::rates(instant now, const std::vector<slice>& ranges) const
 {
-    double sum = 0;
+    std::map<key_hash, std::size_t> byFirst;
+    for (std::size_t i = 0; i < ranges.size(); ++i)
+        byFirst.emplace(ranges[i].first, i);
+    std::vector<double> sums(ranges.size());
     for (const auto& [host, taken] : m_reports) {
         if (!current(taken, now))
             continue;
-        for (const auto& [counted, rate] : taken.slices)
-            sum += partOf(taken, counted, rate, range);
+        for (const auto& [counted, rate] : taken.slices) {
+            auto part = byFirst.upper_bound(counted.first);
+            if (part != byFirst.begin())
+                --part;
+            for (; part != byFirst.end() && part->first <= counted.last; ++part)
+                sums[part->second] += partOf(taken, counted, rate, ranges[part->second]);
+        }
     }
-    return sum;
+    return sums;
 }
 
 // Hot keys count where they are; what is left is spread evenly over the counted slice.
--- a/src/serve/load.h
+++ b/src/serve/load.h
@@ -31,19 +31,25 @@
     std::map<service_id, entry> m_services;
 };
 
+/// Returns how long after a report of this size the next one is due, so that a host's reports stay
+/// within their share of the bytes for control.
+[[nodiscard]] duration reportInterval(std::size_t bytes);
+
 /// Adds up the hosts' reports for one service, smoothed over time. Reports may be about slices as
 /// they were before a cut or a join. Pure; not thread-safe.
 class load_sum {
 public:
     /// Takes a host's next report; what it reported before fades.
     void take(instant now, const host_id& host, const wire::ServiceLoad& load);
-    /// Returns the requests per second of the keys in a range.
-    [[nodiscard]] double rate(instant now, const slice& range) const;
+    /// Returns the requests per second of the keys in each range. Precondition: no two overlap.
+    [[nodiscard]] std::vector<double> rates(instant now, const std::vector<slice>& ranges) const;
     [[nodiscard]] std::vector<balancing::hot_key> hotKeys(instant now) const;
 
 private:
     struct report {
         instant at;
+        /// How long after the report before it came.
+        duration gap {};
         std::map<slice, double> slices;
         std::vector<balancing::hot_key> keys;
     };
--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -9,7 +9,6 @@
 
 constexpr std::chrono::milliseconds controlTickMs { 25 };
 constexpr std::chrono::milliseconds rebalanceIntervalMs { 1000 };
-constexpr std::chrono::milliseconds loadIntervalMs { 1000 };
 constexpr std::chrono::milliseconds loadTimeoutMs { 500 };
 constexpr std::chrono::milliseconds handOverLimitMs { 3000 };
 
@@ -168,10 +167,8 @@
         m_control->tick();
         m_dispatch->applyLiveHosts(m_book->connectionSharers(now));
         m_proxy->setHealthy(currentHealth().accepting);
-        if (now >= nextLoad) {
-            nextLoad = now + loadIntervalMs;
-            reportLoads(now);
-        }
+        if (now >= nextLoad)
+            nextLoad = now + reportInterval(reportLoads(now));
         if (now >= nextRebalance) {
             nextRebalance = now + rebalanceIntervalMs;
             m_control->rebalance();
@@ -180,7 +177,7 @@
     }
 }
 
-void node::reportLoads(instant now)
+std::size_t node::reportLoads(instant now)
 {
     std::map<host_id, wire::LoadReport> reports;
     for (auto& load : m_dispatch->takeLoads(now)) {
@@ -189,12 +186,15 @@
         report.set_host(m_values.host.id.value());
         *report.add_loads() = std::move(load);
     }
+    std::size_t sent = 0;
     for (const auto& [host, report] : reports) {
+        sent += report.ByteSizeLong();
         if (host == m_values.host.id)
             m_control->takeLoad(host, report);
         else if (const auto peer = m_book->find(host))
             peer->reportLoad(report, loadTimeoutMs, [](const auto&) {});
     }
+    return sent;
 }
 
 bool node::markedLeaving() const
--- a/src/serve/node.h
+++ b/src/serve/node.h
@@ -56,7 +56,8 @@
     void putTable(const std::shared_ptr<const table::table>& rows);
     void putAssignment(const ownership::assignment& newer, const host_id& coordinator);
     void runControlTimer();
-    void reportLoads(instant now);
+    /// Reports what this host forwarded to the coordinators; returns the size of the reports.
+    std::size_t reportLoads(instant now);
     void updateMetrics();
     [[nodiscard]] bool markedLeaving() const;
 
--- a/src/serve/placement.cc
+++ b/src/serve/placement.cc
@@ -133,11 +133,21 @@
     }
     for (const auto& each : moving)
         makeMove(now, placed, each);
-    for (auto& each : placed)
-        each.load = m_load.rate(now, each.keys);
+    countLoads(now, placed);
     return placed;
 }
 
+void placement::countLoads(instant now, std::vector<balancing::placed_slice>& placed) const
+{
+    std::vector<slice> ranges;
+    ranges.reserve(placed.size());
+    for (const auto& each : placed)
+        ranges.push_back(each.keys);
+    const auto rates = m_load.rates(now, ranges);
+    for (std::size_t i = 0; i < placed.size(); ++i)
+        placed[i].load = rates[i];
+}
+
 std::vector<balancing::placement_target> placement::targets(
     const std::vector<ownership::target_view>& views,
     const std::vector<table::target_row>& rows) const
--- a/src/serve/placement.h
+++ b/src/serve/placement.h
@@ -35,6 +35,7 @@
     explicit placement(const balancing::planner& planner);
     void followOwners(instant now, const ownership::assignment& committed);
     void followTargets(instant now, const std::vector<ownership::target_view>& targets);
+    void countLoads(instant now, std::vector<balancing::placed_slice>& placed) const;
     [[nodiscard]] std::vector<balancing::placed_slice> slices(instant now,
         const ownership::assignment& committed,
         const std::vector<ownership::wanted_slice>& moving) const;
--- a/test/serve-placement-test.cc
+++ b/test/serve-placement-test.cc
@@ -138,7 +138,37 @@
     key->set_hash(hot.value());
     key->set_requests_per_second(100);
     sum.take(now, host_id { "h0" }, load);
-    cr_assert_float_eq(sum.rate(now, { key_hash { 0 }, key_hash { 9999 } }), 110, 0.01);
-    cr_assert_float_eq(sum.rate(now, { key_hash { 0 }, key_hash { 999 } }), 1, 0.01);
-    cr_assert_float_eq(sum.rate(now, { hot, hot }), 100, 0.01);
+    const auto rate = [&](key_hash first, key_hash last) {
+        return sum.rates(now, { { first, last } }).front();
+    };
+    cr_assert_float_eq(rate(key_hash { 0 }, key_hash { 9999 }), 110, 0.01);
+    cr_assert_float_eq(rate(key_hash { 0 }, key_hash { 999 }), 1, 0.01);
+    cr_assert_float_eq(rate(hot, hot), 100, 0.01);
+    const auto parts = sum.rates(now,
+        { { key_hash { 5000 }, key_hash { 9999 } }, { key_hash { 0 }, key_hash { 999 } },
+            { key_hash { 1000 }, key_hash { 4999 } } });
+    cr_assert_float_eq(parts[0] + parts[1] + parts[2], 110, 0.01);
+    cr_assert_float_eq(parts[1], 1, 0.01);
+}
+
+Test(serve_placement, reports_of_many_slices_stay_within_their_bytes)
+{
+    using serve::detail::reportInterval;
+    cr_assert(reportInterval(100) == std::chrono::seconds { 1 });
+    cr_assert(reportInterval(30'000) == std::chrono::seconds { 5 });
+    cr_assert(reportInterval(1'000'000) == std::chrono::seconds { 10 });
+    serve::detail::load_sum sum;
+    serve::detail::wire::ServiceLoad load;
+    auto* part = load.add_slices();
+    part->set_last(9999);
+    part->set_requests_per_second(100);
+    const instant start { std::chrono::seconds { 100 } };
+    const auto rateAt = [&](int second) {
+        const instant now = start + std::chrono::seconds { second };
+        return sum.rates(now, { { key_hash { 0 }, key_hash { 9999 } } }).front();
+    };
+    for (const int second : { 0, 10, 20 })
+        sum.take(start + std::chrono::seconds { second }, host_id { "h1" }, load);
+    cr_assert_gt(rateAt(31), 90);
+    cr_assert_eq(rateAt(46), 0);
 }
