Call peers in turn and pass on which hosts were heard

Cause: a host called four peers drawn at random each 500 ms, and knew another one only by its own exchange with it. With 12 hosts a live one now and then was not heard for 3 s and looked silent (its name left the witnesses, and ranks changed); with 60 that was the rule. Change: peers are called in turn from a start that differs by host; each message names 20 hosts drawn at random from those lately heard of, with run and age.

--- a/include/pimentomast/membership.h
+++ b/include/pimentomast/membership.h
@@ -25,6 +25,8 @@
     std::chrono::milliseconds departureTimeoutMs { 30000 };
     /// Hosts called in one round of exchange.
     unsigned fanout = 4;
+    /// Hosts that are named to a peer in one message.
+    unsigned relayed = 20;
     std::uint64_t seed = 1;
 };
 
@@ -36,6 +38,13 @@
     bool leaving = false;
 };
 
+/// A live host that a peer has heard from, or heard of, this long ago.
+struct heard_host {
+    host_id id;
+    incarnation run;
+    std::chrono::milliseconds ageMs {};
+};
+
 struct member {
     host_id id;
     incarnation run;
@@ -54,6 +63,12 @@
     void list(instant now, const std::vector<platform::listed_host>& hosts);
     /// Records a message that a peer sent.
     void sight(instant now, const sighting& seen);
+    /// Takes what a peer says of other hosts. A host is never made older by it, and a run other
+    /// than the one that was last heard is left out: only the host itself tells of its restart.
+    void relay(instant now, const std::vector<heard_host>& heard);
+    /// Returns live hosts to name to a peer: options.relayed of them, drawn at random, without
+    /// self.
+    [[nodiscard]] std::vector<heard_host> heard(instant now);
     /// Marks this host itself as leaving or returned.
     void setLeaving(bool leaving) noexcept { m_leaving = leaving; }
 
@@ -67,8 +82,8 @@
     /// was listed or heard from within the departure timeout, and self. A host that cannot be
     /// reached counts, for it may still reach the targets.
     [[nodiscard]] unsigned connectionSharers(instant now) const;
-    /// Returns the addresses to call in this round: fanout of the known peers, drawn at random, or
-    /// the seeds while no peer is known.
+    /// Returns the addresses to call in this round: the next fanout of the known peers in turn, so
+    /// that each is called within a bounded time, or the seeds while no peer is known.
     [[nodiscard]] std::vector<endpoint> exchangePeers(instant now);
     /// Returns the addresses of all hosts that are listed or live, without self.
     [[nodiscard]] std::vector<endpoint> allPeers(instant now) const;
@@ -93,6 +108,8 @@
     view_options m_options;
     std::map<host_id, entry> m_hosts;
     std::mt19937_64 m_random;
+    /// Position in the order of known peers of the next one to call.
+    std::size_t m_nextPeer;
     bool m_leaving = false;
     bool m_listRead = false;
 };
--- a/src/membership/host_view.cc
+++ b/src/membership/host_view.cc
@@ -4,6 +4,11 @@
 
 namespace pimentomast::membership {
 
+namespace {
+/// Bounds the start of the turn, which differs by host so that they do not all call the same peers.
+constexpr std::size_t maxFirstPeer = 1024;
+} // namespace
+
 result<host_view> host_view::create(const view_options& options)
 {
     const auto wrong = [](const char* reason) { return error { "create host view", "", reason }; };
@@ -19,6 +24,7 @@
 host_view::host_view(view_options options)
     : m_options(std::move(options))
     , m_random(m_options.seed)
+    , m_nextPeer(m_random() % maxFirstPeer)
 {
 }
 
@@ -53,6 +59,36 @@
         known.peers = seen.peers;
 }
 
+void host_view::relay(instant now, const std::vector<heard_host>& heard)
+{
+    for (const auto& each : heard) {
+        const auto found = m_hosts.find(each.id);
+        if (found == m_hosts.end() || each.ageMs.count() < 0)
+            continue;
+        auto& known = found->second;
+        if (known.heardAt && known.run != each.run)
+            continue;
+        const instant at = now - each.ageMs;
+        known.run = each.run;
+        known.heardAt = std::max(known.heardAt.value_or(at), at);
+    }
+}
+
+std::vector<heard_host> host_view::heard(instant now)
+{
+    std::vector<heard_host> all;
+    for (const auto& [id, known] : m_hosts) {
+        if (!heardRecently(known, now) || known.leaving)
+            continue;
+        // Rounded up, so that a host does not grow younger from peer to peer.
+        const auto age = std::chrono::ceil<std::chrono::milliseconds>(now - *known.heardAt);
+        all.push_back({ id, known.run, age });
+    }
+    std::shuffle(all.begin(), all.end(), m_random);
+    all.resize(std::min<std::size_t>(all.size(), m_options.relayed));
+    return all;
+}
+
 bool host_view::heardRecently(const entry& known, instant now) const
 {
     return known.heardAt && now - *known.heardAt <= m_options.sightingTimeoutMs;
@@ -101,13 +137,14 @@
 
 std::vector<endpoint> host_view::exchangePeers(instant now)
 {
-    auto known = allPeers(now);
+    const auto known = allPeers(now);
     if (known.empty())
         return m_options.seeds;
-    std::shuffle(known.begin(), known.end(), m_random);
-    if (known.size() > m_options.fanout)
-        known.resize(m_options.fanout);
-    return known;
+    const auto count = std::min<std::size_t>(m_options.fanout, known.size());
+    std::vector<endpoint> called;
+    for (std::size_t i = 0; i < count; ++i)
+        called.push_back(known[m_nextPeer++ % known.size()]);
+    return called;
 }
 
 std::vector<endpoint> host_view::allPeers(instant now) const
--- a/src/serve/peer_book.cc
+++ b/src/serve/peer_book.cc
@@ -14,6 +14,18 @@
     m_view.sight(now, seen);
 }
 
+void peer_book::relay(instant now, const std::vector<membership::heard_host>& heard)
+{
+    const std::lock_guard guard(m_lock);
+    m_view.relay(now, heard);
+}
+
+std::vector<membership::heard_host> peer_book::heard(instant now)
+{
+    const std::lock_guard guard(m_lock);
+    return m_view.heard(now);
+}
+
 void peer_book::setLeaving(bool leaving)
 {
     const std::lock_guard guard(m_lock);
--- a/src/serve/peer_book.h
+++ b/src/serve/peer_book.h
@@ -21,6 +21,8 @@
 
     void list(instant now, const std::vector<platform::listed_host>& hosts);
     void sight(instant now, const membership::sighting& seen);
+    void relay(instant now, const std::vector<membership::heard_host>& heard);
+    [[nodiscard]] std::vector<membership::heard_host> heard(instant now);
     void setLeaving(bool leaving);
 
     [[nodiscard]] std::vector<membership::member> live(instant now) const;
--- a/src/serve/spread.cc
+++ b/src/serve/spread.cc
@@ -20,6 +20,27 @@
         { { "version", std::to_string(version.value()) }, { "reason", cause.text() } });
 }
 
+template <class Message>
+void addHeard(const std::vector<membership::heard_host>& heard, Message& to)
+{
+    for (const auto& each : heard) {
+        auto* message = to.add_heard();
+        message->set_host(each.id.value());
+        message->set_incarnation(each.run.value());
+        message->set_age_ms(static_cast<std::uint32_t>(each.ageMs.count()));
+    }
+}
+
+template <class Message>
+std::vector<membership::heard_host> heardIn(const Message& from)
+{
+    std::vector<membership::heard_host> heard;
+    for (const auto& each : from.heard())
+        heard.push_back({ host_id { each.host() }, incarnation { each.incarnation() },
+            std::chrono::milliseconds(each.age_ms()) });
+    return heard;
+}
+
 /// Clears the flag when the work that it marks as running has ended.
 class running_guard {
 public:
@@ -158,6 +179,7 @@
     digest.set_port(m_options.peers.port);
     digest.set_table_version(version().value());
     m_routes.describe(digest);
+    addHeard(m_book.heard(now), digest);
     for (const auto& news : m_calls.crashes())
         *digest.add_crashes() = toWire(news, now);
     return digest;
@@ -174,6 +196,7 @@
         m_book.sight(monotonic_clock::now(),
             { host_id { update.host() }, incarnation { update.incarnation() }, address,
                 update.leaving() });
+        m_book.relay(monotonic_clock::now(), heardIn(update));
         boost::asio::post(m_pool, [this, sentAt, update] { takeUpdate(sentAt, update); });
     });
 }
@@ -206,6 +229,7 @@
     m_book.sight(now,
         { host_id { digest.host() }, incarnation { digest.incarnation() }, peers,
             digest.leaving() });
+    m_book.relay(now, heardIn(digest));
     for (const auto& news : digest.crashes())
         m_calls.heard(fromWire(news, now));
     wire::Update update;
@@ -214,6 +238,7 @@
     update.set_leaving(m_leaving);
     for (const auto& news : m_calls.crashes())
         *update.add_crashes() = toWire(news, now);
+    addHeard(m_book.heard(now), update);
     m_routes.addNewer(digest, update);
     const std::lock_guard guard(m_lock);
     update.set_table_version(m_fresh.version().value());
--- a/test/membership-test.cc
+++ b/test/membership-test.cc
@@ -5,6 +5,7 @@
 using namespace pimentomast;
 using namespace pimentomast::membership;
 using namespace std::chrono_literals;
+using std::chrono::milliseconds;
 
 namespace {
 
@@ -135,3 +136,108 @@
     cr_assert(config.pollInterval(12) == 500ms);
     cr_assert(config.pollInterval(770) == 3850ms);
 }
+
+namespace {
+
+constexpr milliseconds exchangeIntervalMs { 500 };
+
+/// Hosts that exchange in rounds; one message in twenty is lost.
+class exchanging_hosts {
+public:
+    explicit exchanging_hosts(unsigned count)
+    {
+        std::vector<platform::listed_host> list;
+        for (unsigned i = 0; i < count; ++i)
+            list.push_back(listed(name(i).c_str(), static_cast<std::uint16_t>(i + 1)));
+        for (unsigned i = 0; i < count; ++i) {
+            view_options own;
+            own.self = host_id { name(i) };
+            own.run = incarnation { i + 1 };
+            own.seed = i + 1;
+            m_views.push_back(host_view::create(own).value());
+            m_views.back().list(start, list);
+        }
+    }
+
+    /// Runs rounds and returns how often a host took another one for silent.
+    unsigned run(unsigned rounds)
+    {
+        unsigned silences = 0;
+        for (unsigned round = 0; round < rounds; ++round) {
+            m_now += exchangeIntervalMs;
+            for (std::size_t from = 0; from < m_views.size(); ++from)
+                for (const auto& to : m_views[from].exchangePeers(m_now))
+                    exchange(from, to.port - 1U);
+            for (const auto& view : m_views)
+                silences += static_cast<unsigned>(m_views.size() - view.live(m_now).size());
+        }
+        return silences;
+    }
+
+    void lose(std::size_t host) { m_lost = host; }
+    bool knows(std::size_t viewer, std::size_t host) const
+    {
+        const auto live = m_views[viewer].live(m_now);
+        return std::any_of(live.begin(), live.end(),
+            [&](const auto& each) { return each.id.value() == name(host); });
+    }
+
+private:
+    static std::string name(std::size_t host) { return "h" + std::to_string(100 + host); }
+
+    void exchange(std::size_t from, std::size_t to)
+    {
+        if (from == m_lost || to == m_lost || m_random() % 20 == 0)
+            return;
+        tell(from, to);
+        tell(to, from);
+    }
+
+    void tell(std::size_t from, std::size_t to)
+    {
+        m_views[to].relay(m_now, m_views[from].heard(m_now));
+        m_views[to].sight(m_now,
+            { host_id { name(from) }, incarnation { from + 1 },
+                { "127.0.0.1", static_cast<std::uint16_t>(from + 1) }, false });
+    }
+
+    std::vector<host_view> m_views;
+    std::mt19937 m_random { 20261204 };
+    std::size_t m_lost = ~std::size_t { 0 };
+    instant m_now = start;
+};
+
+} // namespace
+
+Test(membership, hosts_that_exchange_do_not_look_silent)
+{
+    for (const unsigned count : { 3U, 12U, 60U }) {
+        exchanging_hosts hosts(count);
+        (void)hosts.run(20);
+        const auto silences = hosts.run(240);
+        cr_expect_eq(silences, 0, "%u of %u hosts", silences, count);
+    }
+}
+
+Test(membership, lost_host_looks_silent_though_others_pass_on_what_they_heard)
+{
+    exchanging_hosts hosts(60);
+    (void)hosts.run(20);
+    hosts.lose(7);
+    (void)hosts.run(8);
+    for (std::size_t viewer = 0; viewer < 60; ++viewer)
+        cr_assert(viewer == 7 || !hosts.knows(viewer, 7));
+}
+
+Test(membership, hearsay_takes_no_host_back_to_an_earlier_run)
+{
+    auto view = viewOf("a");
+    view.list(start, { listed("b", 2) });
+    view.sight(start, seen("b", 2));
+    view.relay(start + 2s, { { host_id { "b" }, incarnation { 1 }, milliseconds(0) } });
+    cr_assert(view.live(start + 4s).size() == 1);
+    view.relay(start + 2s, { { host_id { "b" }, incarnation { 2 }, milliseconds(500) } });
+    cr_assert(view.live(start + 4s).size() == 2);
+    view.relay(start + 2s, { { host_id { "c" }, incarnation { 1 }, milliseconds(0) } });
+    cr_assert(view.live(start + 2s).size() == 2);
+}
