Refuse services without keys while the table is unconfirmed

Cause: a host that was cut off from the store and all peers knew after 8 s that its table might be old and said so to the balancer, but still forwarded what reached it. Services without keys have no lease that ends this, so a leaving target got new work from such a host 5 s after the limit, as soon as somebody asked it. Ruled out: refusing keyed services too (grants and route leases guard them, and they stay available); taking a table late after the cut ends (the log has version 2 in force within one exchange). Change: the router refuses them as not run, table-unconfirmed, and holds back those that wait, until the table is confirmed again.

--- a/bench/shared/baseline.cc
+++ b/bench/shared/baseline.cc
@@ -23,6 +23,7 @@
         return {};
     }
     actions applyLiveHosts(instant, std::optional<unsigned>) override { return {}; }
+    actions applyConfirmed(instant, bool) override { return {}; }
     actions ownersChanged(instant, const service_id&) override { return {}; }
     actions arrive(instant now, const request& taken) override
     {
--- a/include/pimentomast/routing.h
+++ b/include/pimentomast/routing.h
@@ -86,8 +86,9 @@
     ConnectionSilent,
     Quarantined,
     HostStopping,
+    TableUnconfirmed,
 };
-inline constexpr std::size_t refusalReasons = 16;
+inline constexpr std::size_t refusalReasons = 17;
 
 /// Why an attempt was followed by another one.
 enum class retry_reason {
@@ -337,6 +338,10 @@
     virtual actions heard(instant now, const crash& news) = 0;
     /// An operator clears a fingerprint; told to the other hosts.
     virtual actions pardon(instant now, fingerprint print) = 0;
+    /// Tells whether the table in force is known to be the newest. While it is not, new requests of
+    /// services without keys are refused with TableUnconfirmed and waiting ones stay: their targets
+    /// may be leaving, and no lease guards them.
+    virtual actions applyConfirmed(instant now, bool confirmed) = 0;
     /// Refuses waiting requests with HostStopping; those in flight go on.
     virtual actions stop(instant now) = 0;
     /// Ends waits, deadlines, probes and expiries that are due. Call at nextDue(), and in any case
--- a/src/routing/dispatching.cc
+++ b/src/routing/dispatching.cc
@@ -37,7 +37,7 @@
 
 bool engine::dispatchNextUnkeyed(service_state& service)
 {
-    if (!workerFree(service))
+    if (!m_confirmed || !workerFree(service))
         return false;
     for (const auto number : candidates(service, service.waiting)) {
         if (!number)
--- a/src/routing/engine.cc
+++ b/src/routing/engine.cc
@@ -203,6 +203,16 @@
     return taken();
 }
 
+actions engine::applyConfirmed(instant now, bool confirmed)
+{
+    m_now = now;
+    const bool returned = confirmed && !m_confirmed;
+    m_confirmed = confirmed;
+    if (returned)
+        pumpAll();
+    return taken();
+}
+
 actions engine::stop(instant now)
 {
     m_now = now;
--- a/src/routing/engine.h
+++ b/src/routing/engine.h
@@ -149,6 +149,7 @@
     actions probed(instant now, const target_id& target, const probe_result& ended) override;
     actions heard(instant now, const crash& news) override;
     actions pardon(instant now, fingerprint print) override;
+    actions applyConfirmed(instant now, bool confirmed) override;
     actions stop(instant now) override;
     actions tick(instant now) override;
     [[nodiscard]] instant nextDue() const override;
@@ -264,6 +265,7 @@
     instant m_now {};
     actions m_out;
     bool m_stopping = false;
+    bool m_confirmed = true;
     bool m_hasTable = false;
     std::map<service_id, service_state> m_services;
     std::map<target_id, target_state> m_targets;
--- a/src/routing/names.cc
+++ b/src/routing/names.cc
@@ -7,7 +7,8 @@
 constexpr std::array<std::string_view, refusalReasons> refusalNames { "unknown-service",
     "no-target", "no-owner", "queue-full", "deadline-before-dispatch", "deadline-unreachable",
     "deadline-after-dispatch", "target-shed", "token-refused", "target-draining", "connect-failed",
-    "retry-budget", "connection-broken", "connection-silent", "quarantined", "host-stopping" };
+    "retry-budget", "connection-broken", "connection-silent", "quarantined", "host-stopping",
+    "table-unconfirmed" };
 
 constexpr std::array<std::string_view, retryReasons> retryNames { "target-shed", "token-refused",
     "target-draining", "connect-failed", "connection-broken", "connection-silent",
--- a/src/routing/waiting.cc
+++ b/src/routing/waiting.cc
@@ -48,6 +48,8 @@
         return refusal_reason::UnknownService;
     if (service->targets.empty())
         return refusal_reason::NoTarget;
+    if (!m_confirmed && !service->row.keyed())
+        return refusal_reason::TableUnconfirmed;
     if (taken.deadline <= m_now)
         return refusal_reason::DeadlineBeforeDispatch;
     if (m_quarantine.judge(taken.print) == quarantine::verdict::Refused)
--- a/src/serve/dispatch.cc
+++ b/src/serve/dispatch.cc
@@ -86,6 +86,13 @@
         [&](instant now, routing::router& router) { return router.applyLiveHosts(now, count); });
 }
 
+void dispatch::applyConfirmed(bool confirmed)
+{
+    m_decisions->call([&](instant now, routing::router& router) {
+        return router.applyConfirmed(now, confirmed);
+    });
+}
+
 void dispatch::ownersChanged(const service_id& service)
 {
     m_decisions->call(
--- a/src/serve/dispatch.h
+++ b/src/serve/dispatch.h
@@ -37,6 +37,8 @@
     void detach();
 
     void applyTable(const table::table& rows);
+    /// Tells whether the table in force is known to be the newest.
+    void applyConfirmed(bool confirmed);
     void applyLiveHosts(std::optional<unsigned> count);
     void ownersChanged(const service_id& service);
     void report(const target_id& target, const routing::load_report& load);
--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -165,6 +165,7 @@
         m_spread->tick(now);
         m_control->applyMembership(m_book->live(now), m_book->complete(now));
         m_control->tick();
+        m_dispatch->applyConfirmed(m_spread->confirmed(now));
         m_dispatch->applyLiveHosts(m_book->connectionSharers(now));
         m_proxy->setHealthy(currentHealth().accepting);
         if (now >= nextLoad)
--- a/test/routing-test.cc
+++ b/test/routing-test.cc
@@ -107,6 +107,19 @@
 Test(routing, names_cover_every_reason)
 {
     cr_assert(name(refusal_reason::HostStopping) == "host-stopping");
+    cr_assert(name(refusal_reason::TableUnconfirmed) == "table-unconfirmed");
     cr_assert(name(retry_reason::AttemptTimedOut) == "attempt-timed-out");
     cr_assert(name(outcome::NotRun) == "not-run");
 }
+
+Test(routing, services_without_keys_are_refused_while_the_table_is_unconfirmed)
+{
+    driver test(makeTable(1, false));
+    (void)test.host->applyConfirmed(test.now, false);
+    const auto refused = test.arrive(test.make());
+    cr_assert(test.refusal(refused)->reason == refusal_reason::TableUnconfirmed);
+    cr_assert(test.refusal(refused)->certainty == outcome::NotRun);
+    (void)test.host->applyConfirmed(test.now, true);
+    const auto taken = test.arrive(test.make());
+    cr_assert_eq(test.lastDispatch(taken).number, taken);
+}
