--- a/src/proxy/io.cc
+++ b/src/proxy/io.cc
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr std::size_t receiveBytes = 65536;
+/// A socket filter sees each segment from its TCP header on.
+constexpr unsigned tcpFlagsOffset = 13;
 
 io_state stateOfError(int code)
 {
@@ -62,9 +64,8 @@
 
 bool stopHandshakes(const Poco::Net::Socket& listener) noexcept
 {
-    // The filter sees each segment from its TCP header on; byte 13 holds the flags.
     std::array<sock_filter, 5> steps { {
-        BPF_STMT(BPF_LD | BPF_B | BPF_ABS, 13),
+        BPF_STMT(BPF_LD | BPF_B | BPF_ABS, tcpFlagsOffset),
         BPF_STMT(BPF_ALU | BPF_AND | BPF_K, TH_SYN | TH_ACK),
         BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, TH_SYN, 0, 1),
         BPF_STMT(BPF_RET | BPF_K, 0),
