--- a/src/routing/waiting.cc
+++ b/src/routing/waiting.cc
@@ -27,7 +27,8 @@
     service_state& service = *findService(taken.service);
     service.shares.add(now, taken.caller);
     countWaiting(known);
-    if (awaitFate(known))
+    // Look-ups of a busy key are alike; holding them would stall all their callers.
+    if (!taken.repeatable && awaitFate(known))
         return this->taken();
     place(known);
     if (pending* still = find(taken.number); still != nullptr && service.row.keyed()) {
