--- a/test/balancing-planner-test.cc
+++ b/test/balancing-planner-test.cc
@@ -1,4 +1,4 @@
-#include "pimentomast/balancing.h"
+#include "balancing-fixture.h"
 
 #include <cmath>
 #include <criterion/criterion.h>
@@ -7,22 +7,13 @@
 
 using namespace pimentomast;
 using namespace pimentomast::balancing;
+using namespace pimentomast::balancing::testing;
 using namespace std::chrono_literals;
 
 namespace {
 
 constexpr instant now { 1000s };
 
-std::vector<placement_target> makeTargets(unsigned count)
-{
-    std::vector<placement_target> targets(count);
-    for (unsigned i = 0; i < count; ++i) {
-        targets[i].id = target_id { "t" + std::to_string(i) };
-        targets[i].domain = domain_id { "d" + std::to_string(i % 3) };
-    }
-    return targets;
-}
-
 planner makePlanner(double churnPrice = 0)
 {
     planner_options settings;
--- a/test/balancing-test.cc
+++ b/test/balancing-test.cc
@@ -1,26 +1,13 @@
-#include "pimentomast/balancing.h"
+#include "balancing-fixture.h"
 
 #include <criterion/criterion.h>
 #include <map>
 
 using namespace pimentomast;
 using namespace pimentomast::balancing;
+using namespace pimentomast::balancing::testing;
 using namespace std::chrono_literals;
 
-namespace {
-
-std::vector<placement_target> makeTargets(unsigned count)
-{
-    std::vector<placement_target> targets(count);
-    for (unsigned i = 0; i < count; ++i) {
-        targets[i].id = target_id { "t" + std::to_string(i) };
-        targets[i].domain = domain_id { "d" + std::to_string(i % 3) };
-    }
-    return targets;
-}
-
-} // namespace
-
 Test(balancing, initial_slices_cover_the_space_once_by_weight)
 {
     auto targets = makeTargets(3);
