--- a/bench/capacity.cc
+++ b/bench/capacity.cc
@@ -145,7 +145,7 @@
             std::visit([&](const auto& order) { perform(index, order); }, action);
     }
 
-    std::optional<platform::row> find(const std::string& key) const
+    std::optional<store::row> find(const std::string& key) const
     {
         const auto found = m_rows.find(key);
         return found == m_rows.end() ? std::nullopt : std::optional(found->second);
@@ -164,13 +164,13 @@
         const auto version = current ? current->version : row_version {};
         if (version != order.expected) {
             deliver(index,
-                ownership::write_finished { order.request, platform::write_conflict { current } });
+                ownership::write_finished { order.request, store::write_conflict { current } });
             return;
         }
         const row_version next { version.value() + 1 };
         m_rows[order.key] = { order.key, order.value, next, order.writer };
         deliver(
-            index, ownership::write_finished { order.request, platform::write_accepted { next } });
+            index, ownership::write_finished { order.request, store::write_accepted { next } });
     }
 
     void perform(std::size_t index, const ownership::send_grant& order)
@@ -225,7 +225,7 @@
     instant m_now { 1000s };
     std::vector<table::target_row> m_targets;
     std::vector<host> m_hosts;
-    std::map<std::string, platform::row> m_rows;
+    std::map<std::string, store::row> m_rows;
     std::map<target_id, std::vector<ownership::held_slice>> m_held;
     counts m_counts;
     stopwatch m_holderTime;
--- a/include/pimentomast/admin.h
+++ b/include/pimentomast/admin.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "pimentomast/core.h"
-#include "pimentomast/platform.h"
+#include "pimentomast/store.h"
 #include "pimentomast/telemetry.h"
 
 #include <memory>
@@ -32,7 +32,7 @@
     /// Clears this fingerprint on every host; false if it is neither suspected nor refused.
     virtual bool pardon(std::uint64_t fingerprint) = 0;
     /// The platform that the table is kept in.
-    [[nodiscard]] virtual platform::services& platform() = 0;
+    [[nodiscard]] virtual store::services& platform() = 0;
     [[nodiscard]] virtual telemetry::registry& metrics() = 0;
 };
 
--- a/include/pimentomast/balancing.h
+++ b/include/pimentomast/balancing.h
@@ -142,6 +142,8 @@
     double domainTolerance = 0.25;
     /// Slices beyond which no more are cut.
     unsigned slicesMax = 2048;
+    /// Hashes that one key takes; slices are cut between keys only.
+    std::uint64_t keyWidth = 1;
 };
 
 struct plan_input {
--- /dev/null
+++ b/include/pimentomast/http.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "pimentomast/core.h"
+
+#include <Poco/Net/HTTPResponse.h>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// Client of HTTP servers that are no targets of callers' requests: stores and target control.
+namespace pimentomast::http {
+
+/// One field that is sent with a request.
+struct field {
+    std::string name;
+    std::string value;
+};
+
+struct request {
+    std::string method;
+    std::string path;
+    /// Media type of the body; empty if there is none.
+    std::string type;
+    std::string body;
+    /// Replaces the client's timeout.
+    std::optional<std::chrono::milliseconds> timeout {};
+};
+
+struct answer {
+    Poco::Net::HTTPResponse::HTTPStatus status = Poco::Net::HTTPResponse::HTTP_OK;
+    std::string body;
+    std::vector<field> fields {};
+
+    /// Returns the value of the first field with this name, compared without regard to case;
+    /// empty if there is none.
+    [[nodiscard]] std::string header(const std::string& name) const;
+};
+
+/// No byte of the request was sent.
+struct not_sent {
+    error cause;
+    /// The connection was refused: no process listens.
+    bool refused = false;
+};
+/// The request may have been served.
+struct no_answer {
+    error cause;
+};
+using outcome = std::variant<answer, not_sent, no_answer>;
+
+struct client_options {
+    endpoint address;
+    std::chrono::milliseconds timeout { 500 };
+};
+
+/// Sends requests to one server over pooled keep-alive connections. Thread-safe.
+class client {
+public:
+    explicit client(const client_options& options);
+    client(const client&) = delete;
+    client& operator=(const client&) = delete;
+    ~client();
+
+    /// Sends a request once.
+    [[nodiscard]] outcome sendOnce(const request& sent);
+    /// Sends an idempotent request, and once more if a pooled connection broke before its answer.
+    [[nodiscard]] outcome sendIdempotent(const request& sent);
+    /// Returns the server's address as errors name it.
+    [[nodiscard]] const std::string& peer() const noexcept;
+
+private:
+    struct state;
+    std::unique_ptr<state> m_state;
+};
+
+} // namespace pimentomast::http
--- a/include/pimentomast/membership.h
+++ b/include/pimentomast/membership.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "pimentomast/core.h"
-#include "pimentomast/platform.h"
+#include "pimentomast/store.h"
 
 #include <map>
 #include <optional>
@@ -60,7 +60,7 @@
     [[nodiscard]] static result<host_view> create(const view_options& options);
 
     /// Replaces the platform's list.
-    void list(instant now, const std::vector<platform::listed_host>& hosts);
+    void list(instant now, const std::vector<store::listed_host>& hosts);
     /// Records a message that a peer sent.
     void sight(instant now, const sighting& seen);
     /// Takes what a peer says of other hosts. A host is never made older by it, and a run other
--- a/include/pimentomast/ownership.h
+++ b/include/pimentomast/ownership.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "pimentomast/core.h"
-#include "pimentomast/platform.h"
+#include "pimentomast/store.h"
 #include "pimentomast/table.h"
 
 #include <map>
@@ -132,7 +132,7 @@
     bool operator==(const granted_slice&) const = default;
 };
 
-/// Body of POST /pimentomast/grants.
+/// What a target shall hold.
 struct grant_message {
     service_id service;
     host_id host;
@@ -140,6 +140,10 @@
     sequence number;
     /// 0 while the target's incarnation is not known.
     incarnation target;
+    /// Run that the table tells of the target; 0: it does not.
+    incarnation run;
+    /// Version of the assignment that the slices are from.
+    token version;
     /// The target's clock reading, in microseconds, from which the lease runs.
     std::uint64_t echoUs = 0;
     std::chrono::milliseconds lease { 0 };
@@ -183,7 +187,7 @@
 /// Answer to read_row.
 struct row_read {
     request_number request;
-    std::optional<platform::row> row;
+    std::optional<store::row> row;
 };
 struct row_read_failed {
     request_number request;
@@ -191,7 +195,7 @@
 /// Answer to write_row.
 struct write_finished {
     request_number request;
-    platform::write_outcome outcome;
+    store::write_outcome outcome;
 };
 /// Answer to send_grant: the target took the message (200).
 struct target_acknowledged {
@@ -284,7 +288,7 @@
     std::string key;
     row_version expected;
     std::string value;
-    platform::write_id writer;
+    store::write_id writer;
 };
 /// Send a grant message; answered by target_acknowledged, target_refused or target_failed.
 struct send_grant {
@@ -388,6 +392,8 @@
     /// Start of the counter that write ids are drawn from; differs for each run of a host.
     std::uint64_t seed = 0;
     timings times;
+    /// Hashes that one key takes; slices are cut between keys only.
+    std::uint64_t keyWidth = 1;
 };
 
 /// What the coordinator knows of a target.
--- a/include/pimentomast/proxy.h
+++ b/include/pimentomast/proxy.h
@@ -47,9 +47,11 @@
     BadConnectionField,
     UnsupportedExpectation,
     TooManyConnections,
+    NoTable,
     NoService,
     NoKey,
     Ambiguous,
+    BadKey,
     MalformedBody,
     BodyTimeout,
     Deadline,
@@ -91,6 +93,10 @@
     std::optional<key_hash> key;
     caller_id caller;
     bool repeatable = false;
+    /// Targets that the request may be sent to at most.
+    unsigned attempts = 4;
+    /// 0 is served first.
+    unsigned priority = 0;
     /// Same for each sending of the same method, path, key and caller.
     std::uint64_t fingerprint = 0;
     instant arrived;
@@ -111,6 +117,8 @@
     bool newConnection = false;
     /// The answer must have begun by then, and by the request's own deadline.
     instant deadline = instant::max();
+    /// Name of the process that is meant; empty: not said.
+    std::string instance {};
 };
 
 /// An answer that the dispatcher has the proxy make.
@@ -122,8 +130,8 @@
     std::string reason;
     /// Target of the last attempt; empty if there was none.
     std::string peer;
-    /// Seconds after which the caller may try again; 0: not said.
-    unsigned retryAfterS = 0;
+    /// Time after which the caller may try again; 0: not said.
+    duration retryAfter {};
 };
 
 /// The target's answer was handed to the caller whole.
@@ -173,6 +181,36 @@
     bool refused = false;
 };
 
+/// Where a target answers probes.
+struct probe_address {
+    endpoint address;
+    std::string path;
+    /// Run that the table tells of the target; 0: the answer tells it.
+    incarnation run {};
+};
+
+/// Field names and rules by which callers and targets of an installation speak of a request. The
+/// defaults are the product's own (docs/DESIGN.md); an empty name means that there is no such field.
+struct contract {
+    /// The request's id. Given by the host for each request, unless callers choose it.
+    std::string id = "Pimentomast-Request-Id";
+    /// Callers send the id, and targets' answers repeat it: an answer with another id belongs to
+    /// an earlier request.
+    bool callersChooseId = false;
+    /// Milliseconds that are left for the request.
+    std::string deadline = "Pimentomast-Deadline-Ms";
+    /// Callers state their own deadline in that field.
+    bool callersStateDeadline = false;
+    /// Name of the process that a request is meant for.
+    std::string instance {};
+    /// Present in answers of targets that refused before running. Empty: the product's own field.
+    std::string notRun {};
+    /// Token, key hash and caller are sent in the product's own fields.
+    bool ownFields = true;
+    /// Retry-After may have fractions of a second.
+    bool fractionalRetryAfter = false;
+};
+
 /// Takes decisions about submitted requests. Implemented by the server; thread-safe. Calls for
 /// an id that is over have no effect.
 class dispatch_sink {
@@ -187,7 +225,7 @@
     /// as ended; another decision for the request follows, and may come at once.
     virtual void abandon(request_id id, unsigned attempt) = 0;
     /// Asks the target for its health over a new connection.
-    virtual void probe(const target_id& target, const endpoint& address) = 0;
+    virtual void probe(const target_id& target, const probe_address& at) = 0;
     /// Closes unused connections that were opened before; those in use are not used again.
     virtual void closeIdle(const endpoint& address, instant openedBefore) = 0;
 };
@@ -286,6 +324,7 @@
     std::size_t bodyFirstBytes = 4096;
     /// Age at which an unused connection to a target is closed.
     std::chrono::milliseconds pooledIdle { 20000 };
+    proxy::contract contract {};
 };
 
 /// Accepts callers' connections and forwards their requests.
--- a/include/pimentomast/routing.h
+++ b/include/pimentomast/routing.h
@@ -37,6 +37,10 @@
     /// No attempt starts or goes on after this time.
     instant deadline;
     fingerprint print;
+    /// Targets that it may be sent to at most.
+    unsigned attempts = 4;
+    /// 0 is served first.
+    unsigned priority = 0;
 };
 
 /// The owner of a key: requests for it go to the target with this token.
@@ -268,6 +272,10 @@
     double loadBias = 2;
     /// Time after which a reported load counts for 1/e.
     std::chrono::milliseconds reportAge { 500 };
+    /// Requests that a target shed draw on the retry budgets too.
+    bool budgetsShed = false;
+    /// A request that has no retry budget waits for it; otherwise it is refused at once.
+    bool waitsForBudget = true;
     std::chrono::milliseconds retryBackoff { 10 };
     std::chrono::milliseconds retryBackoffMax { 500 };
     /// Longest pause of a target's window that its shed answer can ask for.
@@ -285,6 +293,7 @@
     double ejectedMax = 0.34;
     /// Between probes of a target that fails, and of one that seems healthy.
     std::chrono::milliseconds probeInterval { 500 };
+    /// A target that answers requests needs no background probes.
     std::chrono::milliseconds backgroundProbeInterval { 2000 };
     std::chrono::milliseconds probeTimeout { 1000 };
     /// Shortest ejection; doubled while a target fails again right after its return.
--- a/include/pimentomast/serve.h
+++ b/include/pimentomast/serve.h
@@ -1,15 +1,78 @@
 #pragma once
 
 #include "pimentomast/core.h"
+#include "pimentomast/proxy.h"
+#include "pimentomast/ranges.h"
 #include "pimentomast/settings.h"
+#include "pimentomast/store.h"
+#include "pimentomast/table.h"
+
+#include <functional>
+#include <memory>
 
 /// One entry host: forwards callers' requests and coordinates some of the services.
 namespace pimentomast::serve {
 
+/// Supplies tables that do not come from the operators' CSV row.
+class table_source {
+public:
+    using receiver = std::function<void(std::shared_ptr<const table::table>)>;
+
+    virtual ~table_source() = default;
+    /// Calls receive for each new table, one call at a time, until stop(). Versions rise. Call once.
+    virtual void start(receiver receive) = 0;
+    /// Returns when no call of receive runs any more and none will come.
+    virtual void stop() = 0;
+};
+
+/// A target of a keyed service, as calls about its keys address it.
+struct range_recipient {
+    service_id service;
+    endpoint address;
+};
+
+/// Calls to targets that take and give back one range of keys at a time. Each call blocks until it
+/// is answered or has failed. Implementations are thread-safe.
+class range_calls {
+public:
+    virtual ~range_calls() = default;
+
+    [[nodiscard]] virtual ranges::call_result grant(
+        const range_recipient& to, const ranges::grant_range& wanted, duration lease)
+        = 0;
+    [[nodiscard]] virtual ranges::call_result release(
+        const range_recipient& to, const ranges::release_range& wanted)
+        = 0;
+    /// Returns how long after grant() was called the call may still arrive.
+    [[nodiscard]] virtual duration longestDelay() const = 0;
+};
+
+/// The installation that a host runs in. What it returns lives as long as it does.
+class surroundings {
+public:
+    virtual ~surroundings() = default;
+
+    [[nodiscard]] virtual store::services& rows() = 0;
+    /// Null if operators edit the CSV row of the store.
+    [[nodiscard]] virtual table_source* tables() = 0;
+    /// Null if targets take whole lists of slices.
+    [[nodiscard]] virtual range_calls* ranges() = 0;
+    [[nodiscard]] virtual proxy::contract contract() const = 0;
+    /// Makes this host known to the others before it serves.
+    virtual void announce(const store::listed_host& self) = 0;
+    /// Withdraws it when it has stopped.
+    virtual void withdraw(const host_id& self) = 0;
+};
+
 /// Runs an entry host until SIGTERM or SIGINT, then drains it: reports itself unhealthy, hands its
 /// services over, goes on accepting for the stated time and finishes every request in flight.
 /// Returns the process's exit code. Throws failure if the host cannot start. Call once, from the
 /// main thread, before any other thread was started.
-int run(const settings::settings& values);
+int run(const settings::settings& values, surroundings& around);
+
+/// Returns the surroundings in which the product's own protocols are spoken (docs/DESIGN.md). Fails
+/// if the store's address is incomplete.
+[[nodiscard]] result<std::unique_ptr<surroundings>> ownSurroundings(
+    const settings::store_settings& values);
 
 } // namespace pimentomast::serve
--- a/include/pimentomast/settings.h
+++ b/include/pimentomast/settings.h
@@ -26,15 +26,24 @@
     std::vector<endpoint> seeds;
 };
 
-struct platform_settings {
+enum class store_interface {
+    /// The product's own protocol (docs/DESIGN.md).
+    Own,
+    /// The users' platform, through the adapter in platform/.
+    Platform,
+};
+
+struct store_settings {
     endpoint address;
+    store_interface interface = store_interface::Own;
     milliseconds timeoutMs { 500 };
     /// Time between two reads of the configuration's version.
     milliseconds pollMs { 500 };
 };
 
 struct admin_settings {
-    /// Bearer token of the administration API. Secret: never logged or shown.
+    /// Bearer token of the administration API. Secret: never logged or shown. Empty: only the
+    /// host's health and metrics are served.
     std::string token;
 };
 
@@ -46,6 +55,24 @@
     milliseconds bodyTimeoutMs { 30000 };
     milliseconds idleTimeoutMs { 60000 };
     milliseconds connectTimeoutMs { 1000 };
+    /// Age at which an unused connection to a target is closed.
+    milliseconds pooledIdleMs { 20000 };
+};
+
+struct retry_settings {
+    /// Retries of all hosts together per first attempt of a service, in percent.
+    unsigned percent = 9;
+    /// Retries of this host that may be saved up for each service.
+    unsigned burst = 5;
+    /// What happens to a request that may be retried when no retries are left.
+    bool wait = true;
+    /// Requests that targets shed draw on the budget too.
+    bool countShed = false;
+};
+
+struct probe_settings {
+    /// Between probes of a target that seems healthy.
+    milliseconds backgroundMs { 2000 };
 };
 
 struct ownership_settings {
@@ -54,6 +81,8 @@
     milliseconds authorityMs { 700 };
     milliseconds authorityRenewMs { 200 };
     milliseconds routeLeaseMs { 1500 };
+    /// Between two reads of a coordinator's row by the hosts that would follow it first.
+    milliseconds pollMs { 75 };
     /// For how long a coordinator may go on while the platform's store is out.
     milliseconds outageLimitMs { 600000 };
 };
@@ -84,13 +113,17 @@
 struct drain_settings {
     /// For how long a leaving host still accepts connections after it reports itself unhealthy.
     milliseconds acceptMs { 3000 };
+    /// For how long idle connections stay open after that.
+    milliseconds idleMs { 2000 };
 };
 
 struct settings {
     host_settings host;
-    platform_settings platform;
+    store_settings store;
     admin_settings admin;
     limit_settings limits;
+    retry_settings retries;
+    probe_settings probes;
     ownership_settings ownership;
     log_settings log;
     drain_settings drain;
--- a/include/pimentomast/platform.h
+++ b/include/pimentomast/store.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 /// Client of the platform: table service, object store and list of hosts.
-namespace pimentomast::platform {
+namespace pimentomast::store {
 
 /// Unique id of one write, kept with the row, by which a lost reply is settled.
 using write_id = strong<struct write_id_tag, std::string>;
@@ -86,4 +86,4 @@
 /// Returns a write id that no other write has. Thread-safe.
 [[nodiscard]] write_id newWriteId();
 
-} // namespace pimentomast::platform
+} // namespace pimentomast::store
--- a/include/pimentomast/table.h
+++ b/include/pimentomast/table.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "pimentomast/core.h"
-#include "pimentomast/platform.h"
+#include "pimentomast/store.h"
 
 #include <cstdint>
 #include <functional>
@@ -33,12 +33,28 @@
 };
 using value_source = std::variant<no_source, path_segment, query_parameter, header_field>;
 
+/// How keys are laid out in the hash space.
+enum class key_form {
+    /// Any text; its hash is its place.
+    Text,
+    /// A decimal number of 16 bits; neighbouring numbers are neighbours in the hash space.
+    Number,
+};
+
+/// Returns how many hashes one key of this form takes. Thread-safe.
+[[nodiscard]] constexpr std::uint64_t keyWidth(key_form form) noexcept
+{
+    constexpr unsigned numberShift = 48;
+    return form == key_form::Number ? std::uint64_t { 1 } << numberShift : 1;
+}
+
 struct service_row {
     service_id id;
     /// Requests whose path starts with this prefix belong to the service; the longest prefix wins.
     std::string pathPrefix;
     /// no_source: the service is unkeyed and any of its targets may serve any request.
     value_source key;
+    key_form keyForm = key_form::Text;
     value_source caller;
     /// Methods whose requests may run more than once.
     std::set<std::string> repeatable;
@@ -48,6 +64,8 @@
     /// A planned move must save a part of the service's load that is above this price times the
     /// part of the service's keys that it moves.
     double churnPrice = 0.25;
+    /// Path at which targets answer health probes.
+    std::string healthPath = "/pimentomast/health";
 
     [[nodiscard]] bool keyed() const noexcept { return !std::holds_alternative<no_source>(key); }
     bool operator==(const service_row&) const = default;
@@ -69,6 +87,10 @@
     /// The target checks the fencing token of each grant and request.
     bool checksTokens = true;
     mark state = mark::Active;
+    /// Name by which requests say which process they are meant for; empty: they don't say it.
+    std::string instance {};
+    /// Run of the process, where the table tells it; 0: it is learned from the target.
+    incarnation run {};
 
     bool operator==(const target_row&) const = default;
 };
@@ -81,6 +103,37 @@
     bool operator==(const host_row&) const = default;
 };
 
+/// A service that serves a part of a route's requests.
+struct route_part {
+    service_id service;
+    unsigned weight = 1;
+
+    bool operator==(const route_part&) const = default;
+};
+
+/// Which requests go to which service, for tables that name routes apart from services.
+struct route_row {
+    std::string id;
+    /// Name in the Host field, without a port; empty: any.
+    std::string host;
+    /// Requests whose path begins with it belong to the route; the longest prefix wins.
+    std::string pathPrefix;
+    /// Not empty; requests are shared out in proportion to the weights.
+    std::vector<route_part> parts;
+    /// Requests may run more than once.
+    bool repeatable = false;
+    /// Targets that one request may be sent to at most.
+    unsigned attempts = 4;
+    /// A request is answered within this time.
+    std::chrono::milliseconds timeout { 10000 };
+    /// Time within which an answer is worth most to its caller.
+    std::chrono::milliseconds objective { 10000 };
+    /// 0 is served first.
+    unsigned priority = 0;
+
+    bool operator==(const route_row&) const = default;
+};
+
 /// One accepted version of the table. Rows are sorted by id; ids are unique within their kind.
 struct table {
     config_version version;
@@ -88,6 +141,8 @@
     std::vector<service_row> services;
     std::vector<target_row> targets;
     std::vector<host_row> hosts;
+    /// If empty, each service's own prefix is its route.
+    std::vector<route_row> routes {};
 
     [[nodiscard]] const service_row* service(const service_id& id) const noexcept;
     [[nodiscard]] const target_row* target(const target_id& id) const noexcept;
@@ -202,18 +257,28 @@
 /// What classification reads of a request.
 struct request_head {
     std::string method;
+    /// Value of the Host field.
+    std::string host;
+    /// As sent, without the query.
+    std::string path;
     /// Segments of the path, each decoded after splitting: /weights/g%2F17 is "weights", "g/17".
     std::vector<std::string> segments;
     std::vector<query_value> query;
     /// Returns all values of a header field; its name is compared without regard to case.
     std::function<std::vector<std::string>(const std::string& name)> header;
+    /// Chooses a part of a route that has several; the first part if there is no such function.
+    std::function<const route_part&(const route_row& row)> choosePart;
 };
 
 /// The service of a request and what its row makes of it. Lives as long as the table.
 struct classified {
     const service_row* service = nullptr;
+    /// Null if the service's own prefix was the route.
+    const route_row* route = nullptr;
     /// Empty for unkeyed services.
     std::optional<std::string> key;
+    /// Place of the key in the hash space; set if and only if key is.
+    std::optional<key_hash> hash;
     /// Empty if the request names no caller; all such requests share one caller's share.
     caller_id caller;
     bool repeatable = false;
@@ -226,11 +291,14 @@
     NoKey,
     /// The request names several keys or callers.
     Ambiguous,
+    /// The service's keys are numbers and the request's key is none.
+    BadKey,
 };
 
 using classification = std::variant<classified, unclassified>;
 
-/// Finds service, key and caller of a request. A prefix matches whole segments only.
+/// Finds service, key and caller of a request. A service's prefix matches whole segments only, a
+/// route's as it stands.
 /// Precondition: the table outlives the result. Thread-safe.
 [[nodiscard]] classification classify(const table& rows, const request_head& head);
 
@@ -290,7 +358,7 @@
 /// Checks an edit, merges it with what came since its base, and writes it by compare-and-set; a
 /// lost race is merged again. Nothing changes unless the whole edit is taken. In place of a corrupt
 /// version it is taken as it is, without a merge, and only as the next version. Thread-safe.
-[[nodiscard]] apply_outcome apply(platform::services& store, const edit& wanted);
+[[nodiscard]] apply_outcome apply(store::services& store, const edit& wanted);
 
 /// Adds or changes the mark of a target or host; everything else stays. Thread-safe.
 /// Fails with not_applied if there is no such target. A returning host's row is removed.
@@ -300,10 +368,10 @@
     mark state = mark::Active;
     std::string at;
 };
-[[nodiscard]] apply_outcome apply(platform::services& store, const mark_edit& wanted);
+[[nodiscard]] apply_outcome apply(store::services& store, const mark_edit& wanted);
 
 /// Reads the table from the store; an empty optional if none was ever applied. Thread-safe.
-[[nodiscard]] result<std::optional<table>> readCurrent(platform::services& store);
+[[nodiscard]] result<std::optional<table>> readCurrent(store::services& store);
 
 /// Builds the table of a row read from the store (or received from a peer). Thread-safe.
 [[nodiscard]] result<table> decode(config_version version, const std::string& value);
@@ -322,7 +390,7 @@
 };
 
 /// Returns up to `limit` versions, newest first. Thread-safe.
-[[nodiscard]] result<std::vector<history_entry>> history(platform::services& store, unsigned limit);
+[[nodiscard]] result<std::vector<history_entry>> history(store::services& store, unsigned limit);
 
 /// JSON forms of the above, for the administration API and the command line. Thread-safe.
 [[nodiscard]] std::string toJson(const table& rows);
--- a/src/admin/answers.cc
+++ b/src/admin/answers.cc
@@ -52,7 +52,7 @@
 
 bool authorized(const request& request, const std::string& token)
 {
-    if (!request.authorization.starts_with(bearer))
+    if (token.empty() || !request.authorization.starts_with(bearer))
         return false;
     return equalInConstantTime(request.authorization.substr(bearer.size()), token);
 }
--- a/src/admin/server.cc
+++ b/src/admin/server.cc
@@ -149,8 +149,6 @@
 
 result<std::unique_ptr<server>> server::start(const options& options, node& node)
 {
-    if (options.token.empty())
-        return error { "start administration API", options.address.text(), "the token is empty" };
     try {
         return std::unique_ptr<server>(new http_server(options, node));
     } catch (const Poco::Exception& caught) {
--- a/src/balancing/planner.cc
+++ b/src/balancing/planner.cc
@@ -74,7 +74,8 @@
     const std::size_t wanted
         = m_settings.slicesPerTarget * std::max<std::size_t>(1, targets.size());
     const std::size_t count = std::min<std::size_t>(wanted, std::max(1U, m_settings.slicesMax));
-    const std::uint64_t width = UINT64_MAX / count;
+    const std::uint64_t even = UINT64_MAX / count;
+    const std::uint64_t width = std::max(even - even % m_settings.keyWidth, m_settings.keyWidth);
     owner_sequence owners(targets);
     std::vector<placed_slice> slices(count);
     for (std::size_t i = 0; i < count; ++i) {
--- a/src/balancing/rebalancing.cc
+++ b/src/balancing/rebalancing.cc
@@ -7,7 +7,7 @@
 
 bool planning::isSingleKey(const placed_slice& one) const
 {
-    return one.keys.first == one.keys.last;
+    return one.keys.last.value() - one.keys.first.value() < m_settings.keyWidth;
 }
 
 bool planning::isOverloaded(const target_id& id) const
@@ -37,8 +37,9 @@
         propose(split_slice { rest, key.hash });
         rest.first = key.hash;
     }
-    if (key.hash < rest.last)
-        propose(split_slice { rest, key_hash { key.hash.value() + 1 } });
+    const std::uint64_t keyLast = key.hash.value() + (m_settings.keyWidth - 1);
+    if (keyLast < rest.last.value())
+        propose(split_slice { rest, key_hash { keyLast + 1 } });
     const double rate = std::min(key.rate, whole.load);
     for (placed_slice& part : m_slices) {
         if (part.keys.first < whole.keys.first || part.keys.last > whole.keys.last)
@@ -58,8 +59,9 @@
             ++i;
             continue;
         }
-        const auto half = (each.keys.last.value() - each.keys.first.value()) / 2;
-        propose(split_slice { each.keys, key_hash { each.keys.first.value() + half + 1 } });
+        const auto half = (each.keys.last.value() - each.keys.first.value()) / 2 + 1;
+        const auto lower = std::max(half - half % m_settings.keyWidth, m_settings.keyWidth);
+        propose(split_slice { each.keys, key_hash { each.keys.first.value() + lower } });
     }
 }
 
--- a/src/command/host_commands.cc
+++ b/src/command/host_commands.cc
@@ -1,6 +1,7 @@
 #include "subcommands.h"
 
 #include "pimentomast/serve.h"
+#include "platform.h"
 
 #include <Poco/Exception.h>
 #include <Poco/JSON/Array.h>
@@ -92,6 +93,17 @@
     out << "\n";
 }
 
+result<std::unique_ptr<serve::surroundings>> surroundingsOf(const settings::store_settings& values)
+{
+    if (values.interface == settings::store_interface::Own)
+        return serve::ownSurroundings(values);
+    platform::options options;
+    options.store = values.address;
+    options.storeTimeout = values.timeoutMs;
+    options.registrationPoll = values.pollMs;
+    return platform::connect(options);
+}
+
 /// Returns the JSON body that names a fingerprint. Throws if the text is no hexadecimal number.
 std::string fingerprintBody(const std::string& digits)
 {
@@ -109,7 +121,9 @@
 
 exit_code serve(const invocation& call)
 {
-    return static_cast<exit_code>(serve::run(loadSettings(call)));
+    const auto values = loadSettings(call);
+    const auto around = surroundingsOf(values.store).value();
+    return static_cast<exit_code>(serve::run(values, *around));
 }
 
 exit_code checkSettings(const invocation& call)
--- a/src/command/notifying_store.cc
+++ b/src/command/notifying_store.cc
@@ -29,14 +29,14 @@
     return kept;
 }
 
-class notifying_store final : public platform::services {
+class notifying_store final : public store::services {
 public:
-    explicit notifying_store(std::unique_ptr<platform::services> store)
+    explicit notifying_store(std::unique_ptr<store::services> store)
         : m_store(std::move(store))
     {
     }
 
-    result<std::optional<platform::row>> read(const std::string& key) override
+    result<std::optional<store::row>> read(const std::string& key) override
     {
         auto found = m_store->read(key);
         if (found && found.value() && key == table::configRow)
@@ -44,13 +44,13 @@
         return found;
     }
 
-    platform::write_outcome write(const std::string& key, row_version expected,
-        const std::string& value, const platform::write_id& id) override
+    store::write_outcome write(const std::string& key, row_version expected,
+        const std::string& value, const store::write_id& id) override
     {
         if (key == table::configRow)
             listHosts();
         auto outcome = m_store->write(key, expected, value, id);
-        const auto* accepted = std::get_if<platform::write_accepted>(&outcome);
+        const auto* accepted = std::get_if<store::write_accepted>(&outcome);
         if (accepted && key == table::configRow)
             notify(accepted->version, value);
         return outcome;
@@ -66,7 +66,7 @@
         return m_store->getObject(name);
     }
 
-    result<std::vector<platform::listed_host>> hosts() override { return m_store->hosts(); }
+    result<std::vector<store::listed_host>> hosts() override { return m_store->hosts(); }
 
 private:
     /// Opens clients of the listed hosts. Until then, nothing that is read is told.
@@ -98,12 +98,12 @@
         state->changed.wait_for(lock, 2 * noticeTimeoutMs, [&] { return state->open == 0; });
     }
 
-    std::unique_ptr<platform::services> m_store;
+    std::unique_ptr<store::services> m_store;
 };
 
 } // namespace
 
-std::unique_ptr<platform::services> notifyHosts(std::unique_ptr<platform::services> store)
+std::unique_ptr<store::services> notifyHosts(std::unique_ptr<store::services> store)
 {
     return std::make_unique<notifying_store>(std::move(store));
 }
--- a/src/command/subcommands.cc
+++ b/src/command/subcommands.cc
@@ -39,8 +39,8 @@
     option_list& settings() { return required("settings", "INI file with the settings"); }
     option_list& platform()
     {
-        text("settings", "INI file whose [platform] section names the platform");
-        return text("platform", "ip:port of the platform, in place of --settings");
+        text("settings", "INI file whose [store] section names the platform");
+        return text("store", "ip:port of the platform, in place of --settings");
     }
     option_list& editor()
     {
--- a/src/command/subcommands.h
+++ b/src/command/subcommands.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "pimentomast/command.h"
-#include "pimentomast/platform.h"
+#include "pimentomast/store.h"
 #include "pimentomast/settings.h"
 
 #include <boost/program_options.hpp>
@@ -39,8 +39,8 @@
 /// Throws failure if the settings are refused.
 [[nodiscard]] settings::settings loadSettings(const invocation& call);
 
-/// Connects to the platform that --platform or --settings names. Throws failure.
-[[nodiscard]] std::unique_ptr<platform::services> connectPlatform(const invocation& call);
+/// Connects to the platform that --store or --settings names. Throws failure.
+[[nodiscard]] std::unique_ptr<store::services> connectStore(const invocation& call);
 
 exit_code serve(const invocation& call);
 exit_code checkSettings(const invocation& call);
--- a/src/command/table_commands.cc
+++ b/src/command/table_commands.cc
@@ -124,12 +124,12 @@
 
 table::table readCurrent(const invocation& call)
 {
-    const auto store = connectPlatform(call);
+    const auto store = connectStore(call);
     return table::readCurrent(*store).value().value_or(table::table {});
 }
 
 /// Warns of an id that may be mistyped. The platform's list lags, so the mark is set all the same.
-void warnIfUnlisted(const invocation& call, platform::services& store)
+void warnIfUnlisted(const invocation& call, store::services& store)
 {
     const auto listed = store.hosts();
     if (!listed)
@@ -144,7 +144,7 @@
 exit_code setMark(const invocation& call, table::row_kind kind, table::mark state)
 {
     const auto editor = editorOf(call);
-    const auto store = connectPlatform(call);
+    const auto store = connectStore(call);
     if (kind == table::row_kind::Host)
         warnIfUnlisted(call, *store);
     const table::mark_edit wanted { editor, { kind, call.text("id") }, state, now() };
@@ -176,13 +176,13 @@
 };
 
 std::vector<shown_host> hostsOf(
-    const std::vector<platform::listed_host>& listed, const table::table& rows)
+    const std::vector<store::listed_host>& listed, const table::table& rows)
 {
     std::vector<shown_host> all;
     std::set<host_id> seen;
     for (const auto& each : listed) {
         const auto* row = rows.host(each.id);
-        const bool live = each.state == platform::host_state::Live;
+        const bool live = each.state == store::host_state::Live;
         all.push_back({ each.id.value(), each.domain.value(), live ? "live" : "leaving",
             markName(row ? row->state : table::mark::Active) });
         seen.insert(each.id);
@@ -234,25 +234,25 @@
         const Poco::Net::SocketAddress address(text);
         return { address.host().toString(), address.port() };
     } catch (const Poco::Exception&) {
-        throw failure({ "read --platform", text, "must be ip:port" });
+        throw failure({ "read --store", text, "must be ip:port" });
     }
 }
 
 } // namespace
 
-std::unique_ptr<platform::services> connectPlatform(const invocation& call)
+std::unique_ptr<store::services> connectStore(const invocation& call)
 {
-    platform::client_options options;
-    if (const auto address = call.text("platform"); !address.empty()) {
+    store::client_options options;
+    if (const auto address = call.text("store"); !address.empty()) {
         options.address = platformAddress(address);
     } else if (!call.text("settings").empty()) {
         const auto values = loadSettings(call);
-        options.address = values.platform.address;
-        options.timeout = values.platform.timeoutMs;
+        options.address = values.store.address;
+        options.timeout = values.store.timeoutMs;
     } else {
-        throw options::error("one of --platform and --settings is needed");
+        throw options::error("one of --store and --settings is needed");
     }
-    return notifyHosts(platform::connect(options).value());
+    return notifyHosts(store::connect(options).value());
 }
 
 exit_code tableShow(const invocation& call)
@@ -274,7 +274,7 @@
         call.err << rows.error().text() << "\n";
         return exit_code::Refused;
     }
-    const bool compared = !call.text("platform").empty() || !call.text("settings").empty();
+    const bool compared = !call.text("store").empty() || !call.text("settings").empty();
     std::vector<table::change> changes;
     if (compared)
         changes = table::difference(readCurrent(call), rows.value());
@@ -295,13 +295,13 @@
     const auto csv = readFile(call.text("file"));
     const bool replaceCorrupt = call.values.count("replace-corrupt") > 0;
     const table::edit wanted { editor, baseOf(call, csv), csv, now(), replaceCorrupt };
-    const auto store = connectPlatform(call);
+    const auto store = connectStore(call);
     return report(call, table::apply(*store, wanted));
 }
 
 exit_code tableHistory(const invocation& call)
 {
-    const auto store = connectPlatform(call);
+    const auto store = connectStore(call);
     const auto limit
         = std::min<std::uint64_t>(call.values["limit"].as<std::uint64_t>(), table::historyLength);
     const auto entries = table::history(*store, static_cast<unsigned>(limit)).value();
@@ -349,7 +349,7 @@
 
 exit_code hostList(const invocation& call)
 {
-    const auto store = connectPlatform(call);
+    const auto store = connectStore(call);
     const auto rows = table::readCurrent(*store).value().value_or(table::table {});
     const auto hosts = hostsOf(store->hosts().value(), rows);
     if (call.json()) {
--- a/src/platform/session-pool.cc
+++ b/src/http/session-pool.cc
@@ -1,6 +1,6 @@
 #include "session-pool.h"
 
-namespace pimentomast::platform::detail {
+namespace pimentomast::http::detail {
 
 namespace {
 Poco::Timespan timespan(std::chrono::milliseconds span)
@@ -66,4 +66,4 @@
         m_idle.push_back(std::move(idle));
 }
 
-} // namespace pimentomast::platform::detail
+} // namespace pimentomast::http::detail
--- a/src/platform/session-pool.h
+++ b/src/http/session-pool.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "pimentomast/platform.h"
+#include "pimentomast/core.h"
 
 #include <Poco/Net/HTTPClientSession.h>
 #include <memory>
 #include <mutex>
 #include <vector>
 
-namespace pimentomast::platform::detail {
+namespace pimentomast::http::detail {
 
 /// HTTP session that never opens a connection behind its user's back.
 class session : public Poco::Net::HTTPClientSession {
@@ -45,4 +45,4 @@
     std::vector<std::unique_ptr<session>> m_idle;
 };
 
-} // namespace pimentomast::platform::detail
+} // namespace pimentomast::http::detail
--- a/src/membership/host_view.cc
+++ b/src/membership/host_view.cc
@@ -28,7 +28,7 @@
 {
 }
 
-void host_view::list(instant now, const std::vector<platform::listed_host>& hosts)
+void host_view::list(instant now, const std::vector<store::listed_host>& hosts)
 {
     m_listRead = true;
     for (auto& [id, known] : m_hosts)
@@ -41,7 +41,7 @@
         known.listedAt = now;
         known.peers = host.peers;
         // A peer's own word that it leaves is newer than the list, so the list never takes it back.
-        known.leaving = known.leaving || host.state == platform::host_state::Leaving;
+        known.leaving = known.leaving || host.state == store::host_state::Leaving;
     }
     forgetDeparted(now);
 }
--- a/src/ownership/authority.cc
+++ b/src/ownership/authority.cc
@@ -37,7 +37,7 @@
     m_todo.push_back(read_row { *m_pollRequest, coordinatorKey(m_options.service) });
 }
 
-std::optional<coordinator_row> coordinator::impl::recordRow(const std::optional<platform::row>& row)
+std::optional<coordinator_row> coordinator::impl::recordRow(const std::optional<store::row>& row)
 {
     if (!row)
         return {};
@@ -55,7 +55,7 @@
     m_queries.clear();
 }
 
-void coordinator::impl::observe(instant now, const std::optional<platform::row>& row)
+void coordinator::impl::observe(instant now, const std::optional<store::row>& row)
 {
     auto parsed = recordRow(row);
     answerQueries();
--- a/src/ownership/coordinator_impl.h
+++ b/src/ownership/coordinator_impl.h
@@ -104,7 +104,7 @@
 [[nodiscard]] std::vector<slice> subtract(const slice& range, const std::vector<slice>& holes);
 /// Returns a first assignment: the hash space in shares by weight. Precondition: not empty.
 [[nodiscard]] std::vector<owned_slice> splitByWeight(
-    const std::vector<table::target_row>& targets, token grant);
+    const std::vector<table::target_row>& targets, token grant, std::uint64_t keyWidth);
 /// Returns the slices of each owner, in order.
 [[nodiscard]] std::map<target_id, std::vector<owned_slice>> byOwner(
     const std::vector<owned_slice>& slices);
@@ -156,9 +156,9 @@
     // Standby (authority.cc).
     void tickStandby(instant now);
     void poll(instant now);
-    void observe(instant now, const std::optional<platform::row>& row);
+    void observe(instant now, const std::optional<store::row>& row);
     void forgetObservation() noexcept { m_observing = false; }
-    std::optional<coordinator_row> recordRow(const std::optional<platform::row>& row);
+    std::optional<coordinator_row> recordRow(const std::optional<store::row>& row);
     void answerQueries();
     std::size_t challengeRank() const;
     bool hasSettled(instant now) const;
@@ -194,8 +194,8 @@
     void takenOver(instant now);
     void tickTakeover(instant now);
     void readAssignment(instant now);
-    void takeAssignmentRow(instant now, const std::optional<platform::row>& row);
-    void fence(instant now, const std::optional<platform::row>& row);
+    void takeAssignmentRow(instant now, const std::optional<store::row>& row);
+    void fence(instant now, const std::optional<store::row>& row);
     void takeAssignmentWrite(instant now, const detail::write_state& state);
     void startHolding(instant now);
 
@@ -230,6 +230,7 @@
     void planLeaving(instant now);
     void planLostSlices(instant now);
     bool isMoving(const slice& range) const;
+    bool isMoving(const target_id& target) const;
     bool isPostponed(instant now, const slice& range) const;
     bool canOwn(const target_id& id) const;
     std::map<target_id, double> sharesPerWeight() const;
--- a/src/ownership/grants.cc
+++ b/src/ownership/grants.cc
@@ -38,6 +38,9 @@
         state.row = row;
         state.listed = true;
     }
+    std::erase_if(m_targets, [&](const auto& each) {
+        return !each.second.listed && !m_ownedBy.contains(each.first) && !isMoving(each.first);
+    });
 }
 
 void coordinator::impl::tickTargets(instant now)
@@ -61,6 +64,8 @@
     message.coordinator = m_row.number;
     message.number = m_messageNumber;
     message.target = target.run;
+    message.run = target.row.run;
+    message.version = m_assignment->version();
     message.lease = times.targetLease;
     const auto runsOut = target.clockReceived + times.targetLease;
     message.adopt = !target.adopted || now >= runsOut;
--- a/src/ownership/moves.cc
+++ b/src/ownership/moves.cc
@@ -50,6 +50,12 @@
         [&](const auto& each) { return detail::overlap(each.range, range); });
 }
 
+bool coordinator::impl::isMoving(const target_id& target) const
+{
+    return std::any_of(m_moves.begin(), m_moves.end(),
+        [&](const auto& each) { return each.from == target || each.to == target; });
+}
+
 bool coordinator::impl::isPostponed(instant now, const slice& range) const
 {
     return std::any_of(m_postponed.begin(), m_postponed.end(),
--- a/src/ownership/row_writer.cc
+++ b/src/ownership/row_writer.cc
@@ -14,9 +14,9 @@
 
 request_number numbering::nextRequest() noexcept { return request_number { ++m_request }; }
 
-platform::write_id numbering::nextWrite()
+store::write_id numbering::nextWrite()
 {
-    return platform::write_id { m_prefix + '/' + std::to_string(++m_write) };
+    return store::write_id { m_prefix + '/' + std::to_string(++m_write) };
 }
 
 void row_writer::start(
@@ -77,7 +77,7 @@
     return done;
 }
 
-write_state row_writer::lost(std::optional<platform::row> current)
+write_state row_writer::lost(std::optional<store::row> current)
 {
     if (current && current->writer == m_open->id)
         return settled(current->version);
@@ -89,11 +89,11 @@
 {
     if (!m_open || m_open->request != answer.request)
         return write_open {};
-    if (const auto* accepted = std::get_if<platform::write_accepted>(&answer.outcome))
+    if (const auto* accepted = std::get_if<store::write_accepted>(&answer.outcome))
         return settled(accepted->version);
-    if (const auto* conflict = std::get_if<platform::write_conflict>(&answer.outcome))
+    if (const auto* conflict = std::get_if<store::write_conflict>(&answer.outcome))
         return lost(conflict->current);
-    const bool refused = std::holds_alternative<platform::write_refused>(answer.outcome);
+    const bool refused = std::holds_alternative<store::write_refused>(answer.outcome);
     if (refused && !m_open->mayHaveEffect) {
         m_open.reset();
         return write_dropped {};
--- a/src/ownership/row_writer.h
+++ b/src/ownership/row_writer.h
@@ -12,7 +12,7 @@
     numbering(const host_run& self, const service_id& service, std::uint64_t seed);
 
     [[nodiscard]] request_number nextRequest() noexcept;
-    [[nodiscard]] platform::write_id nextWrite();
+    [[nodiscard]] store::write_id nextWrite();
 
 private:
     std::string m_prefix;
@@ -30,7 +30,7 @@
 /// Another write is in the row. This one takes no effect any more; whether it had one before the
 /// other is not known.
 struct write_lost {
-    std::optional<platform::row> current;
+    std::optional<store::row> current;
 };
 /// The write never took effect and nothing is known of the row.
 struct write_dropped { };
@@ -70,7 +70,7 @@
     struct open_write {
         row_version expected;
         std::string value;
-        platform::write_id id;
+        store::write_id id;
         instant firstSent;
         instant lastSent;
         request_number request;
@@ -81,7 +81,7 @@
     void send(instant now, numbering& numbers, actions& todo);
     void readBack(instant now, numbering& numbers, actions& todo);
     [[nodiscard]] write_state settled(row_version version);
-    [[nodiscard]] write_state lost(std::optional<platform::row> current);
+    [[nodiscard]] write_state lost(std::optional<store::row> current);
 
     std::string m_key;
     std::optional<open_write> m_open;
--- a/src/ownership/slices.cc
+++ b/src/ownership/slices.cc
@@ -48,7 +48,8 @@
     return parts;
 }
 
-std::vector<owned_slice> splitByWeight(const std::vector<table::target_row>& targets, token grant)
+std::vector<owned_slice> splitByWeight(
+    const std::vector<table::target_row>& targets, token grant, std::uint64_t keyWidth)
 {
     std::vector<table::target_row> owners;
     for (const auto& each : targets) {
@@ -67,8 +68,9 @@
         sum += each.weight;
         const bool isLast = &each == &owners.back();
         const auto share = static_cast<long double>(sum / total);
-        const auto last
-            = isLast ? highestHash : static_cast<std::uint64_t>(share * (highestHash - 1));
+        const auto end = static_cast<std::uint64_t>(share * (highestHash - 1));
+        const auto cut = end - end % keyWidth;
+        const auto last = isLast ? highestHash : cut - (keyWidth > 1 && cut > 0 ? 1 : 0);
         if (last < first)
             continue;
         slices.push_back({ { key_hash { first }, key_hash { last } }, each.id, grant, {} });
--- a/src/ownership/takeover.cc
+++ b/src/ownership/takeover.cc
@@ -37,13 +37,13 @@
         readAssignment(now);
 }
 
-void coordinator::impl::takeAssignmentRow(instant now, const std::optional<platform::row>& row)
+void coordinator::impl::takeAssignmentRow(instant now, const std::optional<store::row>& row)
 {
     if (m_role == role::TakingOver && !m_assignmentWriter.isOpen())
         fence(now, row);
 }
 
-void coordinator::impl::fence(instant now, const std::optional<platform::row>& row)
+void coordinator::impl::fence(instant now, const std::optional<store::row>& row)
 {
     m_assignmentVersion = row ? row->version : row_version {};
     if (row) {
@@ -62,7 +62,7 @@
     } else {
         const token first { m_row.number, sequence { 1 } };
         m_proposed = { m_options.service, m_row.number, first.assignment,
-            detail::splitByWeight(m_rows, first) };
+            detail::splitByWeight(m_rows, first, m_options.keyWidth) };
     }
     m_proposed.coordinator = m_row.number;
     m_assignmentWriter.start(now, m_assignmentVersion, format(m_proposed), m_numbers, m_todo);
--- a/src/proxy/classify.cc
+++ b/src/proxy/classify.cc
@@ -1,5 +1,6 @@
 #include "classify.h"
 
+#include <Poco/NumberParser.h>
 #include <Poco/URI.h>
 
 namespace pimentomast::proxy::detail {
@@ -58,17 +59,23 @@
         return reason::NoKey;
     case table::unclassified::Ambiguous:
         return reason::Ambiguous;
+    case table::unclassified::BadKey:
+        return reason::BadKey;
     }
     return reason::Internal;
 }
 
 } // namespace
 
-classified classify(const table::table& rows, const checked_head& head)
+classified classify(
+    const table::table& rows, const checked_head& head, const part_chooser& choosePart)
 {
     table::request_head request;
     request.method = methodOf(head);
-    request.segments = segmentsOf(std::string_view(head.target).substr(0, head.target.find('?')));
+    request.host = head.host;
+    request.path = head.target.substr(0, head.target.find('?'));
+    request.choosePart = choosePart;
+    request.segments = segmentsOf(request.path);
     request.query = queryOf(head.target);
     request.header = [&head](const std::string& field) { return valuesOf(head, field); };
     const auto found = table::classify(rows, request);
@@ -77,6 +84,15 @@
     return std::get<table::classified>(found);
 }
 
+std::optional<duration> statedDeadline(const checked_head& head, const std::string& field)
+{
+    const auto values = valuesOf(head, field);
+    unsigned leftMs = 0;
+    if (values.size() != 1 || !Poco::NumberParser::tryParseUnsigned(values.front(), leftMs))
+        return std::nullopt;
+    return std::chrono::milliseconds(leftMs);
+}
+
 std::uint64_t fingerprint(const checked_head& head, std::string_view body)
 {
     std::string text = methodOf(head) + " " + head.target + "\n";
--- a/src/proxy/host-run.cc
+++ b/src/proxy/host-run.cc
@@ -34,9 +34,9 @@
 
 void host::abandon(request_id id, unsigned attempt) { m_registry.abandon(id, attempt); }
 
-void host::probe(const target_id& target, const endpoint& address)
+void host::probe(const target_id& target, const probe_address& at)
 {
-    m_workers->push(probe_job { target, address });
+    m_workers->push(probe_job { target, at });
 }
 
 void host::closeIdle(const endpoint& address, instant openedBefore)
@@ -72,7 +72,8 @@
     own.reason = answer.reason;
     own.step = "dispatch request";
     own.peer = answer.peer.empty() ? request.facts.service.value() : answer.peer;
-    own.retryAfterS = answer.retryAfterS;
+    own.retryAfter = answer.retryAfter;
+    own.fractionalRetryAfter = m_options.contract.fractionalRetryAfter;
     own.withBody = !isHead(request);
     own.closes = !request.head.keepAlive || request.head.hasBody || m_draining;
     complete(request, answer.status);
@@ -100,7 +101,7 @@
     if (auto* forwarded = std::get_if<forward_job>(&work))
         return runForward(*forwarded);
     const probe_job& asked = std::get<probe_job>(work);
-    m_decisions.probed(askHealth(asked.target, asked.address, m_options.probeTimeout), *this);
+    m_decisions.probed(askHealth(asked.target, asked.at, m_options.probeTimeout), *this);
 }
 
 void host::runForward(forward_job& work)
--- a/src/proxy/host.cc
+++ b/src/proxy/host.cc
@@ -216,7 +216,7 @@
         return refuseRequest(caller, head, reason::ReservedPath);
     const auto current = rows();
     if (!current)
-        return refuseRequest(caller, head, reason::NoService);
+        return refuseRequest(caller, head, reason::NoTable);
     const auto found = classify(*current, head);
     if (const auto* why = std::get_if<reason>(&found))
         return refuseRequest(caller, head, *why);
@@ -224,7 +224,24 @@
         caller->pendingHead = std::move(head);
         return pollerOf(*caller).watch(caller);
     }
-    submit(caller, std::move(head), std::get<table::classified>(found));
+    const auto& whole = std::get<table::classified>(found);
+    if (!whole.route || whole.route->parts.size() < 2)
+        return submit(caller, std::move(head), whole);
+    const auto chosen = classify(*current, head,
+        [this](const table::route_row& route) -> const table::route_part& {
+            return m_splitter.choose(route);
+        });
+    if (const auto* why = std::get_if<reason>(&chosen))
+        return refuseRequest(caller, head, *why);
+    submit(caller, std::move(head), std::get<table::classified>(chosen));
+}
+
+duration host::allowedTime(const checked_head& head, const table::classified& found) const
+{
+    const duration allowed = found.route ? found.route->timeout : found.service->deadline;
+    if (!m_options.contract.callersStateDeadline)
+        return allowed;
+    return std::min(allowed, statedDeadline(head, m_options.contract.deadline).value_or(allowed));
 }
 
 void host::submit(const caller_pointer& caller, checked_head head, const table::classified& found)
@@ -233,8 +250,11 @@
     request_facts& facts = request->facts;
     facts.id = request_id { m_nextId.fetch_add(1, std::memory_order_relaxed) };
     facts.service = found.service->id;
-    if (found.key)
-        facts.key = hashKey(*found.key);
+    facts.key = found.hash;
+    if (found.route) {
+        facts.attempts = found.route->attempts;
+        facts.priority = found.route->priority;
+    }
     facts.caller = found.caller;
     facts.repeatable = found.repeatable;
     const bool bodyIsHere = head.hasBody && !head.expectsContinue && !head.parser->chunked();
@@ -243,7 +263,7 @@
         : 0;
     facts.fingerprint = fingerprint(head, std::string_view(caller->input).substr(0, printed));
     facts.arrived = monotonic_clock::now();
-    facts.deadline = facts.arrived + found.service->deadline;
+    facts.deadline = facts.arrived + allowedTime(head, found);
     request->caller = caller;
     request->head = std::move(head);
     enqueue(std::move(request));
--- a/src/proxy/host.h
+++ b/src/proxy/host.h
@@ -4,6 +4,7 @@
 #include "poller.h"
 #include "registry.h"
 #include "relay.h"
+#include "route-splitter.h"
 #include "worker-pool.h"
 
 #include <Poco/Net/ServerSocket.h>
@@ -18,7 +19,7 @@
 };
 struct probe_job {
     target_id target;
-    endpoint address;
+    probe_address at;
 };
 using job = std::variant<forward_job, probe_job>;
 
@@ -41,7 +42,7 @@
     bool forward(request_id id, const destination& to) override;
     void refuse(request_id id, const refusal& answer) override;
     void abandon(request_id id, unsigned attempt) override;
-    void probe(const target_id& target, const endpoint& address) override;
+    void probe(const target_id& target, const probe_address& at) override;
     void closeIdle(const endpoint& address, instant openedBefore) override;
     [[nodiscard]] dispatch_sink& sink() override { return *this; }
 
@@ -60,6 +61,8 @@
     void begin(const caller_pointer& caller, checked_head head);
     [[nodiscard]] bool awaitsBody(const caller_connection& caller, const checked_head& head) const;
     void submit(const caller_pointer& caller, checked_head head, const table::classified& found);
+    [[nodiscard]] duration allowedTime(
+        const checked_head& head, const table::classified& found) const;
     void enqueue(std::unique_ptr<exchange> request);
     void answerHealth(const caller_pointer& caller, const checked_head& head);
     void refuseHead(const caller_pointer& caller, reason why);
@@ -106,6 +109,7 @@
     /// Used by the first poller's thread only.
     instant m_poolSwept {};
     registry m_registry;
+    route_splitter m_splitter;
     target_pool m_targets;
     std::vector<std::unique_ptr<poller>> m_pollers;
     std::unique_ptr<worker_pool<job>> m_workers;
--- a/src/proxy/message.cc
+++ b/src/proxy/message.cc
@@ -37,8 +37,7 @@
         appendField(head, "Content-Length", "0");
 }
 
-void appendContract(std::string& head, const exchange& request, const destination& to,
-    const std::string& id, instant now)
+void appendOwnFields(std::string& head, const exchange& request, const destination& to)
 {
     if (to.grant) {
         const std::string text = std::to_string(to.grant->coordinator.value()) + "."
@@ -49,11 +48,37 @@
         appendField(head, "Pimentomast-Key-Hash",
             Poco::NumberFormatter::formatHex(
                 static_cast<Poco::UInt64>(request.facts.key->value()), 16));
+    appendField(head, "Pimentomast-Caller", request.facts.caller.value());
+}
+
+void appendContract(std::string& head, const exchange& request, const destination& to,
+    const contract& fields, const std::string& id, instant now)
+{
+    if (fields.ownFields)
+        appendOwnFields(head, request, to);
     const auto left
         = std::chrono::duration_cast<std::chrono::milliseconds>(request.facts.deadline - now);
-    appendField(head, "Pimentomast-Deadline-Ms", std::to_string(std::max<long>(left.count(), 1)));
-    appendField(head, "Pimentomast-Caller", request.facts.caller.value());
-    appendField(head, "Pimentomast-Request-Id", id);
+    appendField(head, fields.deadline, std::to_string(std::max<long>(left.count(), 1)));
+    if (!fields.instance.empty() && !to.instance.empty())
+        appendField(head, fields.instance, to.instance);
+    if (!fields.callersChooseId)
+        appendField(head, fields.id, id);
+}
+
+/// Fields that the host itself writes, so that those of callers are not passed on.
+bool isWrittenByHost(std::string_view field, const contract& fields)
+{
+    return equalNames(field, fields.deadline) || equalNames(field, fields.instance)
+        || (!fields.callersChooseId && equalNames(field, fields.id));
+}
+
+std::string secondsText(duration wait, bool fractional)
+{
+    constexpr int millisecondDigits = 3;
+    if (!fractional)
+        return std::to_string(std::chrono::ceil<std::chrono::seconds>(wait).count());
+    return Poco::NumberFormatter::format(
+        std::chrono::duration<double>(wait).count(), millisecondDigits);
 }
 
 std::vector<std::string> connectionNames(const response_parser& answer)
@@ -87,8 +112,8 @@
 
 } // namespace
 
-std::string requestHead(
-    const exchange& request, const destination& to, const std::string& requestId, instant now)
+std::string requestHead(const exchange& request, const destination& to, const contract& names,
+    const std::string& requestId, instant now)
 {
     const auto& fields = request.head.parser->get();
     std::string head(view(fields.method_string()));
@@ -98,6 +123,7 @@
         const std::string_view fieldName = view(field.name_string());
         const bool dropped = field.name() == http::field::host || isHopByHop(fieldName)
             || isNamed(request.head.connectionNames, fieldName)
+            || isWrittenByHost(fieldName, names)
             || (field.name() == http::field::expect && request.continueSent);
         if (!dropped)
             appendField(head, fieldName, view(field.value()));
@@ -111,7 +137,7 @@
         appendField(head, "If-Range", request.rest->tag);
     }
     appendField(head, "Via", "1.1 pimentomast");
-    appendContract(head, request, to, requestId, now);
+    appendContract(head, request, to, names, requestId, now);
     return head + "\r\n";
 }
 
@@ -122,7 +148,7 @@
         = request.parser->get().method() == http::verb::head || status == 204 || status == 304;
     if (bodiless)
         return framing::None;
-    if (!answer.chunked())
+    if (!answer.chunked() && !answer.need_eof())
         return framing::Length;
     return request.http10 ? framing::Close : framing::Chunked;
 }
@@ -150,11 +176,31 @@
     return head + "\r\n";
 }
 
-std::optional<reason> notRunReason(const response_parser& answer)
+bool isStray(const response_parser& answer, const exchange& request, const contract& fields)
+{
+    if (!fields.callersChooseId || answer.get().count(fields.id) == 0)
+        return false;
+    const auto asked = view(request.head.parser->get()[fields.id]);
+    return view(answer.get()[fields.id]) != asked;
+}
+
+namespace {
+
+bool refusedBeforeRunning(const response_parser& answer, const contract& fields)
+{
+    if (fields.notRun.empty())
+        return view(answer.get()["Pimentomast-Outcome"]) == "not-run";
+    return answer.get().count(fields.notRun) > 0 || answer.get().result_int() == 421;
+}
+
+} // namespace
+
+std::optional<reason> notRunReason(const response_parser& answer, const contract& fields)
 {
-    if (view(answer.get()["Pimentomast-Outcome"]) != "not-run")
+    if (!refusedBeforeRunning(answer, fields))
         return std::nullopt;
     switch (answer.get().result_int()) {
+    case 429:
     case 503:
         return reason::TargetShed;
     case 421:
@@ -168,12 +214,13 @@
 
 std::optional<duration> retryAfter(const response_parser& answer)
 {
-    constexpr unsigned longestS = 86400;
+    constexpr double longestS = 86400;
     const std::string text(view(answer.get()[http::field::retry_after]));
-    unsigned wantedS = 0;
-    if (!Poco::NumberParser::tryParseUnsigned(text, wantedS))
+    double wantedS = 0;
+    if (!Poco::NumberParser::tryParseFloat(text, wantedS) || !(wantedS >= 0))
         return std::nullopt;
-    return std::chrono::seconds(std::min(wantedS, longestS));
+    const std::chrono::duration<double> wanted(std::min(wantedS, longestS));
+    return std::chrono::duration_cast<duration>(wanted);
 }
 
 std::string continuationTag(const response_parser& answer, const exchange& request)
@@ -217,8 +264,9 @@
     appendField(text, "Content-Type", "application/json");
     appendField(text, "Content-Length", std::to_string(body.size()));
     appendField(text, "Pimentomast-Outcome", outcome);
-    if (answer.retryAfterS > 0)
-        appendField(text, "Retry-After", std::to_string(answer.retryAfterS));
+    if (answer.retryAfter > duration::zero())
+        appendField(
+            text, "Retry-After", secondsText(answer.retryAfter, answer.fractionalRetryAfter));
     if (answer.closes)
         appendField(text, "Connection", "close");
     text += "\r\n";
--- a/src/proxy/message.h
+++ b/src/proxy/message.h
@@ -6,8 +6,8 @@
 namespace pimentomast::proxy::detail {
 
 /// Returns the head that goes to the target, with the contract's fields.
-[[nodiscard]] std::string requestHead(
-    const exchange& request, const destination& to, const std::string& requestId, instant now);
+[[nodiscard]] std::string requestHead(const exchange& request, const destination& to,
+    const contract& fields, const std::string& requestId, instant now);
 
 /// Returns how the answer goes to the caller.
 [[nodiscard]] framing answerFraming(const response_parser& answer, const checked_head& request);
@@ -20,9 +20,15 @@
 [[nodiscard]] std::string interimHead(const response_parser& answer);
 
 /// Tells whether the target says that it refused the request before running it, and why.
-[[nodiscard]] std::optional<reason> notRunReason(const response_parser& answer);
+[[nodiscard]] std::optional<reason> notRunReason(
+    const response_parser& answer, const contract& fields);
 
-/// Returns the pause that the answer asks for in seconds; nothing for a date or no such field.
+/// Tells whether the answer names another request than this one.
+[[nodiscard]] bool isStray(
+    const response_parser& answer, const exchange& request, const contract& fields);
+
+/// Returns the pause that the answer asks for in seconds, which may have fractions; nothing for a
+/// date or no such field.
 [[nodiscard]] std::optional<duration> retryAfter(const response_parser& answer);
 
 /// Returns the strong validator by which the rest of the answer may be asked for; empty if there is
@@ -40,7 +46,10 @@
     std::string reason;
     std::string step;
     std::string peer;
-    unsigned retryAfterS = 0;
+    /// 0: not said.
+    duration retryAfter {};
+    /// Retry-After may have fractions of a second; otherwise it is rounded up.
+    bool fractionalRetryAfter = false;
     bool withBody = true;
     bool closes = true;
 };
--- a/src/proxy/probe.cc
+++ b/src/proxy/probe.cc
@@ -24,30 +24,32 @@
     return report;
 }
 
-std::optional<routing::load_report> ask(const endpoint& address, std::chrono::milliseconds timeout)
+std::optional<routing::load_report> ask(const probe_address& at, std::chrono::milliseconds timeout)
 {
-    Poco::Net::HTTPClientSession session(address.ip, address.port);
+    Poco::Net::HTTPClientSession session(at.address.ip, at.address.port);
     session.setTimeout(Poco::Timespan(duration(timeout).count()));
     session.setKeepAlive(false);
-    Poco::Net::HTTPRequest request("GET", "/pimentomast/health", "HTTP/1.1");
+    Poco::Net::HTTPRequest request("GET", at.path, "HTTP/1.1");
     session.sendRequest(request);
     Poco::Net::HTTPResponse response;
     std::istream& body = session.receiveResponse(response);
     if (response.getStatus() != Poco::Net::HTTPResponse::HTTP_OK)
         return std::nullopt;
+    if (at.run != incarnation {})
+        return routing::load_report { at.run };
     return readLoad(body);
 }
 
 } // namespace
 
 probe_report askHealth(
-    const target_id& target, const endpoint& address, std::chrono::milliseconds timeout)
+    const target_id& target, const probe_address& at, std::chrono::milliseconds timeout)
 {
     const instant started = monotonic_clock::now();
     probe_report report;
     report.target = target;
     try {
-        report.load = ask(address, timeout);
+        report.load = ask(at, timeout);
     } catch (const Poco::Net::ConnectionRefusedException&) {
         report.refused = true;
     } catch (const Poco::Exception&) {
--- a/src/proxy/probe.h
+++ b/src/proxy/probe.h
@@ -6,6 +6,6 @@
 
 /// Asks a target for its health over a new connection; blocks at most for the timeout per step.
 [[nodiscard]] probe_report askHealth(
-    const target_id& target, const endpoint& address, std::chrono::milliseconds timeout);
+    const target_id& target, const probe_address& at, std::chrono::milliseconds timeout);
 
 } // namespace pimentomast::proxy::detail
--- a/src/proxy/relay-answer.cc
+++ b/src/proxy/relay-answer.cc
@@ -25,10 +25,10 @@
     const auto got = receiveInto(m_target.socket, m_targetInput, bufferBytes);
     if (got.state == io_state::Ended || got.state == io_state::Failed)
         m_targetEnded = true;
-    if (got.bytes > 0) {
+    if (got.bytes > 0)
         m_progress = monotonic_clock::now();
-        noteFirstByte();
-    }
+    if (const auto result = skipStray())
+        return result;
     if (m_answerState == answer_state::Awaited) {
         if (const auto result = readAnswerHead())
             return result;
@@ -37,6 +37,8 @@
         if (const auto result = decodeAnswer())
             return result;
     }
+    if (got.state == io_state::Ended)
+        endUnframed();
     if (m_targetEnded && m_answerState != answer_state::Done)
         return failed(reason::TargetClosed);
     return std::nullopt;
@@ -67,6 +69,13 @@
         if (fault || !m_answer->is_header_done())
             return failed(reason::TargetAnswerMalformed);
         m_targetInput.erase(0, end + 4);
+        if (isStray(*m_answer, m_request, m_context.settings.contract)) {
+            m_answerState = answer_state::Stray;
+            if (const auto result = skipStray())
+                return result;
+            continue;
+        }
+        noteFirstByte();
         if (const auto result = beginAnswer())
             return result;
     }
@@ -80,11 +89,40 @@
     const auto encodings = fields.count(http::field::transfer_encoding);
     if (lengths > 1 || encodings > 1 || (lengths == 1 && encodings == 1))
         return failed(reason::TargetAnswerMalformed);
+    if (m_answer->need_eof() && m_targetInput.size() > answerHeadBytes)
+        return failed(reason::TargetAnswerMalformed);
+    return std::nullopt;
+}
+
+// An answer to an earlier request, which came after that request had its answer.
+std::optional<attempt_result> relay::skipStray()
+{
+    if (m_answerState != answer_state::Stray)
+        return std::nullopt;
     if (m_answer->need_eof())
         return failed(reason::TargetAnswerUnframed);
+    std::string ignored;
+    const auto state = m_answer->is_done()
+        ? body_state::Done
+        : decodeBody(*m_answer, m_targetInput, ignored, bufferBytes);
+    if (state == body_state::Bad)
+        return failed(reason::TargetAnswerMalformed);
+    if (state == body_state::Done)
+        m_answerState = answer_state::Awaited;
     return std::nullopt;
 }
 
+// An answer without a length ends with its connection, if that ends in order.
+void relay::endUnframed()
+{
+    if (m_answerState != answer_state::Body || m_refused || !m_answer->need_eof()
+        || !m_targetInput.empty())
+        return;
+    m_answerState = answer_state::Done;
+    if (m_framing == framing::Chunked)
+        appendLastChunk(m_download);
+}
+
 std::optional<attempt_result> relay::beginAnswer()
 {
     const unsigned status = m_answer->get().result_int();
@@ -96,7 +134,7 @@
     }
     if (const auto result = checkAnswerFraming())
         return result;
-    if (const auto why = notRunReason(*m_answer))
+    if (const auto why = notRunReason(*m_answer, m_context.settings.contract))
         return endNotRun(*why);
     if (m_request.rest)
         return beginRest();
--- a/src/proxy/relay.cc
+++ b/src/proxy/relay.cc
@@ -53,7 +53,7 @@
         m_tag = m_request.rest->tag;
         m_download = std::move(m_request.rest->unsent);
     }
-    m_upload = requestHead(m_request, m_to, id, m_started);
+    m_upload = requestHead(m_request, m_to, m_context.settings.contract, id, m_started);
     const std::string held = std::move(m_request.held);
     m_request.held.clear();
     addToUpload(held);
--- a/src/proxy/relay.h
+++ b/src/proxy/relay.h
@@ -48,6 +48,8 @@
 private:
     enum class answer_state {
         Awaited,
+        /// The body of an answer to an earlier request is being skipped.
+        Stray,
         Body,
         Done,
     };
@@ -65,6 +67,8 @@
     void noteFirstByte();
     [[nodiscard]] std::optional<attempt_result> beginAnswer();
     [[nodiscard]] std::optional<attempt_result> checkAnswerFraming();
+    [[nodiscard]] std::optional<attempt_result> skipStray();
+    void endUnframed();
     void sendInterim();
     [[nodiscard]] attempt_result endNotRun(reason why);
     [[nodiscard]] std::optional<attempt_result> decodeAnswer();
--- a/src/proxy/routed-dispatcher.cc
+++ b/src/proxy/routed-dispatcher.cc
@@ -52,6 +52,8 @@
         taken.repeatable = facts.repeatable;
         taken.arrival = facts.arrived;
         taken.deadline = facts.deadline;
+        taken.attempts = facts.attempts;
+        taken.priority = facts.priority;
         taken.print = routing::fingerprint { facts.fingerprint };
         run([&](instant now, routing::router& router) { return router.arrive(now, taken); }, sink);
     }
@@ -125,6 +127,9 @@
             m_targets.clear();
             for (const table::target_row& row : rows.targets)
                 m_targets[row.id] = row;
+            m_healthPaths.clear();
+            for (const table::service_row& row : rows.services)
+                m_healthPaths[row.id] = row.healthPath;
         }
         call([&](instant now, routing::router& router) { return router.applyTable(now, rows); });
     }
@@ -196,6 +201,7 @@
         to.target = order.target;
         to.address = row->address;
         to.grant = order.grant;
+        to.instance = row->instance;
         to.connections = limitOf(*row);
         to.attempt = order.attempt.value();
         to.newConnection = order.newConnection;
@@ -235,15 +241,14 @@
         answer.status = statusOf(order.reason);
         answer.reason = routing::name(order.reason);
         answer.peer = order.target.value();
-        const auto wait = std::chrono::ceil<std::chrono::seconds>(order.retryAfter);
-        answer.retryAfterS = static_cast<unsigned>(std::max<std::int64_t>(wait.count(), 0));
+        answer.retryAfter = std::max(order.retryAfter, duration::zero());
         sink.refuse(id, answer);
     }
 
     void probeTarget(const target_id& target, dispatch_sink& sink)
     {
         if (const auto row = find(target))
-            return sink.probe(target, row->address);
+            return sink.probe(target, { row->address, healthPath(row->service), row->run });
         run(
             [&](instant now, routing::router& router) {
                 return router.probed(now, target, routing::probe_failed {});
@@ -278,6 +283,13 @@
         return found == m_targets.end() ? std::nullopt : std::optional(found->second);
     }
 
+    std::string healthPath(const service_id& service)
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto found = m_healthPaths.find(service);
+        return found == m_healthPaths.end() ? "/" : found->second;
+    }
+
     unsigned limitOf(const table::target_row& row)
     {
         const std::lock_guard lock(m_mutex);
@@ -324,6 +336,7 @@
     std::mutex m_mutex;
     std::unique_ptr<routing::router> m_router;
     std::map<target_id, table::target_row> m_targets;
+    std::map<service_id, std::string> m_healthPaths;
     std::map<target_id, unsigned> m_limits;
     std::unordered_map<request_id, final_outcome> m_final;
     crash_listener m_listener;
--- /dev/null
+++ b/src/ranges/handovers.cc
@@ -0,0 +1,46 @@
+#include "intervals.h"
+#include "pimentomast/ranges.h"
+
+#include <algorithm>
+
+namespace pimentomast::ranges {
+
+using detail::common;
+using detail::overlap;
+using detail::subtract;
+
+void handovers::put(const slice& range, const handover& state)
+{
+    remove(range);
+    if (!state.value().empty())
+        m_kept.push_back({ range, state });
+}
+
+std::vector<grant_range> handovers::cut(const slice& range, token fence) const
+{
+    std::vector<grant_range> parts;
+    std::vector<slice> covered;
+    for (const auto& each : m_kept) {
+        if (!overlap(each.range, range))
+            continue;
+        covered.push_back(common(each.range, range));
+        parts.push_back({ covered.back(), fence, each.state });
+    }
+    for (const auto& cold : subtract(range, covered))
+        parts.push_back({ cold, fence, {} });
+    std::sort(parts.begin(), parts.end(),
+        [](const auto& left, const auto& right) { return left.range < right.range; });
+    return parts;
+}
+
+void handovers::remove(const slice& range)
+{
+    std::vector<kept> rest;
+    for (const auto& each : m_kept) {
+        for (const auto& part : subtract(each.range, { range }))
+            rest.push_back({ part, each.state });
+    }
+    m_kept = std::move(rest);
+}
+
+} // namespace pimentomast::ranges
--- /dev/null
+++ b/src/ranges/ledger.cc
@@ -0,0 +1,96 @@
+#include "intervals.h"
+#include "pimentomast/ranges.h"
+
+#include <algorithm>
+
+namespace pimentomast::ranges {
+namespace {
+
+using detail::common;
+using detail::joined;
+using detail::overlap;
+using detail::subtract;
+
+duration longestLease(duration lease)
+{
+    return std::chrono::duration_cast<duration>(lease * clockDrift);
+}
+
+const slice& rangeOf(const call& made)
+{
+    return std::visit([](const auto& each) -> const slice& { return each.range; }, made);
+}
+
+} // namespace
+
+std::vector<call> ledger::plan(instant now, const std::vector<ownership::granted_slice>& wanted,
+    token fence, const handovers& states) const
+{
+    std::vector<slice> ranges;
+    ranges.reserve(wanted.size());
+    for (const auto& each : wanted)
+        ranges.push_back(each.range);
+    ranges = joined(ranges);
+    std::vector<call> calls;
+    std::vector<slice> held;
+    for (const auto& each : m_held) {
+        if (each.until <= now)
+            continue;
+        held.push_back(each.range);
+        for (const auto& part : subtract(each.range, ranges))
+            calls.emplace_back(release_range { part, fence });
+    }
+    std::sort(held.begin(), held.end());
+    held = joined(held);
+    for (const auto& range : ranges) {
+        for (const auto& each : held) {
+            if (overlap(each, range))
+                calls.emplace_back(grant_range { common(each, range), fence, {} });
+        }
+        for (const auto& fresh : subtract(range, held)) {
+            for (const auto& part : states.cut(fresh, fence))
+                calls.emplace_back(part);
+        }
+    }
+    return calls;
+}
+
+void ledger::ended(instant now, const call& made, duration lease, const call_result& outcome)
+{
+    forgetLapsed(now);
+    const slice& range = rangeOf(made);
+    const bool isGrant = std::holds_alternative<grant_range>(made);
+    if (isGrant && std::holds_alternative<unanswered>(outcome))
+        m_doubtful.push_back({ range, now + longestLease(lease) });
+    if (!std::holds_alternative<accepted>(outcome))
+        return;
+    std::vector<entry> rest;
+    for (const auto& each : m_held) {
+        for (const auto& part : subtract(each.range, { range }))
+            rest.push_back({ part, each.until });
+    }
+    if (isGrant)
+        rest.push_back({ range, now + longestLease(lease) });
+    m_held = std::move(rest);
+}
+
+std::vector<slice> ledger::mayHold(instant now) const
+{
+    std::vector<slice> ranges;
+    for (const auto* entries : { &m_held, &m_doubtful }) {
+        for (const auto& each : *entries) {
+            if (each.until > now)
+                ranges.push_back(each.range);
+        }
+    }
+    return ranges;
+}
+
+void ledger::forgetLapsed(instant now)
+{
+    const auto lapsed = [now](const entry& each) { return each.until <= now; };
+    std::erase_if(m_held, lapsed);
+    std::erase_if(m_doubtful, lapsed);
+}
+
+} // namespace pimentomast::ranges
--- a/src/routing/attempts.cc
+++ b/src/routing/attempts.cc
@@ -114,6 +114,7 @@
     m_now = now;
     if (pending* known = current(number, attempt)) {
         known->wasSent = true;
+        ++known->sends;
         known->sent = now;
         known->reusedConnection = connectionOpened < known->dispatched;
     }
--- a/src/routing/engine.h
+++ b/src/routing/engine.h
@@ -48,6 +48,8 @@
     instant dispatched;
     instant sent;
     bool wasSent = false;
+    /// Attempts whose bytes went out.
+    unsigned sends = 0;
     bool reusedConnection = false;
     bool responded = false;
     /// Start of the first probe of this attempt that showed its connection as silent.
--- a/src/routing/retries.cc
+++ b/src/routing/retries.cc
@@ -18,7 +18,8 @@
     failed.retry = retry;
     failed.failure = reason;
     const service_state* service = findService(failed.taken.service);
-    const bool isOver = m_stopping || service == nullptr || service->targets.empty();
+    const bool isOver = m_stopping || service == nullptr || service->targets.empty()
+        || failed.sends >= failed.taken.attempts;
     backOff(failed);
     if (isOver || failed.callerGone || failed.notBefore >= failed.taken.deadline) {
         end(failed, outcome::NotRun, reason);
@@ -116,7 +117,12 @@
 // A shed request cost its target next to nothing, and the window bounds how often it is sent.
 void engine::resume(pending& waiting)
 {
-    const bool isBudgeted = waiting.retry && waiting.retry != retry_reason::TargetShed;
+    const bool isBudgeted = waiting.retry && waiting.sends > 0
+        && (m_settings.budgetsShed || waiting.retry != retry_reason::TargetShed);
+    if (isBudgeted && !mayRetry(waiting) && !m_settings.waitsForBudget) {
+        end(waiting, outcome::NotRun, refusal_reason::RetryBudget);
+        return;
+    }
     if (isBudgeted && !mayRetry(waiting)) {
         waiting.where = phase::Parked;
         findService(waiting.taken.service)->parked.push_back(waiting.taken.number);
--- a/src/serve/announcing_store.h
+++ b/src/serve/announcing_store.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "pimentomast/platform.h"
+#include "pimentomast/store.h"
 #include "pimentomast/table.h"
 
 #include <functional>
@@ -10,17 +10,17 @@
 /// The platform's services as the administration API uses them: an accepted table is announced to
 /// all hosts at once, so that it is in force although an outage follows. A table that is read is
 /// announced too: a write whose reply was lost is settled by reading it back. Thread-safe.
-class announcing_store : public platform::services {
+class announcing_store : public store::services {
 public:
     using announce_handler = std::function<void(config_version, const std::string&)>;
 
-    announcing_store(platform::services& store, announce_handler announce)
+    announcing_store(store::services& store, announce_handler announce)
         : m_store(store)
         , m_announce(std::move(announce))
     {
     }
 
-    result<std::optional<platform::row>> read(const std::string& key) override
+    result<std::optional<store::row>> read(const std::string& key) override
     {
         auto found = m_store.read(key);
         if (found && found.value() && key == table::configRow)
@@ -28,11 +28,11 @@
         return found;
     }
 
-    platform::write_outcome write(const std::string& key, row_version expected,
-        const std::string& value, const platform::write_id& id) override
+    store::write_outcome write(const std::string& key, row_version expected,
+        const std::string& value, const store::write_id& id) override
     {
         auto outcome = m_store.write(key, expected, value, id);
-        const auto* accepted = std::get_if<platform::write_accepted>(&outcome);
+        const auto* accepted = std::get_if<store::write_accepted>(&outcome);
         if (accepted && key == table::configRow)
             announce(accepted->version, value);
         return outcome;
@@ -48,7 +48,7 @@
         return m_store.getObject(name);
     }
 
-    result<std::vector<platform::listed_host>> hosts() override { return m_store.hosts(); }
+    result<std::vector<store::listed_host>> hosts() override { return m_store.hosts(); }
 
 private:
     void announce(row_version version, const std::string& value) const
@@ -56,7 +56,7 @@
         m_announce(config_version { version.value() }, value);
     }
 
-    platform::services& m_store;
+    store::services& m_store;
     announce_handler m_announce;
 };
 
--- a/src/serve/control.cc
+++ b/src/serve/control.cc
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr unsigned grantsPerTarget = 3;
-constexpr std::chrono::milliseconds grantTimeoutMs { 400 };
 constexpr std::chrono::milliseconds peerTimeoutMs { 400 };
 constexpr std::chrono::milliseconds holdTimeoutMs { 50 };
 
@@ -57,40 +56,42 @@
 }
 
 result<std::unique_ptr<control>> control::create(const control_options& options,
-    platform::services& store, peer_book& book, directory& routes, handlers calls)
+    store::services& store, peer_book& book, directory& routes,
+    std::unique_ptr<grant_sender> grants, handlers calls)
 {
     const auto trial = ownership::coordinator::create(
-        { service_id { "trial" }, options.self, options.seed, options.times });
+        { service_id { "trial" }, options.self, options.seed, options.times, 1 });
     if (!trial)
         return trial.error();
-    return std::unique_ptr<control>(new control(options, store, book, routes, std::move(calls)));
+    return std::unique_ptr<control>(new control(
+        options, store, book, routes, std::move(grants), std::move(calls)));
 }
 
-control::control(const control_options& options, platform::services& store, peer_book& book,
-    directory& routes, handlers calls)
+control::control(const control_options& options, store::services& store, peer_book& book,
+    directory& routes, std::unique_ptr<grant_sender> grants, handlers calls)
     : m_options(options)
     , m_store(store)
     , m_book(book)
     , m_routes(routes)
     , m_calls(std::move(calls))
-    , m_grants(grantTimeoutMs)
-    , m_platformPool(options.platformThreads)
+    , m_grants(std::move(grants))
+    , m_storePool(options.storeThreads)
     , m_grantPool(options.grantThreads)
 {
 }
 
 control::~control()
 {
-    m_platformPool.stop();
+    m_storePool.stop();
     m_grantPool.stop();
-    m_platformPool.join();
+    m_storePool.join();
     m_grantPool.join();
 }
 
 control::service_state control::makeState(const table::service_row& row) const
 {
     const auto seed = seedFor(m_options, row.id);
-    auto core = ownership::coordinator::create({ row.id, m_options.self, seed, m_options.times });
+    auto core = ownership::coordinator::create({ row.id, m_options.self, seed, m_options.times, table::keyWidth(row.keyForm) });
     auto places = placement::create(row, seed);
     return { std::move(core).value(), std::move(places).value(), {} };
 }
@@ -259,7 +260,7 @@
 
 void control::perform(const service_id& service, const ownership::read_row& order)
 {
-    boost::asio::post(m_platformPool, [this, service, order] {
+    boost::asio::post(m_storePool, [this, service, order] {
         const auto row = m_store.read(order.key);
         if (row)
             deliver(service, ownership::row_read { order.request, row.value() });
@@ -270,7 +271,7 @@
 
 void control::perform(const service_id& service, const ownership::write_row& order)
 {
-    boost::asio::post(m_platformPool, [this, service, order] {
+    boost::asio::post(m_storePool, [this, service, order] {
         auto outcome = m_store.write(order.key, order.expected, order.value, order.writer);
         deliver(service, ownership::write_finished { order.request, std::move(outcome) });
     });
@@ -285,10 +286,11 @@
         return;
     }
     boost::asio::post(m_grantPool, [this, service, order] {
-        const auto answer = m_grants.send(order);
+        const auto answer = m_grants->send(order);
         endGrant(order.target);
         deliver(service, answer);
-        if (const auto* taken = std::get_if<ownership::target_acknowledged>(&answer))
+        const auto* taken = std::get_if<ownership::target_acknowledged>(&answer);
+        if (taken && taken->reply.load.slots > 0)
             m_calls.report(order.target, taken->reply.target, taken->reply.load);
     });
 }
--- a/src/serve/control.h
+++ b/src/serve/control.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "directory.h"
-#include "grant_client.h"
+#include "grant_sender.h"
 #include "peer_book.h"
 #include "pimentomast/ownership.h"
-#include "pimentomast/platform.h"
+#include "pimentomast/store.h"
 #include "placement.h"
 
 #include <boost/asio/thread_pool.hpp>
@@ -18,7 +18,7 @@
     ownership::host_run self;
     ownership::timings times;
     std::uint64_t seed = 1;
-    unsigned platformThreads = 4;
+    unsigned storeThreads = 4;
     unsigned grantThreads = 32;
 };
 
@@ -50,7 +50,8 @@
 
     /// Fails if the times contradict each other. store, book and routes must outlive the object.
     [[nodiscard]] static result<std::unique_ptr<control>> create(const control_options& options,
-        platform::services& store, peer_book& book, directory& routes, handlers calls);
+        store::services& store, peer_book& book, directory& routes,
+        std::unique_ptr<grant_sender> grants, handlers calls);
     control(const control&) = delete;
     control& operator=(const control&) = delete;
     ~control();
@@ -78,8 +79,8 @@
         std::vector<table::target_row> targets;
     };
 
-    control(const control_options& options, platform::services& store, peer_book& book,
-        directory& routes, handlers calls);
+    control(const control_options& options, store::services& store, peer_book& book,
+        directory& routes, std::unique_ptr<grant_sender> grants, handlers calls);
 
     [[nodiscard]] service_state makeState(const table::service_row& row) const;
     void startService(const table::service_row& row);
@@ -102,7 +103,7 @@
     void endGrant(const target_id& target);
 
     control_options m_options;
-    platform::services& m_store;
+    store::services& m_store;
     peer_book& m_book;
     directory& m_routes;
     handlers m_calls;
@@ -112,8 +113,8 @@
     bool m_stopping = false;
     std::mutex m_grantLock;
     std::map<target_id, unsigned> m_grantsRunning;
-    grant_client m_grants;
-    boost::asio::thread_pool m_platformPool;
+    std::unique_ptr<grant_sender> m_grants;
+    boost::asio::thread_pool m_storePool;
     boost::asio::thread_pool m_grantPool;
 };
 
--- a/src/serve/forward_tracker.cc
+++ b/src/serve/forward_tracker.cc
@@ -107,9 +107,9 @@
     m_next.abandon(id, attempt);
 }
 
-void tracking_sink::probe(const target_id& target, const endpoint& address)
+void tracking_sink::probe(const target_id& target, const proxy::probe_address& at)
 {
-    m_next.probe(target, address);
+    m_next.probe(target, at);
 }
 
 void tracking_sink::closeIdle(const endpoint& address, instant openedBefore)
--- a/src/serve/forward_tracker.h
+++ b/src/serve/forward_tracker.h
@@ -60,7 +60,7 @@
     bool forward(proxy::request_id id, const proxy::destination& to) override;
     void refuse(proxy::request_id id, const proxy::refusal& answer) override;
     void abandon(proxy::request_id id, unsigned attempt) override;
-    void probe(const target_id& target, const endpoint& address) override;
+    void probe(const target_id& target, const proxy::probe_address& at) override;
     void closeIdle(const endpoint& address, instant openedBefore) override;
 
 private:
--- a/src/serve/grant_client.h
+++ b/src/serve/grant_client.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "pimentomast/ownership.h"
+#include "grant_sender.h"
 
 #include <Poco/Net/HTTPClientSession.h>
 #include <map>
@@ -11,16 +11,14 @@
 namespace pimentomast::serve::detail {
 
 /// Sends grant messages to targets over kept connections. Thread-safe.
-class grant_client {
+class grant_client final : public grant_sender {
 public:
     explicit grant_client(std::chrono::milliseconds timeout)
         : m_timeout(timeout)
     {
     }
 
-    /// Sends the message and waits for the answer: target_acknowledged, target_refused or
-    /// target_failed, with the order's request number.
-    [[nodiscard]] ownership::event send(const ownership::send_grant& order);
+    [[nodiscard]] ownership::event send(const ownership::send_grant& order) override;
 
 private:
     using session = std::unique_ptr<Poco::Net::HTTPClientSession>;
--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -1,5 +1,8 @@
 #include "node.h"
 
+#include "grant_client.h"
+#include "range_grants.h"
+
 #include <random>
 
 namespace pimentomast::serve::detail {
@@ -11,6 +14,7 @@
 constexpr std::chrono::milliseconds rebalanceIntervalMs { 1000 };
 constexpr std::chrono::milliseconds loadTimeoutMs { 500 };
 constexpr std::chrono::milliseconds handOverLimitMs { 3000 };
+constexpr std::chrono::milliseconds grantTimeoutMs { 400 };
 
 incarnation drawIncarnation()
 {
@@ -28,6 +32,7 @@
     times.authorityRenewal = values.authorityRenewMs;
     times.maxOutage = values.outageLimitMs;
     times.routeLease = values.routeLeaseMs;
+    times.fastPoll = values.pollMs;
     return times;
 }
 
@@ -42,6 +47,8 @@
     options.idleTimeout = values.limits.idleTimeoutMs;
     options.bodyTimeout = values.limits.bodyTimeoutMs;
     options.connectTimeout = values.limits.connectTimeoutMs;
+    options.pooledIdle = values.limits.pooledIdleMs;
+    options.drainIdle = values.drain.idleMs;
     return options;
 }
 
@@ -57,17 +64,21 @@
 
 } // namespace
 
-node::node(const settings::settings& values)
+node::node(const settings::settings& values, surroundings& around)
     : m_values(values)
     , m_run(drawIncarnation())
-    , m_store(platform::connect({ values.platform.address, values.platform.timeoutMs }).value())
+    , m_around(around)
+    , m_store(around.rows())
     , m_directory(m_run, values.ownership.targetLeaseMs)
-    , m_announcing(*m_store, [this](config_version version, const std::string& value) {
+    , m_announcing(m_store, [this](config_version version, const std::string& value) {
         m_spread->announce(version, value);
     })
 {
     createParts();
     startListening();
+    m_around.announce({ values.host.id, values.host.domain, values.host.advertise });
+    if (auto* tables = m_around.tables())
+        tables->start([this](const auto& rows) { putTable(rows); });
     m_controlTimer = std::thread([this] { runControlTimer(); });
 }
 
@@ -75,6 +86,8 @@
 {
     m_stopTimers = true;
     m_controlTimer.join();
+    if (auto* tables = m_around.tables())
+        tables->stop();
     m_admin.reset();
     m_peers.reset();
     m_dispatch->detach();
@@ -96,6 +109,11 @@
     routing::options routes;
     routes.seed = m_run.value();
     routes.workers = m_values.limits.workers;
+    routes.retryRatio = m_values.retries.percent / 100.0;
+    routes.retryBurst = m_values.retries.burst;
+    routes.waitsForBudget = m_values.retries.wait;
+    routes.budgetsShed = m_values.retries.countShed;
+    routes.backgroundProbeInterval = m_values.probes.backgroundMs;
     m_dispatch = dispatch::create(routes, m_directory, [this](const auto& news) {
         m_spread->tellCrash(news);
     }).value();
@@ -104,8 +122,9 @@
     spreading.self = m_values.host.id;
     spreading.run = m_run;
     spreading.peers = m_values.host.advertise;
-    spreading.freshness.minPollMs = m_values.platform.pollMs;
-    m_spread = spread::create(spreading, *m_store, *m_book, m_directory,
+    spreading.freshness.minPollMs = m_values.store.pollMs;
+    spreading.spreadsTables = m_around.tables() == nullptr;
+    m_spread = spread::create(spreading, m_store, *m_book, m_directory,
         { [this](auto rows) { putTable(std::move(rows)); },
             [this](const auto& newer, const auto& host) { putAssignment(newer, host); },
             [this] { return m_dispatch->crashes(); },
@@ -117,7 +136,7 @@
     controlling.self = { m_values.host.id, m_run };
     controlling.times = timingsOf(m_values.ownership);
     controlling.seed = m_run.value();
-    m_control = control::create(controlling, *m_store, *m_book, m_directory,
+    m_control = control::create(controlling, m_store, *m_book, m_directory, makeGrantSender(),
         { [this](const auto& value) {
              putAssignment(value, m_values.host.id);
              m_spread->publish(value);
@@ -127,10 +146,18 @@
             } }).value();
 }
 
+std::unique_ptr<grant_sender> node::makeGrantSender()
+{
+    if (auto* ranges = m_around.ranges())
+        return std::make_unique<range_grants>(*ranges);
+    return std::make_unique<grant_client>(grantTimeoutMs);
+}
+
 void node::startListening()
 {
-    m_proxy
-        = startedAt("callers", proxy::server::start(proxyOptions(m_values), *m_dispatch, *this));
+    auto options = proxyOptions(m_values);
+    options.contract = m_around.contract();
+    m_proxy = startedAt("callers", proxy::server::start(options, *m_dispatch, *this));
     m_proxy->setHealthy(false);
     m_dispatch->attach(m_proxy->sink());
     m_peers = startedAt("peers", peers::server::start(m_values.host.peers, *this));
@@ -165,7 +192,7 @@
         m_spread->tick(now);
         m_control->applyMembership(m_book->live(now), m_book->complete(now));
         m_control->tick();
-        m_dispatch->applyConfirmed(m_spread->confirmed(now));
+        m_dispatch->applyConfirmed(tableConfirmed(now));
         m_dispatch->applyLiveHosts(m_book->connectionSharers(now));
         m_proxy->setHealthy(currentHealth().accepting);
         if (now >= nextLoad)
@@ -224,13 +251,29 @@
         return { false, "stopping" };
     if (markedLeaving())
         return { false, "leaving" };
-    if (m_spread->version() == config_version {})
+    if (!m_directory.rows())
         return { false, "no-table" };
-    if (!m_spread->confirmed(monotonic_clock::now()))
+    if (!tableConfirmed(monotonic_clock::now()))
         return { false, "table-unconfirmed" };
+    if (m_around.tables() && !ownersKnown())
+        return { false, "owners-unknown" };
     return { true, "" };
 }
 
+// A host that follows the tables itself goes on with the last one while the store is away.
+bool node::tableConfirmed(instant now) const
+{
+    return m_around.tables() ? m_directory.rows() != nullptr : m_spread->confirmed(now);
+}
+
+bool node::ownersKnown() const
+{
+    const auto rows = m_directory.rows();
+    return std::all_of(rows->services.begin(), rows->services.end(), [this](const auto& row) {
+        return !row.keyed() || m_directory.version(row.id) != token {};
+    });
+}
+
 bool node::pardon(std::uint64_t fingerprint)
 {
     const routing::fingerprint print { fingerprint };
--- a/src/serve/node.h
+++ b/src/serve/node.h
@@ -8,6 +8,7 @@
 #include "pimentomast/admin.h"
 #include "pimentomast/peers.h"
 #include "pimentomast/proxy.h"
+#include "pimentomast/serve.h"
 #include "pimentomast/settings.h"
 #include "pimentomast/telemetry.h"
 #include "spread.h"
@@ -23,7 +24,7 @@
 class node final : public admin::node, public peers::handler, public proxy::observer {
 public:
     /// Starts the host. Throws failure if a part cannot start.
-    explicit node(const settings::settings& values);
+    node(const settings::settings& values, surroundings& around);
     node(const node&) = delete;
     node& operator=(const node&) = delete;
     ~node() override;
@@ -36,7 +37,7 @@
     [[nodiscard]] std::string statusJson() const override;
     [[nodiscard]] std::string crashesJson() const override;
     bool pardon(std::uint64_t fingerprint) override;
-    [[nodiscard]] platform::services& platform() override { return m_announcing; }
+    [[nodiscard]] store::services& platform() override { return m_announcing; }
     [[nodiscard]] telemetry::registry& metrics() override;
 
     // peers::handler
@@ -60,11 +61,16 @@
     std::size_t reportLoads(instant now);
     void updateMetrics();
     [[nodiscard]] bool markedLeaving() const;
+    /// Whether the table in force is known to be the newest.
+    [[nodiscard]] bool tableConfirmed(instant now) const;
+    [[nodiscard]] bool ownersKnown() const;
+    [[nodiscard]] std::unique_ptr<grant_sender> makeGrantSender();
 
     settings::settings m_values;
     incarnation m_run;
     telemetry::registry m_metrics;
-    std::unique_ptr<platform::services> m_store;
+    surroundings& m_around;
+    store::services& m_store;
     directory m_directory;
     std::unique_ptr<peer_book> m_book;
     std::unique_ptr<dispatch> m_dispatch;
--- a/src/serve/peer_book.cc
+++ b/src/serve/peer_book.cc
@@ -2,7 +2,7 @@
 
 namespace pimentomast::serve::detail {
 
-void peer_book::list(instant now, const std::vector<platform::listed_host>& hosts)
+void peer_book::list(instant now, const std::vector<store::listed_host>& hosts)
 {
     const std::lock_guard guard(m_lock);
     m_view.list(now, hosts);
--- a/src/serve/peer_book.h
+++ b/src/serve/peer_book.h
@@ -19,7 +19,7 @@
     {
     }
 
-    void list(instant now, const std::vector<platform::listed_host>& hosts);
+    void list(instant now, const std::vector<store::listed_host>& hosts);
     void sight(instant now, const membership::sighting& seen);
     void relay(instant now, const std::vector<membership::heard_host>& heard);
     [[nodiscard]] std::vector<membership::heard_host> heard(instant now);
--- a/src/serve/placement.cc
+++ b/src/serve/placement.cc
@@ -66,6 +66,7 @@
     balancing::planner_options options;
     options.seed = seed;
     options.churnPrice = service.churnPrice;
+    options.keyWidth = table::keyWidth(service.keyForm);
     auto planner = balancing::planner::create(options);
     if (!planner)
         return planner.error();
--- a/src/serve/serve.cc
+++ b/src/serve/serve.cc
@@ -14,15 +14,39 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     return signals;
 }
 
+/// Settings take effect when the process starts; SIGHUP says so and changes nothing.
 void waitForTermination(const sigset_t& signals)
 {
     int received = 0;
-    sigwait(&signals, &received);
+    while (sigwait(&signals, &received) == 0 && received == SIGHUP)
+        telemetry::log(telemetry::severity::Info, "settings-kept",
+            { { "reason", "settings take effect at the next start" } });
 }
 
+/// The product's own store and targets.
+class own_surroundings final : public surroundings {
+public:
+    explicit own_surroundings(std::unique_ptr<store::services> rows)
+        : m_rows(std::move(rows))
+    {
+    }
+
+    [[nodiscard]] store::services& rows() override { return *m_rows; }
+    [[nodiscard]] table_source* tables() override { return nullptr; }
+    [[nodiscard]] range_calls* ranges() override { return nullptr; }
+    [[nodiscard]] proxy::contract contract() const override { return {}; }
+    /// The platform lists the hosts itself.
+    void announce(const store::listed_host&) override { }
+    void withdraw(const host_id&) override { }
+
+private:
+    std::unique_ptr<store::services> m_rows;
+};
+
 telemetry::log_options logOptions(const settings::settings& values)
 {
     telemetry::log_options options;
@@ -35,17 +59,28 @@
 
 } // namespace
 
-int run(const settings::settings& values)
+result<std::unique_ptr<surroundings>> ownSurroundings(const settings::store_settings& values)
+{
+    auto rows = store::connect({ values.address, values.timeoutMs });
+    if (!rows)
+        return rows.error();
+    return std::unique_ptr<surroundings>(
+        std::make_unique<own_surroundings>(std::move(rows).value()));
+}
+
+int run(const settings::settings& values, surroundings& around)
 {
     const auto signals = terminationSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
     telemetry::setUpLog(logOptions(values));
-    detail::node host(values);
+    detail::node host(values, around);
     telemetry::log(telemetry::severity::Info, "started",
         { { "host", values.host.id.value() }, { "callers", values.host.callers.text() } });
     waitForTermination(signals);
     host.drain();
+    around.withdraw(values.host.id);
+    telemetry::log(telemetry::severity::Info, "stopped", {});
     return 0;
 }
 
--- a/src/serve/spread.cc
+++ b/src/serve/spread.cc
@@ -13,6 +13,8 @@
 /// as witnesses only hosts that it heard of, and cannot go on without the store before that.
 constexpr std::chrono::milliseconds startIntervalMs { 100 };
 constexpr std::chrono::seconds startTimeS { 10 };
+/// Between reads of the list of hosts once a host has started, where hosts list themselves.
+constexpr std::chrono::milliseconds listIntervalMs { 5000 };
 
 void logBadTable(config_version version, const error& cause)
 {
@@ -59,7 +61,7 @@
 } // namespace
 
 result<std::unique_ptr<spread>> spread::create(const spread_options& options,
-    platform::services& store, peer_book& book, const directory& routes, handlers calls)
+    store::services& store, peer_book& book, const directory& routes, handlers calls)
 {
     auto fresh = membership::freshness::create(options.freshness);
     if (!fresh)
@@ -69,7 +71,7 @@
 }
 
 spread::spread(const spread_options& options, membership::freshness fresh,
-    platform::services& store, peer_book& book, const directory& routes, handlers calls)
+    store::services& store, peer_book& book, const directory& routes, handlers calls)
     : m_options(options)
     , m_store(store)
     , m_book(book)
@@ -98,12 +100,12 @@
 void spread::tick(instant now)
 {
     const auto hosts = m_book.connectionSharers(now);
-    const bool readConfigNow
-        = due(m_nextConfig, now, m_fresh.pollInterval(hosts)) && !m_readingConfig.exchange(true);
+    const bool readConfigNow = m_options.spreadsTables
+        && due(m_nextConfig, now, m_fresh.pollInterval(hosts)) && !m_readingConfig.exchange(true);
     if (readConfigNow)
         boost::asio::post(m_pool, [this] { readConfig(); });
     const bool readHostsNow
-        = due(m_nextHosts, now, m_options.hostsIntervalMs) && !m_readingHosts.exchange(true);
+        = due(m_nextHosts, now, hostsInterval(now)) && !m_readingHosts.exchange(true);
     if (readHostsNow)
         boost::asio::post(m_pool, [this] { readHosts(); });
     if (!due(m_nextExchange, now, exchangeInterval(now)))
@@ -119,6 +121,13 @@
     return waits ? startIntervalMs : m_options.exchangeIntervalMs;
 }
 
+// The list only adds to what hosts hear from each other.
+duration spread::hostsInterval(instant now) const
+{
+    const bool starting = now - m_started < startTimeS;
+    return starting || m_options.spreadsTables ? m_options.hostsIntervalMs : listIntervalMs;
+}
+
 void spread::readConfig()
 {
     const running_guard running(m_readingConfig);
--- a/src/serve/spread.h
+++ b/src/serve/spread.h
@@ -4,7 +4,7 @@
 #include "peer_book.h"
 #include "pimentomast/membership.h"
 #include "pimentomast/peers.h"
-#include "pimentomast/platform.h"
+#include "pimentomast/store.h"
 
 #include <atomic>
 #include <boost/asio/thread_pool.hpp>
@@ -21,6 +21,8 @@
     membership::freshness_options freshness;
     std::chrono::milliseconds exchangeIntervalMs { 500 };
     std::chrono::milliseconds hostsIntervalMs { 1000 };
+    /// Read the table from the store and from peers; otherwise each host has it from elsewhere.
+    bool spreadsTables = true;
 };
 
 /// Spreads tables, assignments and crashes between the hosts, and reads the platform's rows.
@@ -40,7 +42,7 @@
 
     /// Fails if a time is not positive. store, book and routes must outlive the object.
     [[nodiscard]] static result<std::unique_ptr<spread>> create(const spread_options& options,
-        platform::services& store, peer_book& book, const directory& routes, handlers calls);
+        store::services& store, peer_book& book, const directory& routes, handlers calls);
     spread(const spread&) = delete;
     spread& operator=(const spread&) = delete;
     ~spread();
@@ -66,7 +68,7 @@
     [[nodiscard]] config_version version() const;
 
 private:
-    spread(const spread_options& options, membership::freshness fresh, platform::services& store,
+    spread(const spread_options& options, membership::freshness fresh, store::services& store,
         peer_book& book, const directory& routes, handlers calls);
 
     void readConfig();
@@ -78,10 +80,11 @@
     void notifyAll(const wire::Notice& notice);
     [[nodiscard]] wire::Digest digest(instant now) const;
     [[nodiscard]] duration exchangeInterval(instant now) const;
+    [[nodiscard]] duration hostsInterval(instant now) const;
     [[nodiscard]] bool due(instant& next, instant now, duration interval) const;
 
     spread_options m_options;
-    platform::services& m_store;
+    store::services& m_store;
     peer_book& m_book;
     const directory& m_routes;
     handlers m_calls;
--- a/src/settings/keys.cc
+++ b/src/settings/keys.cc
@@ -179,7 +179,7 @@
 
 key_rule tokenRule()
 {
-    return { { "admin", "token", true, true },
+    return { { "admin", "token", false, true },
         [](settings& all, const std::string& text) -> std::optional<std::string> {
             const bool visible
                 = std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c <= '~'; });
@@ -205,6 +205,8 @@
 
 using levels = std::vector<choice<log_level>>;
 using sinks = std::vector<choice<log_sink>>;
+using interfaces = std::vector<choice<store_interface>>;
+using switches = std::vector<choice<bool>>;
 using formats = std::vector<choice<log_format>>;
 
 std::vector<key_rule> makeRules()
@@ -218,11 +220,15 @@
         address("host", "admin", true, member { &s::host, &host_settings::admin }),
         address("host", "advertise", false, member { &s::host, &host_settings::advertise }),
         seedsRule(),
-        address("platform", "address", true, member { &s::platform, &platform_settings::address }),
-        time("platform", "timeout_ms", { 10, 60000 },
-            member { &s::platform, &platform_settings::timeoutMs }),
-        time("platform", "poll_ms", { 500, 60000 },
-            member { &s::platform, &platform_settings::pollMs }),
+        address("store", "address", true, member { &s::store, &store_settings::address }),
+        oneOf("store", "interface",
+            interfaces { { "own", store_interface::Own },
+                { "platform", store_interface::Platform } },
+            member { &s::store, &store_settings::interface }),
+        time("store", "timeout_ms", { 10, 60000 },
+            member { &s::store, &store_settings::timeoutMs }),
+        time("store", "poll_ms", { 500, 60000 },
+            member { &s::store, &store_settings::pollMs }),
         tokenRule(),
         count("limits", "workers", { 1, 1024 }, member { &s::limits, &limit_settings::workers }),
         count("limits", "connections", { 1, 1000000 },
@@ -237,6 +243,16 @@
             member { &s::limits, &limit_settings::idleTimeoutMs }),
         time("limits", "connect_timeout_ms", { 10, 60000 },
             member { &s::limits, &limit_settings::connectTimeoutMs }),
+        time("limits", "pooled_idle_ms", { 10, 3600000 },
+            member { &s::limits, &limit_settings::pooledIdleMs }),
+        count("retries", "percent", { 0, 1000 }, member { &s::retries, &retry_settings::percent }),
+        count("retries", "burst", { 0, 1000 }, member { &s::retries, &retry_settings::burst }),
+        oneOf("retries", "wait", switches { { "yes", true }, { "no", false } },
+            member { &s::retries, &retry_settings::wait }),
+        oneOf("retries", "count_shed", switches { { "yes", true }, { "no", false } },
+            member { &s::retries, &retry_settings::countShed }),
+        time("probes", "background_ms", { 100, 86400000 },
+            member { &s::probes, &probe_settings::backgroundMs }),
         time("ownership", "target_lease_ms", { 100, 60000 },
             member { &s::ownership, &ownership_settings::targetLeaseMs }),
         time("ownership", "renew_ms", { 10, 30000 },
@@ -247,6 +263,8 @@
             member { &s::ownership, &ownership_settings::authorityRenewMs }),
         time("ownership", "route_lease_ms", { 100, 60000 },
             member { &s::ownership, &ownership_settings::routeLeaseMs }),
+        time("ownership", "poll_ms", { 10, 60000 },
+            member { &s::ownership, &ownership_settings::pollMs }),
         time("ownership", "outage_limit_ms", { 1000, 86400000 },
             member { &s::ownership, &ownership_settings::outageLimitMs }),
         oneOf("log", "level",
@@ -260,6 +278,7 @@
             formats { { "text", log_format::Text }, { "json", log_format::Json } },
             member { &s::log, &log_settings::format }),
         time("drain", "accept_ms", { 0, 600000 }, member { &s::drain, &drain_settings::acceptMs }),
+        time("drain", "idle_ms", { 0, 600000 }, member { &s::drain, &drain_settings::idleMs }),
     };
 }
 
--- a/src/platform/client.cc
+++ b/src/store/client.cc
@@ -1,4 +1,5 @@
-#include "http.h"
+#include "pimentomast/http.h"
+#include "pimentomast/store.h"
 
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
@@ -6,15 +7,10 @@
 #include <Poco/URI.h>
 #include <sstream>
 
-namespace pimentomast::platform {
+namespace pimentomast::store {
 
 namespace {
 
-using detail::http_answer;
-using detail::http_client;
-using detail::http_outcome;
-using detail::no_answer;
-using detail::not_sent;
 using Poco::JSON::Object;
 using Poco::Net::HTTPResponse;
 
@@ -83,7 +79,7 @@
 class http_services final : public services {
 public:
     explicit http_services(const client_options& options)
-        : m_client(options)
+        : m_client({ options.address, options.timeout })
     {
     }
 
@@ -108,11 +104,11 @@
         body.set("writer", id.value());
         const auto outcome
             = m_client.sendOnce({ "PUT", "/rows/" + encode(key), jsonType, text(body) });
-        if (const auto* unsent = std::get_if<not_sent>(&outcome))
+        if (const auto* unsent = std::get_if<http::not_sent>(&outcome))
             return write_refused { unsent->cause };
-        if (const auto* lost = std::get_if<no_answer>(&outcome))
+        if (const auto* lost = std::get_if<http::no_answer>(&outcome))
             return write_unknown { lost->cause };
-        return writeOutcome("write row " + key, std::get<http_answer>(outcome));
+        return writeOutcome("write row " + key, std::get<http::answer>(outcome));
     }
 
     result<void> putObject(const std::string& name, const std::string& bytes) override
@@ -154,17 +150,17 @@
         return { step, m_client.peer(), "status " + std::to_string(status) };
     }
 
-    static result<http_answer> answered(const http_outcome& outcome, const std::string& step)
+    static result<http::answer> answered(const http::outcome& outcome, const std::string& step)
     {
-        if (const auto* unsent = std::get_if<not_sent>(&outcome))
+        if (const auto* unsent = std::get_if<http::not_sent>(&outcome))
             return error { step, unsent->cause.peer, unsent->cause.reason };
-        if (const auto* lost = std::get_if<no_answer>(&outcome))
+        if (const auto* lost = std::get_if<http::no_answer>(&outcome))
             return error { step, lost->cause.peer, lost->cause.reason };
-        return std::get<http_answer>(outcome);
+        return std::get<http::answer>(outcome);
     }
 
     /// Returns the answer to a GET if its status is 200 or 404.
-    result<http_answer> get(const std::string& path, const std::string& step)
+    result<http::answer> get(const std::string& path, const std::string& step)
     {
         auto answer = answered(m_client.sendIdempotent({ "GET", path, "", "" }), step);
         if (!answer)
@@ -186,7 +182,7 @@
     }
 
     [[nodiscard]] write_outcome writeOutcome(
-        const std::string& step, const http_answer& answer) const
+        const std::string& step, const http::answer& answer) const
     {
         try {
             if (answer.status == HTTPResponse::HTTP_SERVICE_UNAVAILABLE)
@@ -202,7 +198,7 @@
         }
     }
 
-    http_client m_client;
+    http::client m_client;
 };
 
 } // namespace
@@ -216,4 +212,4 @@
     return std::unique_ptr<services>(std::make_unique<http_services>(options));
 }
 
-} // namespace pimentomast::platform
+} // namespace pimentomast::store
--- a/src/platform/settle.cc
+++ b/src/store/settle.cc
@@ -1,8 +1,8 @@
-#include "pimentomast/platform.h"
+#include "pimentomast/store.h"
 
 #include <Poco/UUIDGenerator.h>
 
-namespace pimentomast::platform {
+namespace pimentomast::store {
 
 namespace {
 
@@ -62,4 +62,4 @@
     return write_id { Poco::UUIDGenerator::defaultGenerator().createRandom().toString() };
 }
 
-} // namespace pimentomast::platform
+} // namespace pimentomast::store
--- a/src/table/classify.cc
+++ b/src/table/classify.cc
@@ -1,5 +1,7 @@
 #include "pimentomast/table.h"
 
+#include <charconv>
+
 namespace pimentomast::table {
 namespace {
 
@@ -57,11 +59,58 @@
     return longest;
 }
 
+const route_row* findRoute(const table& rows, const request_head& head)
+{
+    const std::string_view host = std::string_view(head.host).substr(0, head.host.find(':'));
+    const route_row* longest = nullptr;
+    for (const auto& row : rows.routes) {
+        const bool fits
+            = (row.host.empty() || row.host == host) && head.path.starts_with(row.pathPrefix);
+        if (fits && (!longest || row.pathPrefix.size() > longest->pathPrefix.size()))
+            longest = &row;
+    }
+    return longest;
+}
+
+const route_part& partOf(const route_row& row, const request_head& head)
+{
+    const bool isSplit = row.parts.size() > 1 && head.choosePart;
+    return isSplit ? head.choosePart(row) : row.parts.front();
+}
+
+/// The service of a request, before its key was read.
+struct destination {
+    const service_row* service = nullptr;
+    const route_row* route = nullptr;
+};
+
+destination findDestination(const table& rows, const request_head& head)
+{
+    if (rows.routes.empty())
+        return { findService(rows, head) };
+    const auto* route = findRoute(rows, head);
+    if (!route)
+        return {};
+    return { rows.service(partOf(*route, head).service), route };
+}
+
+std::optional<key_hash> hashOf(key_form form, const std::string& key)
+{
+    if (form == key_form::Text)
+        return hashKey(key);
+    std::uint16_t number = 0;
+    const auto* const end = key.data() + key.size();
+    const auto parsed = std::from_chars(key.data(), end, number);
+    if (parsed.ec != std::errc {} || parsed.ptr != end)
+        return std::nullopt;
+    return key_hash { number * keyWidth(form) };
+}
+
 } // namespace
 
 classification classify(const table& rows, const request_head& head)
 {
-    const auto* service = findService(rows, head);
+    const auto [service, route] = findDestination(rows, head);
     if (!service)
         return unclassified::NoService;
     const value_finder finder { head };
@@ -73,11 +122,16 @@
         return unclassified::NoKey;
     classified found;
     found.service = service;
-    if (!keys.empty())
+    found.route = route;
+    if (!keys.empty()) {
         found.key = keys.front();
+        found.hash = hashOf(service->keyForm, keys.front());
+        if (!found.hash)
+            return unclassified::BadKey;
+    }
     if (!callers.empty())
         found.caller = caller_id { callers.front() };
-    found.repeatable = service->repeatable.contains(head.method);
+    found.repeatable = route ? route->repeatable : service->repeatable.contains(head.method);
     return found;
 }
 
--- a/src/table/history.cc
+++ b/src/table/history.cc
@@ -69,7 +69,7 @@
     std::optional<stored_version> kept;
 };
 
-result<slot_state> readSlot(platform::services& store, config_version version)
+result<slot_state> readSlot(store::services& store, config_version version)
 {
     const auto row = store.read(slotName(version));
     if (!row)
@@ -101,7 +101,7 @@
 }
 
 /// Reads the newest version; version 0 if there is none.
-result<stored_version> readNewest(platform::services& store)
+result<stored_version> readNewest(store::services& store)
 {
     const auto row = store.read(std::string(configRow));
     if (!row)
@@ -114,7 +114,7 @@
 /// Walks from a version to the ones before it.
 class history_walk {
 public:
-    history_walk(platform::services& store, stored_version newest)
+    history_walk(store::services& store, stored_version newest)
         : m_store(store)
         , m_next(std::move(newest))
     {
@@ -171,7 +171,7 @@
         return std::optional<table> { readable.value()->rows };
     }
 
-    platform::services& m_store;
+    store::services& m_store;
     /// Version 0: the walk is over.
     stored_version m_next;
 };
@@ -190,7 +190,7 @@
     return text(object);
 }
 
-result<void> keepVersion(platform::services& store, const stored_version& kept)
+result<void> keepVersion(store::services& store, const stored_version& kept)
 {
     for (unsigned tries = 0; tries < maxAttempts; ++tries) {
         const auto slot = readSlot(store, kept.version);
@@ -199,17 +199,17 @@
         const auto& state = slot.value();
         if (state.kept && state.kept->version >= kept.version)
             return boost::outcome_v2::success();
-        const auto outcome = platform::writeSettled(
-            store, slotName(kept.version), state.row, encodeSlot(kept), platform::newWriteId());
-        if (std::holds_alternative<platform::write_accepted>(outcome))
+        const auto outcome = store::writeSettled(
+            store, slotName(kept.version), state.row, encodeSlot(kept), store::newWriteId());
+        if (std::holds_alternative<store::write_accepted>(outcome))
             return boost::outcome_v2::success();
-        if (const auto* refused = std::get_if<platform::write_refused>(&outcome))
+        if (const auto* refused = std::get_if<store::write_refused>(&outcome))
             return refused->cause;
     }
     return error { "keep history", "platform", "the history could not be written" };
 }
 
-result<std::optional<stored_version>> readVersion(platform::services& store, config_version version)
+result<std::optional<stored_version>> readVersion(store::services& store, config_version version)
 {
     const auto slot = readSlot(store, version);
     if (!slot)
@@ -221,7 +221,7 @@
 }
 
 result<std::optional<readable_version>> readableBefore(
-    platform::services& store, config_version version)
+    store::services& store, config_version version)
 {
     auto number = version.value();
     for (unsigned step = 0; step < historyLength && number > 1; ++step) {
@@ -237,7 +237,7 @@
 }
 
 result<std::vector<history_entry>> entriesBetween(
-    platform::services& store, config_version base, config_version last)
+    store::services& store, config_version base, config_version last)
 {
     auto entries = history(store, historyLength);
     if (!entries)
@@ -257,7 +257,7 @@
     return parseValue(decoded.value(), version);
 }
 
-result<std::vector<history_entry>> history(platform::services& store, unsigned limit)
+result<std::vector<history_entry>> history(store::services& store, unsigned limit)
 {
     const auto newest = readNewest(store);
     if (!newest)
--- a/src/table/history.h
+++ b/src/table/history.h
@@ -18,11 +18,11 @@
 [[nodiscard]] std::string encode(const table& rows, config_version previous, const std::string& at);
 
 /// Keeps a version; keeping it again, also from elsewhere at the same time, changes nothing.
-[[nodiscard]] result<void> keepVersion(platform::services& store, const stored_version& kept);
+[[nodiscard]] result<void> keepVersion(store::services& store, const stored_version& kept);
 
 /// Reads a kept version; an empty optional if it is not kept (any more).
 [[nodiscard]] result<std::optional<stored_version>> readVersion(
-    platform::services& store, config_version version);
+    store::services& store, config_version version);
 
 /// A kept version that can be read.
 struct readable_version {
@@ -32,10 +32,10 @@
 
 /// Reads the newest kept version below this one that can be read; empty if there is none.
 [[nodiscard]] result<std::optional<readable_version>> readableBefore(
-    platform::services& store, config_version version);
+    store::services& store, config_version version);
 
 /// Returns the entries of all versions after `base`, up to and with `last`, newest first.
 [[nodiscard]] result<std::vector<history_entry>> entriesBetween(
-    platform::services& store, config_version base, config_version last);
+    store::services& store, config_version base, config_version last);
 
 } // namespace pimentomast::table::detail
--- a/src/table/store.cc
+++ b/src/table/store.cc
@@ -27,7 +27,7 @@
             + "); `table apply --replace-corrupt` replaces it" };
 }
 
-result<current_state> readState(platform::services& store)
+result<current_state> readState(store::services& store)
 {
     const auto row = store.read(std::string(configRow));
     if (!row)
@@ -42,7 +42,7 @@
     return current_state { rows.value(), stored };
 }
 
-result<table> readBase(platform::services& store, const current_state& current, config_version base)
+result<table> readBase(store::services& store, const current_state& current, config_version base)
 {
     if (base == current.rows.version)
         return current.rows;
@@ -81,7 +81,7 @@
 }
 
 /// Adds to a conflict who set each of the values that stand against the edit.
-attempt nameEditors(platform::services& store, config_version base, conflict refused)
+attempt nameEditors(store::services& store, config_version base, conflict refused)
 {
     const auto entries = detail::entriesBetween(store, base, refused.theirVersion);
     if (!entries)
@@ -92,7 +92,7 @@
 }
 
 /// Returns the changes of others since the base with their editors.
-result<std::vector<other_change>> nameEditors(platform::services& store, config_version base,
+result<std::vector<other_change>> nameEditors(store::services& store, config_version base,
     const table& current, const std::vector<change>& theirs)
 {
     std::vector<other_change> named;
@@ -110,24 +110,24 @@
 struct write_result {
     applied done;
 
-    attempt operator()(const platform::write_accepted& accepted)
+    attempt operator()(const store::write_accepted& accepted)
     {
         done.version = config_version { accepted.version.value() };
         return done;
     }
-    attempt operator()(const platform::write_conflict&) const { return std::nullopt; }
-    attempt operator()(const platform::write_refused& refused) const
+    attempt operator()(const store::write_conflict&) const { return std::nullopt; }
+    attempt operator()(const store::write_refused& refused) const
     {
         return not_applied { refused.cause };
     }
-    attempt operator()(const platform::write_unknown& unknown) const
+    attempt operator()(const store::write_unknown& unknown) const
     {
         return apply_unknown { unknown.cause };
     }
 };
 
 /// Writes rows as the version after the given one, which the history keeps.
-attempt writeNext(platform::services& store, const std::optional<stored_version>& before,
+attempt writeNext(store::services& store, const std::optional<stored_version>& before,
     const table& rows, const std::string& at, applied done)
 {
     if (before) {
@@ -135,14 +135,14 @@
             return not_applied { kept.error() };
     }
     const auto version = before ? before->version : config_version {};
-    const auto outcome = platform::writeSettled(store, std::string(configRow),
-        row_version { version.value() }, detail::encode(rows, version, at), platform::newWriteId());
+    const auto outcome = store::writeSettled(store, std::string(configRow),
+        row_version { version.value() }, detail::encode(rows, version, at), store::newWriteId());
     return std::visit(write_result { std::move(done) }, outcome);
 }
 
 /// Writes a merged edit over the version that it was merged with.
 attempt write(
-    platform::services& store, const current_state& current, const merged& both, const edit& wanted)
+    store::services& store, const current_state& current, const merged& both, const edit& wanted)
 {
     auto others = nameEditors(store, wanted.base, current.rows, both.theirs);
     if (!others)
@@ -154,7 +154,7 @@
 }
 
 /// Writes an edit in place of a version that cannot be read.
-attempt replace(platform::services& store, const stored_version& corrupt, const table& mine,
+attempt replace(store::services& store, const stored_version& corrupt, const table& mine,
     const std::string& at)
 {
     const auto before = detail::readableBefore(store, corrupt.version);
@@ -173,7 +173,7 @@
             name.begin(), name.end(), [](unsigned char letter) { return std::isgraph(letter); });
 }
 
-attempt applyOnce(platform::services& store, const edit& wanted, const table& mine)
+attempt applyOnce(store::services& store, const edit& wanted, const table& mine)
 {
     const auto current = readState(store);
     if (!current)
@@ -220,7 +220,7 @@
 
 } // namespace
 
-result<std::optional<table>> readCurrent(platform::services& store)
+result<std::optional<table>> readCurrent(store::services& store)
 {
     const auto current = readState(store);
     if (!current)
@@ -232,7 +232,7 @@
     return std::optional<table> { current.value().rows };
 }
 
-apply_outcome apply(platform::services& store, const edit& wanted)
+apply_outcome apply(store::services& store, const edit& wanted)
 {
     if (!isEditor(wanted.editor))
         return invalid { { "check edit", "",
@@ -249,7 +249,7 @@
         "lost the race to other editors too often" } };
 }
 
-apply_outcome apply(platform::services& store, const mark_edit& wanted)
+apply_outcome apply(store::services& store, const mark_edit& wanted)
 {
     const auto current = readCurrent(store);
     if (!current)
--- a/test/admin-test.cc
+++ b/test/admin-test.cc
@@ -25,7 +25,7 @@
 class fake_node : public admin::node {
 public:
     explicit fake_node(const endpoint& platform)
-        : m_store(platform::connect({ platform, test::patience }).value())
+        : m_store(store::connect({ platform, test::patience }).value())
     {
     }
 
@@ -40,13 +40,13 @@
                R"({"target":"w1","incarnation":"7","seconds_ago":12}]}]})";
     }
     bool pardon(std::uint64_t fingerprint) override { return fingerprint == 0xabc; }
-    [[nodiscard]] platform::services& platform() override { return *m_store; }
+    [[nodiscard]] store::services& platform() override { return *m_store; }
     [[nodiscard]] telemetry::registry& metrics() override { return m_metrics; }
 
     std::atomic<bool> leaving = false;
 
 private:
-    std::unique_ptr<platform::services> m_store;
+    std::unique_ptr<store::services> m_store;
     telemetry::registry m_metrics;
 };
 
@@ -66,7 +66,7 @@
 struct fixture {
     endpoint platform = test::freeAddress();
     test::process server = test::process::start(
-        "stand-in-platform", { "--address", platform.text() }, test::scratchFolder() + "/log");
+        "stand-in-store", { "--address", platform.text() }, test::scratchFolder() + "/log");
     fake_node node { platform };
     std::unique_ptr<admin::server> api
         = admin::server::start({ test::freeAddress(), secret }, node).value();
@@ -92,7 +92,7 @@
         const auto path = test::scratchFolder() + "/settings.ini";
         std::ofstream(path) << "[host]\nid = k1\ndomain = k\ncallers = 127.0.0.1:1\n"
                                "peers = 127.0.0.1:2\nadmin = "
-                            << api->address().text() << "\n[platform]\naddress = 127.0.0.1:3\n"
+                            << api->address().text() << "\n[store]\naddress = 127.0.0.1:3\n"
                             << "[admin]\ntoken = " << token << "\n";
         arguments.insert(arguments.end(), { "--settings", path });
         std::ostringstream out;
--- a/test/command-test.cc
+++ b/test/command-test.cc
@@ -47,7 +47,7 @@
 {
     return file("settings.ini",
         "[host]\nid = k1\ndomain = kalimati\ncallers = 127.0.0.1:8000\npeers = 127.0.0.1:8001\n"
-        "admin = 127.0.0.1:8002\n[platform]\naddress = 127.0.0.1:9000\n[admin]\ntoken = "
+        "admin = 127.0.0.1:8002\n[store]\naddress = 127.0.0.1:9000\n[admin]\ntoken = "
             + secret + "\n" + more);
 }
 
@@ -64,7 +64,7 @@
 struct fixture {
     endpoint platform = test::freeAddress();
     test::process server = test::process::start(
-        "stand-in-platform", { "--address", platform.text() }, test::scratchFolder() + "/log");
+        "stand-in-store", { "--address", platform.text() }, test::scratchFolder() + "/log");
 
     fixture()
     {
@@ -73,7 +73,7 @@
 
     [[nodiscard]] printed on(words arguments) const
     {
-        arguments.insert(arguments.end(), { "--platform", platform.text() });
+        arguments.insert(arguments.end(), { "--store", platform.text() });
         return run(arguments);
     }
     [[nodiscard]] printed apply(const std::string& path, int base, const std::string& editor) const
@@ -110,16 +110,16 @@
     unsetenv("USER");
     for (const auto& arguments : std::vector<words> { {}, { "tables" }, { "table" },
              { "table", "drop" }, { "--colour" }, { "table", "show" }, { "serve" },
-             { "table", "show", "--platform", "127.0.0.1:1", "--colour" },
+             { "table", "show", "--store", "127.0.0.1:1", "--colour" },
              { "table", "show", "--plat", "127.0.0.1:1" },
-             { "table", "show", "--platform", "127.0.0.1:1", "--format", "xml" },
-             { "table", "show", "--platform", "127.0.0.1:1", "surplus" },
-             { "table", "apply", "x.csv", "--platform", "127.0.0.1:1", "--base", "1" },
-             { "table", "apply", tableFile("x.csv", 1, 1), "--platform", "127.0.0.1:1", "--editor",
+             { "table", "show", "--store", "127.0.0.1:1", "--format", "xml" },
+             { "table", "show", "--store", "127.0.0.1:1", "surplus" },
+             { "table", "apply", "x.csv", "--store", "127.0.0.1:1", "--base", "1" },
+             { "table", "apply", tableFile("x.csv", 1, 1), "--store", "127.0.0.1:1", "--editor",
                  "a" },
-             { "table", "apply", "x.csv", "--platform", "127.0.0.1:1", "--editor", "a", "--base",
+             { "table", "apply", "x.csv", "--store", "127.0.0.1:1", "--editor", "a", "--base",
                  "one" },
-             { "target", "leave", "--platform", "127.0.0.1:1", "--editor", "a" } }) {
+             { "target", "leave", "--store", "127.0.0.1:1", "--editor", "a" } }) {
         const auto shown = run(arguments);
         cr_expect(shown.code == 2 && shown.out.empty() && !shown.err.empty(), "%s (%d)",
             shown.err.c_str(), shown.code);
@@ -300,7 +300,7 @@
     for (const std::string key : { "callers", "peers", "admin" }) {
         const auto taken = test::freeAddress();
         const Poco::Net::ServerSocket other(Poco::Net::SocketAddress(taken.ip, taken.port));
-        std::string text = "[platform]\naddress = 127.0.0.1:9\n[admin]\ntoken = " + secret
+        std::string text = "[store]\naddress = 127.0.0.1:9\n[admin]\ntoken = " + secret
             + "\n[host]\nid = k1\ndomain = d\n";
         for (const std::string each : { "callers", "peers", "admin" })
             text += each + " = " + (each == key ? taken : test::freeAddress()).text() + "\n";
--- a/test/failure-configuration-test.cc
+++ b/test/failure-configuration-test.cc
@@ -111,7 +111,7 @@
         std::ofstream(scratchFolder() + "/other.csv") << other;
         const auto arguments = [&](const std::string& name) -> std::vector<std::string> {
             return { "table", "apply", "--file", scratchFolder() + "/" + name + ".csv", "--base",
-                std::to_string(base), "--editor", name, "--platform", system.platform().text() };
+                std::to_string(base), "--editor", name, "--store", system.platform().text() };
         };
         auto first = process::start("pimentomast", arguments("one"), scratchFolder() + "/one.log");
         auto second
--- a/test/helper.h
+++ b/test/helper.h
@@ -129,7 +129,7 @@
     std::set<std::string> repeatablePosts {};
     unsigned deadlineMs = 10000;
     /// Lines of the hosts' settings besides the required ones, for example "[drain]\n..."; lines
-    /// before the first section belong to [platform].
+    /// before the first section belong to [store].
     std::string settings {};
     /// Puts the cutter between all parties; without it they are connected directly.
     bool cut = true;
--- a/test/helper/cluster.cc
+++ b/test/helper/cluster.cc
@@ -56,7 +56,7 @@
 
 void cluster::startPlatform()
 {
-    m_platform = std::make_unique<process>(process::start("stand-in-platform",
+    m_platform = std::make_unique<process>(process::start("stand-in-store",
         { "--address", m_platformAddress.text() }, m_folder + "/platform.log"));
     const bool up
         = waitUntil([this] { return getJson(m_platformAddress, "/control/counts") != nullptr; });
@@ -92,7 +92,7 @@
     file << "[host]\nid = " << host.id << "\ndomain = d" << host.id.substr(1)
          << "\ncallers = " << host.callers.text() << "\npeers = " << host.peers.text()
          << "\nadmin = " << host.admin.text() << "\nadvertise = " << host.shownPeers.text()
-         << "\n[admin]\ntoken = " << adminToken << "\n[platform]\naddress = " << platform.text()
+         << "\n[admin]\ntoken = " << adminToken << "\n[store]\naddress = " << platform.text()
          << "\n"
          << m_options.settings;
 }
@@ -222,7 +222,7 @@
 
 int cluster::command(std::vector<std::string> arguments) const
 {
-    arguments.insert(arguments.end(), { "--platform", m_platformAddress.text() });
+    arguments.insert(arguments.end(), { "--store", m_platformAddress.text() });
     return process::start("pimentomast", arguments, m_folder + "/command.log").wait();
 }
 
--- a/test/membership-test.cc
+++ b/test/membership-test.cc
@@ -17,10 +17,10 @@
         .value();
 }
 
-platform::listed_host listed(const char* id, std::uint16_t port)
+store::listed_host listed(const char* id, std::uint16_t port)
 {
     return { host_id { id }, domain_id { "north" }, { "127.0.0.1", port },
-        platform::host_state::Live };
+        store::host_state::Live };
 }
 
 sighting seen(const char* id, std::uint64_t run, bool leaving = false)
@@ -146,7 +146,7 @@
 public:
     explicit exchanging_hosts(unsigned count)
     {
-        std::vector<platform::listed_host> list;
+        std::vector<store::listed_host> list;
         for (unsigned i = 0; i < count; ++i)
             list.push_back(listed(name(i).c_str(), static_cast<std::uint16_t>(i + 1)));
         for (unsigned i = 0; i < count; ++i) {
--- a/test/ownership-rows-test.cc
+++ b/test/ownership-rows-test.cc
@@ -44,7 +44,7 @@
 
 instant at(int ms) { return instant { std::chrono::milliseconds(ms) }; }
 
-platform::row rowOf(const write_row& written, std::uint64_t version)
+store::row rowOf(const write_row& written, std::uint64_t version)
 {
     return { written.key, written.value, row_version { version }, written.writer };
 }
@@ -131,14 +131,14 @@
 {
     opened open;
     const auto request = open.readBack();
-    const platform::row before { "row", "old", row_version { 4 }, platform::write_id { "x" } };
+    const store::row before { "row", "old", row_version { 4 }, store::write_id { "x" } };
     const auto state = open.writer.take(at(5001), row_read { request, before });
     cr_assert(std::holds_alternative<ownership::detail::write_open>(state) && open.writer.isOpen());
     open.writer.tick(at(5002), std::chrono::milliseconds { 1000 }, open.numbers, open.todo);
     const auto& again = std::get<write_row>(open.todo.back());
     cr_assert(again.writer == open.first.writer && again.expected == row_version { 4 });
     const write_finished conflict { again.request,
-        platform::write_conflict { rowOf(open.first, 5) } };
+        store::write_conflict { rowOf(open.first, 5) } };
     cr_assert(std::holds_alternative<ownership::detail::write_settled>(
         open.writer.take(at(5003), conflict)));
 }
@@ -146,7 +146,7 @@
 Test(ownership_rows, unknown_outcome_is_neither_accepted_nor_dropped)
 {
     opened open;
-    const write_finished unknown { open.first.request, platform::write_unknown {} };
+    const write_finished unknown { open.first.request, store::write_unknown {} };
     cr_assert(
         std::holds_alternative<ownership::detail::write_open>(open.writer.take(at(1), unknown)));
     const auto request = open.readBack();
@@ -158,13 +158,13 @@
 {
     opened open;
     (void)open.writer.take(
-        at(1), write_finished { open.first.request, platform::write_unknown {} });
+        at(1), write_finished { open.first.request, store::write_unknown {} });
     const auto request = open.readBack();
-    const platform::row before { "row", "old", row_version { 4 }, platform::write_id { "x" } };
+    const store::row before { "row", "old", row_version { 4 }, store::write_id { "x" } };
     (void)open.writer.take(at(5001), row_read { request, before });
     open.writer.tick(at(5002), std::chrono::milliseconds { 1000 }, open.numbers, open.todo);
     const auto again = std::get<write_row>(open.todo.back()).request;
-    const write_finished refused { again, platform::write_refused {} };
+    const write_finished refused { again, store::write_refused {} };
     cr_assert(
         std::holds_alternative<ownership::detail::write_open>(open.writer.take(at(5003), refused)));
     cr_assert(open.writer.isOpen());
--- a/test/ownership-world.h
+++ b/test/ownership-world.h
@@ -39,7 +39,7 @@
     std::map<target_id, table::mark> marks;
     /// What went wrong; empty as long as the invariants hold.
     std::string violation;
-    std::map<std::string, platform::row> rows;
+    std::map<std::string, store::row> rows;
 
     std::int64_t between(std::int64_t low, std::int64_t high)
     {
@@ -234,7 +234,7 @@
     {
         send(index, storeParty, [=, this] {
             const auto outcome = current.outage
-                ? platform::write_outcome { platform::write_refused {} }
+                ? store::write_outcome { store::write_refused {} }
                 : store(todo);
             if (chance(current.lostReply))
                 return;
@@ -244,15 +244,15 @@
         });
     }
 
-    platform::write_outcome store(const write_row& todo)
+    store::write_outcome store(const write_row& todo)
     {
         auto& row = rows[todo.key];
         if (row.version != todo.expected)
-            return platform::write_conflict { row };
+            return store::write_conflict { row };
         row = { todo.key, todo.value, row_version { row.version.value() + 1 }, todo.writer };
         if (todo.key == assignmentKey(service))
             checkCommitted(todo.value);
-        return platform::write_accepted { row.version };
+        return store::write_accepted { row.version };
     }
 
     void act(int index, incarnation run, const send_grant& todo)
--- a/test/proxy-routing-test.cc
+++ b/test/proxy-routing-test.cc
@@ -97,7 +97,7 @@
     }
     void refuse(proxy::request_id, const proxy::refusal&) override { }
     void abandon(proxy::request_id, unsigned) override { }
-    void probe(const target_id&, const endpoint&) override { }
+    void probe(const target_id&, const proxy::probe_address&) override { }
     void closeIdle(const endpoint&, instant) override { }
 
     int forwarded = 0;
--- a/test/settings-test.cc
+++ b/test/settings-test.cc
@@ -13,7 +13,7 @@
 
 const std::string valid = "[host]\nid = k1\ndomain = kalimati\ncallers = 127.0.0.1:8000\n"
                           "peers = 127.0.0.1:8001\nadmin = 127.0.0.1:8002\n"
-                          "[platform]\naddress = 127.0.0.1:9000\n"
+                          "[store]\naddress = 127.0.0.1:9000\n"
                           "[admin]\ntoken = correct-horse-battery\n";
 
 std::vector<problem> problemsOf(const std::string& text)
@@ -121,7 +121,7 @@
     const auto found
         = problemsOf("[host]\nid = k1\n[limits]\nworkers = x\nconnections = 0\n[no]\n");
     for (const auto* place :
-        { "[host] domain", "[host] callers", "[host] peers", "[host] admin", "[platform] address",
+        { "[host] domain", "[host] callers", "[host] peers", "[host] admin", "[store] address",
             "[admin] token", "[limits] workers", "[limits] connections", "[no]" })
         cr_expect(names(found, place, ""), "%s is not named", place);
 }
--- a/test/stand-ins/platform.cc
+++ b/test/stand-ins/store.cc
@@ -1,5 +1,5 @@
 // Stand-in for the platform: table service, object store and list of hosts, all in memory.
-// docs/DESIGN.md states the contract. Usage: stand-in-platform --address IP:PORT
+// docs/DESIGN.md states the contract. Usage: stand-in-store --address IP:PORT
 //
 // PUT /control {"outage":"none"/"refuse"/"silent","slow_ms":N,"lose_replies":N}; absent fields
 // stay.
@@ -376,7 +376,7 @@
 int main(int argc, char** argv)
 {
     namespace options = boost::program_options;
-    options::options_description described("stand-in-platform");
+    options::options_description described("stand-in-store");
     described.add_options()("address", options::value<std::string>()->required(), "ip:port");
     try {
         options::variables_map given;
--- a/test/platform-test.cc
+++ b/test/store-test.cc
@@ -1,11 +1,11 @@
-#include "pimentomast/platform.h"
+#include "pimentomast/store.h"
 
 #include "helper.h"
 
 #include <criterion/criterion.h>
 
 using namespace pimentomast;
-using namespace pimentomast::platform;
+using namespace pimentomast::store;
 
 namespace {
 
@@ -23,7 +23,7 @@
     test::process start() const
     {
         return test::process::start(
-            "stand-in-platform", { "--address", address.text() }, test::scratchFolder() + "/log");
+            "stand-in-store", { "--address", address.text() }, test::scratchFolder() + "/log");
     }
     void control(const std::string& json) const { test::put(address, "/control", json); }
 };
--- a/test/table-store-test.cc
+++ b/test/table-store-test.cc
@@ -12,7 +12,7 @@
 namespace {
 
 /// Table service in memory. Hooks run before a read or write and stand for outages and races.
-class fake_store : public platform::services {
+class fake_store : public store::services {
 public:
     std::function<void(const std::string&)> beforeWrite;
     bool out = false;
@@ -21,33 +21,33 @@
     /// After a lost reply the service is out.
     bool outAfterLoss = false;
 
-    result<std::optional<platform::row>> read(const std::string& key) override
+    result<std::optional<store::row>> read(const std::string& key) override
     {
         const std::lock_guard guard(m_lock);
         if (out)
             return error { "read row", "platform", "out" };
         const auto found = m_rows.find(key);
         if (found == m_rows.end())
-            return std::optional<platform::row> {};
+            return std::optional<store::row> {};
         return std::optional { found->second };
     }
 
-    platform::write_outcome write(const std::string& key, row_version expected,
-        const std::string& value, const platform::write_id& id) override
+    store::write_outcome write(const std::string& key, row_version expected,
+        const std::string& value, const store::write_id& id) override
     {
         if (beforeWrite)
             beforeWrite(key);
         const std::lock_guard guard(m_lock);
         if (out)
-            return platform::write_refused { { "write row", "platform", "out" } };
+            return store::write_refused { { "write row", "platform", "out" } };
         auto& row = m_rows[key];
         if (row.version != expected)
-            return platform::write_conflict { row };
+            return store::write_conflict { row };
         row = { key, value, row_version { expected.value() + 1 }, id };
         if (!std::exchange(loseReply, false))
-            return platform::write_accepted { row.version };
+            return store::write_accepted { row.version };
         out = outAfterLoss;
-        return platform::write_unknown { { "write row", "platform", "no reply" } };
+        return store::write_unknown { { "write row", "platform", "no reply" } };
     }
 
     result<void> putObject(const std::string&, const std::string&) override
@@ -58,16 +58,16 @@
     {
         return error { "get object", "platform", "not in this fake" };
     }
-    result<std::vector<platform::listed_host>> hosts() override
+    result<std::vector<store::listed_host>> hosts() override
     {
-        return std::vector<platform::listed_host> {};
+        return std::vector<store::listed_host> {};
     }
 
     [[nodiscard]] std::size_t size() const { return m_rows.size(); }
 
 private:
     std::mutex m_lock;
-    std::map<std::string, platform::row> m_rows;
+    std::map<std::string, store::row> m_rows;
 };
 
 const std::string header = "kind,id,service,prefix,address,domain,weight,state\n";
@@ -230,7 +230,7 @@
 {
     store_with_table with;
     (void)std::get<applied>(apply(with.store, "hari", 1, rowsWith("2", "1")));
-    (void)with.store.write("config", row_version { 2 }, "{broken", platform::newWriteId());
+    (void)with.store.write("config", row_version { 2 }, "{broken", store::newWriteId());
     const auto replaceBy = [&](const std::string& editor, const std::string& csv) {
         return table::apply(with.store, { editor, config_version { 1 }, csv, "", true });
     };
