--- a/bench/capacity.cc
+++ b/bench/capacity.cc
@@ -306,7 +306,7 @@
     }
     const auto load = meter.report(instant { 1001s }, service);
     const double interval
-        = std::chrono::duration<double>(serve::detail::reportInterval(load.ByteSizeLong())).count();
+        = std::chrono::duration<double>(serve::detail::reportInterval(load.ByteSizeLong(), std::chrono::seconds { 1 })).count();
     serve::detail::load_sum sum;
     stopwatch taking;
     stopwatch adding;
--- a/include/pimentomast/proxy.h
+++ b/include/pimentomast/proxy.h
@@ -97,6 +97,8 @@
     unsigned attempts = 4;
     /// 0 is served first.
     unsigned priority = 0;
+    /// An answer after this time is worth little to the caller.
+    instant objective = instant::max();
     /// Same for each sending of the same method, path, key and caller.
     std::uint64_t fingerprint = 0;
     instant arrived;
--- a/include/pimentomast/routing.h
+++ b/include/pimentomast/routing.h
@@ -41,6 +41,8 @@
     unsigned attempts = 4;
     /// 0 is served first.
     unsigned priority = 0;
+    /// An answer after this time is worth little: a request that would wait longer is refused.
+    instant objective = instant::max();
 };
 
 /// The owner of a key: requests for it go to the target with this token.
@@ -91,8 +93,9 @@
     Quarantined,
     HostStopping,
     TableUnconfirmed,
+    WaitTooLong,
 };
-inline constexpr std::size_t refusalReasons = 17;
+inline constexpr std::size_t refusalReasons = 18;
 
 /// Why an attempt was followed by another one.
 enum class retry_reason {
@@ -272,6 +275,10 @@
     double loadBias = 2;
     /// Time after which a reported load counts for 1/e.
     std::chrono::milliseconds reportAge { 500 };
+    /// Targets report their load in answers to probes and grants. If they don't, windows follow the
+    /// latency of answers, a reset may mean that the target is full, and a request whose connection
+    /// broke is repeated without a probe before.
+    bool targetsReportLoad = true;
     /// Requests that a target shed draw on the retry budgets too.
     bool budgetsShed = false;
     /// A request that has no retry budget waits for it; otherwise it is refused at once.
--- a/include/pimentomast/settings.h
+++ b/include/pimentomast/settings.h
@@ -70,6 +70,11 @@
     bool countShed = false;
 };
 
+struct target_settings {
+    /// Targets report their load in answers to probes and grants.
+    bool reportLoad = true;
+};
+
 struct probe_settings {
     /// Between probes of a target that seems healthy.
     milliseconds backgroundMs { 2000 };
@@ -87,6 +92,19 @@
     milliseconds outageLimitMs { 600000 };
 };
 
+struct placement_settings {
+    /// Between two rounds of planning.
+    milliseconds intervalMs { 1000 };
+    /// Moves for the sake of balance in one round.
+    unsigned movesPerRound = 2;
+    /// Time that keys stay with their owner before they move for balance again.
+    milliseconds minimumStayMs { 10000 };
+    /// Load above a target's even share that is left alone, in percent of it.
+    unsigned tolerancePercent = 15;
+    /// Between two reports of a host's load.
+    milliseconds reportMs { 1000 };
+};
+
 enum class log_level {
     Debug,
     Info,
@@ -123,8 +141,10 @@
     admin_settings admin;
     limit_settings limits;
     retry_settings retries;
+    target_settings targets;
     probe_settings probes;
     ownership_settings ownership;
+    placement_settings placement;
     log_settings log;
     drain_settings drain;
 };
--- a/src/ownership/moves.cc
+++ b/src/ownership/moves.cc
@@ -8,7 +8,7 @@
 using detail::move_phase;
 
 namespace {
-constexpr std::size_t mostMoves = 32;
+constexpr std::size_t mostMoves = 64;
 
 double size(const slice& range)
 {
--- a/src/proxy/host.cc
+++ b/src/proxy/host.cc
@@ -264,6 +264,8 @@
     facts.fingerprint = fingerprint(head, std::string_view(caller->input).substr(0, printed));
     facts.arrived = monotonic_clock::now();
     facts.deadline = facts.arrived + allowedTime(head, found);
+    if (found.route)
+        facts.objective = facts.arrived + found.route->objective;
     request->caller = caller;
     request->head = std::move(head);
     enqueue(std::move(request));
--- a/src/proxy/routed-dispatcher.cc
+++ b/src/proxy/routed-dispatcher.cc
@@ -54,6 +54,7 @@
         taken.deadline = facts.deadline;
         taken.attempts = facts.attempts;
         taken.priority = facts.priority;
+        taken.objective = facts.objective;
         taken.print = routing::fingerprint { facts.fingerprint };
         run([&](instant now, routing::router& router) { return router.arrive(now, taken); }, sink);
     }
--- a/src/ranges/ledger.cc
+++ b/src/ranges/ledger.cc
@@ -34,11 +34,8 @@
     std::vector<call> calls;
     std::vector<slice> held;
     for (const auto& each : m_held) {
-        if (each.until <= now)
-            continue;
-        held.push_back(each.range);
-        for (const auto& part : subtract(each.range, ranges))
-            calls.emplace_back(release_range { part, fence });
+        if (each.until > now)
+            held.push_back(each.range);
     }
     std::sort(held.begin(), held.end());
     held = joined(held);
@@ -52,6 +49,10 @@
                 calls.emplace_back(part);
         }
     }
+    for (const auto& each : held) {
+        for (const auto& part : subtract(each, ranges))
+            calls.emplace_back(release_range { part, fence });
+    }
     return calls;
 }
 
--- a/src/routing/attempts.cc
+++ b/src/routing/attempts.cc
@@ -29,7 +29,10 @@
     {
         if (target != nullptr) {
             target->health.onAnswered(self.m_now, result);
-            self.adaptWindow(*target, ended.taken, false);
+            if (!self.m_settings.targetsReportLoad)
+                target->window.onLatency(result.whole);
+            else
+                self.adaptWindow(*target, ended.taken, false);
             target->reportTrust = std::min(1.0, target->reportTrust + trustGain);
             self.ejectErrorOutlier(*target);
         }
@@ -80,7 +83,10 @@
         if (target != nullptr) {
             target->health.onFailure(self.m_now);
             self.noteLoss(ended, *target);
-            self.m_unsettled[ended.taken.print] = { target->row.id, self.m_now };
+            if (self.m_settings.targetsReportLoad)
+                self.m_unsettled[ended.taken.print] = { target->row.id, self.m_now };
+            else if (!ended.responded)
+                target->window.onShed(false);
         }
         const bool mayRepeat = ended.taken.repeatable && !ended.responded
             && ended.attempt.value() < self.m_settings.attemptsMax;
@@ -88,7 +94,10 @@
             self.end(ended, outcome::Unknown, refusal_reason::ConnectionBroken);
             return;
         }
-        self.awaitProbe(ended);
+        if (self.m_settings.targetsReportLoad)
+            self.awaitProbe(ended);
+        else
+            self.retryOrEnd(ended, retry_reason::ConnectionBroken, refusal_reason::ConnectionBroken);
     }
 
     void operator()(const timed_out&) const
--- a/src/routing/engine.h
+++ b/src/routing/engine.h
@@ -173,6 +173,9 @@
 
     // waiting.cc: requests that are not in flight
     [[nodiscard]] std::optional<refusal_reason> refusalAtArrival(const request& taken);
+    [[nodiscard]] duration laneWait(const target_state& target, std::size_t ahead) const;
+    [[nodiscard]] duration queueWait(const service_state& service) const;
+    bool refuseLate(request_number number);
     [[nodiscard]] bool unreachable(const request& taken, const service_state& service) const;
     bool makeRoom(service_state& service, const caller_id& arriving);
     void place(pending& waiting);
--- a/src/routing/waiting.cc
+++ b/src/routing/waiting.cc
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr unsigned drainSamplesMin = 20;
+constexpr double windowFloor = 0.05;
 constexpr double costMin = 0.1;
 constexpr double costMax = 20;
 
@@ -31,6 +32,8 @@
     if (!taken.repeatable && awaitFate(known))
         return this->taken();
     place(known);
+    if (refuseLate(known.taken.number))
+        return this->taken();
     if (pending* still = find(taken.number); still != nullptr && service.row.keyed()) {
         if (target_state* target = findTarget(still->lane))
             pumpTarget(*target);
@@ -40,6 +43,65 @@
     return this->taken();
 }
 
+// Requests ahead in the lane are served at the rate that the target's window and latency allow.
+duration engine::laneWait(const target_state& target, std::size_t ahead) const
+{
+    const auto outstanding = static_cast<double>(target.inFlight.size());
+    const double size = std::max(target.window.size(), windowFloor);
+    const double late = static_cast<double>(ahead) + outstanding + 1 - std::max(size, 1.0);
+    const duration latency = target.health.latency().usual(firstLatencyGuess);
+    const auto perRequest = std::chrono::duration<double, std::micro>(latency) / size;
+    const auto pause = std::max(target.shedUntil - m_now, duration {});
+    return pause + std::chrono::duration_cast<duration>(perRequest * std::max(late, 0.0));
+}
+
+// Targets of a service without keys share its queue.
+duration engine::queueWait(const service_state& service) const
+{
+    double perSecond = 0;
+    double room = 0;
+    for (const target_id& id : service.targets) {
+        const target_state& target = m_targets.at(id);
+        if (target.row.state != table::mark::Active || target.health.ejected())
+            continue;
+        const std::chrono::duration<double> latency(
+            target.health.latency().usual(firstLatencyGuess));
+        const double size = std::max(target.window.size(), windowFloor);
+        perSecond += size / latency.count();
+        room += std::max(size - static_cast<double>(target.inFlight.size()), 0.0);
+    }
+    const double late = static_cast<double>(service.waiting.size()) - std::max(room, 0.0);
+    if (late <= 0 || perSecond <= 0)
+        return {};
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(late / perSecond));
+}
+
+// For load above capacity: a target's time goes to requests that can still be answered in time.
+// Returns whether the request was refused.
+bool engine::refuseLate(request_number number)
+{
+    pending* arrived = find(number);
+    if (arrived == nullptr || arrived->where != phase::Queued
+        || arrived->taken.objective == instant::max())
+        return false;
+    service_state& service = *findService(arrived->taken.service);
+    duration wait;
+    duration latency = service.latency.usual(firstLatencyGuess);
+    if (service.row.keyed()) {
+        const target_state& target = m_targets.at(arrived->lane);
+        wait = laneWait(target, target.waiting.size() - 1);
+        latency = target.health.latency().usual(firstLatencyGuess);
+    } else {
+        wait = queueWait(service);
+    }
+    const duration spare = arrived->taken.objective - m_now - latency;
+    if (wait <= std::max(spare, duration {}))
+        return false;
+    arrived->retryAfter = wait - std::max(spare, duration {});
+    end(*arrived, outcome::NotRun, refusal_reason::WaitTooLong);
+    return true;
+}
+
 std::optional<refusal_reason> engine::refusalAtArrival(const request& taken)
 {
     if (m_stopping)
--- a/src/routing/window.cc
+++ b/src/routing/window.cc
@@ -7,6 +7,13 @@
 namespace {
 
 constexpr double fairGrowth = 0.002;
+constexpr double meanGain = 0.2;
+constexpr double baseStep = 0.005;
+/// Mean latency over its low quantile: an idle target's work varies up to the lower one.
+constexpr double growBelow = 2;
+constexpr double shrinkAbove = 3;
+constexpr double latencyGrowth = 0.05;
+constexpr double latencyDecrease = 0.95;
 
 } // namespace
 
@@ -51,6 +58,22 @@
     m_size = std::min(m_limits.max, m_size * (1 + growth) + fairGrowth);
 }
 
+void window::onLatency(duration taken) noexcept
+{
+    const auto us = static_cast<double>(taken.count());
+    if (m_baseUs == 0) {
+        m_baseUs = us;
+        m_meanUs = us;
+    }
+    m_meanUs += meanGain * (us - m_meanUs);
+    // Steps of unequal size settle where one answer in ten is faster.
+    m_baseUs += us < m_baseUs ? -baseStep * 9 * m_baseUs : baseStep * m_baseUs;
+    if (m_meanUs < growBelow * m_baseUs)
+        m_size = std::min(m_limits.max, m_size + latencyGrowth);
+    else if (m_meanUs > shrinkAbove * m_baseUs)
+        m_size = std::max(m_limits.min, m_size * latencyDecrease);
+}
+
 void window::onShed(bool flooding) noexcept
 {
     const double factor = flooding ? m_limits.floodDecrease : m_limits.decrease;
--- a/src/routing/window.h
+++ b/src/routing/window.h
@@ -35,12 +35,19 @@
     /// flooding: the request's caller sends far more than others.
     void onAnswered(bool flooding) noexcept;
     void onShed(bool flooding) noexcept;
+    /// In place of onAnswered() for targets that do not tell their load: grows while answers take
+    /// about as long as they take at an idle target, and shrinks when they wait there (L. Brakmo,
+    /// S. O'Malley, L. Peterson, "TCP Vegas", SIGCOMM 1994, uses the same sign of a queue).
+    void onLatency(duration taken) noexcept;
 
     [[nodiscard]] double size() const noexcept { return m_size; }
 
 private:
     limits m_limits;
     double m_size;
+    /// Low quantile of the latency, and its mean; 0 while nothing is known.
+    double m_baseUs = 0;
+    double m_meanUs = 0;
     instant m_lastFraction {};
 };
 
--- a/src/serve/control.cc
+++ b/src/serve/control.cc
@@ -26,6 +26,15 @@
         { { "hosts", hosts }, { "complete", members.complete ? "yes" : "no" } });
 }
 
+void logPlan(const service_id& service, double imbalance, std::size_t running, std::size_t wanted)
+{
+    if (wanted > 0 || imbalance > 1.3)
+        telemetry::log(telemetry::severity::Info, "placement-planned",
+            { { "service", service.value() }, { "imbalance", std::to_string(imbalance) },
+                { "moves_wanted", std::to_string(wanted) },
+                { "moves_running", std::to_string(running) } });
+}
+
 std::vector<table::target_row> targetsOf(const table::table& rows, const service_id& service)
 {
     std::vector<table::target_row> targets;
@@ -92,7 +101,9 @@
 {
     const auto seed = seedFor(m_options, row.id);
     auto core = ownership::coordinator::create({ row.id, m_options.self, seed, m_options.times, table::keyWidth(row.keyForm) });
-    auto places = placement::create(row, seed);
+    auto planning = m_options.placement;
+    planning.seed = seed;
+    auto places = placement::create(row, planning);
     return { std::move(core).value(), std::move(places).value(), {} };
 }
 
@@ -159,13 +170,14 @@
             wishes.push_back({ service,
                 state.places.plan(now, *committed, state.core.moving(), state.core.targets(now),
                     state.targets) });
+            logPlan(service, state.places.imbalance(), state.core.runningMoves(),
+                wishes.back().wanted.slices.size());
         }
     }
     // No wishes replace the last ones too, or they would be carried out when they no longer hold.
     for (const auto& each : wishes)
         deliver(each.service, each.wanted);
 }
-
 void control::takeLoad(const host_id& host, const wire::LoadReport& report)
 {
     const std::lock_guard guard(m_lock);
--- a/src/serve/control.h
+++ b/src/serve/control.h
@@ -18,6 +18,7 @@
     ownership::host_run self;
     ownership::timings times;
     std::uint64_t seed = 1;
+    balancing::planner_options placement;
     unsigned storeThreads = 4;
     unsigned grantThreads = 32;
 };
--- a/src/serve/directory.cc
+++ b/src/serve/directory.cc
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr int assignmentsPerAnswer = 4;
+/// Numbers that are neighbours differ in load, so each is counted by itself.
+constexpr std::uint64_t countedWidth = table::keyWidth(table::key_form::Number);
 
 struct owner_visitor {
     routing::owner_answer operator()(const ownership::route& found) const
@@ -96,6 +98,19 @@
     return owned ? std::optional(owned->range) : std::nullopt;
 }
 
+std::optional<slice> directory::countedRange(const service_id& service, key_hash key) const
+{
+    auto range = sliceOf(service, key);
+    const auto table = rows();
+    const auto* row = table ? table->service(service) : nullptr;
+    if (!range || !row || row->keyForm != table::key_form::Number)
+        return range;
+    const auto first = key.value() - key.value() % countedWidth;
+    range->first = std::max(range->first, key_hash { first });
+    range->last = std::min(range->last, key_hash { first + (countedWidth - 1) });
+    return range;
+}
+
 host_id directory::coordinator(const service_id& service) const
 {
     const std::shared_lock guard(m_lock);
--- a/src/serve/dispatch.cc
+++ b/src/serve/dispatch.cc
@@ -22,7 +22,7 @@
 {
     if (!facts.key)
         return;
-    const auto range = m_owners.sliceOf(facts.service, *facts.key);
+    const auto range = m_owners.countedRange(facts.service, *facts.key);
     if (!range)
         return;
     const std::lock_guard guard(m_loadLock);
--- a/src/serve/load.cc
+++ b/src/serve/load.cc
@@ -10,11 +10,10 @@
 constexpr std::chrono::seconds sketchHalfLifeS { 5 };
 constexpr std::size_t reportedKeys = 32;
 constexpr std::size_t mergedKeys = 64;
-constexpr std::chrono::seconds rateHalfLifeS { 2 };
+constexpr std::chrono::milliseconds rateHalfLife { 800 };
 constexpr double negligibleRate = 0.01;
 constexpr std::chrono::seconds reportLifeS { 10 };
 constexpr double gapsOfLife = 2.5;
-constexpr std::chrono::seconds reportIntervalMinS { 1 };
 constexpr std::chrono::seconds reportIntervalMaxS { 10 };
 constexpr double reportBytesPerSecond = 6000;
 
@@ -76,18 +75,18 @@
     return ids;
 }
 
-duration reportInterval(std::size_t bytes)
+duration reportInterval(std::size_t bytes, duration shortest)
 {
     const std::chrono::duration<double> span(static_cast<double>(bytes) / reportBytesPerSecond);
     return std::clamp<duration>(
-        std::chrono::duration_cast<duration>(span), reportIntervalMinS, reportIntervalMaxS);
+        std::chrono::duration_cast<duration>(span), shortest, reportIntervalMaxS);
 }
 
 void load_sum::take(instant now, const host_id& host, const wire::ServiceLoad& load)
 {
     auto& taken = m_reports[host];
     const bool follows = current(taken, now);
-    const double kept = follows ? std::exp2(-seconds(now - taken.at) / seconds(rateHalfLifeS)) : 0;
+    const double kept = follows ? std::exp2(-seconds(now - taken.at) / seconds(rateHalfLife)) : 0;
     for (auto& [range, rate] : taken.slices)
         rate *= kept;
     for (const auto& part : load.slices()) {
@@ -149,6 +148,44 @@
     return hotInRange * scale + rest;
 }
 
+load_profile load_sum::profile(instant now) const
+{
+    std::vector<load_profile::part> parts;
+    for (const auto& [host, taken] : m_reports) {
+        if (!current(taken, now))
+            continue;
+        for (const auto& [range, rate] : taken.slices)
+            parts.push_back({ range, rate });
+    }
+    return load_profile(std::move(parts));
+}
+
+load_profile::load_profile(std::vector<part> parts)
+    : m_parts(std::move(parts))
+{
+    std::sort(m_parts.begin(), m_parts.end(),
+        [](const part& left, const part& right) { return left.range < right.range; });
+    for (const auto& each : m_parts)
+        m_widest = std::max(m_widest, each.range.last.value() - each.range.first.value());
+}
+
+double load_profile::rate(const slice& range) const
+{
+    const auto startsBefore
+        = [](const part& each, key_hash hash) { return each.range.first < hash; };
+    const auto reach = std::min(m_widest, range.first.value());
+    const auto from = std::lower_bound(m_parts.begin(), m_parts.end(),
+        key_hash { range.first.value() - reach }, startsBefore);
+    double sum = 0;
+    for (auto each = from; each != m_parts.end() && each->range.first <= range.last; ++each) {
+        const slice common { std::max(each->range.first, range.first),
+            std::min(each->range.last, range.last) };
+        if (common.first <= common.last)
+            sum += each->rate * width(common) / width(each->range);
+    }
+    return sum;
+}
+
 std::vector<balancing::hot_key> load_sum::hotKeys(instant now) const
 {
     std::vector<std::vector<balancing::hot_key>> lists;
--- a/src/serve/load.h
+++ b/src/serve/load.h
@@ -31,9 +31,29 @@
     std::map<service_id, entry> m_services;
 };
 
-/// Returns how long after a report of this size the next one is due, so that a host's reports stay
-/// within their share of the bytes for control.
-[[nodiscard]] duration reportInterval(std::size_t bytes);
+/// Returns how long after a report of this size the next one is due, at least the shortest time, so
+/// that a host's reports stay within their share of the bytes for control.
+[[nodiscard]] duration reportInterval(std::size_t bytes, duration shortest);
+
+/// The load of all hosts together over the hash space. Pure; concurrent reads are safe.
+class load_profile {
+public:
+    /// A range and its requests per second, spread evenly over it.
+    struct part {
+        slice range;
+        double rate = 0;
+    };
+
+    explicit load_profile(std::vector<part> parts);
+    /// Returns the requests per second of the range.
+    [[nodiscard]] double rate(const slice& range) const;
+
+private:
+    /// Sorted by first hash.
+    std::vector<part> m_parts;
+    /// Width of the widest part, so that a search knows how far back to look.
+    std::uint64_t m_widest = 0;
+};
 
 /// Adds up the hosts' reports for one service, smoothed over time. Reports may be about slices as
 /// they were before a cut or a join. Pure; not thread-safe.
@@ -44,6 +64,7 @@
     /// Returns the requests per second of the keys in each range. Precondition: no two overlap.
     [[nodiscard]] std::vector<double> rates(instant now, const std::vector<slice>& ranges) const;
     [[nodiscard]] std::vector<balancing::hot_key> hotKeys(instant now) const;
+    [[nodiscard]] load_profile profile(instant now) const;
 
 private:
     struct report {
--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -11,7 +11,6 @@
 using namespace std::chrono_literals;
 
 constexpr std::chrono::milliseconds controlTickMs { 25 };
-constexpr std::chrono::milliseconds rebalanceIntervalMs { 1000 };
 constexpr std::chrono::milliseconds loadTimeoutMs { 500 };
 constexpr std::chrono::milliseconds handOverLimitMs { 3000 };
 constexpr std::chrono::milliseconds grantTimeoutMs { 400 };
@@ -113,6 +112,7 @@
     routes.retryBurst = m_values.retries.burst;
     routes.waitsForBudget = m_values.retries.wait;
     routes.budgetsShed = m_values.retries.countShed;
+    routes.targetsReportLoad = m_values.targets.reportLoad;
     routes.backgroundProbeInterval = m_values.probes.backgroundMs;
     m_dispatch = dispatch::create(routes, m_directory, [this](const auto& news) {
         m_spread->tellCrash(news);
@@ -136,6 +136,9 @@
     controlling.self = { m_values.host.id, m_run };
     controlling.times = timingsOf(m_values.ownership);
     controlling.seed = m_run.value();
+    controlling.placement.movesPerRound = m_values.placement.movesPerRound;
+    controlling.placement.minimumStay = m_values.placement.minimumStayMs;
+    controlling.placement.tolerance = m_values.placement.tolerancePercent / 100.0;
     m_control = control::create(controlling, m_store, *m_book, m_directory, makeGrantSender(),
         { [this](const auto& value) {
              putAssignment(value, m_values.host.id);
@@ -196,9 +199,9 @@
         m_dispatch->applyLiveHosts(m_book->connectionSharers(now));
         m_proxy->setHealthy(currentHealth().accepting);
         if (now >= nextLoad)
-            nextLoad = now + reportInterval(reportLoads(now));
+            nextLoad = now + reportInterval(reportLoads(now), m_values.placement.reportMs);
         if (now >= nextRebalance) {
-            nextRebalance = now + rebalanceIntervalMs;
+            nextRebalance = now + m_values.placement.intervalMs;
             m_control->rebalance();
         }
         std::this_thread::sleep_for(controlTickMs);
--- a/src/serve/placement.cc
+++ b/src/serve/placement.cc
@@ -5,6 +5,9 @@
 namespace pimentomast::serve::detail {
 namespace {
 
+/// A part of a slice that carries less than this part of a target's mean load is not cut further.
+constexpr double partsOfMean = 4;
+
 balancing::target_state stateOf(const ownership::target_view& view, const table::target_row& row)
 {
     if (!view.reachable)
@@ -61,20 +64,21 @@
 
 } // namespace
 
-result<placement> placement::create(const table::service_row& service, std::uint64_t seed)
+result<placement> placement::create(
+    const table::service_row& service, const balancing::planner_options& common)
 {
-    balancing::planner_options options;
-    options.seed = seed;
+    auto options = common;
     options.churnPrice = service.churnPrice;
     options.keyWidth = table::keyWidth(service.keyForm);
     auto planner = balancing::planner::create(options);
     if (!planner)
         return planner.error();
-    return placement(planner.value());
+    return placement(planner.value(), options.keyWidth);
 }
 
-placement::placement(const balancing::planner& planner)
+placement::placement(const balancing::planner& planner, std::uint64_t keyWidth)
     : m_planner(planner)
+    , m_keyWidth(keyWidth)
 {
 }
 
@@ -91,6 +95,7 @@
     followTargets(now, views);
     const balancing::plan_input input { now, slices(now, committed, moving), targets(views, rows),
         m_load.hotKeys(now) };
+    m_imbalance = balancing::imbalance(input.slices, input.targets);
     ownership::placement_wanted wanted;
     for (const auto& proposal : m_planner.plan(input))
         std::visit(wish_visitor { wanted }, proposal);
@@ -135,7 +140,44 @@
     for (const auto& each : moving)
         makeMove(now, placed, each);
     countLoads(now, placed);
-    return placed;
+    return m_keyWidth > 1 ? cutBusy(now, placed) : placed;
+}
+
+std::vector<balancing::placed_slice> placement::cutBusy(
+    instant now, const std::vector<balancing::placed_slice>& placed) const
+{
+    double total = 0;
+    std::set<target_id> owners;
+    for (const auto& each : placed) {
+        total += each.load;
+        if (each.owner)
+            owners.insert(*each.owner);
+    }
+    const double mean = total / static_cast<double>(std::max<std::size_t>(owners.size(), 1));
+    const auto profile = m_load.profile(now);
+    std::vector<balancing::placed_slice> parts;
+    for (const auto& each : placed)
+        cutInto(profile, each, mean / partsOfMean, parts);
+    return parts;
+}
+
+void placement::cutInto(const load_profile& profile, const balancing::placed_slice& whole,
+    double most, std::vector<balancing::placed_slice>& parts) const
+{
+    const auto keys = (whole.keys.last.value() - whole.keys.first.value()) / m_keyWidth + 1;
+    if (whole.load <= most || most <= 0 || keys < 2) {
+        parts.push_back(whole);
+        return;
+    }
+    const key_hash middle { whole.keys.first.value() + keys / 2 * m_keyWidth };
+    auto lower = whole;
+    auto upper = whole;
+    lower.keys.last = key_hash { middle.value() - 1 };
+    upper.keys.first = middle;
+    lower.load = profile.rate(lower.keys);
+    upper.load = profile.rate(upper.keys);
+    cutInto(profile, lower, most, parts);
+    cutInto(profile, upper, most, parts);
 }
 
 void placement::countLoads(instant now, std::vector<balancing::placed_slice>& placed) const
--- a/src/serve/placement.h
+++ b/src/serve/placement.h
@@ -6,6 +6,7 @@
 #include "pimentomast/table.h"
 
 #include <map>
+#include <set>
 
 namespace pimentomast::serve::detail {
 
@@ -15,7 +16,7 @@
 public:
     /// Fails if the service's churn price is out of the planner's range.
     [[nodiscard]] static result<placement> create(
-        const table::service_row& service, std::uint64_t seed);
+        const table::service_row& service, const balancing::planner_options& common);
 
     void takeLoad(instant now, const host_id& host, const wire::ServiceLoad& load);
     /// Returns the owners and joins that the planner wants; empty if all is well. A cut needs no
@@ -25,6 +26,9 @@
         const std::vector<ownership::target_view>& targets,
         const std::vector<table::target_row>& rows);
 
+    /// Returns the highest load of a target over the mean before the last plan; 1 is even.
+    [[nodiscard]] double imbalance() const noexcept { return m_imbalance; }
+
 private:
     /// Since when a slice has its owner.
     struct tenure {
@@ -32,10 +36,15 @@
         instant since;
     };
 
-    explicit placement(const balancing::planner& planner);
+    placement(const balancing::planner& planner, std::uint64_t keyWidth);
     void followOwners(instant now, const ownership::assignment& committed);
     void followTargets(instant now, const std::vector<ownership::target_view>& targets);
     void countLoads(instant now, std::vector<balancing::placed_slice>& placed) const;
+    /// Cuts slices that carry much load in halves by keys, each with its own load.
+    [[nodiscard]] std::vector<balancing::placed_slice> cutBusy(
+        instant now, const std::vector<balancing::placed_slice>& placed) const;
+    void cutInto(const load_profile& profile, const balancing::placed_slice& whole, double most,
+        std::vector<balancing::placed_slice>& parts) const;
     [[nodiscard]] std::vector<balancing::placed_slice> slices(instant now,
         const ownership::assignment& committed,
         const std::vector<ownership::wanted_slice>& moving) const;
@@ -44,6 +53,8 @@
         const std::vector<table::target_row>& rows) const;
 
     balancing::planner m_planner;
+    std::uint64_t m_keyWidth;
+    double m_imbalance = 0;
     load_sum m_load;
     std::map<key_hash, tenure> m_tenures;
     std::map<target_id, instant> m_readySince;
--- a/src/serve/range_grants.cc
+++ b/src/serve/range_grants.cc
@@ -2,9 +2,16 @@
 
 #include "pimentomast/telemetry.h"
 
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_future.hpp>
+#include <future>
+
 namespace pimentomast::serve::detail {
 namespace {
 
+/// Releases that wait for targets at the same time, beside one in each call of send().
+constexpr unsigned releaseThreads = 16;
+
 std::uint64_t clockReading(instant now)
 {
     return static_cast<std::uint64_t>(now.time_since_epoch().count());
@@ -34,6 +41,14 @@
 
 } // namespace
 
+range_grants::range_grants(range_calls& calls)
+    : m_calls(calls)
+    , m_releasePool(releaseThreads)
+{
+}
+
+range_grants::~range_grants() { m_releasePool.join(); }
+
 range_grants::target_state& range_grants::stateOf(const target_id& target)
 {
     const std::lock_guard guard(m_lock);
@@ -79,7 +94,7 @@
     return ownership::target_acknowledged { order.request, order.target, std::move(reply) };
 }
 
-// Returns whether the target answered every call.
+// Returns whether the target did all that it was asked.
 bool range_grants::carryOut(const ownership::send_grant& order, target_state& target)
 {
     auto& service = stateOf(order.message.service);
@@ -89,37 +104,58 @@
         calls = target.granted.plan(
             monotonic_clock::now(), target.slices, order.message.version, service.states);
     }
-    bool allAnswered = true;
+    bool allDone = true;
+    const auto note = [&](const ended_call& ended) {
+        target.granted.ended(monotonic_clock::now(), ended.made, ended.lease, ended.outcome);
+        noteStates(service, ended.made, ended.outcome);
+        allDone = allDone && std::holds_alternative<ranges::accepted>(ended.outcome);
+        return !std::holds_alternative<ranges::unanswered>(ended.outcome);
+    };
+    std::vector<ranges::call> releases;
     for (const auto& each : calls) {
-        const duration left = leaseEnd(order.message) - monotonic_clock::now()
-            - m_calls.longestDelay();
-        const auto lease
-            = std::chrono::duration_cast<duration>(left / ranges::clockDrift);
-        const auto outcome = make(order, each, lease);
-        target.granted.ended(monotonic_clock::now(), each, lease, outcome);
-        noteStates(service, each, outcome);
-        const bool answered = std::holds_alternative<ranges::accepted>(outcome);
-        allAnswered = allAnswered && answered;
-        if (std::holds_alternative<ranges::unanswered>(outcome))
-            break;
+        if (std::holds_alternative<ranges::release_range>(each))
+            releases.push_back(each);
+        else if (!note(make(order, each)))
+            return false;
     }
-    return allAnswered;
+    for (const auto& ended : releaseAll(order, releases))
+        note(ended);
+    return allDone;
 }
 
-ranges::call_result range_grants::make(
-    const ownership::send_grant& order, const ranges::call& made, duration lease)
+range_grants::ended_call range_grants::make(
+    const ownership::send_grant& order, const ranges::call& made)
 {
     const auto& message = order.message;
     const range_recipient to { message.service, order.address };
     if (const auto* release = std::get_if<ranges::release_range>(&made))
-        return m_calls.release(to, *release);
+        return { made, {}, m_calls.release(to, *release) };
+    const duration left
+        = leaseEnd(message) - monotonic_clock::now() - m_calls.longestDelay();
+    const auto lease = std::chrono::duration_cast<duration>(left / ranges::clockDrift);
     if (lease <= duration::zero())
-        return ranges::not_sent {};
+        return { made, {}, ranges::not_sent {} };
     const auto& grant = std::get<ranges::grant_range>(made);
-    auto outcome = m_calls.grant(to, grant, lease);
-    if (std::holds_alternative<ranges::fenced_out>(outcome))
+    ended_call ended { made, lease, m_calls.grant(to, grant, lease) };
+    if (std::holds_alternative<ranges::fenced_out>(ended.outcome))
         logFencedOut(order, grant.range);
-    return outcome;
+    return ended;
+}
+
+std::vector<range_grants::ended_call> range_grants::releaseAll(
+    const ownership::send_grant& order, const std::vector<ranges::call>& releases)
+{
+    std::vector<std::future<ended_call>> running;
+    for (std::size_t i = 1; i < releases.size(); ++i)
+        running.push_back(boost::asio::post(m_releasePool,
+            std::packaged_task<ended_call()>(
+                [this, &order, &each = releases[i]] { return make(order, each); })));
+    std::vector<ended_call> ended;
+    if (!releases.empty())
+        ended.push_back(make(order, releases.front()));
+    for (auto& each : running)
+        ended.push_back(each.get());
+    return ended;
 }
 
 void range_grants::noteStates(
--- a/src/serve/range_grants.h
+++ b/src/serve/range_grants.h
@@ -4,6 +4,7 @@
 #include "pimentomast/ranges.h"
 #include "pimentomast/serve.h"
 
+#include <boost/asio/thread_pool.hpp>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -17,14 +18,15 @@
 /// message's, less the time that the call may take to arrive.
 ///
 /// Thread-safe. Lock order: a target's lock, then the lock of the services' states. A target's lock
-/// is held during its calls, which are sent one after the other.
+/// is held during its calls: grants are sent one after the other, then releases all at once, since
+/// each takes until the work on its keys has ended.
 class range_grants final : public grant_sender {
 public:
     /// calls must outlive the object.
-    explicit range_grants(range_calls& calls)
-        : m_calls(calls)
-    {
-    }
+    explicit range_grants(range_calls& calls);
+    range_grants(const range_grants&) = delete;
+    range_grants& operator=(const range_grants&) = delete;
+    ~range_grants() override;
 
     [[nodiscard]] ownership::event send(const ownership::send_grant& order) override;
 
@@ -45,13 +47,22 @@
 
     [[nodiscard]] target_state& stateOf(const target_id& target);
     [[nodiscard]] service_state& stateOf(const service_id& service);
+    /// A call and how it ended.
+    struct ended_call {
+        ranges::call made;
+        duration lease {};
+        ranges::call_result outcome;
+    };
+
     [[nodiscard]] bool carryOut(const ownership::send_grant& order, target_state& target);
-    [[nodiscard]] ranges::call_result make(
-        const ownership::send_grant& order, const ranges::call& made, duration lease);
+    [[nodiscard]] ended_call make(const ownership::send_grant& order, const ranges::call& made);
+    [[nodiscard]] std::vector<ended_call> releaseAll(
+        const ownership::send_grant& order, const std::vector<ranges::call>& releases);
     void noteStates(service_state& service, const ranges::call& made,
         const ranges::call_result& outcome);
 
     range_calls& m_calls;
+    boost::asio::thread_pool m_releasePool;
     std::mutex m_lock;
     std::map<target_id, std::unique_ptr<target_state>> m_targets;
     std::map<service_id, std::unique_ptr<service_state>> m_services;
--- a/test/serve-placement-test.cc
+++ b/test/serve-placement-test.cc
@@ -92,7 +92,7 @@
         return all;
     }
 
-    placement m_places { placement::create(serviceRow(), 1).value() };
+    placement m_places { placement::create(serviceRow(), balancing::planner_options {}).value() };
 };
 
 } // namespace
@@ -154,9 +154,9 @@
 Test(serve_placement, reports_of_many_slices_stay_within_their_bytes)
 {
     using serve::detail::reportInterval;
-    cr_assert(reportInterval(100) == std::chrono::seconds { 1 });
-    cr_assert(reportInterval(30'000) == std::chrono::seconds { 5 });
-    cr_assert(reportInterval(1'000'000) == std::chrono::seconds { 10 });
+    cr_assert(reportInterval(100, std::chrono::seconds { 1 }) == std::chrono::seconds { 1 });
+    cr_assert(reportInterval(30'000, std::chrono::seconds { 1 }) == std::chrono::seconds { 5 });
+    cr_assert(reportInterval(1'000'000, std::chrono::seconds { 1 }) == std::chrono::seconds { 10 });
     serve::detail::load_sum sum;
     serve::detail::wire::ServiceLoad load;
     auto* part = load.add_slices();
