--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -162,6 +162,8 @@
             pool.giveBack(std::move(connection));
         return whole;
     } catch (const Poco::Exception& cause) {
+        // Whatever silenced or broke this connection may have done so to the idle ones.
+        pool.clear();
         return no_answer { { sent.method + " " + sent.path, peer, reason(cause) } };
     } catch (const std::exception& cause) {
         return no_answer { { sent.method + " " + sent.path, peer, cause.what() } };
--- a/src/http/session-pool.cc
+++ b/src/http/session-pool.cc
@@ -66,4 +66,10 @@
         m_idle.push_back(std::move(idle));
 }
 
+void session_pool::clear()
+{
+    const std::lock_guard lock(m_mutex);
+    m_idle.clear();
+}
+
 } // namespace pimentomast::http::detail
--- a/src/http/session-pool.h
+++ b/src/http/session-pool.h
@@ -36,6 +36,8 @@
     [[nodiscard]] std::unique_ptr<session> openNew(std::chrono::milliseconds timeout) const;
     /// Keeps a connection whose last answer was read to its end.
     void giveBack(std::unique_ptr<session> idle);
+    /// Closes all idle connections.
+    void clear();
 
 private:
     static constexpr std::size_t maxIdle = 16;
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -121,6 +121,12 @@
         { "ownership", "authority_ms", "must be less than target_lease_ms" });
     require(found, times.authorityMs < times.outageLimitMs,
         { "ownership", "outage_limit_ms", "must be more than authority_ms" });
+    // The platform's operators call no host, so a host there needs no token.
+    const bool needsToken = all.store.interface == store_interface::Own;
+    const bool tokenFaulty = std::any_of(found.begin(), found.end(),
+        [](const problem& each) { return each.section == "admin" && each.key == "token"; });
+    if (needsToken && all.admin.token.empty() && !tokenFaulty)
+        found.push_back({ "admin", "token", "missing" });
     if (all.log.sink == log_sink::File && all.log.file.empty())
         found.push_back({ "log", "file", "missing, since sink is file" });
     if (all.log.sink == log_sink::Console && !all.log.file.empty())
