--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -219,9 +219,9 @@
     std::vector<shown_value> all;
     for (const auto& rule : detail::keyRules()) {
         const auto& [section, key, required, secret] = rule.description;
-        const auto value = secret ? "(set)" : rule.write(values);
+        const auto value = rule.write(values);
         if (!value.empty())
-            all.push_back({ section, key, value });
+            all.push_back({ section, key, secret ? "(set)" : value });
     }
     return all;
 }
--- /dev/null
+++ b/test/platform-documents-test.cc
@@ -0,0 +1,119 @@
+#include "documents.h"
+
+#include <criterion/criterion.h>
+
+using namespace pimentomast;
+using namespace pimentomast::platform::detail;
+
+namespace {
+
+const std::string service = R"({"type":"services","metadata":{"name":"weights"},"spec":)"
+                            R"({"healthPath":"/healthz","maxConns":130,"protocol":"h1","tls":false,)"
+                            R"("sharded":true,"warm":"3s","grants":"rpc"}})";
+const std::string plainService = R"({"type":"services","metadata":{"name":"sales"},"spec":)"
+                                 R"({"healthPath":"/healthz","maxConns":90}})";
+const std::string limits = R"({"type":"limits","metadata":{},"spec":{"maxHeaderBytes":16384,)"
+                           R"("maxBodyBytes":67108864,"headerTimeout":"3000ms","idleTimeout":"15s"}})";
+
+std::string route(const std::string& rest)
+{
+    return R"({"type":"routes","metadata":{"name":"r1"},"spec":{"host":"a.example",)"
+           R"("prefix":"/w/","timeout":"0.8s","slo":"300ms","priority":2,"attempts":2,)"
+        + rest + "}}";
+}
+
+std::string document(const std::string& routeText)
+{
+    return R"({"version":"0000000c","resources":[)" + routeText + "," + service + ","
+        + plainService + "," + limits + "]}";
+}
+
+const std::string good = document(route(R"("kind":"idempotent","service":"weights")"));
+
+std::string replaced(std::string text, const std::string& what, const std::string& by)
+{
+    const auto at = text.find(what);
+    cr_assert(at != std::string::npos, "%s is not in the document", what.c_str());
+    return text.replace(at, what.size(), by);
+}
+
+const std::string entry = R"({"address":"10.128.0.9:8080","born":1790000000000,"info":{"service":)"
+                          R"("weights","version":"v1","zone":"k","capacity":4},"status":{"state":)"
+                          R"("ready","seq":4,"warmup_time":"0ms"}})";
+
+} // namespace
+
+Test(platform_documents, configuration_is_decoded_with_units)
+{
+    const auto read = readConfiguration(good);
+    cr_assert(read.has_value(), "%s", read.has_error() ? read.error().text().c_str() : "");
+    const auto& all = read.value();
+    cr_assert(all.version == config_version { 12 });
+    cr_assert(all.routes.size() == 1 && all.services.size() == 2);
+    cr_assert(all.routes[0].timeout.count() == 800);
+    cr_assert(all.routes[0].objective.count() == 300);
+    cr_assert(all.routes[0].repeatable && all.routes[0].attempts == 2);
+    cr_assert(all.services[0].keyed() && all.services[0].keyForm == table::key_form::Number);
+    cr_assert(!all.services[1].keyed());
+    cr_assert(all.limits.idleTimeout.count() == 15000);
+    cr_assert(all.connections.at(service_id { "sales" }) == 90);
+}
+
+Test(platform_documents, kind_alone_tells_whether_a_request_may_run_again)
+{
+    const auto kindOf = [](const std::string& kind) {
+        return readConfiguration(document(route(R"("kind":")" + kind + R"(","service":"sales")")));
+    };
+    cr_assert(kindOf("download").value().routes[0].repeatable);
+    cr_assert(!kindOf("non_idempotent").value().routes[0].repeatable);
+    cr_assert(kindOf("sometimes").has_error());
+}
+
+Test(platform_documents, weighted_parts_are_read_and_empty_ones_left_out)
+{
+    const auto read = readConfiguration(document(route(R"("kind":"download","backends":[)"
+        R"({"service":"weights","weight":90},{"service":"sales","weight":10},)"
+        R"({"service":"sales","weight":0}])")));
+    cr_assert(read.value().routes[0].parts.size() == 2);
+    cr_assert(read.value().routes[0].parts[1].weight == 10);
+}
+
+Test(platform_documents, faulty_configurations_are_refused_whole)
+{
+    for (const auto& faulty : { good.substr(0, good.size() / 2),
+             replaced(good, R"("service":"weights")", R"("service":"nobody")"),
+             replaced(good, R"("timeout":"0.8s")", R"("timeout":"-1ms")"),
+             replaced(good, R"("timeout":"0.8s",)", ""),
+             replaced(good, R"("attempts":2)", R"("attempts":0)"),
+             replaced(good, R"("attempts":2)", R"("attempts":"two")"),
+             replaced(good, R"("host":"a.example")", R"("host":"")"),
+             replaced(good, R"("priority":2)", R"("priority":-1)"), std::string("[]") })
+        cr_expect(readConfiguration(faulty).has_error(), "%s", faulty.c_str());
+}
+
+Test(platform_documents, registrations_are_decoded_and_faulty_ones_refused)
+{
+    const auto read = readRegistration("i-1", entry).value();
+    cr_assert(read.address == (endpoint { "10.128.0.9", 8080 }));
+    cr_assert(read.slots == 4 && !read.draining);
+    cr_assert(read.started == incarnation { 1790000000000 });
+    cr_assert(readRegistration("i-1", replaced(entry, "ready", "draining")).value().draining);
+    for (const auto& faulty : { replaced(entry, "ready", "resting"),
+             replaced(entry, R"("capacity":4)", R"("capacity":"4")"),
+             replaced(entry, R"("service":"weights",)", ""), std::string("\x01\x02"),
+             replaced(entry, "10.128.0.9:8080", "somewhere") })
+        cr_expect(readRegistration("i-1", faulty).has_error(), "%s", faulty.c_str());
+}
+
+Test(platform_documents, two_processes_of_one_name_are_two_targets)
+{
+    const auto configured = readConfiguration(good).value();
+    const auto first = readRegistration("i-1", entry).value();
+    const auto second = readRegistration("i-1", replaced(entry, "1790000000000", "1790000000001"));
+    const auto before = makeTable(config_version { 1 }, configured, { first });
+    const auto after = makeTable(config_version { 2 }, configured, { second.value() });
+    cr_assert(before.targets.size() == 1 && after.targets.size() == 1);
+    cr_assert(before.targets[0].id != after.targets[0].id);
+    cr_assert(before.targets[0].instance == after.targets[0].instance);
+    cr_assert(before.targets[0].connections == 130);
+}
--- /dev/null
+++ b/test/routing-overload-test.cc
@@ -0,0 +1,117 @@
+#include "routing-fixture.h"
+#include "routing/window.h"
+
+#include <criterion/criterion.h>
+
+using namespace pimentomast;
+using namespace pimentomast::routing;
+using namespace pimentomast::routing::testing;
+
+namespace {
+
+options quietTargets()
+{
+    options settings;
+    settings.targetsReportLoad = false;
+    settings.waitsForBudget = false;
+    settings.budgetsShed = true;
+    return settings;
+}
+
+window::limits limits()
+{
+    window::limits chosen;
+    chosen.min = 0.1;
+    chosen.max = 4;
+    return chosen;
+}
+
+/// Answers each attempt that was dispatched, after the time that one request takes alone.
+void serve(driver& test, std::size_t& seen, duration taken)
+{
+    const auto attempts = test.all<dispatch>();
+    for (; seen < attempts.size(); ++seen)
+        test.finish(attempts[seen], answered { 200, taken, taken });
+}
+
+} // namespace
+
+// Load: one target, more requests at once than it can answer within their objective.
+Test(routing_overload, what_would_miss_its_objective_is_refused_at_once)
+{
+    driver test(makeTable(1, false, 1), quietTargets());
+    std::size_t seen = 0;
+    for (int i = 0; i < 50; ++i) {
+        test.arrive(test.make());
+        test.run(100ms);
+        serve(test, seen, 100ms);
+    }
+    unsigned refused = 0;
+    for (int i = 0; i < 20; ++i) {
+        auto asked = test.make();
+        asked.objective = test.now + 300ms;
+        const auto refusal = test.refusal(test.arrive(asked));
+        if (!refusal)
+            continue;
+        ++refused;
+        cr_assert(refusal->reason == refusal_reason::WaitTooLong);
+        cr_assert(refusal->certainty == outcome::NotRun);
+        cr_assert(refusal->retryAfter > duration::zero());
+        cr_assert(refusal->retryAfter < 3s);
+    }
+    cr_assert_geq(refused, 15);
+    cr_assert_leq(refused, 19);
+}
+
+Test(routing_overload, without_an_objective_requests_wait_as_before)
+{
+    driver test(makeTable(1, false, 1), quietTargets());
+    for (int i = 0; i < 20; ++i)
+        cr_assert(!test.refusal(test.arrive(test.make())));
+}
+
+Test(routing_overload, a_reset_is_repeated_without_a_probe_up_to_the_attempts_of_the_route)
+{
+    driver test(makeTable(4, false), quietTargets());
+    auto asked = test.make();
+    asked.attempts = 2;
+    const auto number = test.arrive(asked);
+    auto first = test.lastDispatch(number);
+    test.sent(first, test.now);
+    test.finish(first, broken {});
+    test.run(30ms);
+    const auto second = test.lastDispatch(number);
+    cr_assert(second.attempt == attempt_number { 2 });
+    cr_assert(second.target != first.target);
+    test.sent(second, test.now);
+    test.finish(second, broken {});
+    cr_assert(test.refusal(number)->reason == refusal_reason::ConnectionBroken);
+    cr_assert(test.refusal(number)->certainty == outcome::Unknown);
+}
+
+Test(routing_overload, without_retry_budget_the_answer_comes_at_once)
+{
+    auto settings = quietTargets();
+    settings.retryRatio = 0;
+    settings.retryBurst = 0;
+    driver test(makeTable(4, false), settings);
+    const auto number = test.arrive(test.make());
+    const auto first = test.lastDispatch(number);
+    test.sent(first, test.now);
+    test.finish(first, shed {});
+    test.run(30ms);
+    cr_assert(test.refusal(number)->reason == refusal_reason::RetryBudget);
+    cr_assert(test.refusal(number)->certainty == outcome::NotRun);
+}
+
+Test(routing_overload, windows_shrink_while_answers_wait_at_the_target)
+{
+    window learned(limits());
+    for (int i = 0; i < 200; ++i)
+        learned.onLatency(80ms);
+    const double idle = learned.size();
+    cr_assert_geq(idle, 3.9);
+    for (int i = 0; i < 60; ++i)
+        learned.onLatency(320ms);
+    cr_assert_leq(learned.size(), idle / 4);
+}
--- a/test/serve-placement-test.cc
+++ b/test/serve-placement-test.cc
@@ -172,3 +172,66 @@
     cr_assert_gt(rateAt(31), 90);
     cr_assert_eq(rateAt(46), 0);
 }
+
+namespace {
+
+constexpr std::uint64_t numberWidth = table::keyWidth(table::key_form::Number);
+
+slice numbers(std::uint64_t first, std::uint64_t last)
+{
+    return { key_hash { first * numberWidth }, key_hash { last * numberWidth + (numberWidth - 1) } };
+}
+
+} // namespace
+
+Test(serve_load, profile_adds_up_whole_and_partial_ranges)
+{
+    const serve::detail::load_profile profile(
+        { { numbers(3, 3), 5 }, { numbers(0, 9), 10 }, { numbers(20, 20), 7 } });
+    cr_assert_float_eq(profile.rate(numbers(0, 9)), 15, 1e-6);
+    cr_assert_float_eq(profile.rate(numbers(3, 3)), 6, 1e-6);
+    cr_assert_float_eq(profile.rate(numbers(4, 19)), 6, 1e-6);
+    cr_assert_float_eq(profile.rate(numbers(20, 30)), 7, 1e-6);
+    cr_assert_float_eq(profile.rate(numbers(40, 50)), 0, 1e-6);
+}
+
+// Load: four of 65,536 neighbouring numbers carry nearly all requests, and one target owns them.
+Test(serve_placement, busy_neighbours_are_spread_by_their_own_load_in_one_round)
+{
+    auto row = serviceRow();
+    row.key = table::header_field { "Key" };
+    row.keyForm = table::key_form::Number;
+    balancing::planner_options options;
+    options.movesPerRound = 48;
+    options.minimumStay = std::chrono::milliseconds { 0 };
+    options.slowStart = std::chrono::milliseconds { 0 };
+    auto places = placement::create(row, options).value();
+    const instant now { std::chrono::seconds { 1000 } };
+    ownership::assignment committed;
+    std::vector<ownership::target_view> views;
+    std::vector<table::target_row> targets;
+    for (std::uint64_t i = 0; i < 4; ++i) {
+        const target_id id { "t" + std::to_string(i) };
+        committed.slices.push_back({ numbers(i * 16384, i * 16384 + 16383), id, {}, {} });
+        views.push_back({ id, true, true, {}, {} });
+        table::target_row target;
+        target.id = id;
+        target.domain = domain_id { "d" };
+        targets.push_back(target);
+    }
+    serve::detail::wire::ServiceLoad load;
+    for (std::uint64_t key : { 5, 6, 7, 8 }) {
+        auto* part = load.add_slices();
+        part->set_first(numbers(key, key).first.value());
+        part->set_last(numbers(key, key).last.value());
+        part->set_requests_per_second(100);
+    }
+    places.takeLoad(now, host_id { "h" }, load);
+    const auto wanted = places.plan(now, committed, {}, views, targets);
+    std::set<target_id> owners { target_id { "t0" } };
+    for (const auto& each : wanted.slices) {
+        cr_assert(each.range.first.value() % numberWidth == 0);
+        owners.insert(each.owner);
+    }
+    cr_assert(wanted.slices.size() == 3 && owners.size() == 4);
+}
