--- a/include/pimentomast/proxy.h
+++ b/include/pimentomast/proxy.h
@@ -192,7 +192,8 @@
 };
 
 /// Field names and rules by which callers and targets of an installation speak of a request. The
-/// defaults are the product's own (docs/DESIGN.md); an empty name means that there is no such field.
+/// defaults are the product's own (docs/DESIGN.md); an empty name means that there is no such
+/// field.
 struct contract {
     /// The request's id. Given by the host for each request, unless callers choose it.
     std::string id = "Pimentomast-Request-Id";
--- a/include/pimentomast/ranges.h
+++ b/include/pimentomast/ranges.h
@@ -66,10 +66,10 @@
 /// What one target was granted and may still hold.
 class ledger {
 public:
-    /// Returns the calls after which the target holds exactly the wanted slices, grants first, since
-    /// releases take until the work on their keys has ended. Neighbouring slices are renewed by one
-    /// call. Precondition: fence is not lower than in any
-    /// earlier call, and the wanted slices are sorted.
+    /// Returns the calls after which the target holds exactly the wanted slices, grants first,
+    /// since releases take until the work on their keys has ended. Neighbouring slices are renewed
+    /// by one call. Precondition: fence is not lower than in any earlier call, and the wanted
+    /// slices are sorted.
     [[nodiscard]] std::vector<call> plan(instant now,
         const std::vector<ownership::granted_slice>& wanted, token fence,
         const handovers& states) const;
--- a/include/pimentomast/routing.h
+++ b/include/pimentomast/routing.h
@@ -306,6 +306,10 @@
     /// Shortest ejection; doubled while a target fails again right after its return.
     std::chrono::milliseconds ejectionMin { 1000 };
     std::chrono::milliseconds ejectionMax { 30000 };
+    /// For how long a leaving target still gets requests for the keys that it owns.
+    std::chrono::milliseconds leavingGrace { 3600000 };
+    /// Advice for a request whose key has no owner yet.
+    std::chrono::milliseconds ownerRetryAfter { 200 };
     std::chrono::milliseconds slowStart { 10000 };
     /// A first byte that is later than this and than lateFactor times the usual is checked.
     std::chrono::milliseconds lateMin { 500 };
--- a/include/pimentomast/serve.h
+++ b/include/pimentomast/serve.h
@@ -19,7 +19,8 @@
     using receiver = std::function<void(std::shared_ptr<const table::table>)>;
 
     virtual ~table_source() = default;
-    /// Calls receive for each new table, one call at a time, until stop(). Versions rise. Call once.
+    /// Calls receive for each new table, one call at a time, until stop(). Versions rise. Call
+    /// once.
     virtual void start(receiver receive) = 0;
     /// Returns when no call of receive runs any more and none will come.
     virtual void stop() = 0;
--- a/include/pimentomast/settings.h
+++ b/include/pimentomast/settings.h
@@ -73,6 +73,8 @@
 struct target_settings {
     /// Targets report their load in answers to probes and grants.
     bool reportLoad = true;
+    /// For how long a leaving target still gets requests for the keys that it owns.
+    milliseconds leavingGraceMs { 3600000 };
 };
 
 struct probe_settings {
--- a/src/command/subcommands.h
+++ b/src/command/subcommands.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "pimentomast/command.h"
-#include "pimentomast/store.h"
 #include "pimentomast/settings.h"
+#include "pimentomast/store.h"
 
 #include <boost/program_options.hpp>
 #include <memory>
--- a/src/ownership/takeover.cc
+++ b/src/ownership/takeover.cc
@@ -16,7 +16,10 @@
     m_messageNumber = {};
     m_nextRound = now;
     become(role::TakingOver, "wrote the next epoch");
-    tickWitnessRounds(now);
+    // Witnesses that are asked read the new epoch at once; without the store they could not.
+    auto sets = ownSets();
+    sets.insert(sets.end(), m_row.earlier.begin(), m_row.earlier.end());
+    askWitnesses(now, sets);
     readAssignment(now);
 }
 
--- a/src/proxy/host.cc
+++ b/src/proxy/host.cc
@@ -227,8 +227,8 @@
     const auto& whole = std::get<table::classified>(found);
     if (!whole.route || whole.route->parts.size() < 2)
         return submit(caller, std::move(head), whole);
-    const auto chosen = classify(*current, head,
-        [this](const table::route_row& route) -> const table::route_part& {
+    const auto chosen = classify(
+        *current, head, [this](const table::route_row& route) -> const table::route_part& {
             return m_splitter.choose(route);
         });
     if (const auto* why = std::get_if<reason>(&chosen))
--- a/src/proxy/message.cc
+++ b/src/proxy/message.cc
@@ -122,8 +122,7 @@
     for (const auto& field : fields) {
         const std::string_view fieldName = view(field.name_string());
         const bool dropped = field.name() == http::field::host || isHopByHop(fieldName)
-            || isNamed(request.head.connectionNames, fieldName)
-            || isWrittenByHost(fieldName, names)
+            || isNamed(request.head.connectionNames, fieldName) || isWrittenByHost(fieldName, names)
             || (field.name() == http::field::expect && request.continueSent);
         if (!dropped)
             appendField(head, fieldName, view(field.value()));
--- a/src/routing/attempts.cc
+++ b/src/routing/attempts.cc
@@ -97,7 +97,8 @@
         if (self.m_settings.targetsReportLoad)
             self.awaitProbe(ended);
         else
-            self.retryOrEnd(ended, retry_reason::ConnectionBroken, refusal_reason::ConnectionBroken);
+            self.retryOrEnd(
+                ended, retry_reason::ConnectionBroken, refusal_reason::ConnectionBroken);
     }
 
     void operator()(const timed_out&) const
--- a/src/routing/dispatching.cc
+++ b/src/routing/dispatching.cc
@@ -106,7 +106,7 @@
 
 bool engine::eligible(const target_state& target, const pending& waiting) const
 {
-    if (target.health.ejected() || m_now < target.shedUntil)
+    if (target.health.ejected() || m_now < target.shedUntil || hasLeft(target))
         return false;
     const auto outstanding = static_cast<unsigned>(target.inFlight.size());
     const unsigned usable = std::max(1U, target.connections - 1);
--- a/src/routing/engine.cc
+++ b/src/routing/engine.cc
@@ -134,6 +134,10 @@
         if (!added && row.state == table::mark::Active && target.row.state != row.state)
             target.health.restart(m_now);
         target.row = row;
+        if (row.state == table::mark::Active)
+            target.leavingSince.reset();
+        else if (!target.leavingSince)
+            target.leavingSince = m_now;
         if (service_state* service = findService(row.service))
             service->targets.push_back(row.id);
     }
--- a/src/routing/engine.h
+++ b/src/routing/engine.h
@@ -94,6 +94,8 @@
     instant reportedAt {};
     double reportTrust = 1;
     instant shedUntil {};
+    /// When this host learned that the target leaves.
+    std::optional<instant> leavingSince;
     unsigned connections = 1;
     /// The only request that may be in flight: it is suspected of crashing targets.
     std::optional<request_number> isolated;
@@ -181,6 +183,8 @@
     void place(pending& waiting);
     void placeInLane(pending& waiting, fair_queue& in);
     void placeUnowned(pending& waiting);
+    [[nodiscard]] bool hasLeft(const target_state& target) const;
+    void refuseLateUnowned(service_state& service);
     void unplace(pending& waiting);
     void retryUnowned(service_state& service);
     void countWaiting(const pending& waiting);
--- a/src/routing/retries.cc
+++ b/src/routing/retries.cc
@@ -117,8 +117,8 @@
 // A shed request cost its target next to nothing, and the window bounds how often it is sent.
 void engine::resume(pending& waiting)
 {
-    const bool isBudgeted = waiting.retry
-        && (m_settings.budgetsShed || waiting.retry != retry_reason::TargetShed);
+    const bool isBudgeted
+        = waiting.retry && (m_settings.budgetsShed || waiting.retry != retry_reason::TargetShed);
     if (isBudgeted && !mayRetry(waiting) && !m_settings.waitsForBudget) {
         end(waiting, outcome::NotRun, refusal_reason::RetryBudget);
         return;
--- a/src/routing/tick.cc
+++ b/src/routing/tick.cc
@@ -15,6 +15,7 @@
     startDueProbes();
     for (auto& [id, service] : m_services) {
         retryUnowned(service);
+        refuseLateUnowned(service);
         unpark(service);
     }
     updateConnections();
@@ -82,8 +83,13 @@
 instant engine::nextDue(const service_state& service) const
 {
     instant due = instant::max();
-    for (const request_number number : service.unowned)
-        due = std::min(due, m_requests.at(number).heldUntil);
+    const duration latency = service.latency.usual(firstLatencyGuess);
+    for (const request_number number : service.unowned) {
+        const pending& unowned = m_requests.at(number);
+        due = std::min(due, unowned.heldUntil);
+        if (unowned.taken.objective != instant::max())
+            due = std::min(due, unowned.taken.objective - latency);
+    }
     if (service.waiting.empty())
         return due;
     for (const target_id& id : service.targets)
--- a/src/routing/waiting.cc
+++ b/src/routing/waiting.cc
@@ -167,7 +167,7 @@
         = m_owners.find(m_now, waiting.taken.service, waiting.taken.key.value_or(key_hash {}));
     const auto* owned = std::get_if<owned_by>(&answer);
     target_state* target = owned == nullptr ? nullptr : findTarget(owned->target);
-    if (target == nullptr) {
+    if (target == nullptr || hasLeft(*target)) {
         const auto* held = std::get_if<held_until>(&answer);
         waiting.heldUntil = held == nullptr ? instant::max() : held->until;
         placeUnowned(waiting);
@@ -194,6 +194,29 @@
     findService(waiting.taken.service)->unowned.push_back(waiting.taken.number);
 }
 
+// The owner of a key may leave sooner than the key gets another owner.
+bool engine::hasLeft(const target_state& target) const
+{
+    return target.leavingSince && m_now >= *target.leavingSince + m_settings.leavingGrace;
+}
+
+// A request whose key gets no owner in time is refused, so that its caller may ask elsewhere.
+void engine::refuseLateUnowned(service_state& service)
+{
+    const duration latency = service.latency.usual(firstLatencyGuess);
+    std::vector<request_number> late;
+    for (const request_number number : service.unowned) {
+        const request& taken = m_requests.at(number).taken;
+        if (taken.objective != instant::max() && m_now + latency >= taken.objective)
+            late.push_back(number);
+    }
+    for (const request_number number : late) {
+        pending& waiting = m_requests.at(number);
+        waiting.retryAfter = m_settings.ownerRetryAfter;
+        end(waiting, outcome::NotRun, refusal_reason::NoOwner);
+    }
+}
+
 // Takes a waiting request from wherever it stands.
 void engine::unplace(pending& waiting)
 {
--- a/src/serve/control.cc
+++ b/src/serve/control.cc
@@ -72,8 +72,8 @@
         { service_id { "trial" }, options.self, options.seed, options.times, 1 });
     if (!trial)
         return trial.error();
-    return std::unique_ptr<control>(new control(
-        options, store, book, routes, std::move(grants), std::move(calls)));
+    return std::unique_ptr<control>(
+        new control(options, store, book, routes, std::move(grants), std::move(calls)));
 }
 
 control::control(const control_options& options, store::services& store, peer_book& book,
@@ -100,7 +100,8 @@
 control::service_state control::makeState(const table::service_row& row) const
 {
     const auto seed = seedFor(m_options, row.id);
-    auto core = ownership::coordinator::create({ row.id, m_options.self, seed, m_options.times, table::keyWidth(row.keyForm) });
+    auto core = ownership::coordinator::create(
+        { row.id, m_options.self, seed, m_options.times, table::keyWidth(row.keyForm) });
     auto planning = m_options.placement;
     planning.seed = seed;
     auto places = placement::create(row, planning);
--- a/src/serve/directory.h
+++ b/src/serve/directory.h
@@ -46,8 +46,7 @@
     /// Returns the slice that holds the key, if the service has an assignment.
     [[nodiscard]] std::optional<slice> sliceOf(const service_id& service, key_hash key) const;
     /// Returns the part of that slice in which requests for the key are counted.
-    [[nodiscard]] std::optional<slice> countedRange(
-        const service_id& service, key_hash key) const;
+    [[nodiscard]] std::optional<slice> countedRange(const service_id& service, key_hash key) const;
     /// Returns the host that committed the newest assignment; empty if unknown.
     [[nodiscard]] host_id coordinator(const service_id& service) const;
     void hold(const service_id& service, slice range, token version, instant until);
--- a/src/serve/load.cc
+++ b/src/serve/load.cc
@@ -174,8 +174,8 @@
     const auto startsBefore
         = [](const part& each, key_hash hash) { return each.range.first < hash; };
     const auto reach = std::min(m_widest, range.first.value());
-    const auto from = std::lower_bound(m_parts.begin(), m_parts.end(),
-        key_hash { range.first.value() - reach }, startsBefore);
+    const auto from = std::lower_bound(
+        m_parts.begin(), m_parts.end(), key_hash { range.first.value() - reach }, startsBefore);
     double sum = 0;
     for (auto each = from; each != m_parts.end() && each->range.first <= range.last; ++each) {
         const slice common { std::max(each->range.first, range.first),
--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -113,6 +113,7 @@
     routes.waitsForBudget = m_values.retries.wait;
     routes.budgetsShed = m_values.retries.countShed;
     routes.targetsReportLoad = m_values.targets.reportLoad;
+    routes.leavingGrace = m_values.targets.leavingGraceMs;
     routes.backgroundProbeInterval = m_values.probes.backgroundMs;
     m_dispatch = dispatch::create(routes, m_directory, [this](const auto& news) {
         m_spread->tellCrash(news);
--- a/src/serve/range_grants.cc
+++ b/src/serve/range_grants.cc
@@ -130,8 +130,7 @@
     const range_recipient to { message.service, order.address };
     if (const auto* release = std::get_if<ranges::release_range>(&made))
         return { made, {}, m_calls.release(to, *release) };
-    const duration left
-        = leaseEnd(message) - monotonic_clock::now() - m_calls.longestDelay();
+    const duration left = leaseEnd(message) - monotonic_clock::now() - m_calls.longestDelay();
     const auto lease = std::chrono::duration_cast<duration>(left / ranges::clockDrift);
     if (lease <= duration::zero())
         return { made, {}, ranges::not_sent {} };
--- a/src/serve/range_grants.h
+++ b/src/serve/range_grants.h
@@ -58,8 +58,8 @@
     [[nodiscard]] ended_call make(const ownership::send_grant& order, const ranges::call& made);
     [[nodiscard]] std::vector<ended_call> releaseAll(
         const ownership::send_grant& order, const std::vector<ranges::call>& releases);
-    void noteStates(service_state& service, const ranges::call& made,
-        const ranges::call_result& outcome);
+    void noteStates(
+        service_state& service, const ranges::call& made, const ranges::call_result& outcome);
 
     range_calls& m_calls;
     boost::asio::thread_pool m_releasePool;
--- a/src/serve/spread.cc
+++ b/src/serve/spread.cc
@@ -70,8 +70,8 @@
         new spread(options, std::move(fresh).value(), store, book, routes, std::move(calls)));
 }
 
-spread::spread(const spread_options& options, membership::freshness fresh,
-    store::services& store, peer_book& book, const directory& routes, handlers calls)
+spread::spread(const spread_options& options, membership::freshness fresh, store::services& store,
+    peer_book& book, const directory& routes, handlers calls)
     : m_options(options)
     , m_store(store)
     , m_book(book)
--- a/src/table/store.cc
+++ b/src/table/store.cc
@@ -154,8 +154,8 @@
 }
 
 /// Writes an edit in place of a version that cannot be read.
-attempt replace(store::services& store, const stored_version& corrupt, const table& mine,
-    const std::string& at)
+attempt replace(
+    store::services& store, const stored_version& corrupt, const table& mine, const std::string& at)
 {
     const auto before = detail::readableBefore(store, corrupt.version);
     if (!before)
--- a/test/ownership-gap-test.cc
+++ b/test/ownership-gap-test.cc
@@ -166,3 +166,35 @@
             cr_assert(writes(pollMissingRow(host, started + std::chrono::seconds { 2 })));
     }
 }
+
+// An outage of the store may follow a takeover at once: only hosts that have read its epoch by then
+// are witnesses of it.
+Test(ownership_gap, new_holder_has_its_witnesses_read_its_epoch_at_once)
+{
+    const host_run self { host_id { "h1" }, incarnation { 1 } };
+    const host_run other { host_id { "h2" }, incarnation { 2 } };
+    table::target_row target;
+    target.id = target_id { "t" };
+    auto host = coordinator::create({ service_id { "s" }, self, 1, {} }).value();
+    const instant now { std::chrono::seconds { 100 } };
+    (void)host.step(now, table_changed { { target } });
+    (void)host.step(now, membership_changed { { self, other }, true });
+    auto at = now;
+    auto todo = pollMissingRow(host, at);
+    while (!writes(todo)) {
+        at += milliseconds { 100 };
+        todo = pollMissingRow(host, at);
+    }
+    std::set<host_id> asked;
+    for (const auto& each : todo) {
+        const auto* write = std::get_if<write_row>(&each);
+        if (!write)
+            continue;
+        const write_finished done { write->request, store::write_accepted { row_version { 1 } } };
+        for (const auto& next : host.step(at + milliseconds { 1 }, done)) {
+            if (const auto* question = std::get_if<ask_witness>(&next))
+                asked.insert(question->host);
+        }
+    }
+    cr_assert(asked.contains(other.host));
+}
--- /dev/null
+++ b/test/platform-settings-test.cc
@@ -0,0 +1,45 @@
+#include "pimentomast/settings.h"
+
+#include <criterion/criterion.h>
+#include <cstdlib>
+#include <fstream>
+#include <map>
+#include <regex>
+#include <sstream>
+
+using namespace pimentomast;
+
+namespace {
+
+std::string source(const std::string& path)
+{
+    const char* root = std::getenv("PIMENTOMAST_SOURCE");
+    std::ostringstream text;
+    text << std::ifstream(std::string(root == nullptr ? "." : root) + "/" + path).rdbuf();
+    return text.str();
+}
+
+std::string rendered(std::string text, const std::map<std::string, std::string>& values)
+{
+    for (const auto& [name, value] : values) {
+        const auto mark = "{{" + name + "}}";
+        for (auto at = text.find(mark); at != std::string::npos; at = text.find(mark))
+            text.replace(at, mark.size(), value);
+    }
+    return text;
+}
+
+} // namespace
+
+Test(platform_settings, template_of_the_deploy_file_gives_settings_that_pass_every_check)
+{
+    const auto text = rendered(source("deploy/settings.ini"),
+        { { "node", "front-kalimati-1" }, { "zone", "kalimati" }, { "ip", "10.1.0.34" },
+            { "listen.front", "10.1.0.34:8548" }, { "listen.ready", "10.1.0.34:8542" },
+            { "portRange.0", "7540" }, { "provider.address", "10.200.1.7:8541" } });
+    cr_assert(text.find("{{") == std::string::npos, "%s", text.c_str());
+    const auto values = settings::parse(text);
+    cr_assert(values.has_value(), "%s", values.has_error() ? values.error().reason.c_str() : "");
+    cr_assert(values.value().store.interface == settings::store_interface::Platform);
+    cr_assert(values.value().admin.token.empty());
+}
--- a/test/routing-overload-test.cc
+++ b/test/routing-overload-test.cc
@@ -115,3 +115,29 @@
         learned.onLatency(320ms);
     cr_assert_leq(learned.size(), idle / 4);
 }
+
+// Load: requests for a key whose owner was marked as leaving and that gets no other owner.
+Test(routing_overload, leaving_owner_gets_nothing_after_its_grace_and_callers_are_told)
+{
+    auto settings = quietTargets();
+    settings.leavingGrace = 1000ms;
+    auto rows = makeTable(2, true);
+    driver test(rows, settings);
+    test.owners.answer = owned_by { target_id { "t0" }, {} };
+    rows.version = config_version { 2 };
+    rows.targets[0].state = table::mark::Leaving;
+    for (const auto& each : test.host->applyTable(test.now, rows))
+        test.seen.push_back(each);
+    auto early = test.make();
+    early.key = key_hash { 1 };
+    cr_assert(test.lastDispatch(test.arrive(early)).target == target_id { "t0" });
+    test.run(1000ms);
+    auto late = test.make();
+    late.key = key_hash { 1 };
+    late.objective = test.now + 300ms;
+    const auto number = test.arrive(late);
+    test.run(310ms);
+    cr_assert(test.lastDispatch(number).attempt == attempt_number {});
+    cr_assert(test.refusal(number)->reason == refusal_reason::NoOwner);
+    cr_assert(test.refusal(number)->retryAfter > duration::zero());
+}
