--- a/include/pimentomast/core.h
+++ b/include/pimentomast/core.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 /// Identifiers, units, time and errors that every library shares.
 ///
@@ -89,6 +90,16 @@
     auto operator<=>(const slice&) const = default;
 };
 
+/// Returns whether the ranges share a hash. Thread-safe.
+[[nodiscard]] bool overlap(const slice& left, const slice& right) noexcept;
+/// Returns what both ranges share. Precondition: they overlap. Thread-safe.
+[[nodiscard]] slice common(const slice& left, const slice& right) noexcept;
+/// Returns the parts of the range that none of the holes covers, in order if the holes are.
+/// Thread-safe.
+[[nodiscard]] std::vector<slice> subtract(const slice& range, const std::vector<slice>& holes);
+/// Joins neighbours. Precondition: sorted, without overlaps. Thread-safe.
+[[nodiscard]] std::vector<slice> joined(const std::vector<slice>& sorted);
+
 /// Fencing token of a grant: a grant with a higher token supersedes one with a lower token.
 struct token {
     epoch coordinator;
--- a/src/ranges/intervals.cc
+++ b/src/core/slice.cc
@@ -1,8 +1,8 @@
-#include "intervals.h"
+#include "pimentomast/core.h"
 
 #include <algorithm>
 
-namespace pimentomast::ranges::detail {
+namespace pimentomast {
 namespace {
 
 std::vector<slice> subtractOne(const slice& range, const slice& hole)
@@ -56,4 +56,4 @@
     return runs;
 }
 
-} // namespace pimentomast::ranges::detail
+} // namespace pimentomast
--- a/src/ownership/coordinator_impl.h
+++ b/src/ownership/coordinator_impl.h
@@ -99,9 +99,6 @@
     instant nextSend {};
 };
 
-[[nodiscard]] bool overlap(const slice& left, const slice& right) noexcept;
-/// Returns the parts of the range that none of the holes covers.
-[[nodiscard]] std::vector<slice> subtract(const slice& range, const std::vector<slice>& holes);
 /// Returns a first assignment: the hash space in shares by weight. Precondition: not empty.
 [[nodiscard]] std::vector<owned_slice> splitByWeight(
     const std::vector<table::target_row>& targets, token grant, std::uint64_t keyWidth);
--- a/src/ownership/grants.cc
+++ b/src/ownership/grants.cc
@@ -117,7 +117,7 @@
         return granted;
     const auto withheld = withheldFrom(id);
     for (const auto& each : owned->second) {
-        for (const auto& part : detail::subtract(each.range, withheld))
+        for (const auto& part : subtract(each.range, withheld))
             granted.push_back({ part, each.grant });
     }
     return granted;
--- a/src/ownership/moves.cc
+++ b/src/ownership/moves.cc
@@ -14,11 +14,6 @@
 {
     return static_cast<double>(range.last.value() - range.first.value()) + 1;
 }
-
-slice common(const slice& left, const slice& right)
-{
-    return { std::max(left.first, right.first), std::min(left.last, right.last) };
-}
 } // namespace
 
 void coordinator::impl::tickMoves(instant now)
@@ -47,7 +42,7 @@
 bool coordinator::impl::isMoving(const slice& range) const
 {
     return std::any_of(m_moves.begin(), m_moves.end(),
-        [&](const auto& each) { return detail::overlap(each.range, range); });
+        [&](const auto& each) { return overlap(each.range, range); });
 }
 
 bool coordinator::impl::isMoving(const target_id& target) const
@@ -59,7 +54,7 @@
 bool coordinator::impl::isPostponed(instant now, const slice& range) const
 {
     return std::any_of(m_postponed.begin(), m_postponed.end(),
-        [&](const auto& each) { return now < each.until && detail::overlap(each.range, range); });
+        [&](const auto& each) { return now < each.until && overlap(each.range, range); });
 }
 
 bool coordinator::impl::canOwn(const target_id& id) const
@@ -157,7 +152,7 @@
         if (!canOwn(wanted.owner))
             continue;
         for (const auto& each : m_assignment->slices) {
-            if (each.owner != wanted.owner && detail::overlap(each.range, wanted.range))
+            if (each.owner != wanted.owner && overlap(each.range, wanted.range))
                 planMove(now, common(each.range, wanted.range), each.owner, wanted.owner, false);
         }
     }
@@ -248,8 +243,8 @@
     if (each.phase != move_phase::Draining || !asked)
         return false;
     const auto& held = m_targets.at(each.from).held;
-    return std::none_of(held.begin(), held.end(),
-        [&](const auto& one) { return detail::overlap(one.range, each.range); });
+    return std::none_of(
+        held.begin(), held.end(), [&](const auto& one) { return overlap(one.range, each.range); });
 }
 
 void coordinator::impl::noteDrained(instant now, const target_id& from, request_number request)
--- a/src/ownership/slices.cc
+++ b/src/ownership/slices.cc
@@ -8,46 +8,12 @@
 namespace {
 constexpr std::uint64_t highestHash = std::numeric_limits<std::uint64_t>::max();
 
-key_hash next(key_hash hash) { return key_hash { hash.value() + 1 }; }
-key_hash previous(key_hash hash) { return key_hash { hash.value() - 1 }; }
-
-std::vector<slice> subtractOne(const slice& range, const slice& hole)
-{
-    if (!overlap(range, hole))
-        return { range };
-    std::vector<slice> rest;
-    if (range.first < hole.first)
-        rest.push_back({ range.first, previous(hole.first) });
-    if (hole.last < range.last)
-        rest.push_back({ next(hole.last), range.last });
-    return rest;
-}
-
 bool comesFirst(const owned_slice& left, const owned_slice& right)
 {
     return left.range.first < right.range.first;
 }
 } // namespace
 
-bool overlap(const slice& left, const slice& right) noexcept
-{
-    return left.first <= right.last && right.first <= left.last;
-}
-
-std::vector<slice> subtract(const slice& range, const std::vector<slice>& holes)
-{
-    std::vector<slice> parts { range };
-    for (const auto& hole : holes) {
-        std::vector<slice> rest;
-        for (const auto& part : parts) {
-            const auto pieces = subtractOne(part, hole);
-            rest.insert(rest.end(), pieces.begin(), pieces.end());
-        }
-        parts = std::move(rest);
-    }
-    return parts;
-}
-
 std::vector<owned_slice> splitByWeight(
     const std::vector<table::target_row>& targets, token grant, std::uint64_t keyWidth)
 {
--- a/src/ranges/handovers.cc
+++ b/src/ranges/handovers.cc
@@ -1,14 +1,9 @@
-#include "intervals.h"
 #include "pimentomast/ranges.h"
 
 #include <algorithm>
 
 namespace pimentomast::ranges {
 
-using detail::common;
-using detail::overlap;
-using detail::subtract;
-
 void handovers::put(const slice& range, const handover& state)
 {
     remove(range);
--- a/src/ranges/ledger.cc
+++ b/src/ranges/ledger.cc
@@ -1,4 +1,3 @@
-#include "intervals.h"
 #include "pimentomast/ranges.h"
 
 #include <algorithm>
@@ -6,11 +5,6 @@
 namespace pimentomast::ranges {
 namespace {
 
-using detail::common;
-using detail::joined;
-using detail::overlap;
-using detail::subtract;
-
 duration longestLease(duration lease)
 {
     return std::chrono::duration_cast<duration>(lease * clockDrift);
--- a/src/serve/load.cc
+++ b/src/serve/load.cc
@@ -131,20 +131,20 @@
 // Hot keys count where they are; what is left is spread evenly over the counted slice.
 double load_sum::partOf(const report& taken, const slice& counted, double rate, const slice& range)
 {
-    const slice common { std::max(counted.first, range.first), std::min(counted.last, range.last) };
-    if (common.last < common.first)
+    if (!overlap(counted, range))
         return 0;
-    if (common == counted)
+    const slice shared = common(counted, range);
+    if (shared == counted)
         return rate;
     double hot = 0;
     double hotInRange = 0;
     for (const auto& key : taken.keys) {
         const double sure = key.rate - key.error;
         hot += counted.contains(key.hash) ? sure : 0;
-        hotInRange += common.contains(key.hash) ? sure : 0;
+        hotInRange += shared.contains(key.hash) ? sure : 0;
     }
     const double scale = hot > rate ? rate / hot : 1;
-    const double rest = std::max(0.0, rate - hot) * width(common) / width(counted);
+    const double rest = std::max(0.0, rate - hot) * width(shared) / width(counted);
     return hotInRange * scale + rest;
 }
 
@@ -178,10 +178,8 @@
         m_parts.begin(), m_parts.end(), key_hash { range.first.value() - reach }, startsBefore);
     double sum = 0;
     for (auto each = from; each != m_parts.end() && each->range.first <= range.last; ++each) {
-        const slice common { std::max(each->range.first, range.first),
-            std::min(each->range.last, range.last) };
-        if (common.first <= common.last)
-            sum += each->rate * width(common) / width(each->range);
+        if (overlap(each->range, range))
+            sum += each->rate * width(common(each->range, range)) / width(each->range);
     }
     return sum;
 }
