--- a/test/proxy-failure-test.cc
+++ b/test/proxy-failure-test.cc
@@ -81,15 +81,15 @@
 // RFC 9112, section 6.3: an answer without a length ends with its connection.
 Test(proxy_failure, answer_without_a_length_is_whole_only_if_its_connection_ends_in_order)
 {
-    scripted_target ended({ { "HTTP/1.1 200 OK\r\n\r\ngoats", ending::Close } });
-    proxy_fixture whole({ ended.destination() });
-    const std::string answer = ask(whole, lastGet);
+    scripted_target orderly({ { "HTTP/1.1 200 OK\r\n\r\ngoats", ending::Close } });
+    proxy_fixture wholeHost({ orderly.destination() });
+    const std::string answer = ask(wholeHost, lastGet);
     cr_assert(contains(answer, "Transfer-Encoding: chunked"), "%s", answer.c_str());
     cr_assert(answer.ends_with("5\r\ngoats\r\n0\r\n\r\n"), "%s", answer.c_str());
 
-    scripted_target reset({ { "HTTP/1.1 200 OK\r\n\r\ngoats", ending::Reset } });
-    proxy_fixture broken({ reset.destination() });
-    cr_assert(!contains(ask(broken, lastGet), "\r\n0\r\n\r\n"));
+    scripted_target abrupt({ { "HTTP/1.1 200 OK\r\n\r\ngoats", ending::Reset } });
+    proxy_fixture brokenHost({ abrupt.destination() });
+    cr_assert(!contains(ask(brokenHost, lastGet), "\r\n0\r\n\r\n"));
 }
 
 namespace {
--- a/test/ranges-test.cc
+++ b/test/ranges-test.cc
@@ -26,6 +26,7 @@
 std::vector<ownership::granted_slice> wanted(const std::vector<slice>& slices)
 {
     std::vector<ownership::granted_slice> all;
+    all.reserve(slices.size());
     for (const auto& each : slices)
         all.push_back({ each, fence(1) });
     return all;
