--- a/include/pimentomast/http.h
+++ b/include/pimentomast/http.h
@@ -26,6 +26,7 @@
     std::string body;
     /// Replaces the client's timeout.
     std::optional<std::chrono::milliseconds> timeout {};
+    std::vector<field> fields {};
 };
 
 struct answer {
--- a/include/pimentomast/ownership.h
+++ b/include/pimentomast/ownership.h
@@ -296,6 +296,8 @@
     target_id target;
     endpoint address;
     grant_message message;
+    /// Name of the target's process, where the table tells it: another one may have its address.
+    std::string instance {};
 };
 /// Ask a host for the highest epoch that it read; answered by witness_answered, or not at all.
 struct ask_witness {
--- a/include/pimentomast/serve.h
+++ b/include/pimentomast/serve.h
@@ -30,6 +30,8 @@
 struct range_recipient {
     service_id service;
     endpoint address;
+    /// Name of its process; any other at the address must not take the call.
+    std::string instance;
 };
 
 /// Calls to targets that take and give back one range of keys at a time. Each call blocks until it
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -32,6 +32,8 @@
     HTTPRequest head(sent.method, sent.path, HTTPMessage::HTTP_1_1);
     head.setKeepAlive(true);
     head.setContentLength64(static_cast<Poco::Int64>(sent.body.size()));
+    for (const auto& [name, value] : sent.fields)
+        head.set(name, value);
     if (!sent.type.empty())
         head.setContentType(sent.type);
     auto& out = connection.sendRequest(head);
--- a/src/ownership/grants.cc
+++ b/src/ownership/grants.cc
@@ -86,7 +86,8 @@
         { request, message.adopt, message.number, repeats, message.slices });
     if (target.outstanding.size() > keptMessages)
         target.outstanding.pop_front();
-    m_todo.push_back(send_grant { request, target.row.id, target.row.address, std::move(message) });
+    m_todo.push_back(send_grant {
+        request, target.row.id, target.row.address, std::move(message), target.row.instance });
     return request;
 }
 
--- a/src/serve/range_grants.cc
+++ b/src/serve/range_grants.cc
@@ -74,10 +74,15 @@
     const std::unique_lock guard(target.lock, std::try_to_lock);
     if (!guard)
         return ownership::target_failed { order.request, order.target };
-    if (target.coordinator != message.coordinator) {
+    if (target.coordinator < message.coordinator) {
         target.granted = {};
         target.coordinator = message.coordinator;
+        target.handled = {};
     }
+    // An older message would grant again what a newer one took back.
+    if (message.coordinator < target.coordinator || message.number <= target.handled)
+        return ownership::target_failed { order.request, order.target };
+    target.handled = message.number;
     if (message.adopt)
         return ownership::target_acknowledged { order.request, order.target, replyTo(message) };
     if (message.repeats == sequence {}) {
@@ -127,7 +132,7 @@
     const ownership::send_grant& order, const ranges::call& made)
 {
     const auto& message = order.message;
-    const range_recipient to { message.service, order.address };
+    const range_recipient to { message.service, order.address, order.instance };
     if (const auto* release = std::get_if<ranges::release_range>(&made))
         return { made, {}, m_calls.release(to, *release) };
     const duration left = leaseEnd(message) - monotonic_clock::now() - m_calls.longestDelay();
--- a/src/serve/range_grants.h
+++ b/src/serve/range_grants.h
@@ -35,6 +35,8 @@
         std::mutex lock;
         epoch coordinator;
         ranges::ledger granted;
+        /// Newest message of this epoch that was carried out.
+        sequence handled;
         /// The message that listed these slices.
         sequence listed;
         std::vector<ownership::granted_slice> slices;
--- /dev/null
+++ b/test/platform-grants-test.cc
@@ -0,0 +1,124 @@
+#include "grants.h"
+#include "helper/scripted-target.h"
+#include "serve/range_grants.h"
+
+#include <criterion/criterion.h>
+
+using namespace pimentomast;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t width = table::keyWidth(table::key_form::Number);
+const slice keys { key_hash { 16 * width }, key_hash { 32 * width - 1 } };
+const token fence { epoch { 2 }, sequence { 14 } };
+
+bool contains(const std::string& text, const std::string& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+serve::range_recipient recipient(const test::scripted_target& target)
+{
+    return { service_id { "s" }, target.destination().address, "i-1" };
+}
+
+/// Takes every call and notes for which process it was.
+struct noting_calls final : serve::range_calls {
+    std::vector<std::string> instances;
+
+    ranges::call_result grant(
+        const serve::range_recipient& to, const ranges::grant_range&, duration) override
+    {
+        instances.push_back(to.instance);
+        return ranges::accepted {};
+    }
+    ranges::call_result release(
+        const serve::range_recipient& to, const ranges::release_range&) override
+    {
+        instances.push_back(to.instance);
+        return ranges::accepted {};
+    }
+    [[nodiscard]] duration longestDelay() const override { return 100ms; }
+};
+
+} // namespace
+
+namespace {
+
+ownership::send_grant orderWith(std::uint64_t number, const std::vector<slice>& ranges)
+{
+    ownership::send_grant order;
+    order.target = target_id { "i-1@7" };
+    order.instance = "i-1";
+    order.message.service = service_id { "s" };
+    order.message.coordinator = epoch { 1 };
+    order.message.number = sequence { number };
+    order.message.run = incarnation { 7 };
+    order.message.lease = 2500ms;
+    order.message.echoUs
+        = static_cast<std::uint64_t>(monotonic_clock::now().time_since_epoch().count());
+    for (const auto& each : ranges)
+        order.message.slices.push_back({ each, fence });
+    return order;
+}
+
+} // namespace
+
+// Another process may have the address of one that is gone: it must not take the old one's keys.
+Test(platform_grants, calls_name_the_process_that_they_are_for)
+{
+    test::scripted_target target({ { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" },
+        { "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n" } });
+    platform::detail::target_calls calls(platform::options {});
+    const ranges::grant_range wanted { keys, fence, ranges::handover { "warm" } };
+    const auto taken = calls.grant(recipient(target), wanted, 1500ms);
+    cr_assert(std::holds_alternative<ranges::accepted>(taken));
+    const auto other = calls.grant(recipient(target), wanted, 1500ms);
+    cr_assert(std::holds_alternative<ranges::not_sent>(other));
+    const auto head = target.heads().front();
+    cr_assert(contains(head, "POST /grant "), "%s", head.c_str());
+    cr_assert(contains(head, "X-Expect-Instance: i-1"), "%s", head.c_str());
+}
+
+Test(platform_grants, state_of_released_keys_is_handed_back)
+{
+    test::scripted_target target(
+        { { "HTTP/1.1 200 OK\r\nX-Handover: warm\r\nContent-Length: 0\r\n\r\n" } });
+    platform::detail::target_calls calls(platform::options {});
+    const auto outcome = calls.release(recipient(target), { keys, fence });
+    cr_assert(std::get<ranges::accepted>(outcome).state == ranges::handover { "warm" });
+}
+
+Test(platform_grants, call_without_an_answer_may_have_taken_effect)
+{
+    test::scripted_target target({ { "", test::scripted_answer::ending::Close } });
+    platform::detail::target_calls calls(platform::options {});
+    const auto outcome = calls.grant(recipient(target), { keys, fence, {} }, 1500ms);
+    cr_assert(std::holds_alternative<ranges::unanswered>(outcome));
+}
+
+Test(platform_grants, coordinators_message_reaches_the_process_that_the_table_names)
+{
+    noting_calls calls;
+    serve::detail::range_grants grants(calls);
+    const auto order = orderWith(1, { keys });
+    const auto answer = grants.send(order);
+    const auto& taken = std::get<ownership::target_acknowledged>(answer);
+    cr_assert(taken.reply.held.size() == 1 && taken.reply.target == incarnation { 7 });
+    cr_assert(calls.instances == std::vector<std::string> { "i-1" });
+}
+
+// Messages wait for a thread, so an older one may come to its turn after a newer one.
+Test(platform_grants, older_message_grants_nothing_that_a_newer_one_took_back)
+{
+    noting_calls calls;
+    serve::detail::range_grants grants(calls);
+    (void)grants.send(orderWith(1, { keys }));
+    const auto newer = grants.send(orderWith(3, {}));
+    cr_assert(std::get<ownership::target_acknowledged>(newer).reply.held.empty());
+    const auto made = calls.instances.size();
+    const auto late = grants.send(orderWith(2, { keys }));
+    cr_assert(std::holds_alternative<ownership::target_failed>(late));
+    cr_assert(calls.instances.size() == made);
+}
