Entries that vanish in a silence count at once unless most do; look at idle connections when ending them

Now the look comes last. No test brings the moment about; the drain tests pass. Ruled out for LOST: the listener's end (the request was sent 0.2 s before the close).

--- a/src/proxy/poller.cc
+++ b/src/proxy/poller.cc
@@ -220,25 +220,31 @@
 
 void poller::expire(const caller_pointer& connection)
 {
-    const bool idle = connection->state == phase::Idle;
-    if (idle && peekState(connection->socket) == io_state::Ready)
-        return;
     if (!unwatch(connection))
         return;
     if (connection->state == phase::Head)
         m_events.headLate(connection);
-    else if (idle)
-        linger(connection);
+    else if (connection->state == phase::Idle)
+        endIdle(connection);
     else
         drop(connection);
 }
 
+// A request that came before the end of its connection is still served. Nothing stands between the
+// look and the end, so that on a busy machine no request comes in between.
+void poller::endIdle(const caller_pointer& connection)
+{
+    if (peekState(connection->socket) == io_state::Ready)
+        return watch(connection);
+    endSending(connection->socket);
+    linger(connection);
+}
+
 // A request that crosses the end of an idle connection must not meet a reset.
 void poller::linger(const caller_pointer& connection)
 {
     connection->state = phase::Lingering;
     connection->since = monotonic_clock::now();
-    endSending(connection->socket);
     watch(connection);
 }
 
--- a/src/proxy/poller.h
+++ b/src/proxy/poller.h
@@ -72,6 +72,7 @@
     void takeReady();
     void sweep(instant now);
     void expire(const caller_pointer& connection);
+    void endIdle(const caller_pointer& connection);
     void linger(const caller_pointer& connection);
     void drop(const caller_pointer& connection);
     void wake();
--- a/test/platform-outage-test.cc
+++ b/test/platform-outage-test.cc
@@ -4,15 +4,22 @@
 
 using namespace pimentomast;
 using namespace std::chrono_literals;
-using platform::detail::storeWasAway;
+using platform::detail::looksLikeLapse;
+using platform::detail::mayHaveLapsed;
 
-// The figures are those of the day on which a host that alone was cut off held a removed entry for
-// 2.3 s: 39 targets that report each 0.87 s, and a silence of 7.5 s.
-Test(platform_outage, reports_of_targets_tell_an_outage_from_a_cut)
+// A host that alone was cut off finds two of nine targets gone, as on the day on which it sent a
+// request to one of them; in an outage of the store all nine lapse.
+Test(platform_outage, few_that_are_gone_have_left_and_most_have_lapsed)
 {
-    cr_assert(storeWasAway({ 7500ms, 0, 39 }));
-    cr_assert(storeWasAway({ 7500ms, 58, 39 }), "reports of 1.3 s after the store's return");
-    cr_assert(!storeWasAway({ 7500ms, 336, 39 }));
-    cr_assert(!storeWasAway({ 1400ms, 0, 39 }), "too short for an entry to lapse");
-    cr_assert(!storeWasAway({ 3000ms, 0, 0 }));
+    cr_assert(!looksLikeLapse({ 9, 2 }));
+    cr_assert(!looksLikeLapse({ 24, 12 }));
+    cr_assert(looksLikeLapse({ 9, 5 }));
+    cr_assert(looksLikeLapse({ 9, 9 }));
+    cr_assert(!looksLikeLapse({ 9, 0 }));
+}
+
+Test(platform_outage, a_short_silence_lets_no_entry_lapse)
+{
+    cr_assert(!mayHaveLapsed(1400ms));
+    cr_assert(mayHaveLapsed(1500ms));
 }
