--- a/include/pimentomast/ranges.h
+++ b/include/pimentomast/ranges.h
@@ -85,6 +85,7 @@
         instant until;
     };
 
+    [[nodiscard]] std::vector<slice> heldAt(instant now) const;
     void forgetLapsed(instant now);
 
     /// Granted by calls that were answered; no two overlap.
--- a/src/ranges/ledger.cc
+++ b/src/ranges/ledger.cc
@@ -15,34 +15,39 @@
     return std::visit([](const auto& each) -> const slice& { return each.range; }, made);
 }
 
-} // namespace
-
-std::vector<call> ledger::plan(instant now, const std::vector<ownership::granted_slice>& wanted,
-    token fence, const handovers& states) const
+std::vector<slice> rangesOf(const std::vector<ownership::granted_slice>& wanted)
 {
     std::vector<slice> ranges;
     ranges.reserve(wanted.size());
     for (const auto& each : wanted)
         ranges.push_back(each.range);
-    ranges = joined(ranges);
-    std::vector<call> calls;
-    std::vector<slice> held;
-    for (const auto& each : m_held) {
-        if (each.until > now)
-            held.push_back(each.range);
+    return joined(ranges);
+}
+
+/// Adds a renewal of what is held of the range, and grants of the rest with its states.
+void addGrants(const slice& range, const std::vector<slice>& held, token fence,
+    const handovers& states, std::vector<call>& calls)
+{
+    for (const auto& each : held) {
+        if (overlap(each, range))
+            calls.emplace_back(grant_range { common(each, range), fence, {} });
     }
-    std::sort(held.begin(), held.end());
-    held = joined(held);
-    for (const auto& range : ranges) {
-        for (const auto& each : held) {
-            if (overlap(each, range))
-                calls.emplace_back(grant_range { common(each, range), fence, {} });
-        }
-        for (const auto& fresh : subtract(range, held)) {
-            for (const auto& part : states.cut(fresh, fence))
-                calls.emplace_back(part);
-        }
+    for (const auto& fresh : subtract(range, held)) {
+        for (const auto& part : states.cut(fresh, fence))
+            calls.emplace_back(part);
     }
+}
+
+} // namespace
+
+std::vector<call> ledger::plan(instant now, const std::vector<ownership::granted_slice>& wanted,
+    token fence, const handovers& states) const
+{
+    const auto ranges = rangesOf(wanted);
+    const auto held = heldAt(now);
+    std::vector<call> calls;
+    for (const auto& range : ranges)
+        addGrants(range, held, fence, states, calls);
     for (const auto& each : held) {
         for (const auto& part : subtract(each, ranges))
             calls.emplace_back(release_range { part, fence });
@@ -50,6 +55,17 @@
     return calls;
 }
 
+std::vector<slice> ledger::heldAt(instant now) const
+{
+    std::vector<slice> held;
+    for (const auto& each : m_held) {
+        if (each.until > now)
+            held.push_back(each.range);
+    }
+    std::sort(held.begin(), held.end());
+    return joined(held);
+}
+
 void ledger::ended(instant now, const call& made, duration lease, const call_result& outcome)
 {
     forgetLapsed(now);
