Planned moves wait for the leases of an earlier holder

Cause, found by reading: after a takeover the ledger does not know of grants of the earlier holder that had no answer; a target may take one after it has answered the new holder's release, and two targets would hold the key. Lost targets' keys waited for those leases already. No test shows the case.

--- a/src/ownership/moves.cc
+++ b/src/ownership/moves.cc
@@ -138,7 +138,8 @@
 
 bool coordinator::impl::mayMoveByConsent(instant now) const
 {
-    const bool earlierEnded = m_earlierSeen && now >= m_earlierAuthorityEnds;
+    // A target may still take an unanswered grant of the earlier holder until its lease has ended.
+    const bool earlierEnded = m_earlierSeen && now >= earlierLeasesEnd();
     const bool storeAnswers = now - m_storeConfirmed < m_options.times.authority;
     return earlierEnded && storeAnswers && !m_stopping && m_moves.size() < mostMoves;
 }
