Planned moves: the row names both owners between drain and grant

Draining takes long where the old owner has requests in its queue, and the loss of the coordinator in that time cost the keys the wait for all leases. Change: the old owner drains first; then a commit names the new owner as standby; then the keys are granted, and the row is written again. If the commit has no answer in 0.4 s, the old owner gets the keys back, which the standby in the row makes safe: the write may still land. model/handover.pml follows (18,595 states, nine mutants with a counterexample each). Found by the histories: a write that landed after the keys went back, while the next move drained, made that one wait for ever for a write that was not needed.

--- a/include/pimentomast/ownership.h
+++ b/include/pimentomast/ownership.h
@@ -385,6 +385,8 @@
     /// A planned move waits this long for the hosts' answers, and for the old owner to drain.
     std::chrono::milliseconds holdAnswer { 50 };
     std::chrono::milliseconds drain { 1000 };
+    /// After which keys that were given up go back to their old owner if the row is not written.
+    std::chrono::milliseconds announce { 400 };
     std::chrono::milliseconds retryMove { 5000 };
     /// A host's route lease, from the echoed reading of its own clock.
     std::chrono::milliseconds routeLease { 1500 };
--- a/model/handover.pml
+++ b/model/handover.pml
@@ -1,6 +1,6 @@
 /* Planned move of one key from target T to target N, and a takeover at any step of it. Host 0
- * (epoch 1) names N as standby in the row, has T give the key up, grants it to N, and writes the row
- * again. Host 1 (epoch 2) goes by the row that it finds. Writes are conditional: host 0's take effect
+ * (epoch 1) has T give the key up, names N as standby in the row, grants the key to N, and writes the
+ * row again. If the row is not answered, T gets the key back. Host 1 (epoch 2) goes by the row that it finds. Writes are conditional: host 0's take effect
  * before the takeover or never. That host 0's authority ends AUTHORITY after the takeover at most is
  * shown by takeover.pml, that a target takes no grant sent before the message by which it gave the
  * key up by lease.pml. Times are remaining lifetimes. */
@@ -34,19 +34,19 @@
 inline dec(x) { if :: x > 0 -> x-- :: else fi }
 inline longer(x, y) { if :: y > x -> x = y :: else fi }
 
-#ifdef DRAIN_FIRST
-#define MAYDRAIN (true)
+#ifdef NO_ROW
+#define NAMED (true)
 #else
 #ifdef UNSETTLED_COUNTS
-#define MAYDRAIN (written != OLD)
+#define NAMED (written == BOTH)
 #else
-#define MAYDRAIN (settled != OLD)
+#define NAMED (written == BOTH && settled == BOTH)
 #endif
 #endif
 #ifdef NO_DRAIN
-#define MAYPROMOTE (settled != OLD)
+#define MAYPROMOTE (NAMED)
 #else
-#define MAYPROMOTE (drained)
+#define MAYPROMOTE (NAMED && drained)
 #endif
 #ifdef EARLY_ROW
 #define MAYSETTLE (settled == BOTH)
@@ -82,17 +82,22 @@
        dec(tLease); dec(nLease); dec(grantT); dec(grantN); dec(wait) }
 
   /* Host 0. Its renewals of authority count until the takeover. */
-  :: atomic { written == OLD && auth > 0 -> written = BOTH }
-  :: atomic { written == BOTH && settled == BOTH && MAYSETTLE && auth > 0 -> written = NEW }
-  :: atomic { number == 1 && row != written -> row = written }
-  :: atomic { row == written && settled != written && number == 1 -> settled = written }
   :: atomic { auth > 0 && !asked && grantT == 0 -> grantT = LEASE }
-  :: atomic { auth > 0 && MAYDRAIN && !asked -> asked = true; grantT = 0 }
+  :: atomic { auth > 0 && !asked -> asked = true; grantT = 0 }
   :: atomic { asked && !drained && tEpoch == 1 -> tLease = 0; drained = true }
+  :: atomic { auth > 0 && written == OLD && settled == OLD && drained -> written = BOTH }
   :: atomic { auth > 0 && MAYPROMOTE && !promoted -> promoted = true }
-  /* T did not drain in time: it keeps the key, and the row is left for later. */
-  :: atomic { asked && !drained && !promoted && auth > 0 -> asked = false }
   :: atomic { auth > 0 && promoted && grantN == 0 -> grantN = LEASE }
+  :: atomic { auth > 0 && written == BOTH && settled == BOTH && MAYSETTLE -> written = NEW }
+  /* T did not drain in time, or the write has no answer: T keeps the key. */
+#ifdef LATE_RETURN
+  :: atomic { auth > 0 && asked -> asked = false; drained = false }
+#else
+  :: atomic { auth > 0 && asked && !promoted -> asked = false; drained = false }
+#endif
+  :: atomic { auth > 0 && !asked && written == BOTH && settled == BOTH -> written = OLD }
+  :: atomic { number == 1 && row != written -> row = written }
+  :: atomic { row == written && settled != written && number == 1 -> settled = written }
 
   /* Grants of host 0 arrive, or are refused by a target that knows epoch 2. */
   :: atomic { grantT > 0 ->
--- a/src/ownership/commit.cc
+++ b/src/ownership/commit.cc
@@ -56,10 +56,8 @@
 
 bool coordinator::impl::needsCommit(const std::vector<slice>& joins) const
 {
-    const bool moves = std::any_of(m_moves.begin(), m_moves.end(), [&](const auto& each) {
-        const bool lost = each.phase == move_phase::Cleared && !each.announced;
-        return lost || (each.phase == move_phase::Planned && !m_stopping);
-    });
+    const bool moves = std::any_of(m_moves.begin(), m_moves.end(),
+        [&](const auto& each) { return each.phase == move_phase::Cleared && !each.announced; });
     return moves || !joins.empty() || !m_unwritten.empty() || m_staleStandbys;
 }
 
@@ -86,12 +84,11 @@
     std::vector<move> lost;
     std::vector<move> planned;
     for (auto& each : m_moves) {
-        const bool goes = each.phase == move_phase::Planned && !m_stopping;
-        const bool isLost = each.phase == move_phase::Cleared && !each.announced;
-        if (!goes && !(isLost && decideOwner(each, shares)))
+        const bool cleared = each.phase == move_phase::Cleared && !each.announced;
+        if (!cleared || !decideOwner(each, shares))
             continue;
-        each.phase = goes ? move_phase::Announcing : move_phase::Committing;
-        (goes ? planned : lost).push_back(each);
+        each.phase = each.byLoss ? move_phase::Committing : move_phase::Announcing;
+        (each.byLoss ? lost : planned).push_back(each);
     }
     m_proposed = *m_assignment;
     m_proposed.number = nextNumber();
@@ -122,24 +119,28 @@
 
 void coordinator::impl::written(instant now)
 {
-    m_staleStandbys = m_staleStandbys || !m_unwritten.empty();
+    m_staleStandbys = !m_unwritten.empty();
     std::set<target_id> gained = std::exchange(m_joinedOwners, {});
     auto slices = m_proposed.slices;
     for (const auto& each : m_unwritten)
         slices = detail::applyMoves(slices, { each }, each.grant);
     for (auto& each : m_moves) {
-        if (each.phase == move_phase::Announcing)
-            beginHandover(now, each);
-        else if (each.phase == move_phase::Committing)
+        if (each.phase == move_phase::Committing)
             gained.insert(each.to);
+        if (each.phase != move_phase::Announcing)
+            continue;
+        each.phase = move_phase::Cleared;
+        each.announced = true;
     }
     std::erase_if(m_moves, [](const auto& each) { return each.phase == move_phase::Committing; });
     if (m_proposalPublishes)
         m_assignment->number = m_unwritten.empty() ? m_proposed.number : nextNumber();
     m_unwritten.clear();
     install(std::move(slices));
+    m_staleStandbys = m_staleStandbys || withdrawStandbys();
     if (m_proposalPublishes)
         grantTo(now, gained);
+    promote(now);
 }
 
 void coordinator::impl::grantTo(instant now, const std::set<target_id>& gained)
@@ -162,11 +163,9 @@
     m_joinedOwners.clear();
     m_staleStandbys = true;
     for (auto& each : m_moves) {
-        if (each.phase == move_phase::Committing)
-            each.phase = move_phase::Cleared;
-        if (each.phase != move_phase::Announcing)
+        if (each.phase != move_phase::Committing && each.phase != move_phase::Announcing)
             continue;
-        each.phase = move_phase::Planned;
+        each.phase = move_phase::Cleared;
         if (!each.forced)
             giveBack(now, each);
     }
--- a/src/ownership/coordinator_impl.h
+++ b/src/ownership/coordinator_impl.h
@@ -49,13 +49,12 @@
 };
 
 enum class move_phase {
-    /// Waits for a commit that names the new owner as standby.
-    Planned,
-    Announcing,
     Holding,
     Draining,
     /// The old owner holds the range no more.
     Cleared,
+    /// The open write names the new owner as standby.
+    Announcing,
     /// The open write gives the range to the new owner.
     Committing,
     /// Begun by an earlier holder: either owner may hold the range.
@@ -66,7 +65,7 @@
     slice range;
     target_id from;
     target_id to;
-    move_phase phase = move_phase::Planned;
+    move_phase phase = move_phase::Holding;
     /// The row names the new owner as standby, so that it may be granted the range without a
     /// commit.
     bool announced = false;
@@ -255,6 +254,8 @@
     void startDrain(instant now, detail::move& each);
     bool isDrained(const detail::move& each, request_number request) const;
     void noteDrained(instant now, const target_id& from, request_number request);
+    void startHolds(detail::move& each);
+    static bool waitsForRow(const detail::move& each);
     void giveBack(instant now, detail::move& each);
     void sendHolds(
         const slice& range, std::chrono::milliseconds hold, std::set<request_number>& requests);
@@ -263,13 +264,14 @@
     // Handover (handover.cc).
     void inheritMoves(instant now);
     void adoptInherited(instant now, detail::move& each);
+    void resume(instant now, detail::move& each);
     bool holds(const target_id& id, const slice& range) const;
     bool holdsNothingOf(const target_id& id, const slice& range) const;
     bool bothHoldNothing(const detail::move& each) const;
     void chooseNamed(detail::move& each) const;
-    void beginHandover(instant now, detail::move& each);
     void promote(instant now);
-    void withdrawStandbys();
+    bool isAnnounced(const slice& range) const;
+    bool withdrawStandbys();
     bool isHandingOver() const;
     sequence nextNumber() noexcept;
 
--- a/src/ownership/grants.cc
+++ b/src/ownership/grants.cc
@@ -102,12 +102,9 @@
 
 std::vector<slice> coordinator::impl::withheldFrom(const target_id& id) const
 {
-    using detail::move_phase;
     std::vector<slice> ranges;
     for (const auto& each : m_moves) {
-        const bool keeps = each.phase == move_phase::Planned || each.phase == move_phase::Announcing
-            || each.phase == move_phase::Holding;
-        if (each.from == id && !keeps)
+        if (each.from == id && each.phase != detail::move_phase::Holding)
             ranges.push_back(each.range);
     }
     return ranges;
--- a/src/ownership/handover.cc
+++ b/src/ownership/handover.cc
@@ -62,18 +62,16 @@
 {
     const bool earlierEnded = m_earlierSeen && now >= earlierLeasesEnd();
     if (holds(each.from, each.range))
-        beginHandover(now, each);
+        resume(now, each);
     else if (earlierEnded || holds(each.to, each.range) || bothHoldNothing(each))
         each.phase = move_phase::Cleared;
 }
 
-void coordinator::impl::beginHandover(instant now, move& each)
+void coordinator::impl::resume(instant now, move& each)
 {
-    const auto& times = m_options.times;
     each.phase = move_phase::Holding;
-    each.announced = true;
     each.since = now;
-    sendHolds(each.range, times.holdAnswer + times.drain + times.storeTimeout, each.holds);
+    startHolds(each);
 }
 
 // Either of the two that the row names may own the range without another write.
@@ -112,13 +110,23 @@
     grantTo(now, gained);
 }
 
-// Of moves that were given up: their old owners keep their ranges.
-void coordinator::impl::withdrawStandbys()
+bool coordinator::impl::isAnnounced(const slice& range) const
 {
+    return std::any_of(m_moves.begin(), m_moves.end(),
+        [&](const auto& each) { return each.announced && overlap(each.range, range); });
+}
+
+// Old owners keep the ranges of moves that were given up. Returns whether there was one.
+bool coordinator::impl::withdrawStandbys()
+{
+    bool withdrawn = false;
     for (auto& each : m_assignment->slices) {
-        if (each.standby && !isMoving(each.range))
-            each.standby.reset();
+        if (!each.standby || isAnnounced(each.range))
+            continue;
+        each.standby.reset();
+        withdrawn = true;
     }
+    return withdrawn;
 }
 
 bool coordinator::impl::isHandingOver() const
--- a/src/ownership/moves.cc
+++ b/src/ownership/moves.cc
@@ -111,8 +111,7 @@
 void coordinator::impl::planLost(instant now)
 {
     for (auto& each : m_moves) {
-        const bool waits = each.phase == move_phase::Planned || each.phase == move_phase::Holding
-            || each.phase == move_phase::Draining;
+        const bool waits = each.phase == move_phase::Holding || each.phase == move_phase::Draining;
         const auto from = m_targets.find(each.from);
         if (waits && from != m_targets.end() && isLost(now, from->second)) {
             each.phase = move_phase::Cleared;
@@ -194,9 +193,16 @@
     planned.to = to;
     planned.since = now;
     planned.forced = forced;
+    startHolds(planned);
     m_moves.push_back(std::move(planned));
 }
 
+void coordinator::impl::startHolds(move& each)
+{
+    const auto& times = m_options.times;
+    sendHolds(each.range, times.holdAnswer + times.drain + times.announce, each.holds);
+}
+
 void coordinator::impl::sendHolds(
     const slice& range, std::chrono::milliseconds hold, std::set<request_number>& requests)
 {
@@ -229,11 +235,21 @@
             startDrain(now, each);
         else if (!each.forced && waited >= times.drain)
             giveBack(now, each);
+    } else if (waitsForRow(each)) {
+        if (waited >= times.announce)
+            giveBack(now, each);
     } else if (each.phase == move_phase::Inherited) {
         adoptInherited(now, each);
     }
 }
 
+// Without the row the keys have no owner, although the old one is there to take them back.
+bool coordinator::impl::waitsForRow(const move& each)
+{
+    const bool unannounced = each.phase == move_phase::Cleared && !each.announced;
+    return !each.byLoss && (unannounced || each.phase == move_phase::Announcing);
+}
+
 void coordinator::impl::startDrain(instant now, move& each)
 {
     if (each.phase == move_phase::Holding)
@@ -262,10 +278,13 @@
         if (each.from != from || !isDrained(each, request))
             continue;
         each.phase = move_phase::Cleared;
+        each.since = now;
         cleared = true;
     }
-    if (cleared && hasAuthority(now))
-        promote(now);
+    if (!cleared || !hasAuthority(now))
+        return;
+    promote(now);
+    commit(now);
 }
 
 void coordinator::impl::giveBack(instant now, move& each)
