Receive space is made by the threads that receive

It runs 143 threads, and glibc writes zeros to the whole thread-local block of each at its start, which held an array of 64 KB. Ruled out: the heap, stacks (132 KB), shared pages. Change: the block holds a pointer; a thread that receives makes the space.

--- a/src/proxy/io.cc
+++ b/src/proxy/io.cc
@@ -5,6 +5,7 @@
 #include <array>
 #include <cerrno>
 #include <linux/filter.h>
+#include <memory>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -13,6 +14,7 @@
 namespace {
 
 constexpr std::size_t receiveBytes = 65536;
+using receive_space = std::array<char, receiveBytes>;
 /// A socket filter sees each segment from its TCP header on.
 constexpr unsigned tcpFlagsOffset = 13;
 
@@ -26,11 +28,12 @@
 
 io_result receiveInto(const Poco::Net::Socket& socket, std::string& buffer, std::size_t limit)
 {
-    thread_local std::array<char, receiveBytes> space;
-    const std::size_t room = std::min(limit, space.size());
-    const ssize_t got = ::recv(descriptor(socket), space.data(), room, MSG_DONTWAIT);
+    // Not an array itself: every thread of the process would have its pages written at its start.
+    thread_local const auto space = std::make_unique_for_overwrite<receive_space>();
+    const std::size_t room = std::min(limit, receiveBytes);
+    const ssize_t got = ::recv(descriptor(socket), space->data(), room, MSG_DONTWAIT);
     if (got > 0) {
-        buffer.append(space.data(), static_cast<std::size_t>(got));
+        buffer.append(space->data(), static_cast<std::size_t>(got));
         return { io_state::Ready, static_cast<std::size_t>(got) };
     }
     if (got == 0)
