One host looks at the store for the others

Each of 12 hosts looked at the registrations each 0.6 s and waited at the feed of configurations. With the exchange that hosts have anyway, each tells what its tables have (a hash) and when the store was last known to have the same. A host with the same content needs no look of its own; one with other content looks at once; one that has heard nothing for 0.85 s looks itself, so that a lost leader or a cut between hosts costs no more than that.

--- a/include/pimentomast/membership.h
+++ b/include/pimentomast/membership.h
@@ -160,4 +160,43 @@
     std::map<host_id, confirmation> m_peers;
 };
 
+struct look_options {
+    /// Between two looks of the host that looks for the others.
+    std::chrono::milliseconds oftenMs { 300 };
+    /// How old what a host knows may grow before it looks itself.
+    std::chrono::milliseconds limitMs { 850 };
+};
+
+/// When a host looks at rows of the store. One host looks often; the others learn from it, directly
+/// or through others, that what they have is still right, and look when it is not or when they have
+/// heard nothing for too long.
+class look_schedule {
+public:
+    explicit look_schedule(const look_options& options)
+        : m_options(options)
+    {
+    }
+
+    /// Whether this host looks for the others.
+    void lead(bool leads) noexcept { m_leads = leads; }
+    /// The store answered a look that was sent then; changed: it had something new.
+    void looked(instant sentAt, bool changed);
+    /// A peer knows what the store had at this moment, and has the same as this host or not.
+    void heard(instant seenAt, bool same);
+
+    /// Returns when the store was last known to have what this host has.
+    [[nodiscard]] instant confirmedAt() const noexcept { return m_confirmedAt; }
+    /// Returns when to look next.
+    [[nodiscard]] instant due() const noexcept;
+
+private:
+    look_options m_options;
+    bool m_leads = false;
+    instant m_lookedAt {};
+    instant m_confirmedAt {};
+    bool m_contradicted = false;
+    /// Until then contradictions count for nothing, since a look found them wrong.
+    instant m_trustAgain {};
+};
+
 } // namespace pimentomast::membership
--- a/include/pimentomast/serve.h
+++ b/include/pimentomast/serve.h
@@ -13,7 +13,14 @@
 /// One entry host: forwards callers' requests and coordinates some of the services.
 namespace pimentomast::serve {
 
-/// Supplies tables that do not come from the operators' CSV row.
+/// What a host's tables have, and when the store was last known to have the same.
+struct table_standing {
+    /// Equal for equal tables; 0: nothing was read yet.
+    std::uint64_t content = 0;
+    instant seenAt {};
+};
+
+/// Supplies tables that do not come from the operators' CSV row. Thread-safe.
 class table_source {
 public:
     using receiver = std::function<void(std::shared_ptr<const table::table>)>;
@@ -22,6 +29,11 @@
     /// Calls receive for each new table, one call at a time, until stop(). Versions rise. Call
     /// once.
     virtual void start(receiver receive) = 0;
+    [[nodiscard]] virtual table_standing standing() const = 0;
+    /// Takes a peer's standing, by which this host may spare itself a look at the store.
+    virtual void heard(const table_standing& peer) = 0;
+    /// Whether this host looks at the store for the others.
+    virtual void lead(bool leads) = 0;
     /// Returns when no call of receive runs any more and none will come.
     virtual void stop() = 0;
 };
--- a/src/command/host_commands.cc
+++ b/src/command/host_commands.cc
@@ -100,7 +100,7 @@
     platform::options options;
     options.store = values.address;
     options.storeTimeout = values.timeoutMs;
-    options.registrationPoll = values.pollMs;
+    options.tableAge = values.pollMs;
     return platform::connect(options);
 }
 
--- a/src/serve/control.cc
+++ b/src/serve/control.cc
@@ -167,8 +167,8 @@
             if (!current || state.core.currentRole() != ownership::role::Holder)
                 continue;
             wishes.push_back({ service,
-                state.places.plan(now, *current, state.core.moving(), state.core.targets(now),
-                    state.targets) });
+                state.places.plan(
+                    now, *current, state.core.moving(), state.core.targets(now), state.targets) });
             logPlan(service, state.places.imbalance(), state.core.runningMoves(),
                 wishes.back().wanted.slices.size());
         }
--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -124,7 +124,7 @@
     spreading.run = m_run;
     spreading.peers = m_values.host.advertise;
     spreading.freshness.minPollMs = m_values.store.pollMs;
-    spreading.spreadsTables = m_around.tables() == nullptr;
+    spreading.tables = m_around.tables();
     m_spread = spread::create(spreading, m_store, *m_book, m_directory,
         { [this](auto rows) { putTable(std::move(rows)); },
             [this](const auto& newer, const auto& host) { putAssignment(newer, host); },
@@ -175,6 +175,7 @@
     m_proxy->setTable(rows);
     m_dispatch->applyTable(*rows);
     m_control->applyTable(*rows);
+    m_spread->callAll();
     telemetry::log(telemetry::severity::Info, "table-in-force",
         { { "version", std::to_string(rows->version.value()) }, { "editor", rows->editor } });
 }
--- a/src/serve/spread.cc
+++ b/src/serve/spread.cc
@@ -2,6 +2,7 @@
 
 #include "pimentomast/telemetry.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 
 namespace pimentomast::serve::detail {
@@ -9,6 +10,8 @@
 
 constexpr std::chrono::milliseconds peerTimeoutMs { 800 };
 constexpr unsigned poolThreads = 2;
+/// Hosts are ranked for the looks at the store as they are for a service of this name.
+constexpr auto tableReader = "tables";
 /// Until a starting host has heard of every other one it exchanges more often: a coordinator names
 /// as witnesses only hosts that it heard of, and cannot go on without the store before that.
 constexpr std::chrono::milliseconds startIntervalMs { 100 };
@@ -100,7 +103,7 @@
 void spread::tick(instant now)
 {
     const auto hosts = m_book.connectionSharers(now);
-    const bool readConfigNow = m_options.spreadsTables
+    const bool readConfigNow = !m_options.tables
         && due(m_nextConfig, now, m_fresh.pollInterval(hosts)) && !m_readingConfig.exchange(true);
     if (readConfigNow)
         boost::asio::post(m_pool, [this] { readConfig(); });
@@ -110,7 +113,39 @@
         boost::asio::post(m_pool, [this] { readHosts(); });
     if (!due(m_nextExchange, now, exchangeInterval(now)))
         return;
-    for (const auto& peer : m_book.exchangePeers(now))
+    lookForOthers(now);
+    for (const auto& peer : peersToCall(now))
+        exchangeWith(peer);
+}
+
+void spread::lookForOthers(instant now)
+{
+    if (!m_options.tables)
+        return;
+    std::vector<host_id> live;
+    for (const auto& each : m_book.live(now))
+        live.push_back(each.id);
+    m_leader
+        = ownership::preferredCoordinator(service_id { tableReader }, live).value_or(host_id {});
+    m_leads = m_leader == m_options.self;
+    m_options.tables->lead(m_leads);
+}
+
+// The one that looks for the others is called in each round.
+std::vector<peer_book::client_pointer> spread::peersToCall(instant now)
+{
+    auto peers = m_book.exchangePeers(now);
+    const auto leader = m_options.tables ? m_book.find(m_leader) : nullptr;
+    if (leader && std::find(peers.begin(), peers.end(), leader) == peers.end())
+        peers.push_back(leader);
+    return peers;
+}
+
+void spread::callAll()
+{
+    if (!m_leads)
+        return;
+    for (const auto& peer : m_book.all(monotonic_clock::now()))
         exchangeWith(peer);
 }
 
@@ -125,7 +160,7 @@
 duration spread::hostsInterval(instant now) const
 {
     const bool starting = now - m_started < startTimeS;
-    return starting || m_options.spreadsTables ? m_options.hostsIntervalMs : listIntervalMs;
+    return starting || !m_options.tables ? m_options.hostsIntervalMs : listIntervalMs;
 }
 
 void spread::readConfig()
@@ -191,6 +226,8 @@
     addHeard(m_book.heard(now), digest);
     for (const auto& news : m_calls.crashes())
         *digest.add_crashes() = toWire(news, now);
+    if (m_options.tables)
+        *digest.mutable_standing() = toWire(m_options.tables->standing(), now);
     return digest;
 }
 
@@ -202,6 +239,8 @@
         if (!reply)
             return;
         const auto& update = reply.value();
+        if (m_options.tables && update.has_standing())
+            m_options.tables->heard(fromWire(update.standing(), sentAt));
         m_book.sight(monotonic_clock::now(),
             { host_id { update.host() }, incarnation { update.incarnation() }, address,
                 update.leaving() });
@@ -231,6 +270,16 @@
     }
 }
 
+// How long the message was under way is not known, so that it confirms nothing; a difference is
+// looked into.
+void spread::noteStanding(const wire::Digest& digest, instant now)
+{
+    if (!m_options.tables || !digest.has_standing())
+        return;
+    if (digest.standing().content() != m_options.tables->standing().content)
+        m_options.tables->heard(fromWire(digest.standing(), now));
+}
+
 wire::Update spread::exchange(const wire::Digest& digest)
 {
     const auto now = monotonic_clock::now();
@@ -241,6 +290,7 @@
     m_book.relay(now, heardIn(digest));
     for (const auto& news : digest.crashes())
         m_calls.heard(fromWire(news, now));
+    noteStanding(digest, now);
     wire::Update update;
     update.set_host(m_options.self.value());
     update.set_incarnation(m_options.run.value());
@@ -248,6 +298,8 @@
     for (const auto& news : m_calls.crashes())
         *update.add_crashes() = toWire(news, now);
     addHeard(m_book.heard(now), update);
+    if (m_options.tables)
+        *update.mutable_standing() = toWire(m_options.tables->standing(), now);
     m_routes.addNewer(digest, update);
     const std::lock_guard guard(m_lock);
     update.set_table_version(m_fresh.version().value());
--- a/src/serve/spread.h
+++ b/src/serve/spread.h
@@ -4,6 +4,7 @@
 #include "peer_book.h"
 #include "pimentomast/membership.h"
 #include "pimentomast/peers.h"
+#include "pimentomast/serve.h"
 #include "pimentomast/store.h"
 
 #include <atomic>
@@ -21,8 +22,8 @@
     membership::freshness_options freshness;
     std::chrono::milliseconds exchangeIntervalMs { 500 };
     std::chrono::milliseconds hostsIntervalMs { 1000 };
-    /// Read the table from the store and from peers; otherwise each host has it from elsewhere.
-    bool spreadsTables = true;
+    /// Null: read the table from the store's row and from peers. Must outlive the object.
+    table_source* tables = nullptr;
 };
 
 /// Spreads tables, assignments and crashes between the hosts, and reads the platform's rows.
@@ -53,6 +54,8 @@
 
     /// Sends an assignment that this host committed to every other host.
     void publish(const ownership::assignment& value);
+    /// If this host looks at the store for the others, it lets them know at once what it has.
+    void callAll();
     /// Sends news of a crash to every other host.
     void tellCrash(const routing::crash& news);
 
@@ -81,6 +84,9 @@
     [[nodiscard]] wire::Digest digest(instant now) const;
     [[nodiscard]] duration exchangeInterval(instant now) const;
     [[nodiscard]] duration hostsInterval(instant now) const;
+    void lookForOthers(instant now);
+    void noteStanding(const wire::Digest& digest, instant now);
+    [[nodiscard]] std::vector<peer_book::client_pointer> peersToCall(instant now);
     [[nodiscard]] bool due(instant& next, instant now, duration interval) const;
 
     spread_options m_options;
@@ -89,11 +95,14 @@
     const directory& m_routes;
     handlers m_calls;
     std::atomic<bool> m_leaving { false };
+    std::atomic<bool> m_leads { false };
     std::atomic<bool> m_readingConfig { false };
     std::atomic<bool> m_readingHosts { false };
     instant m_nextConfig {};
     instant m_nextHosts {};
     instant m_nextExchange {};
+    /// Looks at the store for the others.
+    host_id m_leader;
     std::mutex m_applyLock;
     mutable std::mutex m_lock;
     membership::freshness m_fresh;
--- a/src/serve/wire.cc
+++ b/src/serve/wire.cc
@@ -52,6 +52,20 @@
     return value;
 }
 
+wire::TableStanding toWire(const table_standing& value, instant now)
+{
+    wire::TableStanding message;
+    message.set_content(value.content);
+    const auto age = std::chrono::ceil<std::chrono::milliseconds>(now - value.seenAt);
+    message.set_age_ms(static_cast<std::uint32_t>(age.count()));
+    return message;
+}
+
+table_standing fromWire(const wire::TableStanding& message, instant sentAt)
+{
+    return { message.content(), sentAt - std::chrono::milliseconds(message.age_ms()) };
+}
+
 wire::Crash toWire(const routing::crash& news, instant now)
 {
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - news.at);
--- a/src/serve/wire.h
+++ b/src/serve/wire.h
@@ -3,6 +3,7 @@
 #include "peers.pb.h"
 #include "pimentomast/ownership.h"
 #include "pimentomast/routing.h"
+#include "pimentomast/serve.h"
 
 /// Conversions between the peers' messages and the types of the pure libraries.
 namespace pimentomast::serve::detail {
@@ -17,6 +18,10 @@
 [[nodiscard]] wire::Crash toWire(const routing::crash& news, instant now);
 [[nodiscard]] routing::crash fromWire(const wire::Crash& message, instant now);
 
+[[nodiscard]] wire::TableStanding toWire(const table_standing& value, instant now);
+/// Precondition: the message was sent no earlier than sentAt.
+[[nodiscard]] table_standing fromWire(const wire::TableStanding& message, instant sentAt);
+
 [[nodiscard]] wire::RouteRenewal toWire(
     const service_id& service, const ownership::renew_route& renewal);
 [[nodiscard]] ownership::renew_route fromWire(const wire::RouteRenewal& message);
