Structured log of decisions about requests, within a budget, that never waits

A line for each request that was refused, failed, was tried again or came late: id, service, status, reason, target, each attempt with its outcome and time, expected wait, Retry-After, key and version of the assignment. A line for each request refused before it had a service. 20 lines a second and host on average (log.request_lines), half of the burst kept for failures; what is left out is counted and said once a second. Lines go to standard output, and only if the descriptor has room at that moment: a reader that has stopped costs lines, never a request (test with a full pipe). Also: the list of hosts is read each second only until a starting host has heard of all.

--- a/include/pimentomast/proxy.h
+++ b/include/pimentomast/proxy.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 /// HTTP/1.1 between callers and targets.
 ///
@@ -130,10 +131,12 @@
     int status = 503;
     /// Reason as callers and metrics see it.
     std::string reason;
-    /// Target of the last attempt; empty if there was none.
+    /// Target of the last attempt, or whose queue was too long; empty if there is none.
     std::string peer;
     /// Time after which the caller may try again; 0: not said.
     duration retryAfter {};
+    /// How long the request would have waited for its turn; 0 if that was not the reason.
+    duration expectedWait {};
 };
 
 /// The target's answer was handed to the caller whole.
@@ -253,22 +256,58 @@
     virtual void probed(const probe_report& report, dispatch_sink& sink) = 0;
 };
 
+/// How one attempt of a request ended.
+struct attempt_note {
+    target_id target;
+    /// Status of the answer, or the reason why there is none.
+    std::string outcome;
+    /// From the dispatch on.
+    duration total { 0 };
+};
+
 /// One finished request.
 struct completion {
+    /// Id that the targets saw.
+    std::string id;
     service_id service;
+    caller_id caller;
+    std::optional<key_hash> key;
+    /// Of the answer to the caller; 0: it got none, or only a part of one.
     int status = 0;
+    /// Why this host answered itself or broke off; empty if a target answered.
+    std::string reason;
+    /// Target that the reason is about; empty if it is about none.
+    std::string target {};
+    /// As the caller was told; 0: nothing.
+    duration retryAfter { 0 };
+    /// How long the request would have waited for its turn; 0 if that was not the reason.
+    duration expectedWait { 0 };
     unsigned attempts = 0;
+    std::vector<attempt_note> history {};
+    /// The answer came after the route's objective.
+    bool late = false;
     /// From the complete head until the answer's last byte was handed to the kernel.
     duration total { 0 };
     /// Part of total spent waiting for dispatch.
     duration waited { 0 };
 };
 
+/// A request that was refused before it had a service.
+struct rejection {
+    /// As the caller sent it; empty if it sent none.
+    std::string id;
+    std::string host;
+    std::string path;
+    proxy::reason why = reason::Internal;
+};
+
 /// Told of finished requests. Implementations are thread-safe and quick.
 class observer {
 public:
     virtual ~observer() = default;
     virtual void completed(const completion& finished) = 0;
+    /// A request was refused before it had a service.
+    virtual void rejected(const rejection& refused) = 0;
 };
 
 /// Counters by reason. Reads are thread-safe at any time.
--- a/include/pimentomast/routing.h
+++ b/include/pimentomast/routing.h
@@ -196,10 +196,12 @@
     request_number number;
     outcome certainty = outcome::NotRun;
     refusal_reason reason = refusal_reason::NoTarget;
-    /// Target of the last attempt; empty if there was none.
+    /// Target of the last attempt, or whose queue was too long; empty if there is none.
     target_id target;
     /// Advice for the caller; zero if there is none.
     duration retryAfter {};
+    /// How long the request would have waited for its turn; zero if that was not the reason.
+    duration expectedWait {};
 };
 /// Close the connection of this attempt without calling finish(); another action follows for the
 /// request. A finish() that comes anyway is ignored.
--- a/include/pimentomast/settings.h
+++ b/include/pimentomast/settings.h
@@ -128,6 +128,8 @@
     /// Path of the log file; required for the file sink.
     std::string file;
     log_format format = log_format::Text;
+    /// Lines about single requests in a second, on average; what is beyond is counted.
+    unsigned requestLines = 20;
 };
 
 struct drain_settings {
--- a/include/pimentomast/telemetry.h
+++ b/include/pimentomast/telemetry.h
@@ -158,7 +158,7 @@
 
 struct log_options {
     severity lowest = severity::Info;
-    /// Path of the file to append to; empty: standard error.
+    /// Path of the file to append to; empty: standard output.
     std::string file;
     /// One JSON object a line; otherwise key=value pairs.
     bool json = false;
@@ -176,8 +176,9 @@
 /// Throws failure if the file cannot be opened.
 void setUpLog(const log_options& options);
 
-/// Writes one line: time, severity, event and the fields. Meant for changes of state only; what
-/// happens once a request belongs into a counter. Thread-safe.
+/// Writes one line: time, severity, event and the fields. Never waits for a reader of the log: a
+/// line that finds no room is left out, and the next one is preceded by a line that says how many
+/// were. Thread-safe.
 void log(severity level, std::string_view event, const std::vector<field>& fields = {});
 
 } // namespace pimentomast::telemetry
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -80,6 +80,7 @@
     bool answerStarted = false;
     duration waited { 0 };
     instant submitted;
+    std::vector<attempt_note> history {};
 };
 
 } // namespace pimentomast::proxy::detail
--- a/src/proxy/host-run.cc
+++ b/src/proxy/host-run.cc
@@ -9,6 +9,16 @@
 namespace pimentomast::proxy::detail {
 namespace {
 
+std::string outcomeOf(const attempt_result& ended)
+{
+    const overloaded names {
+        [](const attempt_answered& answer) { return std::to_string(answer.status); },
+        [](const attempt_cancelled&) { return std::string(name(reason::CallerGone)); },
+        [](const auto& other) { return std::string(name(other.why)); },
+    };
+    return std::visit(names, ended);
+}
+
 bool isHead(const exchange& request)
 {
     return request.head.parser->get().method() == http::verb::head;
@@ -63,7 +73,7 @@
 void host::answerRefusal(const exchange& request, const refusal& answer)
 {
     if (request.answerStarted) {
-        complete(request, answer.status);
+        complete(request, { answer.status, answer.reason, answer.peer });
         return breakOff(request);
     }
     own_answer own;
@@ -76,7 +86,8 @@
     own.fractionalRetryAfter = m_options.contract.fractionalRetryAfter;
     own.withBody = !isHead(request);
     own.closes = !request.head.keepAlive || request.head.hasBody || m_draining;
-    complete(request, answer.status);
+    complete(request,
+        { answer.status, answer.reason, answer.peer, answer.retryAfter, answer.expectedWait });
     send(request.caller, ownAnswer(own), own.closes);
 }
 
@@ -123,6 +134,7 @@
     finished.firstByte = ended.firstByte;
     finished.total = monotonic_clock::now() - started;
     finished.replayable = work.request->replayable;
+    work.request->history.push_back({ work.to.target, outcomeOf(ended.result), finished.total });
     conclude(work, ended, finished);
 }
 
@@ -144,9 +156,9 @@
 {
     m_running.fetch_sub(1, std::memory_order_relaxed);
     const bool abandoned = m_registry.detach(finished.id);
-    const overloaded conclusion {
+    const overloaded steps {
         [&](const attempt_answered& answer) {
-            complete(*work.request, answer.status);
+            complete(*work.request, { answer.status });
             concludeOver(work, finished);
             finishCaller(work.request->caller, ended.callerReusable, false);
         },
@@ -162,9 +174,9 @@
             m_counts.add(broken.why);
             concludeOver(work, finished);
             if (ended.continues)
-                continueAnswer(std::move(work.request));
-            else
-                breakOff(*work.request);
+                return continueAnswer(std::move(work.request));
+            complete(*work.request, { 0, std::string(name(broken.why)) });
+            breakOff(*work.request);
         },
         [&](const attempt_cancelled&) {
             m_counts.add(ended.fault.value_or(reason::CallerGone));
@@ -172,7 +184,7 @@
             answerFault(*work.request, ended.fault);
         },
     };
-    std::visit(conclusion, ended.result);
+    std::visit(steps, ended.result);
 }
 
 void host::concludeOver(const forward_job& work, attempt finished)
@@ -215,25 +227,37 @@
 
 void host::answerFault(const exchange& request, std::optional<reason> fault)
 {
-    if (!fault || request.answerStarted)
+    if (!fault || request.answerStarted) {
+        complete(request, { 0, std::string(name(fault.value_or(reason::CallerGone))) });
         return finishCaller(request.caller, false, true);
+    }
     own_answer own;
     own.status = statusOf(*fault);
     own.outcome = certainty::Unknown;
     own.reason = name(*fault);
     own.step = "read request body";
     own.peer = request.caller->peerIp;
-    complete(request, own.status);
+    complete(request, { own.status, own.reason });
     send(request.caller, ownAnswer(own), true);
 }
 
-void host::complete(const exchange& request, int status)
+void host::complete(const exchange& request, const conclusion& end)
 {
+    const auto now = monotonic_clock::now();
     completion finished;
+    finished.id = idOf(request, m_options);
     finished.service = request.facts.service;
-    finished.status = status;
+    finished.caller = request.facts.caller;
+    finished.key = request.facts.key;
+    finished.status = end.status;
+    finished.reason = end.reason;
+    finished.target = end.target;
+    finished.retryAfter = end.retryAfter;
+    finished.expectedWait = end.expectedWait;
     finished.attempts = request.attempts;
-    finished.total = monotonic_clock::now() - request.facts.arrived;
+    finished.history = request.history;
+    finished.late = now > request.facts.objective;
+    finished.total = now - request.facts.arrived;
     finished.waited = request.waited;
     m_observer.completed(finished);
 }
--- a/src/proxy/host.cc
+++ b/src/proxy/host.cc
@@ -197,6 +197,7 @@
     if (!request)
         return;
     m_counts.add(reason::CallerGone);
+    complete(*request, { 0, std::string(name(reason::CallerGone)) });
     m_decisions.cancelled(request->facts.id, *this);
     finishCaller(caller, false, false);
 }
@@ -304,12 +305,14 @@
 void host::refuseHead(const caller_pointer& caller, reason why)
 {
     m_counts.add(why);
+    m_observer.rejected({ {}, {}, {}, why });
     send(caller, refusalText(why, true), true);
 }
 
 void host::refuseRequest(const caller_pointer& caller, const checked_head& head, reason why)
 {
     m_counts.add(why);
+    m_observer.rejected({ callersId(head, m_options.contract), head.host, head.target, why });
     send(caller, refusalText(why, head.parser->get().method() != http::verb::head), true);
 }
 
--- a/src/proxy/host.h
+++ b/src/proxy/host.h
@@ -23,6 +23,17 @@
 };
 using job = std::variant<forward_job, probe_job>;
 
+/// How a request ended for its caller.
+struct conclusion {
+    /// 0: without a whole answer.
+    int status = 0;
+    /// Why this host ended it; empty if a target answered.
+    std::string reason {};
+    std::string target {};
+    duration retryAfter {};
+    duration expectedWait {};
+};
+
 /// The server: accepts, checks, classifies, submits and runs requests.
 class host final : public server, public dispatch_sink {
 public:
@@ -82,7 +93,7 @@
     void continueAnswer(std::unique_ptr<exchange> request);
     void breakOff(const exchange& request);
     void answerFault(const exchange& request, std::optional<reason> fault);
-    void complete(const exchange& request, int status);
+    void complete(const exchange& request, const conclusion& end);
     void finishCaller(const caller_pointer& caller, bool reusable, bool broken);
     [[nodiscard]] relay_context context(const forward_job& work);
 
--- a/src/proxy/message.cc
+++ b/src/proxy/message.cc
@@ -272,4 +272,20 @@
     return answer.withBody ? text + body : text;
 }
 
+std::string callersId(const checked_head& head, const contract& fields)
+{
+    if (!fields.callersChooseId)
+        return {};
+    const auto found = head.parser->get().find(fields.id);
+    return found == head.parser->get().end() ? std::string() : std::string(view(found->value()));
+}
+
+std::string idOf(const exchange& request, const options& settings)
+{
+    auto given = callersId(request.head, settings.contract);
+    if (!given.empty())
+        return given;
+    return settings.requestPrefix + std::to_string(request.facts.id.value());
+}
+
 } // namespace pimentomast::proxy::detail
--- a/src/proxy/message.h
+++ b/src/proxy/message.h
@@ -57,4 +57,9 @@
 /// Returns the whole answer.
 [[nodiscard]] std::string ownAnswer(const own_answer& answer);
 
+/// Returns the id that the caller gave its request; empty if callers give none.
+[[nodiscard]] std::string callersId(const checked_head& head, const contract& fields);
+/// Returns the id of a request as targets see it.
+[[nodiscard]] std::string idOf(const exchange& request, const options& settings);
+
 } // namespace pimentomast::proxy::detail
--- a/src/proxy/routed-dispatcher.cc
+++ b/src/proxy/routed-dispatcher.cc
@@ -243,6 +243,7 @@
         answer.reason = routing::name(order.reason);
         answer.peer = order.target.value();
         answer.retryAfter = std::max(order.retryAfter, duration::zero());
+        answer.expectedWait = order.expectedWait;
         sink.refuse(id, answer);
     }
 
--- a/src/routing/engine.h
+++ b/src/routing/engine.h
@@ -61,6 +61,7 @@
     std::optional<retry_reason> retry;
     refusal_reason failure = refusal_reason::DeadlineBeforeDispatch;
     duration retryAfter {};
+    duration expectedWait {};
     instant notBefore;
     instant heldUntil;
 };
--- a/src/routing/waiting.cc
+++ b/src/routing/waiting.cc
@@ -19,7 +19,7 @@
     ++m_counts.arrived;
     if (const auto reason = refusalAtArrival(taken)) {
         ++m_counts.refusals.at(static_cast<std::size_t>(*reason));
-        m_out.emplace_back(refuse { taken.number, outcome::NotRun, *reason, {}, {} });
+        m_out.emplace_back(refuse { taken.number, outcome::NotRun, *reason, {}, {}, {} });
         return this->taken();
     }
     pending& known = m_requests[taken.number];
@@ -89,6 +89,7 @@
     duration latency = service.latency.usual(firstLatencyGuess);
     if (service.row.keyed()) {
         const target_state& target = m_targets.at(arrived->lane);
+        arrived->target = arrived->lane;
         wait = laneWait(target, target.waiting.size() - 1);
         latency = target.health.latency().usual(firstLatencyGuess);
     } else {
@@ -97,6 +98,7 @@
     const duration spare = arrived->taken.objective - m_now - latency;
     if (wait <= std::max(spare, duration {}))
         return false;
+    arrived->expectedWait = wait;
     arrived->retryAfter = wait - std::max(spare, duration {});
     end(*arrived, outcome::NotRun, refusal_reason::WaitTooLong);
     return true;
@@ -289,7 +291,8 @@
         ++m_counts.cancelled;
     } else {
         ++m_counts.refusals.at(static_cast<std::size_t>(reason));
-        m_out.emplace_back(refuse { number, known, reason, ended.target, ended.retryAfter });
+        m_out.emplace_back(
+            refuse { number, known, reason, ended.target, ended.retryAfter, ended.expectedWait });
     }
     forget(number);
 }
--- a/src/serve/metrics.cc
+++ b/src/serve/metrics.cc
@@ -88,10 +88,16 @@
 
 void node::completed(const proxy::completion& finished)
 {
+    const auto version = m_directory.version(finished.service);
+    m_requestLog.write(finished, version);
+    if (finished.status == 0)
+        return;
     const auto& service = finished.service.value();
     m_metrics.count(metric::Requests, service).add();
     m_metrics.time(metric::ResponseTime, service).observe(finished.total);
     m_metrics.time(metric::WaitTime, service).observe(finished.waited);
 }
 
+void node::rejected(const proxy::rejection& refused) { m_requestLog.write(refused); }
+
 } // namespace pimentomast::serve::detail
--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -66,6 +66,7 @@
 node::node(const settings::settings& values, surroundings& around)
     : m_values(values)
     , m_run(drawIncarnation())
+    , m_requestLog(values.log.requestLines, &telemetry::log)
     , m_around(around)
     , m_store(around.rows())
     , m_directory(m_run, values.ownership.targetLeaseMs)
--- a/src/serve/node.h
+++ b/src/serve/node.h
@@ -11,6 +11,7 @@
 #include "pimentomast/serve.h"
 #include "pimentomast/settings.h"
 #include "pimentomast/telemetry.h"
+#include "request_log.h"
 #include "spread.h"
 
 #include <atomic>
@@ -50,6 +51,7 @@
 
     // proxy::observer
     void completed(const proxy::completion& finished) override;
+    void rejected(const proxy::rejection& refused) override;
 
 private:
     void createParts();
@@ -68,6 +70,7 @@
 
     settings::settings m_values;
     incarnation m_run;
+    request_log m_requestLog;
     telemetry::registry m_metrics;
     surroundings& m_around;
     store::services& m_store;
--- a/src/serve/spread.cc
+++ b/src/serve/spread.cc
@@ -159,7 +159,7 @@
 // The list only adds to what hosts hear from each other.
 duration spread::hostsInterval(instant now) const
 {
-    const bool starting = now - m_started < startTimeS;
+    const bool starting = now - m_started < startTimeS && !m_book.complete(now);
     return starting || !m_options.tables ? m_options.hostsIntervalMs : listIntervalMs;
 }
 
--- a/src/settings/keys.cc
+++ b/src/settings/keys.cc
@@ -290,6 +290,8 @@
         oneOf("log", "format",
             formats { { "text", log_format::Text }, { "json", log_format::Json } },
             member { &s::log, &log_settings::format }),
+        count(
+            "log", "request_lines", { 0, 100000 }, member { &s::log, &log_settings::requestLines }),
         time("drain", "accept_ms", { 0, 600000 }, member { &s::drain, &drain_settings::acceptMs }),
         time("drain", "idle_ms", { 0, 600000 }, member { &s::drain, &drain_settings::idleMs }),
     };
--- a/src/telemetry/log.cc
+++ b/src/telemetry/log.cc
@@ -1,3 +1,4 @@
+#include "line_writer.h"
 #include "pimentomast/telemetry.h"
 
 #include <Poco/JSON/Object.h>
@@ -7,27 +8,24 @@
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
 #include <boost/smart_ptr/make_shared.hpp>
-#include <fstream>
-#include <iostream>
 #include <sstream>
 
 namespace pimentomast::telemetry {
 namespace {
 
 namespace logging = boost::log;
-using backend = logging::sinks::text_ostream_backend;
-using sink = logging::sinks::synchronous_sink<backend>;
+using sink = logging::sinks::synchronous_sink<detail::line_backend>;
 using logger = logging::sources::severity_logger_mt<severity>;
 
 constexpr std::string_view redacted = "(secret)";
 
 struct shared_state {
     log_options options;
+    boost::shared_ptr<detail::line_backend> lines;
     logger source;
 };
 
@@ -89,16 +87,6 @@
     return text.str();
 }
 
-boost::shared_ptr<std::ostream> openStream(const std::string& path)
-{
-    if (path.empty())
-        return { &std::clog, [](std::ostream*) {} };
-    auto file = boost::make_shared<std::ofstream>(path, std::ios::app);
-    if (!*file)
-        throw failure({ "open log file", path, "cannot be opened for appending" });
-    return file;
-}
-
 void formatText(const logging::record_view& record, logging::formatting_ostream& out)
 {
     const auto time = logging::extract<boost::posix_time::ptime>("TimeStamp", record);
@@ -118,9 +106,7 @@
 
 void setUpLog(const log_options& options)
 {
-    auto lines = boost::make_shared<backend>();
-    lines->add_stream(openStream(options.file));
-    lines->auto_flush(true);
+    auto lines = boost::make_shared<detail::line_backend>(detail::line_writer::open(options.file));
     auto output = boost::make_shared<sink>(lines);
     if (options.json)
         output->set_formatter(&formatJson);
@@ -131,6 +117,7 @@
     core->add_global_attribute("TimeStamp", logging::attributes::utc_clock());
     core->add_sink(output);
     state().options = options;
+    state().lines = lines;
 }
 
 void log(severity level, std::string_view event, const std::vector<field>& fields)
@@ -140,6 +127,11 @@
         return;
     const auto make = shared.options.json ? &jsonLine : &textLine;
     const auto line = make(nameOf(level), event, fields, shared.options.secrets);
+    if (const auto missing = shared.lines ? shared.lines->takeLeftOut() : 0; missing > 0) {
+        const auto count = make(nameOf(severity::Warning), "log-lines-left-out",
+            { { "count", std::to_string(missing) } }, {});
+        BOOST_LOG_SEV(shared.source, severity::Warning) << count;
+    }
     BOOST_LOG_SEV(shared.source, level) << line;
 }
 
--- a/test/helper/fixed-dispatcher.h
+++ b/test/helper/fixed-dispatcher.h
@@ -112,6 +112,7 @@
 class silent_observer : public proxy::observer {
 public:
     void completed(const proxy::completion&) override { }
+    void rejected(const proxy::rejection&) override { }
 };
 
 /// Returns a table with a keyed service /weights/KEY (GET and HEAD repeatable), a keyed service
--- a/test/telemetry-test.cc
+++ b/test/telemetry-test.cc
@@ -5,10 +5,13 @@
 #include <Poco/JSON/Parser.h>
 #include <algorithm>
 #include <criterion/criterion.h>
+#include <fcntl.h>
 #include <fstream>
 #include <random>
 #include <sstream>
+#include <sys/stat.h>
 #include <thread>
+#include <unistd.h>
 
 using namespace pimentomast;
 using telemetry::metric;
@@ -150,3 +153,27 @@
     cr_assert(line->getValue<std::string>("host") == "(secret)\"");
     cr_assert(line->getValue<std::string>("time").ends_with("Z"));
 }
+
+// A pipe that nobody reads is full after 64 KB.
+Test(telemetry, log_goes_on_although_its_reader_has_stopped)
+{
+    const auto path = test::scratchFolder() + "/pipe";
+    cr_assert(mkfifo(path.c_str(), 0600) == 0);
+    const int reader = open(path.c_str(), O_RDONLY | O_NONBLOCK);
+    telemetry::log_options options;
+    options.file = path;
+    telemetry::setUpLog(options);
+    constexpr int lines = 2000;
+    for (int i = 0; i < lines; ++i)
+        telemetry::log(
+            telemetry::severity::Info, "decision", { { "text", std::string(100, 'x') } });
+
+    std::string text(1 << 20, '\0');
+    const auto kept = read(reader, text.data(), text.size());
+    const auto written = std::count(text.begin(), text.begin() + kept, '\n');
+    cr_assert(written > 0 && written < lines);
+    telemetry::log(telemetry::severity::Info, "decision");
+    const auto more = read(reader, text.data(), text.size());
+    const std::string count = "event=log-lines-left-out count=" + std::to_string(lines - written);
+    cr_assert(text.substr(0, static_cast<std::size_t>(more)).find(count) != std::string::npos);
+}
