Retry-After by turns: refused requests come back one after the other

All that are refused at one moment were told the same time, at which one slot is free. Change: each target (or queue) gives turns, one per request that it can serve; a turn that comes after the request's deadline is told but not kept. For load in bursts and above capacity.

--- a/src/routing/engine.h
+++ b/src/routing/engine.h
@@ -79,6 +79,18 @@
     instant at;
 };
 
+/// When requests that were refused may come back: one after the other, each when its turn has come,
+/// so that not all of them meet the same free slot.
+class return_turns {
+public:
+    /// Returns the pause of the next one, at least `earliest`; each turn takes `perRequest`. A turn
+    /// that comes after `until` is of no use and stays free.
+    duration next(instant now, duration earliest, duration perRequest, instant until);
+
+private:
+    instant m_free {};
+};
+
 struct target_state {
     target_state(const table::target_row& from, const target_health::limits& healthLimits,
         const window::limits& windowLimits, double quantum, instant coldSince);
@@ -91,6 +103,7 @@
     std::set<request_number> inFlight;
     std::vector<lost_attempt> lost;
     std::optional<incarnation> run;
+    return_turns returns;
     std::optional<load_report> report;
     instant reportedAt {};
     double reportTrust = 1;
@@ -120,6 +133,8 @@
     fair_queue waiting;
     weighted_choice choice;
     retry_budget budget;
+    /// Unkeyed services only.
+    return_turns returns;
     std::deque<request_number> unowned;
     std::deque<request_number> parked;
     std::map<caller_id, std::set<request_number>> waitingByCaller;
@@ -176,8 +191,16 @@
 
     // waiting.cc: requests that are not in flight
     [[nodiscard]] std::optional<refusal_reason> refusalAtArrival(const request& taken);
-    [[nodiscard]] duration laneWait(const target_state& target, std::size_t ahead) const;
-    [[nodiscard]] duration queueWait(const service_state& service) const;
+    /// What a request at the end of a queue has to expect.
+    struct queue_estimate {
+        duration wait {};
+        /// Between two dispatches from the queue.
+        duration perRequest {};
+        /// Of the target, once the request is there.
+        duration latency {};
+    };
+    [[nodiscard]] queue_estimate laneEstimate(const target_state& target, std::size_t ahead) const;
+    [[nodiscard]] queue_estimate queueEstimate(const service_state& service) const;
     bool refuseLate(request_number number);
     [[nodiscard]] bool unreachable(const request& taken, const service_state& service) const;
     bool makeRoom(service_state& service, const caller_id& arriving);
--- a/src/routing/waiting.cc
+++ b/src/routing/waiting.cc
@@ -43,8 +43,16 @@
     return this->taken();
 }
 
+duration return_turns::next(instant now, duration earliest, duration perRequest, instant until)
+{
+    const auto turn = std::max(m_free, now + earliest);
+    if (turn <= until)
+        m_free = turn + perRequest;
+    return turn - now;
+}
+
 // Requests ahead in the lane are served at the rate that the target's window and latency allow.
-duration engine::laneWait(const target_state& target, std::size_t ahead) const
+engine::queue_estimate engine::laneEstimate(const target_state& target, std::size_t ahead) const
 {
     const auto outstanding = static_cast<double>(target.inFlight.size());
     const double size = std::max(target.window.size(), windowFloor);
@@ -52,11 +60,12 @@
     const duration latency = target.health.latency().usual(firstLatencyGuess);
     const auto perRequest = std::chrono::duration<double, std::micro>(latency) / size;
     const auto pause = std::max(target.shedUntil - m_now, duration {});
-    return pause + std::chrono::duration_cast<duration>(perRequest * std::max(late, 0.0));
+    const auto queued = std::chrono::duration_cast<duration>(perRequest * std::max(late, 0.0));
+    return { pause + queued, std::chrono::duration_cast<duration>(perRequest), latency };
 }
 
 // Targets of a service without keys share its queue.
-duration engine::queueWait(const service_state& service) const
+engine::queue_estimate engine::queueEstimate(const service_state& service) const
 {
     double perSecond = 0;
     double room = 0;
@@ -70,10 +79,13 @@
         perSecond += size / latency.count();
         room += std::max(size - static_cast<double>(target.inFlight.size()), 0.0);
     }
+    const duration latency = service.latency.usual(firstLatencyGuess);
     const double late = static_cast<double>(service.waiting.size()) - std::max(room, 0.0);
     if (late <= 0 || perSecond <= 0)
-        return {};
-    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(late / perSecond));
+        return { {}, {}, latency };
+    const std::chrono::duration<double> perRequest(1 / perSecond);
+    return { std::chrono::duration_cast<duration>(perRequest * late),
+        std::chrono::duration_cast<duration>(perRequest), latency };
 }
 
 // For load above capacity: a target's time goes to requests that can still be answered in time.
@@ -85,21 +97,19 @@
         || arrived->taken.objective == instant::max())
         return false;
     service_state& service = *findService(arrived->taken.service);
-    duration wait;
-    duration latency = service.latency.usual(firstLatencyGuess);
-    if (service.row.keyed()) {
-        const target_state& target = m_targets.at(arrived->lane);
-        arrived->target = arrived->lane;
-        wait = laneWait(target, target.waiting.size() - 1);
-        latency = target.health.latency().usual(firstLatencyGuess);
-    } else {
-        wait = queueWait(service);
-    }
-    const duration spare = arrived->taken.objective - m_now - latency;
-    if (wait <= std::max(spare, duration {}))
+    target_state* owner = service.row.keyed() ? findTarget(arrived->lane) : nullptr;
+    const auto estimate
+        = owner ? laneEstimate(*owner, owner->waiting.size() - 1) : queueEstimate(service);
+    const duration spare
+        = std::max(arrived->taken.objective - m_now - estimate.latency, duration {});
+    if (estimate.wait <= spare)
         return false;
-    arrived->expectedWait = wait;
-    arrived->retryAfter = wait - std::max(spare, duration {});
+    if (owner)
+        arrived->target = arrived->lane;
+    auto& returns = owner ? owner->returns : service.returns;
+    arrived->expectedWait = estimate.wait;
+    arrived->retryAfter = returns.next(m_now, estimate.wait - spare, estimate.perRequest,
+        arrived->taken.deadline - estimate.latency);
     end(*arrived, outcome::NotRun, refusal_reason::WaitTooLong);
     return true;
 }
--- a/test/routing-overload-test.cc
+++ b/test/routing-overload-test.cc
@@ -2,6 +2,7 @@
 #include "routing/window.h"
 
 #include <criterion/criterion.h>
+#include <set>
 
 using namespace pimentomast;
 using namespace pimentomast::routing;
@@ -63,6 +64,56 @@
     cr_assert_leq(refused, 19);
 }
 
+namespace {
+
+constexpr duration serviceTime = 100ms;
+constexpr duration objective = 300ms;
+
+/// Sends a request; returns when it may come back, if it was refused.
+std::optional<instant> refusedUntil(driver& test)
+{
+    auto asked = test.make();
+    asked.objective = test.now + objective;
+    asked.deadline = test.now + 10s;
+    const auto refusal = test.refusal(test.arrive(asked));
+    return refusal ? std::optional(test.now + refusal->retryAfter) : std::nullopt;
+}
+
+} // namespace
+
+// Load: a burst of 20 requests for one target; those that were refused come back when they were
+// told to.
+Test(routing_overload, refused_requests_come_back_one_after_the_other)
+{
+    driver test(makeTable(1, false, 1), quietTargets());
+    std::size_t seen = 0;
+    for (int i = 0; i < 50; ++i) {
+        test.arrive(test.make());
+        test.run(serviceTime);
+        serve(test, seen, serviceTime);
+    }
+    std::multiset<instant> returns;
+    for (int i = 0; i < 20; ++i) {
+        if (const auto until = refusedUntil(test))
+            returns.insert(*until);
+    }
+    cr_assert_geq(returns.size(), 15);
+    unsigned again = 0;
+    instant answerAt = test.now + serviceTime;
+    while (!returns.empty()) {
+        const auto next = std::min(*returns.begin(), answerAt);
+        test.run(std::max(next - test.now, duration::zero()));
+        if (next == answerAt) {
+            serve(test, seen, serviceTime);
+            answerAt += serviceTime;
+            continue;
+        }
+        returns.erase(returns.begin());
+        again += refusedUntil(test) ? 1 : 0;
+    }
+    cr_assert_leq(again, 2, "%u refused again", again);
+}
+
 Test(routing_overload, without_an_objective_requests_wait_as_before)
 {
     driver test(makeTable(1, false, 1), quietTargets());
