--- a/test/ownership-gap-test.cc
+++ b/test/ownership-gap-test.cc
@@ -214,8 +214,8 @@
 /// Moves are at another step of their way for each seed.
 milliseconds progressOf(std::uint64_t seed) { return milliseconds { 10 } * seed; }
 
-/// A key waits while its old owner drains, 80 ms at most, and until the next renewal is answered; if
-/// the store is silent, until the old owner is granted it again.
+/// A key waits while its old owner drains, 80 ms at most, and until the next renewal is answered;
+/// if the store is silent, until the old owner is granted it again.
 const milliseconds mostMoveGap
     = milliseconds { 80 } + timings {}.announce + 2 * timings {}.targetRenewal;
 
