--- a/src/ownership/commit.cc
+++ b/src/ownership/commit.cc
@@ -72,6 +72,7 @@
     propose(joins);
     if (!behind && m_proposed.slices == m_assignment->slices)
         return;
+    m_lastNumber = m_proposed.number;
     m_unwritten.clear();
     m_staleStandbys = false;
     holdJoined();
@@ -91,7 +92,7 @@
         (each.byLoss ? lost : planned).push_back(each);
     }
     m_proposed = *m_assignment;
-    m_proposed.number = nextNumber();
+    m_proposed.number = sequence { m_lastNumber.value() + 1 };
     m_proposed.slices = detail::applyMoves(m_proposed.slices, lost, m_proposed.version());
     m_proposed.slices = detail::withStandbys(m_proposed.slices, planned);
     m_proposed.slices = detail::joinNeighbours(m_proposed.slices, joins);
--- a/src/ownership/slices.cc
+++ b/src/ownership/slices.cc
@@ -12,6 +12,18 @@
 {
     return left.range.first < right.range.first;
 }
+
+/// Adds what lies outside the ranges; returns all in order.
+std::vector<owned_slice> withRest(std::vector<owned_slice> changed,
+    const std::vector<owned_slice>& slices, const std::vector<slice>& ranges)
+{
+    for (const auto& each : slices) {
+        for (const auto& part : subtract(each.range, ranges))
+            changed.push_back({ part, each.owner, each.grant, each.standby });
+    }
+    std::sort(changed.begin(), changed.end(), comesFirst);
+    return changed;
+}
 } // namespace
 
 std::vector<owned_slice> splitByWeight(
@@ -62,12 +74,7 @@
         ranges.push_back(each.range);
         result.push_back({ each.range, each.to, grant, {} });
     }
-    for (const auto& each : slices) {
-        for (const auto& part : subtract(each.range, ranges))
-            result.push_back({ part, each.owner, each.grant, each.standby });
-    }
-    std::sort(result.begin(), result.end(), comesFirst);
-    return result;
+    return withRest(std::move(result), slices, ranges);
 }
 
 std::vector<owned_slice> withStandbys(
@@ -83,12 +90,7 @@
                     { common(owned.range, each.range), owned.owner, owned.grant, each.to });
         }
     }
-    for (const auto& each : slices) {
-        for (const auto& part : subtract(each.range, ranges))
-            result.push_back({ part, each.owner, each.grant, each.standby });
-    }
-    std::sort(result.begin(), result.end(), comesFirst);
-    return result;
+    return withRest(std::move(result), slices, ranges);
 }
 
 std::vector<owned_slice> joinNeighbours(
--- a/test/routing-overload-test.cc
+++ b/test/routing-overload-test.cc
@@ -27,6 +27,8 @@
     return chosen;
 }
 
+constexpr duration serviceTime = 100ms;
+
 /// Answers each attempt that was dispatched, after the time that one request takes alone.
 void serve(driver& test, std::size_t& seen, duration taken)
 {
@@ -35,18 +37,25 @@
         test.finish(attempts[seen], answered { 200, taken, taken });
 }
 
+/// Lets the router learn how long a target takes; returns the attempts that were dispatched.
+std::size_t warmUp(driver& test)
+{
+    std::size_t seen = 0;
+    for (int i = 0; i < 50; ++i) {
+        test.arrive(test.make());
+        test.run(serviceTime);
+        serve(test, seen, serviceTime);
+    }
+    return seen;
+}
+
 } // namespace
 
 // Load: one target, more requests at once than it can answer within their objective.
 Test(routing_overload, what_would_miss_its_objective_is_refused_at_once)
 {
     driver test(makeTable(1, false, 1), quietTargets());
-    std::size_t seen = 0;
-    for (int i = 0; i < 50; ++i) {
-        test.arrive(test.make());
-        test.run(100ms);
-        serve(test, seen, 100ms);
-    }
+    (void)warmUp(test);
     unsigned refused = 0;
     for (int i = 0; i < 20; ++i) {
         auto asked = test.make();
@@ -66,7 +75,6 @@
 
 namespace {
 
-constexpr duration serviceTime = 100ms;
 constexpr duration objective = 300ms;
 
 /// Sends a request; returns when it may come back, if it was refused.
@@ -86,12 +94,7 @@
 Test(routing_overload, refused_requests_come_back_one_after_the_other)
 {
     driver test(makeTable(1, false, 1), quietTargets());
-    std::size_t seen = 0;
-    for (int i = 0; i < 50; ++i) {
-        test.arrive(test.make());
-        test.run(serviceTime);
-        serve(test, seen, serviceTime);
-    }
+    auto seen = warmUp(test);
     std::multiset<instant> returns;
     for (int i = 0; i < 20; ++i) {
         if (const auto until = refusedUntil(test))
