--- a/src/serve/request_log.cc
+++ b/src/serve/request_log.cc
@@ -137,7 +137,10 @@
         line.add("key_hash", std::to_string(finished.key->value()));
         line.add("assignment", versionText(version));
     }
-    m_write(telemetry::severity::Info, failed ? "request-failed" : "request-served", line.all());
+    if (failed)
+        m_write(telemetry::severity::Info, "request-failed", line.all());
+    else
+        m_write(telemetry::severity::Info, "request-served", line.all());
 }
 
 void request_log::write(const proxy::rejection& refused)
--- a/test/command-docs-test.cc
+++ b/test/command-docs-test.cc
@@ -218,6 +218,9 @@
     const std::string logged = "log\\([^;\"]*severity::[A-Za-z]+,\\s*\"([a-z-]+)\"";
     names events = namesInSources("src", logged);
     events.merge(namesInSources("platform", logged));
+    events.merge(
+        namesInSources("src/serve", "m_write\\(telemetry::severity::[A-Za-z]+,\\s*\"([a-z-]+)\""));
+    events.merge(namesInSources("src/telemetry", "severity::Warning\\),\\s*\"([a-z-]+)\""));
     events.merge(namesInSources("platform", "logRefused\\(\"([a-z-]+)\""));
     // Chosen by whether the store answers.
     events.insert({ "store-lost", "store-regained" });
