--- /dev/null
+++ b/bench/proxy/clients.cc
@@ -0,0 +1,170 @@
+#include "clients.h"
+
+#include "pimentomast/core.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <array>
+#include <poll.h>
+#include <stdexcept>
+#include <string>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+namespace bench {
+namespace {
+
+using namespace pimentomast;
+
+int connectTo(std::uint16_t port)
+{
+    const int connection = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    if (connect(connection, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0)
+        throw std::runtime_error("connect failed");
+    setNoDelay(connection);
+    return connection;
+}
+
+/// One connection of a client, which sends its next request at a set time or at once.
+struct lane {
+    int socket = -1;
+    std::string request;
+    std::string input;
+    instant due;
+    bool waiting = false;
+};
+
+struct outcome {
+    std::vector<std::uint32_t> latenciesUs;
+    std::uint64_t wrong = 0;
+};
+
+void sendDue(lane& each, instant now, instant end)
+{
+    if (each.waiting || each.due > now || now >= end)
+        return;
+    (void)send(each.socket, each.request.data(), each.request.size(), MSG_NOSIGNAL);
+    each.waiting = true;
+}
+
+/// Latency counts from the time at which the request was due, so that a stall is not left out.
+void receiveAnswer(lane& each, outcome& result, duration period)
+{
+    std::array<char, 4096> piece {};
+    const ssize_t got = recv(each.socket, piece.data(), piece.size(), MSG_DONTWAIT);
+    if (got == 0)
+        throw std::runtime_error("connection closed");
+    if (got < 0)
+        return;
+    each.input.append(piece.data(), static_cast<std::size_t>(got));
+    if (!each.input.ends_with("\"41.50\"}"))
+        return;
+    result.wrong += each.input.starts_with("HTTP/1.1 200") ? 0 : 1;
+    each.input.clear();
+    each.waiting = false;
+    const instant now = monotonic_clock::now();
+    result.latenciesUs.push_back(static_cast<std::uint32_t>((now - each.due).count()));
+    each.due = period == duration::zero() ? now : each.due + period;
+}
+
+int pollWaitMs(const std::vector<lane>& lanes, instant now)
+{
+    instant next = now + std::chrono::milliseconds(50);
+    for (const lane& each : lanes) {
+        if (!each.waiting)
+            next = std::min(next, each.due);
+    }
+    return next - now > std::chrono::milliseconds(2)
+        ? static_cast<int>((next - now).count() / 1000 - 1)
+        : 0;
+}
+
+/// Runs the lanes until the end. period zero: each sends its next request at once.
+outcome drive(std::vector<lane>& lanes, instant end, duration period)
+{
+    outcome result;
+    std::vector<pollfd> watched;
+    watched.reserve(lanes.size());
+    for (const lane& each : lanes)
+        watched.push_back({ each.socket, POLLIN, 0 });
+    while (true) {
+        const instant now = monotonic_clock::now();
+        for (lane& each : lanes)
+            sendDue(each, now, end);
+        const bool pending = std::any_of(
+            lanes.begin(), lanes.end(), [](const lane& each) { return each.waiting; });
+        if (!pending && now >= end)
+            return result;
+        poll(watched.data(), watched.size(), pollWaitMs(lanes, now));
+        for (std::size_t i = 0; i < lanes.size(); ++i) {
+            if (watched[i].revents != 0)
+                receiveAnswer(lanes[i], result, period);
+        }
+    }
+}
+
+std::vector<lane> openLanes(const load& sent, const ports& servers, duration period)
+{
+    std::vector<lane> lanes(sent.connections / sent.threads);
+    const instant start = monotonic_clock::now();
+    for (std::size_t i = 0; i < lanes.size(); ++i) {
+        lanes[i].socket = connectTo(servers[i % servers.size()]);
+        lanes[i].request
+            = "GET /weights/g" + std::to_string(i) + " HTTP/1.1\r\nHost: bench\r\n\r\n";
+        lanes[i].due = start + period * static_cast<long>(i) / static_cast<long>(lanes.size());
+    }
+    return lanes;
+}
+
+figures summarize(std::vector<outcome>& outcomes, double elapsedS)
+{
+    std::vector<std::uint32_t> all;
+    figures sum;
+    for (const outcome& each : outcomes) {
+        all.insert(all.end(), each.latenciesUs.begin(), each.latenciesUs.end());
+        sum.wrong += each.wrong;
+    }
+    std::sort(all.begin(), all.end());
+    const auto at = [&all](double share) {
+        return all.empty() ? 0.0 : all[static_cast<std::size_t>(share * double(all.size() - 1))];
+    };
+    sum.requests = all.size();
+    sum.perSecond = static_cast<double>(all.size()) / elapsedS;
+    sum.p50Us = at(0.5);
+    sum.p99Us = at(0.99);
+    sum.p999Us = at(0.999);
+    return sum;
+}
+
+} // namespace
+
+figures measure(const load& sent, const ports& servers)
+{
+    const duration period = sent.rate > 0
+        ? duration(static_cast<long>(1e6 * sent.connections / sent.rate))
+        : duration::zero();
+    std::vector<outcome> outcomes(sent.threads);
+    std::vector<std::thread> threads;
+    threads.reserve(outcomes.size());
+    const instant start = monotonic_clock::now();
+    const instant end = start + std::chrono::seconds(sent.seconds);
+    for (outcome& each : outcomes) {
+        threads.emplace_back([&sent, &each, &servers, period, end] {
+            std::vector<lane> lanes = openLanes(sent, servers, period);
+            each = drive(lanes, end, period);
+            for (const lane& open : lanes)
+                close(open.socket);
+        });
+    }
+    for (std::thread& thread : threads)
+        thread.join();
+    const std::chrono::duration<double> elapsed = monotonic_clock::now() - start;
+    return summarize(outcomes, elapsed.count());
+}
+
+} // namespace bench
--- a/include/pimentomast/core.h
+++ b/include/pimentomast/core.h
@@ -160,6 +160,14 @@
 template <class T>
 using result = boost::outcome_v2::basic_result<T, error, detail::throw_failure>;
 
+/// One visitor of several functions.
+template <class... Handlers>
+struct overloaded : Handlers... {
+    using Handlers::operator()...;
+};
+template <class... Handlers>
+overloaded(Handlers...) -> overloaded<Handlers...>;
+
 } // namespace pimentomast
 
 template <class Tag, class Rep>
--- a/include/pimentomast/membership.h
+++ b/include/pimentomast/membership.h
@@ -160,6 +160,38 @@
     std::map<host_id, confirmation> m_peers;
 };
 
+/// An entry of the store that a host knows, and the group whose entries lapse together.
+struct grouped_entry {
+    std::string name;
+    service_id group;
+};
+
+/// Decides when an entry that has gone from the store counts as gone. It may only have lapsed while
+/// the store was away, and come back. Entries count as lapsed only if most of their group are gone:
+/// otherwise the rest of the group can serve, and one that did leave must get no more work.
+class departures {
+public:
+    /// The store answered this host or a peer then.
+    void storeAnswered(instant at);
+    /// The entry is there.
+    void present(const std::string& name) { m_gone.erase(name); }
+    /// The entry is not there (any more).
+    void gone(instant now, const std::string& name) { m_gone.try_emplace(name, now); }
+    /// Returns the entries that count as gone from now on. known: all that are there or were.
+    [[nodiscard]] std::vector<std::string> due(
+        instant now, const std::vector<grouped_entry>& known);
+    /// Whether due() may return something, now or later.
+    [[nodiscard]] bool pending() const noexcept { return !m_gone.empty(); }
+
+private:
+    void judge(instant now, const std::vector<grouped_entry>& known);
+
+    /// When each counts as gone.
+    std::map<std::string, instant> m_gone;
+    std::optional<instant> m_lastAnswer;
+    instant m_graceUntil {};
+};
+
 struct look_options {
     /// Between two looks of the host that looks for the others.
     std::chrono::milliseconds oftenMs { 300 };
--- a/src/admin/answers.cc
+++ b/src/admin/answers.cc
@@ -1,6 +1,6 @@
 #include "answers.h"
 
-#include "pimentomast/table.h"
+#include "pimentomast/edits.h"
 
 #include <Poco/DateTimeFormat.h>
 #include <Poco/DateTimeFormatter.h>
--- a/src/ownership/json.h
+++ b/src/assignment/json.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "pimentomast/ownership.h"
+#include "pimentomast/assignment.h"
 
 #include <Poco/Exception.h>
 #include <Poco/JSON/Array.h>
--- a/src/ownership/route_table.cc
+++ b/src/assignment/route_table.cc
@@ -1,4 +1,4 @@
-#include "pimentomast/ownership.h"
+#include "pimentomast/assignment.h"
 
 #include <algorithm>
 
--- a/src/command/notifying_store.cc
+++ b/src/command/notifying_store.cc
@@ -1,7 +1,7 @@
 #include "notifying_store.h"
 
+#include "pimentomast/edits.h"
 #include "pimentomast/peers.h"
-#include "pimentomast/table.h"
 
 #include <condition_variable>
 #include <mutex>
--- a/src/command/table_commands.cc
+++ b/src/command/table_commands.cc
@@ -1,7 +1,7 @@
 #include "notifying_store.h"
 #include "subcommands.h"
 
-#include "pimentomast/table.h"
+#include "pimentomast/edits.h"
 
 #include <Poco/DateTimeFormat.h>
 #include <Poco/DateTimeFormatter.h>
--- a/src/proxy/reason.cc
+++ b/src/dispatch/reason.cc
@@ -1,4 +1,6 @@
-#include "reason.h"
+#include "pimentomast/dispatch.h"
+
+#include <array>
 
 namespace pimentomast::proxy {
 namespace {
@@ -60,6 +62,6 @@
 
 std::string_view name(reason why) noexcept { return rowOf(why).name; }
 
-int detail::statusOf(reason why) noexcept { return rowOf(why).status; }
+int statusOf(reason why) noexcept { return rowOf(why).status; }
 
 } // namespace pimentomast::proxy
--- a/src/proxy/routed-dispatcher.cc
+++ b/src/dispatch/routed-dispatcher.cc
@@ -1,4 +1,3 @@
-#include "overloaded.h"
 #include "router-results.h"
 
 #include <atomic>
@@ -12,7 +11,6 @@
 namespace pimentomast::proxy {
 namespace {
 
-using detail::overloaded;
 using detail::routerResult;
 using detail::statusOf;
 
--- a/src/proxy/router-results.cc
+++ b/src/dispatch/router-results.cc
@@ -1,7 +1,5 @@
 #include "router-results.h"
 
-#include "overloaded.h"
-
 namespace pimentomast::proxy::detail {
 namespace {
 
--- a/src/proxy/router-results.h
+++ b/src/dispatch/router-results.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "pimentomast/proxy.h"
+#include "pimentomast/dispatch.h"
 
 namespace pimentomast::proxy::detail {
 
--- a/src/table/history.h
+++ b/src/edits/history.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "pimentomast/table.h"
+#include "pimentomast/edits.h"
 
 /// Older versions of the table in the platform's table service.
 ///
--- a/src/table/json.cc
+++ b/src/edits/json.cc
@@ -1,4 +1,4 @@
-#include "pimentomast/table.h"
+#include "pimentomast/edits.h"
 
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
--- a/src/table/store.cc
+++ b/src/edits/store.cc
@@ -1,6 +1,6 @@
 #include "history.h"
 
-#include "cells.h"
+#include "../table/cells.h"
 
 #include <algorithm>
 
--- a/src/ownership/coordinator_row.cc
+++ b/src/ownership/coordinator_row.cc
@@ -1,4 +1,5 @@
-#include "json.h"
+#include "../assignment/json.h"
+#include "pimentomast/ownership.h"
 
 namespace pimentomast::ownership {
 
--- a/src/proxy/host-run.cc
+++ b/src/proxy/host-run.cc
@@ -1,8 +1,6 @@
 #include "host.h"
 
-#include "overloaded.h"
 #include "probe.h"
-#include "reason.h"
 
 #include <algorithm>
 
--- a/src/proxy/host.cc
+++ b/src/proxy/host.cc
@@ -1,7 +1,5 @@
 #include "host.h"
 
-#include "reason.h"
-
 #include <Poco/Exception.h>
 
 namespace pimentomast::proxy::detail {
--- a/src/serve/announcing_store.h
+++ b/src/serve/announcing_store.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "pimentomast/edits.h"
 #include "pimentomast/store.h"
-#include "pimentomast/table.h"
 
 #include <functional>
 
--- a/src/serve/spread.cc
+++ b/src/serve/spread.cc
@@ -1,5 +1,6 @@
 #include "spread.h"
 
+#include "pimentomast/edits.h"
 #include "pimentomast/telemetry.h"
 
 #include <algorithm>
--- a/test/admin-test.cc
+++ b/test/admin-test.cc
@@ -3,7 +3,7 @@
 #include "helper.h"
 
 #include "pimentomast/command.h"
-#include "pimentomast/table.h"
+#include "pimentomast/edits.h"
 
 #include <Poco/Net/StreamSocket.h>
 #include <atomic>
--- a/test/helper/network.cc
+++ b/test/helper/network.cc
@@ -130,7 +130,7 @@
 {
     // Made anew by mkdtemp: names by process id alone meet the folders of earlier processes.
     static const std::string path = [] {
-        std::string name = Poco::Path::temp() + "pimentomast-XXXXXX";
+        std::string name = Poco::Path::temp() + "pimentomast-" + std::string(6, 'X');
         if (!mkdtemp(name.data()))
             throw std::runtime_error("no folder for the test's files");
         if (!std::getenv("PIMENTOMAST_KEEP"))
--- a/test/ownership-parties.h
+++ b/test/ownership-parties.h
@@ -3,6 +3,7 @@
 #include "pimentomast/ownership.h"
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <set>
 
@@ -95,6 +96,42 @@
         return true;
     }
 
+    /// Takes a message or refuses it; drained tells of each slice given up whether nothing runs on
+    /// it.
+    bool take(std::int64_t now, const grant_message& message, const std::function<bool()>& drained)
+    {
+        if (!accepts(now, message))
+            return false;
+        if (message.adopt)
+            return true;
+        if (message.repeats == sequence {}) {
+            listNumber = message.number;
+            list = message.slices;
+        }
+        hold(now, message, drained);
+        return true;
+    }
+
+    void hold(std::int64_t now, const grant_message& message, const std::function<bool()>& drained)
+    {
+        const auto ends = static_cast<std::int64_t>(message.echoUs) + message.lease.count() * 1000;
+        const auto before = std::exchange(held, {});
+        const bool expired = ends <= clock(now);
+        for (const auto& each : list) {
+            if (!expired)
+                held.push_back({ each.range, each.grant, false });
+        }
+        for (auto each : before) {
+            const bool kept = std::any_of(
+                list.begin(), list.end(), [&](const auto& one) { return one.range == each.range; });
+            if (kept || drained())
+                continue;
+            each.draining = true;
+            held.push_back(each);
+        }
+        leaseEndsUs = ends;
+    }
+
     grant_reply reply(std::int64_t now, sequence repeated) const
     {
         grant_reply answer;
--- a/test/ownership-world.h
+++ b/test/ownership-world.h
@@ -263,7 +263,9 @@
             at(target.frozenUntil, [=, this] { deliverGrant(index, run, number, todo); });
             return;
         }
-        const bool taken = take(target, number, todo.message);
+        const bool taken = target.take(now, todo.message, [this] { return chance(0.5); });
+        if (taken && !todo.message.adopt)
+            endDrain(number);
         auto reply = target.reply(now, taken ? todo.message.repeats : sequence {});
         reply.tellsAll = m_options.tellHoldings;
         if (todo.message.adopt && !m_options.tellHoldings)
@@ -276,41 +278,10 @@
         });
     }
 
-    bool take(fake_target& target, int number, const grant_message& message)
+    /// The target holds what it no longer shall until it has drained.
+    void endDrain(int number)
     {
-        if (!target.accepts(now, message))
-            return false;
-        if (message.adopt)
-            return true;
-        if (message.repeats == sequence {}) {
-            target.listNumber = message.number;
-            target.list = message.slices;
-        }
-        auto complete = message;
-        complete.slices = target.list;
-        hold(target, number, complete);
-        return true;
-    }
-
-    void hold(fake_target& target, int number, const grant_message& message)
-    {
-        const auto ends = static_cast<std::int64_t>(message.echoUs) + message.lease.count() * 1000;
-        const auto before = std::exchange(target.held, {});
-        const bool expired = ends <= target.clock(now);
-        for (const auto& each : message.slices) {
-            if (!expired)
-                target.held.push_back({ each.range, each.grant, false });
-        }
-        for (auto each : before) {
-            const bool kept = std::any_of(message.slices.begin(), message.slices.end(),
-                [&](const auto& one) { return one.range == each.range; });
-            if (kept || chance(0.5))
-                continue;
-            each.draining = true;
-            target.held.push_back(each);
-        }
-        target.leaseEndsUs = ends;
-        const auto run = target.run;
+        const auto run = targets[static_cast<std::size_t>(number)].run;
         at(now + between(1'000, 80'000), [=, this] {
             auto& later = targets[static_cast<std::size_t>(number)];
             if (later.run == run)
--- a/test/table-store-test.cc
+++ b/test/table-store-test.cc
@@ -1,4 +1,4 @@
-#include "pimentomast/table.h"
+#include "pimentomast/edits.h"
 
 #include <criterion/criterion.h>
 #include <functional>
