Keys of a leaving target are not held back for five seconds by a short outage

Cause, found by reading the diff: a move that is given back since its row is not written was postponed like one that placement wants (5 s), also for a target that leaves, to which hosts send nothing after 0.95 s. Change: such a move is tried again after the time for which the row was waited for (0.4 s).

--- a/src/ownership/moves.cc
+++ b/src/ownership/moves.cc
@@ -291,7 +291,9 @@
 {
     each.givenUp = true;
     m_staleStandbys = m_staleStandbys || each.announced;
-    m_postponed.push_back({ each.range, now + m_options.times.retryMove });
+    // Hosts soon send a leaving target nothing, so its keys must not wait.
+    const auto pause = each.forced ? m_options.times.announce : m_options.times.retryMove;
+    m_postponed.push_back({ each.range, now + pause });
     std::set<request_number> ignored;
     sendHolds(each.range, std::chrono::milliseconds { 0 }, ignored);
     m_targets.at(each.from).nextSend = now;
--- a/test/ownership-gap-test.cc
+++ b/test/ownership-gap-test.cc
@@ -244,3 +244,17 @@
         cr_assert_leq(longestGap(system, milliseconds { 20000 }), milliseconds { 2000 });
     }
 }
+
+Test(ownership_gap, short_outage_does_not_keep_keys_at_a_leaving_target)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        auto system = settled(seed);
+        beginMoves(system, progressOf(seed));
+        system.current.outage = true;
+        system.runFor(milliseconds { 1000 });
+        system.current.outage = false;
+        system.runFor(milliseconds { 2000 });
+        for (int i = 0; i < sampledHashes; ++i)
+            cr_assert(!system.targets[0].holds(system.now, world::sample(i)));
+    }
+}
