Log rounds of the control timer and tables that take too long

No log line told whether a host that stops taking tables computes, waits or is starved: control-slow names the work, its duration and its slowest stage.

--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -2,6 +2,7 @@
 
 #include "grant_client.h"
 #include "range_grants.h"
+#include "stage_timer.h"
 
 #include <random>
 
@@ -14,6 +15,24 @@
 constexpr std::chrono::milliseconds loadTimeoutMs { 500 };
 constexpr std::chrono::milliseconds handoverTimeoutMs { 3000 };
 constexpr std::chrono::milliseconds grantTimeoutMs { 400 };
+/// A round of the control timer, or a new table, that takes longer is logged.
+constexpr std::chrono::milliseconds slowWorkMs { 250 };
+
+std::string milliseconds(duration span)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
+}
+
+void logIfSlow(std::string_view work, const stage_timer& timer)
+{
+    const auto slowest = timer.slowerThan(slowWorkMs);
+    if (!slowest)
+        return;
+    telemetry::log(telemetry::severity::Warning, "control-slow",
+        { { "work", std::string(work) }, { "took_ms", milliseconds(slowest->total) },
+            { "slowest", std::string(slowest->name) },
+            { "slowest_ms", milliseconds(slowest->took) } });
+}
 
 incarnation randomIncarnation()
 {
@@ -175,11 +194,16 @@
 
 void node::putTable(const std::shared_ptr<const table::table>& table)
 {
+    stage_timer timer(monotonic_clock::now());
     m_directory.putTable(table);
     m_proxy->setTable(table);
     m_dispatch->applyTable(*table);
+    timer.endStage("requests", monotonic_clock::now());
     m_coordinators->applyTable(*table);
+    timer.endStage("coordinators", monotonic_clock::now());
     m_gossip->exchangeWithAll();
+    timer.endStage("exchange", monotonic_clock::now());
+    logIfSlow("table", timer);
     telemetry::log(telemetry::severity::Info, "table-in-force",
         { { "version", std::to_string(table->version.value()) }, { "editor", table->editor } });
 }
@@ -196,20 +220,27 @@
     instant nextLoad {};
     while (!m_stopTimers) {
         const auto now = monotonic_clock::now();
+        stage_timer timer(now);
         m_peerRegistry->setLeaving(markedLeaving());
         m_gossip->setLeaving(markedLeaving());
         m_gossip->tick(now);
+        timer.endStage("gossip", monotonic_clock::now());
         m_coordinators->applyMembership(m_peerRegistry->live(now), m_peerRegistry->complete(now));
         m_coordinators->tick();
+        timer.endStage("coordinators", monotonic_clock::now());
         m_dispatch->applyConfirmed(tableConfirmed(now));
         m_dispatch->applyLiveHosts(m_peerRegistry->connectionSharers(now));
         m_proxy->setHealthy(currentHealth().accepting);
+        timer.endStage("routing", monotonic_clock::now());
         if (now >= nextLoad)
             nextLoad = now + reportInterval(reportLoads(now), m_values.placement.reportMs);
+        timer.endStage("load", monotonic_clock::now());
         if (now >= nextRebalance) {
             nextRebalance = now + m_values.placement.intervalMs;
             m_coordinators->rebalance();
         }
+        timer.endStage("placement", monotonic_clock::now());
+        logIfSlow("round", timer);
         std::this_thread::sleep_for(controlTickMs);
     }
 }
