Plan placement in time that grows with slices, not with targets squared

What callers saw: on the grown deployments a host that became coordinator put no further table in force, so it used routes that had been changed (CONFIG) and targets that were leaving (DRAIN), and it renewed neither its authority nor grants, so keyed requests came to targets that did not hold the key. Cause: planner::plan(). Each move for balance looked at all slices, each slice at all targets, and each target's failure domain was added up over all targets again: moves x slices x targets^2, with a comparison of strings inside. Class: work that grows faster than the installation, on a host's control timer. Ties are broken by a hash of numbers instead of texts. Ruled out: fewer moves a round (would only divide the time by a constant).

--- a/src/balancing/changes.cc
+++ b/src/balancing/changes.cc
@@ -1,4 +1,4 @@
-#include "pimentomast/balancing.h"
+#include "planning.h"
 
 #include <algorithm>
 
@@ -8,10 +8,12 @@
 
 using slice_iterator = std::vector<placed_slice>::iterator;
 
+// The slices are sorted by first hash.
 slice_iterator locate(std::vector<placed_slice>& slices, const slice& keys)
 {
-    return std::find_if(
-        slices.begin(), slices.end(), [&](const placed_slice& each) { return each.keys == keys; });
+    const auto found = std::lower_bound(slices.begin(), slices.end(), keys.first,
+        [](const placed_slice& each, key_hash first) { return each.keys.first < first; });
+    return found != slices.end() && found->keys == keys ? found : slices.end();
 }
 
 double width(const slice& keys)
@@ -51,9 +53,7 @@
         const auto second = first + 1;
         if (first->owner != second->owner)
             return applyError("the adjacent slices have different owners");
-        first->keys.last = second->keys.last;
-        first->load += second->load;
-        first->movedAt = std::max(first->movedAt, second->movedAt);
+        mergeInto(*first, *second);
         slices.erase(second);
         return boost::outcome_v2::success();
     }
@@ -73,6 +73,13 @@
 
 } // namespace
 
+void mergeInto(placed_slice& first, const placed_slice& second)
+{
+    first.keys.last = second.keys.last;
+    first.load += second.load;
+    first.movedAt = std::max(first.movedAt, second.movedAt);
+}
+
 result<void> apply(instant now, std::vector<placed_slice>& slices, const proposal& change)
 {
     return std::visit(apply_visitor { now, slices }, change);
--- a/src/balancing/planning.cc
+++ b/src/balancing/planning.cc
@@ -1,25 +1,66 @@
 #include "planning.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
-#include <limits>
 
 namespace pimentomast::balancing {
+namespace {
+
+/// Allows for rounding where a lower bound of a target's load is compared with the load of another.
+constexpr double boundSlack = 1 - 1e-9;
+
+} // namespace
 
 planning_round::planning_round(const planner_options& settings, const plan_input& input)
     : m_settings(settings)
     , m_input(input)
     , m_slices(input.slices)
 {
-    for (const placement_target& target : input.targets)
-        m_targetLoads[target.id] = target_load { target, effectiveWeight(target), 0 };
+    addTargets();
+    addSlices();
+}
+
+void planning_round::addTargets()
+{
+    std::map<domain_id, std::size_t> domains;
+    for (const placement_target& target : m_input.targets) {
+        const auto domain = domains.try_emplace(target.domain, domains.size()).first->second;
+        m_domains.resize(domains.size());
+        const double weight = effectiveWeight(target);
+        m_domains[domain].weight += weight;
+        m_totalWeight += weight;
+        m_highestWeight = std::max(m_highestWeight, weight);
+        m_indexes[target.id] = m_targets.size();
+        m_targets.push_back({ target, weight, 0, domain, hashKey(target.id.value()).value() });
+    }
+}
+
+void planning_round::addSlices()
+{
+    m_owners.reserve(m_slices.size());
     for (const placed_slice& each : m_slices) {
+        const auto owner = indexOf(each.owner);
+        m_owners.push_back(owner);
         m_totalLoad += each.load;
-        if (each.owner && m_targetLoads.contains(*each.owner))
-            m_targetLoads.at(*each.owner).load += each.load;
+        if (!owner)
+            continue;
+        m_targets[*owner].load += each.load;
+        m_domains[m_targets[*owner].domain].load += each.load;
     }
-    for (const auto& [id, each] : m_targetLoads)
-        m_totalWeight += each.weight;
+    for (target_index i = 0; i < m_targets.size(); ++i) {
+        if (m_targets[i].weight > 0)
+            m_byLoad.emplace(m_targets[i].load / m_targets[i].weight, i);
+    }
+    if (!m_byLoad.empty())
+        m_meanLoad = m_totalLoad / static_cast<double>(m_byLoad.size());
+}
+
+std::optional<planning_round::target_index> planning_round::indexOf(
+    const std::optional<target_id>& id) const
+{
+    const auto found = id ? m_indexes.find(*id) : m_indexes.end();
+    return found == m_indexes.end() ? std::nullopt : std::optional(found->second);
 }
 
 double planning_round::effectiveWeight(const placement_target& target) const
@@ -33,64 +74,53 @@
     return target.weight * std::clamp(passed, m_settings.slowStartMinShare, 1.0);
 }
 
-double planning_round::evenShare(const target_load& of) const
-{
-    return m_totalWeight > 0 ? m_totalLoad * of.weight / m_totalWeight : 0;
-}
-
-double planning_round::meanLoad() const
+double planning_round::evenShare(double weight) const
 {
-    std::size_t ready = 0;
-    for (const auto& [id, each] : m_targetLoads)
-        if (each.weight > 0)
-            ++ready;
-    return ready > 0 ? m_totalLoad / static_cast<double>(ready) : 0;
+    return m_totalWeight > 0 ? m_totalLoad * weight / m_totalWeight : 0;
 }
 
 double planning_round::excess(const target_load& of, double extra) const
 {
-    return std::max(0.0, of.load + extra - evenShare(of) * (1 + m_settings.tolerance));
+    return std::max(0.0, of.load + extra - evenShare(of.weight) * (1 + m_settings.tolerance));
 }
 
 bool planning_round::domainAllows(const target_load& to, double extra) const
 {
-    double load = extra;
-    double share = 0;
-    for (const auto& [id, each] : m_targetLoads) {
-        if (each.target.domain != to.target.domain)
-            continue;
-        load += each.load;
-        share += evenShare(each);
-    }
-    return load <= share * (1 + m_settings.domainTolerance);
+    const domain_load& domain = m_domains[to.domain];
+    return domain.load + extra <= evenShare(domain.weight) * (1 + m_settings.domainTolerance);
 }
 
 // Breaks ties between equally loaded targets by rendezvous hashing (D. Thaler, C. Ravishankar,
 // 1998), which spreads slices over them.
-std::uint64_t planning_round::rank(const target_id& id, const slice& keys) const
+std::uint64_t planning_round::rank(target_index target, const slice& keys) const
 {
-    const std::string text = id.value() + "/" + std::to_string(keys.first.value()) + "/"
-        + std::to_string(m_settings.seed);
-    return hashKey(text).value();
+    const std::array<std::uint64_t, 3> words { m_targets[target].hash, keys.first.value(),
+        m_settings.seed };
+    return hashKey({ reinterpret_cast<const char*>(words.data()), sizeof(words) }).value();
 }
 
-std::optional<target_id> planning_round::leastLoaded(const placed_slice& moving) const
+std::optional<planning_round::target_index> planning_round::leastLoaded(std::size_t moving) const
 {
-    std::optional<target_id> best;
+    const placed_slice& part = m_slices[moving];
+    std::optional<target_index> best;
     bool bestAllowed = false;
     double bestLoad = 0;
-    for (const auto& [id, each] : m_targetLoads) {
-        if (each.weight <= 0 || moving.owner == id)
+    for (const auto& [loadPerWeight, index] : m_byLoad) {
+        const double lowest = (loadPerWeight + part.load / m_highestWeight) * boundSlack;
+        if (bestAllowed && lowest > bestLoad)
+            break;
+        if (m_owners[moving] == index)
             continue;
-        const bool allowed = domainAllows(each, moving.load);
-        const double load = (each.load + moving.load) / each.weight;
+        const target_load& each = m_targets[index];
+        const bool allowed = domainAllows(each, part.load);
+        const double load = (each.load + part.load) / each.weight;
         const bool isBetter = !best || (allowed && !bestAllowed)
             || (allowed == bestAllowed
                 && (load < bestLoad
-                    || (load == bestLoad && rank(id, moving.keys) > rank(*best, moving.keys))));
+                    || (load == bestLoad && rank(index, part.keys) > rank(*best, part.keys))));
         if (!isBetter)
             continue;
-        best = id;
+        best = index;
         bestAllowed = allowed;
         bestLoad = load;
     }
@@ -103,24 +133,40 @@
     m_proposals.push_back(change);
 }
 
-void planning_round::move(std::size_t index, const target_id& to, bool planned)
+void planning_round::split(std::size_t index, key_hash at)
+{
+    propose(split_slice { m_slices[index].keys, at });
+    m_owners.insert(m_owners.begin() + static_cast<std::ptrdiff_t>(index), m_owners[index]);
+}
+
+void planning_round::addLoad(target_index target, double load)
+{
+    target_load& changed = m_targets[target];
+    if (changed.weight > 0)
+        m_byLoad.erase({ changed.load / changed.weight, target });
+    changed.load += load;
+    m_domains[changed.domain].load += load;
+    if (changed.weight > 0)
+        m_byLoad.emplace(changed.load / changed.weight, target);
+}
+
+void planning_round::move(std::size_t index, target_index to, bool planned)
 {
     const placed_slice moving = m_slices[index];
-    if (moving.owner && m_targetLoads.contains(*moving.owner))
-        m_targetLoads.at(*moving.owner).load -= moving.load;
-    m_targetLoads.at(to).load += moving.load;
-    propose(move_slice { moving.keys, moving.owner, to, planned });
+    if (m_owners[index])
+        addLoad(*m_owners[index], -moving.load);
+    addLoad(to, moving.load);
+    m_owners[index] = to;
+    propose(move_slice { moving.keys, moving.owner, m_targets[to].target.id, planned });
 }
 
 void planning_round::placeUnowned()
 {
     for (std::size_t i = 0; i < m_slices.size(); ++i) {
-        const auto& owner = m_slices[i].owner;
-        const bool isLost = !owner || !m_targetLoads.contains(*owner)
-            || m_targetLoads.at(*owner).target.state == target_state::Lost;
-        if (!isLost)
+        const auto owner = m_owners[i];
+        if (owner && m_targets[*owner].target.state != target_state::Lost)
             continue;
-        if (const auto to = leastLoaded(m_slices[i]))
+        if (const auto to = leastLoaded(i))
             move(i, *to, false);
     }
 }
@@ -129,11 +175,10 @@
 {
     unsigned left = m_settings.drainMovesPerRound;
     for (std::size_t i = 0; i < m_slices.size() && left > 0; ++i) {
-        const auto& owner = m_slices[i].owner;
-        if (!owner || !m_targetLoads.contains(*owner)
-            || m_targetLoads.at(*owner).target.state != target_state::Leaving)
+        const auto owner = m_owners[i];
+        if (!owner || m_targets[*owner].target.state != target_state::Leaving)
             continue;
-        const auto to = leastLoaded(m_slices[i]);
+        const auto to = leastLoaded(i);
         if (!to)
             return;
         move(i, *to, true);
--- a/test/balancing-planner-test.cc
+++ b/test/balancing-planner-test.cc
@@ -2,6 +2,7 @@
 
 #include <cmath>
 #include <criterion/criterion.h>
+#include <ctime>
 #include <map>
 #include <rapidcheck.h>
 
@@ -48,6 +49,36 @@
     return found;
 }
 
+/// Bound of the target for control work, as a fraction of a core, and interval between two plans.
+constexpr double controlShare = 0.027;
+constexpr std::chrono::duration<double, duration::period> planInterval { 500ms };
+constexpr unsigned movesPerRound = 48;
+
+planner makeFrequentPlanner()
+{
+    planner_options settings;
+    settings.movesPerRound = movesPerRound;
+    settings.minimumStay = 1s;
+    return planner::create(settings).value();
+}
+
+/// 204 targets, of whose slices every tenth carries most of the load.
+plan_input makeLargeInput()
+{
+    plan_input input = makeInput(204);
+    for (std::size_t i = 0; i < input.slices.size(); ++i)
+        input.slices[i].load = i % 10 == 0 ? 40 + static_cast<double>(i % 7) : 1;
+    return input;
+}
+
+duration threadTime()
+{
+    timespec spent {};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &spent);
+    return std::chrono::duration_cast<duration>(
+        std::chrono::seconds(spent.tv_sec) + std::chrono::nanoseconds(spent.tv_nsec));
+}
+
 std::size_t ownedBy(const plan_input& input, const std::string& id)
 {
     std::size_t count = 0;
@@ -83,6 +114,19 @@
     }
 }
 
+Test(balancing_planner, plan_for_a_large_service_stays_within_the_share_of_control)
+{
+    plan_input input = makeLargeInput();
+    duration least = duration::max();
+    for (int i = 0; i < 3; ++i) {
+        const auto started = threadTime();
+        const auto changes = makeFrequentPlanner().plan(input);
+        least = std::min(least, threadTime() - started);
+        cr_assert_eq(only<move_slice>(changes).size(), movesPerRound);
+    }
+    cr_assert_leq(least.count(), (planInterval * controlShare).count());
+}
+
 Test(balancing_planner, slice_that_is_too_busy_to_move_is_halved)
 {
     plan_input input = makeInput(2);
