Plan placement on a thread of its own, without the coordinators' lock

Cause: a plan was computed under the lock of the coordinators, on the control timer. Whatever took that lock waited for it: the thread that polls the store and puts tables in force, renewals of authority and grants, answers to witnesses, reports of load from other hosts. Class: long work under a lock, and on a thread, that others need in time. Change: placement_rounds plans on its own thread, from a copy of what the coordinator knows; reports wait in a bounded queue until the next round. Ruled out: a try-lock for tables (renewals would still stop).

--- a/src/serve/coordinator_driver.cc
+++ b/src/serve/coordinator_driver.cc
@@ -7,9 +7,6 @@
 namespace pimentomast::serve::detail {
 namespace {
 
-/// Ratio of the busiest target's load to the mean above which a plan without moves is logged too.
-constexpr double minLoggedImbalance = 1.3;
-
 std::uint64_t seedFor(const coordinator_driver_options& options, const service_id& service)
 {
     return options.seed ^ hashKey(service.value()).value();
@@ -24,15 +21,6 @@
         { { "hosts", hosts }, { "complete", members.complete ? "yes" : "no" } });
 }
 
-void logPlan(const service_id& service, double imbalance, std::size_t running, std::size_t wanted)
-{
-    if (wanted > 0 || imbalance > minLoggedImbalance)
-        telemetry::log(telemetry::severity::Info, "placement-planned",
-            { { "service", service.value() }, { "imbalance", std::to_string(imbalance) },
-                { "moves_wanted", std::to_string(wanted) },
-                { "moves_running", std::to_string(running) } });
-}
-
 std::vector<table::target_row> targetsOf(const table::table& table, const service_id& service)
 {
     std::vector<table::target_row> targets;
@@ -96,23 +84,14 @@
     m_grantPool.join();
 }
 
-coordinator_driver::service_state coordinator_driver::makeState(const table::service_row& row) const
-{
-    const auto seed = seedFor(m_options, row.id);
-    auto core = ownership::coordinator::create(
-        { row.id, m_options.self, seed, m_options.times, table::keyWidth(row.keyForm) });
-    auto planning = m_options.placement;
-    planning.seed = seed;
-    auto planner = placement_planner::create(row, planning);
-    return { std::move(core).value(), std::move(planner).value(), {} };
-}
-
 void coordinator_driver::startService(const table::service_row& row)
 {
     const std::lock_guard guard(m_lock);
     if (m_services.contains(row.id))
         return;
-    auto state = makeState(row);
+    auto core = ownership::coordinator::create({ row.id, m_options.self, seedFor(m_options, row.id),
+        m_options.times, table::keyWidth(row.keyForm) });
+    service_state state { std::move(core).value(), {} };
     // A coordinator without members and targets requests nothing, so there are no actions yet.
     (void)state.core.step(monotonic_clock::now(), m_members);
     if (m_stopping)
@@ -153,41 +132,24 @@
 
 void coordinator_driver::tick() { deliverToAll(ownership::tick {}); }
 
-void coordinator_driver::rebalance()
-{
-    struct proposal {
-        service_id service;
-        ownership::placement_wanted wanted;
-    };
-    std::vector<proposal> proposals;
-    {
-        const std::lock_guard guard(m_lock);
-        const auto now = monotonic_clock::now();
-        for (auto& [service, state] : m_services) {
-            const auto* current = state.core.current();
-            if (!current || state.core.currentRole() != ownership::role::Holder)
-                continue;
-            proposals.push_back({ service,
-                state.planner.plan(
-                    now, *current, state.core.moving(), state.core.targets(now), state.targets) });
-            logPlan(service, state.planner.imbalance(), state.core.runningMoves(),
-                proposals.back().wanted.slices.size());
-        }
-    }
-    // Empty proposals are delivered too: they replace the previous ones, which would otherwise be
-    // carried out although they are outdated.
-    for (const auto& each : proposals)
-        deliver(each.service, each.wanted);
-}
-void coordinator_driver::addLoad(const host_id& host, const wire::LoadReport& report)
+std::vector<coordinated_service> coordinator_driver::coordinated() const
 {
     const std::lock_guard guard(m_lock);
     const auto now = monotonic_clock::now();
-    for (const auto& load : report.loads()) {
-        const auto found = m_services.find(service_id { load.service() });
-        if (found != m_services.end())
-            found->second.planner.addLoad(now, host, load);
+    std::vector<coordinated_service> all;
+    for (const auto& [service, state] : m_services) {
+        const auto* committed = state.core.current();
+        if (committed && state.core.currentRole() == ownership::role::Holder)
+            all.push_back({ service, *committed, state.core.moving(), state.core.runningMoves(),
+                state.core.targets(now), state.targets });
     }
+    return all;
+}
+
+void coordinator_driver::propose(
+    const service_id& service, const ownership::placement_wanted& wanted)
+{
+    deliver(service, wanted);
 }
 
 ownership::witness_answer coordinator_driver::answerWitness(const service_id& service, epoch asked)
--- a/src/serve/coordinator_driver.h
+++ b/src/serve/coordinator_driver.h
@@ -5,7 +5,7 @@
 #include "peer_registry.h"
 #include "pimentomast/ownership.h"
 #include "pimentomast/store.h"
-#include "placement.h"
+#include "wire.h"
 
 #include <boost/asio/thread_pool.hpp>
 #include <functional>
@@ -18,7 +18,6 @@
     ownership::host_run self;
     ownership::timings times;
     std::uint64_t seed = 1;
-    balancing::planner_options placement;
     unsigned storeThreads = 4;
     unsigned grantThreads = 32;
 };
@@ -35,6 +34,16 @@
     std::vector<ownership::target_view> targets;
 };
 
+/// What a placement of a service's slices is planned from.
+struct coordinated_service {
+    service_id service;
+    ownership::assignment committed;
+    std::vector<ownership::wanted_slice> moving;
+    std::size_t runningMoves = 0;
+    std::vector<ownership::target_view> views;
+    std::vector<table::target_row> targets;
+};
+
 /// Runs this host's coordinators: feeds them events and carries out their actions.
 ///
 /// Thread-safe. The lock covers the coordinators' decisions only; no action is carried out and no
@@ -65,9 +74,10 @@
     void applyMembership(const std::vector<membership::member>& live, bool complete);
     /// Call at least every 50 ms.
     void tick();
-    /// Proposes better placements for the services that this host coordinates.
-    void rebalance();
-    void addLoad(const host_id& host, const wire::LoadReport& report);
+    /// Returns the services that this host coordinates.
+    [[nodiscard]] std::vector<coordinated_service> coordinated() const;
+    /// Replaces the previous proposal for a service; ignored if this host no longer coordinates it.
+    void propose(const service_id& service, const ownership::placement_wanted& wanted);
     /// Answers as a witness of a service.
     [[nodiscard]] ownership::witness_answer answerWitness(const service_id& service, epoch asked);
     /// Starts to hand over every service. stopped() returns true once this is done or given up.
@@ -78,7 +88,6 @@
 private:
     struct service_state {
         ownership::coordinator core;
-        placement_planner planner;
         std::vector<table::target_row> targets;
     };
 
@@ -86,7 +95,6 @@
         peer_registry& peerRegistry, directory& routes, std::unique_ptr<grant_sender> grants,
         handlers callbacks);
 
-    [[nodiscard]] service_state makeState(const table::service_row& row) const;
     void startService(const table::service_row& row);
     [[nodiscard]] std::vector<ownership::action> stepCore(
         const service_id& service, const ownership::event& event);
--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -15,7 +15,9 @@
 constexpr std::chrono::milliseconds loadTimeoutMs { 500 };
 constexpr std::chrono::milliseconds handoverTimeoutMs { 3000 };
 constexpr std::chrono::milliseconds grantTimeoutMs { 400 };
-/// A round of the control timer, or a new table, that takes longer is logged.
+/// Ratio of the busiest target's load to the mean above which a plan without moves is logged too.
+constexpr double minLoggedImbalance = 1.3;
+/// A round of the control timer, a new table or a plan that takes longer is logged.
 constexpr std::chrono::milliseconds slowWorkMs { 250 };
 
 std::string milliseconds(duration span)
@@ -70,6 +72,19 @@
     return options;
 }
 
+void logPlan(const placement_plan& plan)
+{
+    const bool isNotable
+        = plan.wantedMoves > 0 || plan.imbalance > minLoggedImbalance || plan.took > slowWorkMs;
+    if (!isNotable)
+        return;
+    telemetry::log(telemetry::severity::Info, "placement-planned",
+        { { "service", plan.service.value() }, { "imbalance", std::to_string(plan.imbalance) },
+            { "moves_wanted", std::to_string(plan.wantedMoves) },
+            { "moves_running", std::to_string(plan.runningMoves) },
+            { "took_ms", milliseconds(plan.took) } });
+}
+
 /// Returns the started component. If it did not start, throws the failure with the setting of its
 /// address.
 template <class Component>
@@ -114,6 +129,7 @@
     m_dispatch->detach();
     m_proxy.reset();
     m_peerRegistry->close();
+    m_placement.reset();
     m_coordinators.reset();
     m_gossip.reset();
 }
@@ -159,9 +175,6 @@
     driverOptions.self = { m_values.host.id, m_incarnation };
     driverOptions.times = timingsOf(m_values.ownership);
     driverOptions.seed = m_incarnation.value();
-    driverOptions.placement.movesPerRound = m_values.placement.movesPerRound;
-    driverOptions.placement.minimumStay = m_values.placement.minimumStayMs;
-    driverOptions.placement.tolerance = m_values.placement.tolerancePercent / 100.0;
     m_coordinators = coordinator_driver::create(driverOptions, m_store, *m_peerRegistry,
         m_directory, makeGrantSender(),
         { [this](const auto& value) {
@@ -171,6 +184,19 @@
             [this](const auto& target, const auto& run, const auto& load) {
                 m_dispatch->report(target, { run, load.running, load.queued, load.slots });
             } }).value();
+    createPlacement();
+}
+
+void node::createPlacement()
+{
+    placement_rounds_options options;
+    options.interval = m_values.placement.intervalMs;
+    options.planner.seed = m_incarnation.value();
+    options.planner.movesPerRound = m_values.placement.movesPerRound;
+    options.planner.minimumStay = m_values.placement.minimumStayMs;
+    options.planner.tolerance = m_values.placement.tolerancePercent / 100.0;
+    m_placement
+        = std::make_unique<placement_rounds>(options, *m_coordinators, m_directory, &logPlan);
 }
 
 std::unique_ptr<grant_sender> node::makeGrantSender()
@@ -216,7 +242,6 @@
 
 void node::runControlTimer()
 {
-    instant nextRebalance {};
     instant nextLoad {};
     while (!m_stopTimers) {
         const auto now = monotonic_clock::now();
@@ -235,11 +260,6 @@
         if (now >= nextLoad)
             nextLoad = now + reportInterval(reportLoads(now), m_values.placement.reportMs);
         timer.endStage("load", monotonic_clock::now());
-        if (now >= nextRebalance) {
-            nextRebalance = now + m_values.placement.intervalMs;
-            m_coordinators->rebalance();
-        }
-        timer.endStage("placement", monotonic_clock::now());
         logIfSlow("round", timer);
         std::this_thread::sleep_for(controlTickMs);
     }
@@ -258,7 +278,7 @@
     for (const auto& [host, report] : reports) {
         sent += report.ByteSizeLong();
         if (host == m_values.host.id)
-            m_coordinators->addLoad(host, report);
+            m_placement->addLoad(host, report);
         else if (const auto peer = m_peerRegistry->find(host))
             peer->reportLoad(report, loadTimeoutMs, [](const auto&) {});
     }
@@ -379,7 +399,7 @@
 
 peers::wire::LoadReply node::reportLoad(const peers::wire::LoadReport& report)
 {
-    m_coordinators->addLoad(host_id { report.host() }, report);
+    m_placement->addLoad(host_id { report.host() }, report);
     return {};
 }
 
--- a/src/serve/node.h
+++ b/src/serve/node.h
@@ -12,6 +12,7 @@
 #include "pimentomast/serve.h"
 #include "pimentomast/settings.h"
 #include "pimentomast/telemetry.h"
+#include "placement_rounds.h"
 #include "request_log.h"
 
 #include <atomic>
@@ -56,6 +57,7 @@
 
 private:
     void createComponents();
+    void createPlacement();
     void startListening();
     void putTable(const std::shared_ptr<const table::table>& table);
     void putAssignment(const ownership::assignment& newer, const host_id& coordinator);
@@ -81,6 +83,7 @@
     std::unique_ptr<dispatch> m_dispatch;
     std::unique_ptr<gossip> m_gossip;
     std::unique_ptr<coordinator_driver> m_coordinators;
+    std::unique_ptr<placement_rounds> m_placement;
     announcing_store m_announcingStore;
     std::unique_ptr<proxy::server> m_proxy;
     std::unique_ptr<peers::server> m_peers;
