--- a/include/pimentomast/settings.h
+++ b/include/pimentomast/settings.h
@@ -189,6 +189,9 @@
 /// Returns all supported keys. Thread-safe.
 [[nodiscard]] std::vector<key_description> describeKeys();
 
+/// Parses "ip:port" with an IPv4 address and a port other than 0; resolves no names. Thread-safe.
+[[nodiscard]] result<endpoint> parseEndpoint(const std::string& text);
+
 /// A setting in printable form; the value of a secret is "(set)".
 struct shown_value {
     std::string section;
--- a/src/serve/placement_rounds.h
+++ b/src/serve/placement_rounds.h
@@ -60,7 +60,7 @@
     [[nodiscard]] bool waitForNextRound();
     void takeReports();
     void plan(const coordinated_service& coordinated);
-    /// Returns null if the table in force does not contain the service, or no plan can be made for it.
+    /// Returns null if the table in force lacks the service or no plan can be made for it.
     [[nodiscard]] placement_planner* plannerOf(const service_id& service);
 
     placement_rounds_options m_options;
--- a/src/settings/keys.cc
+++ b/src/settings/keys.cc
@@ -50,19 +50,10 @@
 
 std::optional<std::string> readEndpoint(const std::string& text, endpoint& out)
 {
-    const auto colon = text.rfind(':');
-    if (colon == std::string::npos)
-        return "is not ip:port";
-    const auto ip = text.substr(0, colon);
-    Poco::Net::IPAddress address;
-    const bool valid = Poco::Net::IPAddress::tryParse(ip, address)
-        && address.family() == Poco::Net::IPAddress::IPv4 && address.toString() == ip;
-    if (!valid)
-        return "is not ip:port with an IPv4 address";
-    std::uint64_t port = 0;
-    if (const auto reason = readNumber(text.substr(colon + 1), { 1, 65535 }, port))
-        return "has a port that " + *reason;
-    out = endpoint { ip, static_cast<std::uint16_t>(port) };
+    auto parsed = parseEndpoint(text);
+    if (!parsed)
+        return parsed.error().reason;
+    out = std::move(parsed).value();
     return std::nullopt;
 }
 
@@ -312,3 +303,27 @@
 }
 
 } // namespace pimentomast::settings::detail
+
+namespace pimentomast::settings {
+
+result<endpoint> parseEndpoint(const std::string& text)
+{
+    const auto fault = [](const std::string& reason) {
+        return error { "parse address", "", reason };
+    };
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos)
+        return fault("is not ip:port");
+    const auto ip = text.substr(0, colon);
+    Poco::Net::IPAddress address;
+    const bool valid = Poco::Net::IPAddress::tryParse(ip, address)
+        && address.family() == Poco::Net::IPAddress::IPv4 && address.toString() == ip;
+    if (!valid)
+        return fault("is not ip:port with an IPv4 address");
+    std::uint64_t port = 0;
+    if (const auto reason = detail::readNumber(text.substr(colon + 1), { 1, 65535 }, port))
+        return fault("has a port that " + *reason);
+    return endpoint { ip, static_cast<std::uint16_t>(port) };
+}
+
+} // namespace pimentomast::settings
--- a/test/platform-documents-test.cc
+++ b/test/platform-documents-test.cc
@@ -112,6 +112,30 @@
         cr_expect(readRegistration("i-1", invalid).has_error(), "%s", invalid.c_str());
 }
 
+Test(platform_documents, odd_registrations_are_rejected_without_a_look_up_of_names)
+{
+    const auto withAddress = [](const std::string& address) {
+        return replaced(validRegistration, "10.128.0.9:8080", address);
+    };
+    const auto withSlots = [](const std::string& number) {
+        return replaced(validRegistration, R"("capacity":4)", R"("capacity":)" + number);
+    };
+    const auto nested = [](std::size_t depth) {
+        return R"({"x":)" + std::string(depth, '[') + std::string(depth, ']') + ","
+            + validRegistration.substr(1);
+    };
+    for (const auto& odd : { withAddress("10.128.0.9:70000"), withAddress("10.128.0.9:0"),
+             withAddress("10.128.0.9:-1"), withAddress("10.128.0.9:99999999999999999999"),
+             withAddress("10.128.0.9:http"), withAddress("localhost:8080"),
+             withAddress("10.128.0.9"), withAddress(":8080"), withAddress("[::1]:8080"),
+             withSlots("0"), withSlots("4294967296"), withSlots("1e999"),
+             withSlots("99999999999999999999999"), withSlots("-1"), withSlots("[[[[]]]]"),
+             nested(1000), nested(1'000'000) }) {
+        const auto read = readRegistration("i-1", odd);
+        cr_expect(read.has_error(), "%s", odd.substr(0, 200).c_str());
+    }
+}
+
 Test(platform_documents, processes_with_the_same_name_are_different_targets)
 {
     const auto configured = readConfiguration(validConfiguration).value();
