Ask each host once to hold the ranges of all moves planned together

Cause: a planned move asked each host to hold its range, in a message of its own: 48 moves a round and 61 hosts are 2,900 calls in one round of the control timer, and as many answers. Change: hold_slices names all ranges; the coordinator sends one to each host at the end of a step, and a move waits for the same answers as those planned with it. HoldRequest got further ranges; a host of the version before holds the first one only, which is advisory.

--- a/bench/capacity.cc
+++ b/bench/capacity.cc
@@ -215,7 +215,7 @@
         }
     }
 
-    void perform(std::size_t index, const ownership::hold_slice& action)
+    void perform(std::size_t index, const ownership::hold_slices& action)
     {
         deliver(index, ownership::hold_answered { action.request, action.host });
     }
--- a/include/pimentomast/ownership.h
+++ b/include/pimentomast/ownership.h
@@ -191,7 +191,7 @@
     std::uint64_t query = 0;
     epoch asked;
 };
-/// Answer to hold_slice. Also sent if the host could not be reached, since holds are advisory.
+/// Answer to hold_slices. Also sent if the host could not be reached, since holds are advisory.
 struct hold_answered {
     request_number request;
     host_id host;
@@ -280,12 +280,12 @@
 struct publish_assignment {
     assignment value;
 };
-/// Ask a host (possibly this one) to hold new requests for a slice; answered by hold_answered. A
-/// hold of 0 ms releases the slice.
-struct hold_slice {
+/// Ask a host (possibly this one) to hold new requests for the ranges; answered by hold_answered. A
+/// hold of 0 ms releases them.
+struct hold_slices {
     request_number request;
     host_id host;
-    slice range;
+    std::vector<slice> ranges;
     token version;
     std::chrono::milliseconds hold { 0 };
 };
@@ -307,7 +307,7 @@
 };
 
 using action = std::variant<read_row, write_row, send_grant, ask_witness, answer_witness,
-    publish_assignment, hold_slice, renew_route, role_changed>;
+    publish_assignment, hold_slices, renew_route, role_changed>;
 
 // ---- Coordinator ----
 
--- a/src/ownership/commit.cc
+++ b/src/ownership/commit.cc
@@ -48,9 +48,8 @@
         if (next->owner != each.owner || !joined)
             continue;
         m_joinedOwners.insert(each.owner);
-        std::set<request_number> ignored;
         if (next->grant != each.grant)
-            sendHolds(each.range, joinHoldMs, ignored);
+            queueHold(each.range, joinHoldMs);
     }
 }
 
--- a/src/ownership/coordinator.cc
+++ b/src/ownership/coordinator.cc
@@ -76,6 +76,7 @@
 void coordinator::impl::step(instant now, const event& received)
 {
     std::visit([&](const auto& each) { on(now, each); }, received);
+    sendHolds();
 }
 
 epoch coordinator::impl::currentEpoch() const noexcept
--- a/src/ownership/coordinator_impl.h
+++ b/src/ownership/coordinator_impl.h
@@ -80,6 +80,8 @@
     token grant {};
     /// First message to the old owner without the range.
     request_number drainRequest;
+    /// The hosts were asked to hold new requests for the range.
+    bool holdsSent = false;
     std::set<request_number> pendingHolds;
     /// The old owner keeps the range; the move is about to be erased.
     bool cancelled = false;
@@ -257,11 +259,14 @@
     void startDrain(instant now, detail::move& entry);
     bool isDrained(const detail::move& entry, request_number request) const;
     void noteDrained(instant now, const target_id& from, request_number request);
-    void startHolds(detail::move& entry);
     static bool waitsForRow(const detail::move& entry);
     void cancelMove(instant now, detail::move& entry);
-    void sendHolds(
-        const slice& range, std::chrono::milliseconds hold, std::set<request_number>& requests);
+    /// Sends what was queued in this step: one message for each host and length of hold.
+    void sendHolds();
+    void sendMoveHolds();
+    void queueHold(const slice& range, std::chrono::milliseconds hold);
+    std::vector<request_number> askToHold(
+        const std::vector<slice>& ranges, std::chrono::milliseconds hold);
     void eraseCancelled();
 
     // Handover (handover.cc).
@@ -372,6 +377,8 @@
     sequence m_messageNumber;
     std::vector<detail::move> m_moves;
     std::vector<detail::postponed_move> m_postponed;
+    /// Ranges to hold, by length of hold, that no message has been sent for yet.
+    std::map<std::chrono::milliseconds, std::vector<slice>> m_queuedHolds;
     bool m_publicationDue = false;
     instant m_publishAt {};
     std::map<target_id, request_number> m_awaitedGrants;
--- a/src/ownership/handover.cc
+++ b/src/ownership/handover.cc
@@ -71,7 +71,7 @@
 {
     entry.phase = move_phase::Holding;
     entry.since = now;
-    startHolds(entry);
+    entry.holdsSent = false;
 }
 
 // Both the owner and the standby that the row names may own the range without another write.
--- a/src/ownership/moves.cc
+++ b/src/ownership/moves.cc
@@ -194,25 +194,54 @@
     planned.to = to;
     planned.since = now;
     planned.forced = forced;
-    startHolds(planned);
     m_moves.push_back(std::move(planned));
 }
 
-void coordinator::impl::startHolds(move& entry)
+void coordinator::impl::queueHold(const slice& range, std::chrono::milliseconds hold)
 {
-    const auto& times = m_options.times;
-    sendHolds(entry.range, times.holdAnswer + times.drain + times.announce, entry.pendingHolds);
+    m_queuedHolds[hold].push_back(range);
 }
 
-void coordinator::impl::sendHolds(
-    const slice& range, std::chrono::milliseconds hold, std::set<request_number>& requests)
+std::vector<request_number> coordinator::impl::askToHold(
+    const std::vector<slice>& ranges, std::chrono::milliseconds hold)
 {
+    std::vector<request_number> requests;
     for (const auto& each : liveHosts()) {
-        const auto request = m_ids.nextRequest();
-        requests.insert(request);
+        requests.push_back(m_ids.nextRequest());
         m_actions.push_back(
-            hold_slice { request, each.host, range, m_assignment->version(), hold });
+            hold_slices { requests.back(), each.host, ranges, m_assignment->version(), hold });
+    }
+    return requests;
+}
+
+void coordinator::impl::sendMoveHolds()
+{
+    std::vector<move*> unsent;
+    std::vector<slice> ranges;
+    for (auto& each : m_moves) {
+        if (each.phase != move_phase::Holding || each.holdsSent)
+            continue;
+        unsent.push_back(&each);
+        ranges.push_back(each.range);
     }
+    if (unsent.empty())
+        return;
+    const auto& times = m_options.times;
+    const auto requests = askToHold(ranges, times.holdAnswer + times.drain + times.announce);
+    for (auto* each : unsent) {
+        each->holdsSent = true;
+        each->pendingHolds = { requests.begin(), requests.end() };
+    }
+}
+
+void coordinator::impl::sendHolds()
+{
+    const auto queued = std::exchange(m_queuedHolds, {});
+    if (m_role != role::Holder || !m_assignment)
+        return;
+    for (const auto& [hold, ranges] : queued)
+        askToHold(ranges, hold);
+    sendMoveHolds();
 }
 
 void coordinator::impl::on(instant now, const hold_answered& received)
@@ -230,7 +259,8 @@
     const auto& times = m_options.times;
     const auto waited = now - entry.since;
     if (entry.phase == move_phase::Holding) {
-        if (entry.pendingHolds.empty() || waited >= times.holdAnswer)
+        const bool answered = entry.holdsSent && entry.pendingHolds.empty();
+        if (answered || waited >= times.holdAnswer)
             startDrain(now, entry);
     } else if (entry.phase == move_phase::Draining) {
         if (entry.drainRequest == request_number {})
@@ -296,8 +326,7 @@
     // Hosts soon stop sending requests to a leaving target, so its moves are retried sooner.
     const auto pause = entry.forced ? m_options.times.announce : m_options.times.retryMove;
     m_postponed.push_back({ entry.range, now + pause });
-    std::set<request_number> ignored;
-    sendHolds(entry.range, std::chrono::milliseconds { 0 }, ignored);
+    queueHold(entry.range, std::chrono::milliseconds { 0 });
     m_targets.at(entry.from).nextSend = now;
 }
 
--- a/src/serve/control_actions.cc
+++ b/src/serve/control_actions.cc
@@ -107,11 +107,13 @@
     m_callbacks.publish(action.value);
 }
 
-void coordinator_driver::perform(const service_id& service, const ownership::hold_slice& action)
+void coordinator_driver::perform(const service_id& service, const ownership::hold_slices& action)
 {
     const ownership::hold_answered answered { action.request, action.host };
     if (action.host == m_options.self.host) {
-        m_routes.hold(service, action.range, action.version, monotonic_clock::now() + action.hold);
+        const auto until = monotonic_clock::now() + action.hold;
+        for (const auto& range : action.ranges)
+            m_routes.hold(service, range, action.version, until);
         deliver(service, answered);
         return;
     }
@@ -120,14 +122,7 @@
         deliver(service, answered);
         return;
     }
-    wire::HoldRequest request;
-    request.set_service(service.value());
-    request.set_epoch(action.version.coordinator.value());
-    request.set_sequence(action.version.assignment.value());
-    request.set_first(action.range.first.value());
-    request.set_last(action.range.last.value());
-    request.set_hold_ms(static_cast<std::uint32_t>(action.hold.count()));
-    peer->hold(request, holdTimeoutMs,
+    peer->hold(toWire(service, action), holdTimeoutMs,
         [this, service, answered](const auto&) { deliver(service, answered); });
 }
 
--- a/src/serve/coordinator_driver.h
+++ b/src/serve/coordinator_driver.h
@@ -107,7 +107,7 @@
     void perform(const service_id& service, const ownership::ask_witness& action);
     void perform(const service_id& service, const ownership::answer_witness& action);
     void perform(const service_id& service, const ownership::publish_assignment& action);
-    void perform(const service_id& service, const ownership::hold_slice& action);
+    void perform(const service_id& service, const ownership::hold_slices& action);
     void perform(const service_id& service, const ownership::renew_route& action);
     void perform(const service_id& service, const ownership::role_changed& action);
     void renewOwnRoute(const service_id& service, const ownership::renew_route& action);
--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -371,10 +371,10 @@
 peers::wire::HoldReply node::hold(const peers::wire::HoldRequest& request)
 {
     const service_id service { request.service() };
-    const slice range { key_hash { request.first() }, key_hash { request.last() } };
     const token version { epoch { request.epoch() }, sequence { request.sequence() } };
-    const auto now = monotonic_clock::now();
-    m_directory.hold(service, range, version, now + std::chrono::milliseconds(request.hold_ms()));
+    const auto until = monotonic_clock::now() + std::chrono::milliseconds(request.hold_ms());
+    for (const auto& range : rangesOf(request))
+        m_directory.hold(service, range, version, until);
     if (request.hold_ms() == 0)
         m_dispatch->ownersChanged(service);
     peers::wire::HoldReply reply;
--- a/src/serve/wire.cc
+++ b/src/serve/wire.cc
@@ -89,6 +89,31 @@
     return crash;
 }
 
+wire::HoldRequest toWire(const service_id& service, const ownership::hold_slices& action)
+{
+    wire::HoldRequest message;
+    message.set_service(service.value());
+    message.set_epoch(action.version.coordinator.value());
+    message.set_sequence(action.version.assignment.value());
+    message.set_first(action.ranges.front().first.value());
+    message.set_last(action.ranges.front().last.value());
+    message.set_hold_ms(static_cast<std::uint32_t>(action.hold.count()));
+    for (std::size_t i = 1; i < action.ranges.size(); ++i) {
+        auto* range = message.add_further();
+        range->set_first(action.ranges[i].first.value());
+        range->set_last(action.ranges[i].last.value());
+    }
+    return message;
+}
+
+std::vector<slice> rangesOf(const wire::HoldRequest& message)
+{
+    std::vector<slice> ranges { { key_hash { message.first() }, key_hash { message.last() } } };
+    for (const auto& each : message.further())
+        ranges.push_back({ key_hash { each.first() }, key_hash { each.last() } });
+    return ranges;
+}
+
 wire::RouteRenewal toWire(const service_id& service, const ownership::renew_route& renewal)
 {
     wire::RouteRenewal message;
--- a/src/serve/wire.h
+++ b/src/serve/wire.h
@@ -22,6 +22,12 @@
 /// Precondition: the message was sent no earlier than sentAt.
 [[nodiscard]] table_standing fromWire(const wire::TableStanding& message, instant sentAt);
 
+/// Precondition: the action names a range.
+[[nodiscard]] wire::HoldRequest toWire(
+    const service_id& service, const ownership::hold_slices& action);
+/// Returns the ranges to hold.
+[[nodiscard]] std::vector<slice> rangesOf(const wire::HoldRequest& message);
+
 [[nodiscard]] wire::RouteRenewal toWire(
     const service_id& service, const ownership::renew_route& renewal);
 [[nodiscard]] ownership::renew_route fromWire(const wire::RouteRenewal& message);
--- a/test/ownership-moves-test.cc
+++ b/test/ownership-moves-test.cc
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr milliseconds settleMs { 10000 };
+constexpr milliseconds tickMs { 25 };
 
 slice rangeAt(int sampled)
 {
@@ -54,3 +55,25 @@
     cr_assert_gt(holders.size(), 1);
     cr_assert(system.violation.empty());
 }
+
+Test(ownership_moves, moves_planned_together_ask_each_host_once_to_hold)
+{
+    options chosen;
+    chosen.seed = 7;
+    chosen.targets = 5;
+    simulation system(chosen);
+    system.runFor(settleMs);
+    std::vector<wanted_slice> wanted;
+    std::vector<int> samples;
+    for (int sampled = 1; sampled < 15; ++sampled) {
+        samples.push_back(sampled);
+        wanted.push_back({ rangeAt(sampled), target_id { "t0" } });
+    }
+    system.holdMessages = 0;
+    system.want(wanted);
+    system.runFor(tickMs);
+    cr_assert_eq(system.holdMessages, system.hosts.size());
+    system.runFor(settleMs);
+    cr_assert(holdersOf(system, samples) == std::set { target_id { "t0" } });
+    cr_assert(system.violation.empty());
+}
--- a/test/ownership-simulation.h
+++ b/test/ownership-simulation.h
@@ -39,6 +39,8 @@
     /// Description of a violation; empty as long as the invariants hold.
     std::string violation;
     std::map<std::string, store::row> rows;
+    /// Messages by which coordinators asked hosts to hold requests.
+    std::size_t holdMessages = 0;
 
     std::int64_t between(std::int64_t low, std::int64_t high)
     {
@@ -322,12 +324,14 @@
         }
     }
 
-    void perform(int index, incarnation run, const hold_slice& operation)
+    void perform(int index, incarnation run, const hold_slices& operation)
     {
         const int other = std::stoi(operation.host.value().substr(1));
+        ++holdMessages;
         send(index, other, [=, this] {
             auto& host = hosts[static_cast<std::size_t>(other)];
-            host.routes.hold(operation.range, operation.version, hostTime(host) + operation.hold);
+            for (const auto& range : operation.ranges)
+                host.routes.hold(range, operation.version, hostTime(host) + operation.hold);
             send(other, index, [=, this] {
                 deliver(index, run, hold_answered { operation.request, operation.host });
             });
