Do not take an answer beyond the awaited one for that of the next call

Cause: an answer that arrives together with the one before it stays in the HTTP session's buffer. The pool looked at the socket only, so the next call on that connection got it as its own answer: a stale 200 to a release or a stale 409 to a grant, and each later call one answer behind. Class: answers on a kept connection that belong to no request. Change: a connection with bytes in its buffer is not used again. Test: answer_beyond_the_awaited_one_is_not_taken_for_the_next, which failed before. Left: an extra answer that arrives after the next call was sent; the calls to grant and release carry no id.

--- a/src/http/session-pool.cc
+++ b/src/http/session-pool.cc
@@ -30,7 +30,7 @@
 
 bool session::reusable()
 {
-    if (!connected())
+    if (!connected() || buffered() > 0)
         return false;
     return !socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
 }
