Read answers of the store as long as their bytes keep arriving

What callers saw: after a change that added 1,640 routes, hosts went on with the configuration before (CONFIG) and with targets that were leaving (DRAIN). Cause: a call to the store had 0.5 s from its start to the last byte of its answer. A configuration of 1,700 routes is 435 KB on the wire, 0.35 s of a link of 10 Mbit/s for itself, and hosts that missed the limit started again from the first byte, all at the same time. Class: a limit for silence that is used as a limit for size. Decoding it takes 32 ms of a whole core. Tests: answer_that_keeps_arriving_may_take_longer_than_the_timeout and body_without_end_is_given_up_in_bounded_memory failed before; answer_that_falls_silent_is_given_up_after_the_timeout and head_without_end_... passed before.

--- a/include/pimentomast/http.h
+++ b/include/pimentomast/http.h
@@ -27,6 +27,9 @@
     std::string body;
     /// Overrides the client's timeout.
     std::optional<std::chrono::milliseconds> timeout {};
+    /// Limit for the body of the answer, if it may take longer than the timeout as long as its
+    /// bytes keep arriving; counted from the start of the exchange.
+    std::optional<std::chrono::milliseconds> bodyTimeout {};
     std::vector<field> fields {};
 };
 
@@ -53,7 +56,10 @@
 
 struct client_options {
     endpoint address;
+    /// Limit for an exchange, unless the request states others.
     std::chrono::milliseconds timeout { 500 };
+    /// Longest body of an answer; a longer one counts as no answer.
+    std::size_t maxAnswerBytes = std::size_t { 32 } << 20U;
 };
 
 /// Sends requests to one server over pooled keep-alive connections. Thread-safe.
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -17,7 +17,6 @@
 using Poco::Net::HTTPRequest;
 using Poco::Net::HTTPResponse;
 
-constexpr std::size_t maxAnswerBytes = 256U << 20U;
 constexpr std::size_t chunkBytes = 64U << 10U;
 
 std::chrono::milliseconds remaining(instant deadline)
@@ -43,18 +42,36 @@
         broken->rethrow();
 }
 
+/// Time limits of one exchange.
+struct limits {
+    instant deadline;
+    /// For the body of the answer.
+    instant bodyDeadline;
+    std::size_t bodyBytes = 0;
+    /// Longest pause between two parts of the body.
+    std::chrono::milliseconds silence;
+
+    [[nodiscard]] std::chrono::milliseconds forNextPart() const
+    {
+        return std::min(silence, remaining(bodyDeadline));
+    }
+};
+
 std::string receiveBody(
-    session& connection, const HTTPResponse& head, std::istream& in, instant deadline)
+    session& connection, const HTTPResponse& head, std::istream& in, const limits& allowed)
 {
     std::string body;
     std::string chunk(chunkBytes, '\0');
-    while (in.read(chunk.data(), chunkBytes) || in.gcount() > 0) {
-        body.append(chunk, 0, static_cast<std::size_t>(in.gcount()));
-        if (body.size() > maxAnswerBytes)
+    connection.setIoTimeout(allowed.forNextPart());
+    // peek() receives once; readsome() takes what has arrived.
+    while (in.peek() != std::istream::traits_type::eof()) {
+        const auto count = in.readsome(chunk.data(), static_cast<std::streamsize>(chunk.size()));
+        body.append(chunk, 0, static_cast<std::size_t>(count));
+        if (body.size() > allowed.bodyBytes)
             throw Poco::Net::MessageException("answer is too large");
-        if (monotonic_clock::now() > deadline)
+        if (monotonic_clock::now() > allowed.bodyDeadline)
             throw Poco::TimeoutException("answer took too long");
-        connection.setIoTimeout(remaining(deadline));
+        connection.setIoTimeout(allowed.forNextPart());
     }
     if (const auto* broken = connection.networkException())
         broken->rethrow();
@@ -83,19 +100,23 @@
     explicit state(const client_options& options)
         : timeout(options.timeout)
         , peer(options.address.text())
+        , maxAnswerBytes(options.maxAnswerBytes)
         , pool(options.address)
     {
     }
 
-    [[nodiscard]] instant deadlineOf(const request& sent) const
+    [[nodiscard]] limits limitsOf(const request& sent) const
     {
-        return monotonic_clock::now() + sent.timeout.value_or(timeout);
+        const auto now = monotonic_clock::now();
+        const auto silence = sent.timeout.value_or(timeout);
+        return { now + silence, now + sent.bodyTimeout.value_or(silence), maxAnswerBytes, silence };
     }
-    outcome sendOn(std::unique_ptr<session> connection, const request& sent, instant deadline);
-    outcome sendOnNew(const request& sent, instant deadline);
+    outcome sendOn(std::unique_ptr<session> connection, const request& sent, const limits& allowed);
+    outcome sendOnNew(const request& sent, const limits& allowed);
 
     std::chrono::milliseconds timeout;
     std::string peer;
+    std::size_t maxAnswerBytes;
     detail::session_pool pool;
 };
 
@@ -119,46 +140,46 @@
 
 outcome client::sendOnce(const request& sent)
 {
-    const auto deadline = m_state->deadlineOf(sent);
+    const auto allowed = m_state->limitsOf(sent);
     if (auto idle = m_state->pool.takeIdle())
-        return m_state->sendOn(std::move(idle), sent, deadline);
-    return m_state->sendOnNew(sent, deadline);
+        return m_state->sendOn(std::move(idle), sent, allowed);
+    return m_state->sendOnNew(sent, allowed);
 }
 
 outcome client::sendIdempotent(const request& sent)
 {
-    const auto deadline = m_state->deadlineOf(sent);
+    const auto allowed = m_state->limitsOf(sent);
     if (auto idle = m_state->pool.takeIdle()) {
-        auto first = m_state->sendOn(std::move(idle), sent, deadline);
-        if (std::holds_alternative<answer>(first) || monotonic_clock::now() >= deadline)
+        auto first = m_state->sendOn(std::move(idle), sent, allowed);
+        if (std::holds_alternative<answer>(first) || monotonic_clock::now() >= allowed.deadline)
             return first;
     }
-    return m_state->sendOnNew(sent, deadline);
+    return m_state->sendOnNew(sent, allowed);
 }
 
-outcome client::state::sendOnNew(const request& sent, instant deadline)
+outcome client::state::sendOnNew(const request& sent, const limits& allowed)
 {
     std::unique_ptr<session> opened;
     try {
-        opened = pool.openNew(remaining(deadline));
+        opened = pool.openNew(remaining(allowed.deadline));
     } catch (const Poco::Net::ConnectionRefusedException& cause) {
         return not_sent { { "connect", peer, reason(cause) }, true };
     } catch (const Poco::Exception& cause) {
         return not_sent { { "connect", peer, reason(cause) } };
     }
-    return sendOn(std::move(opened), sent, deadline);
+    return sendOn(std::move(opened), sent, allowed);
 }
 
 outcome client::state::sendOn(
-    std::unique_ptr<session> connection, const request& sent, instant deadline)
+    std::unique_ptr<session> connection, const request& sent, const limits& allowed)
 {
     try {
-        connection->setIoTimeout(remaining(deadline));
+        connection->setIoTimeout(remaining(allowed.deadline));
         sendBody(*connection, sent);
-        connection->setIoTimeout(remaining(deadline));
+        connection->setIoTimeout(remaining(allowed.deadline));
         HTTPResponse head;
         auto& in = connection->receiveResponse(head);
-        answer whole { head.getStatus(), receiveBody(*connection, head, in, deadline),
+        answer whole { head.getStatus(), receiveBody(*connection, head, in, allowed),
             fieldsOf(head) };
         if (head.getKeepAlive())
             pool.returnIdle(std::move(connection));
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -3,24 +3,110 @@
 #include "helper/scripted-server.h"
 
 #include <criterion/criterion.h>
+#include <future>
 
 using namespace pimentomast;
+using namespace std::chrono_literals;
 using test::readRequest;
 using test::scripted_server;
 using test::write;
 
 namespace {
 
+constexpr std::chrono::milliseconds timeout { 3000 };
 const http::request get { "GET", "/", "", "" };
 
+/// Writes the text again and again until the client closes the connection; returns the number of
+/// bytes that were written, at most most.
+std::size_t writeWithoutEnd(
+    Poco::Net::StreamSocket& socket, const std::string& text, std::size_t most)
+{
+    std::size_t written = 0;
+    try {
+        for (; written < most; written += text.size())
+            write(socket, text);
+    } catch (const Poco::Exception&) {
+        return written;
+    }
+    return written;
+}
+
 bool isAnswer(const http::outcome& outcome, const std::string& body)
 {
     const auto* answer = std::get_if<http::answer>(&outcome);
     return answer && answer->body == body;
 }
 
+/// What the buffers of both sockets may hold beyond what the client reads.
+constexpr std::size_t socketBytes = 16U << 20U;
+constexpr std::size_t endlessBytes = 256U << 20U;
+
 } // namespace
 
+Test(http, answer_that_keeps_arriving_may_take_longer_than_the_timeout)
+{
+    scripted_server server([](auto& socket, int) {
+        readRequest(socket);
+        write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n");
+        for (const char* piece : { "a", "b", "c", "d", "e" }) {
+            std::this_thread::sleep_for(timeout / 4);
+            write(socket, piece);
+        }
+    });
+    http::client client({ server.address(), timeout });
+    auto patient = get;
+    patient.bodyTimeout = test::waitTimeout;
+    cr_assert(isAnswer(client.sendOnce(patient), "abcde"));
+    cr_assert(std::holds_alternative<http::no_answer>(client.sendOnce(get)));
+}
+
+Test(http, answer_that_falls_silent_is_given_up_after_the_timeout)
+{
+    std::promise<void> finish;
+    auto finished = finish.get_future().share();
+    scripted_server server([finished](auto& socket, int) {
+        readRequest(socket);
+        write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab");
+        finished.wait();
+    });
+    http::client client({ server.address(), 200ms });
+    auto patient = get;
+    patient.bodyTimeout = test::waitTimeout;
+    const auto started = monotonic_clock::now();
+    const auto outcome = client.sendOnce(patient);
+    finish.set_value();
+    cr_assert(std::holds_alternative<http::no_answer>(outcome));
+    cr_assert_lt(
+        (monotonic_clock::now() - started).count(), duration(test::waitTimeout).count() / 2);
+}
+
+Test(http, head_without_end_is_given_up_in_bounded_memory)
+{
+    std::promise<std::size_t> written;
+    scripted_server server([&](auto& socket, int) {
+        readRequest(socket);
+        write(socket, "HTTP/1.1 200 OK\r\n");
+        written.set_value(
+            writeWithoutEnd(socket, "X-More: " + std::string(4000, 'x') + "\r\n", endlessBytes));
+    });
+    http::client client({ server.address(), test::waitTimeout });
+    cr_assert(std::holds_alternative<http::no_answer>(client.sendOnce(get)));
+    cr_assert_lt(written.get_future().get(), socketBytes);
+}
+
+Test(http, body_without_end_is_given_up_in_bounded_memory)
+{
+    std::promise<std::size_t> written;
+    scripted_server server([&](auto& socket, int) {
+        readRequest(socket);
+        write(socket, "HTTP/1.1 200 OK\r\n\r\n");
+        written.set_value(writeWithoutEnd(socket, std::string(4096, 'x'), endlessBytes));
+    });
+    http::client client({ server.address(), test::waitTimeout, 65536 });
+    cr_assert(std::holds_alternative<http::no_answer>(client.sendOnce(get)));
+    cr_assert_lt(written.get_future().get(), socketBytes);
+}
+
 Test(http, answer_beyond_the_awaited_one_is_not_taken_for_the_next)
 {
     std::vector<Poco::Net::StreamSocket> keptOpen;
