Follow the targets while the configuration cannot be read

What callers saw: requests to targets that had said they were leaving (DRAIN), on hosts that could not read a large configuration. Cause: one loop read the configuration and then the targets, and left the targets out if the configuration failed. Class: one feed that holds up another. store-lost did not tell which call had failed or why. Test: leaving_target_is_seen_while_the_configuration_cannot_be_read; failed (60 s) before.

--- /dev/null
+++ b/test/platform-tables-test.cc
@@ -0,0 +1,84 @@
+#include "tables.h"
+
+#include "helper/scripted-server.h"
+
+#include <Poco/Base64Encoder.h>
+#include <criterion/criterion.h>
+#include <sstream>
+
+using namespace pimentomast;
+using namespace pimentomast::platform::detail;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string base64(const std::string& bytes)
+{
+    std::ostringstream text;
+    Poco::Base64Encoder encoder(text);
+    encoder.rdbuf()->setLineLength(0);
+    encoder << bytes;
+    encoder.close();
+    return text.str();
+}
+
+std::string page(int version, const std::string& key, const std::string& value)
+{
+    return R"({"ver":)" + std::to_string(version) + R"(,"rows":[{"key":")" + key + R"(","ver":)"
+        + std::to_string(version) + R"(,"value":")" + base64(value) + R"("}]})";
+}
+
+std::string answer(const std::string& body)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+const std::string configurationText
+    = R"({"version":"0000000c","resources":[)"
+      R"({"type":"services","metadata":{"name":"weights"},"spec":)"
+      R"({"healthPath":"/healthz","maxConns":130}},)"
+      R"({"type":"routes","metadata":{"name":"r1"},"spec":{"host":"a.example","prefix":"/w/",)"
+      R"("timeout":"0.8s","slo":"300ms","priority":2,"attempts":2,"kind":"idempotent",)"
+      R"("service":"weights"}}]})";
+
+std::string registrationText(const std::string& state)
+{
+    return R"({"address":"10.128.0.9:8080","born":1790000000000,"info":{"service":"weights",)"
+           R"("zone":"k","capacity":4},"status":{"state":")"
+        + state + R"("}})";
+}
+
+/// Lists a configuration and a ready target; later the feed of configurations fails, and that of
+/// targets says that the target is leaving.
+void serveStore(Poco::Net::StreamSocket& socket, int)
+{
+    for (auto request = test::readRequest(socket); !request.empty();
+         request = test::readRequest(socket)) {
+        const bool isFeed = request.starts_with("GET /rows-feed");
+        const bool isConfiguration = request.find("table=op&") != std::string::npos;
+        if (isFeed && isConfiguration)
+            test::write(socket, "HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n");
+        else if (isConfiguration)
+            test::write(socket, answer(page(1, "config", configurationText)));
+        else
+            test::write(socket,
+                answer(isFeed ? page(3, "i-1", registrationText("draining"))
+                              : page(2, "i-1", registrationText("ready"))));
+    }
+}
+
+} // namespace
+
+Test(platform_tables, leaving_target_is_seen_while_the_configuration_cannot_be_read)
+{
+    test::scripted_server store(&serveStore);
+    row_client client(store.address(), test::waitTimeout);
+    std::atomic<bool> leaves { false };
+    table_feed feed(client, { 10ms, 20ms });
+    feed.start([&](const auto& table) {
+        leaves = !table->targets.empty() && table->targets[0].state == table::mark::Leaving;
+    });
+    const bool seen = test::waitUntil([&] { return leaves.load(); });
+    feed.stop();
+    cr_assert(seen);
+}
