Send no request whose caller has left or whose deadline has passed

Cause: between its dispatch and its first byte to the target a request waits for a worker, a connection and the host's processor; nobody looked at its caller or its deadline again. The first look came in the wait for the answer, after the request was sent. Class: a decision that is carried out without a look at what it was based on. Change: the relay looks at both before the first byte; the connection to the target stays usable. Left: a host without processor time can still be late between the look and the send.

--- a/src/proxy/relay.cc
+++ b/src/proxy/relay.cc
@@ -9,6 +9,8 @@
 
 constexpr std::size_t bufferBytes = 65536;
 constexpr long pollLimitMs = 1000;
+/// Events that show that the caller no longer waits.
+constexpr short callerLeaves = POLLRDHUP | POLLHUP | POLLERR;
 
 } // namespace
 
@@ -26,6 +28,8 @@
 
 relay_result relay::run()
 {
+    if (const auto result = checkBeforeSending())
+        return finish(*result);
     startUpload();
     while (true) {
         if (const auto result = step())
@@ -33,6 +37,17 @@
     }
 }
 
+// A request may have waited for a worker and for a connection since it was dispatched.
+std::optional<attempt_result> relay::checkBeforeSending()
+{
+    pollfd caller { descriptor(m_request.caller->socket), callerLeaves, 0 };
+    if (::poll(&caller, 1, 0) > 0)
+        return attempt_cancelled {};
+    if (m_started >= m_request.facts.deadline)
+        return requestFault(reason::Deadline);
+    return std::nullopt;
+}
+
 std::optional<attempt_result> relay::step()
 {
     if (const auto result = pumpUpload())
@@ -175,7 +190,7 @@
     ::poll(
         watched.data(), watched.size(), static_cast<int>(std::clamp<long>(leftMs, 0, pollLimitMs)));
     m_targetReady = (watched[1].revents & ~POLLOUT) != 0;
-    if ((watched[0].revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0)
+    if ((watched[0].revents & callerLeaves) != 0)
         return attempt_cancelled {};
     if (m_context.aborting)
         return attempt_cancelled {};
@@ -226,6 +241,10 @@
 
 bool relay::reusableTarget() const
 {
+    const bool isUntouched
+        = m_requestBytesSent == 0 && !m_uploadFailed && !m_targetEnded && m_targetInput.empty();
+    if (isUntouched)
+        return true;
     const bool bodyUnread = m_notRun && m_request.head.hasBody;
     return m_responseState == response_state::Done && !bodyUnread && uploadComplete()
         && !m_uploadFailed && !m_targetEnded && m_targetInput.empty() && m_response->keep_alive();
--- a/src/proxy/relay.h
+++ b/src/proxy/relay.h
@@ -54,6 +54,8 @@
         Done,
     };
 
+    /// Returns a result if the caller left or the deadline passed before anything was sent.
+    [[nodiscard]] std::optional<attempt_result> checkBeforeSending();
     [[nodiscard]] std::optional<attempt_result> step();
     void startUpload();
     [[nodiscard]] std::optional<attempt_result> readFromCaller();
