Count the witnesses that know a new epoch over all rounds of queries

What callers saw: after a coordinator was lost on the grown deployments, no key moved again, so keys stayed at targets that left (DRAIN) and at targets without room. Cause: a new holder may move keys by consent once more than half of the earlier holder's witnesses have read its epoch. It counted the answers of each round of queries for itself, and asked all witnesses again each 0.15 s: 400 calls a second with 61 hosts. A host that cannot do that in time never counts half of them in one round, and goes on asking. Class: work that grows with the number of hosts and is repeated until it succeeds. Change: a host that has read an epoch never confirms a lower one in that run, so answers count together; only the others are asked again, at most 200 queries a second. Test: takeover_ends_although_few_witnesses_answer_at_a_time, failed before. Ruled out: fewer witnesses in the row (it would bear the loss of fewer hosts).

--- a/src/ownership/coordinator_impl.h
+++ b/src/ownership/coordinator_impl.h
@@ -200,8 +200,12 @@
     void askWitnesses(instant now, const std::vector<std::vector<host_run>>& sets);
     std::vector<std::vector<host_run>> ownWitnessSets() const;
     bool hasOwnQuorums(const std::set<host_run>& agreed) const;
-    bool preventsEarlierQuorums(const std::set<host_run>& agreed) const;
-    void evaluateRound(instant now, const detail::witness_round& round);
+    /// Whether too few witnesses of each earlier holder do not know this epoch.
+    bool preventsEarlierQuorums() const;
+    /// Witnesses of earlier holders that are not known to have read this epoch.
+    std::vector<host_run> uninformedWitnesses() const;
+    void recordInformed(instant now, const host_run& witness);
+    void evaluateRound(const detail::witness_round& round);
     void endEarlierRenewals(instant now);
     bool authorityNearExpiry(instant now) const;
     /// When no grant of an earlier holder can still be in force.
@@ -347,6 +351,9 @@
     std::vector<std::vector<host_run>> m_earlierWitnesses;
     bool m_earlierRenewalsEnded = false;
     instant m_earlierAuthorityEnds {};
+    /// Hosts whose run has read this epoch. It never confirms a lower epoch again, so the answers
+    /// of all rounds count together.
+    std::set<host_run> m_informed;
 
     std::deque<detail::witness_round> m_rounds;
     instant m_nextRound {};
--- a/src/ownership/takeover.cc
+++ b/src/ownership/takeover.cc
@@ -13,6 +13,7 @@
     m_releasing = false;
     m_earlierRenewalsEnded = m_row.earlier.empty();
     m_earlierAuthorityEnds = now;
+    m_informed.clear();
     m_messageNumber = {};
     m_nextRound = now;
     changeRole(role::TakingOver, "wrote the next epoch");
--- a/src/ownership/witness_rounds.cc
+++ b/src/ownership/witness_rounds.cc
@@ -6,6 +6,8 @@
 
 namespace {
 constexpr std::size_t maxRounds = 8;
+/// Limits the queries of a coordinator to 200 per second, regardless of the number of witnesses.
+constexpr std::chrono::milliseconds roundPerWitnessMs { 5 };
 
 /// Returns the number of witnesses of a set that a holder needs to extend its authority without the
 /// store. It is at least two, so that a holder's own answer is never enough and a set of one does
@@ -39,10 +41,29 @@
         sets.begin(), sets.end(), [&](const auto& each) { return isQuorum(each, agreed); });
 }
 
-bool coordinator::impl::preventsEarlierQuorums(const std::set<host_run>& agreed) const
+bool coordinator::impl::preventsEarlierQuorums() const
 {
     return std::all_of(m_row.earlier.begin(), m_row.earlier.end(),
-        [&](const auto& each) { return preventsQuorum(each, agreed); });
+        [&](const auto& each) { return preventsQuorum(each, m_informed); });
+}
+
+std::vector<host_run> coordinator::impl::uninformedWitnesses() const
+{
+    std::vector<host_run> uninformed;
+    for (const auto& set : m_row.earlier) {
+        for (const auto& each : set) {
+            if (!m_informed.contains(each))
+                uninformed.push_back(each);
+        }
+    }
+    return uninformed;
+}
+
+void coordinator::impl::recordInformed(instant now, const host_run& witness)
+{
+    m_informed.insert(witness);
+    if (!m_earlierRenewalsEnded && preventsEarlierQuorums())
+        endEarlierRenewals(now);
 }
 
 std::vector<std::vector<host_run>> coordinator::impl::ownWitnessSets() const
@@ -71,11 +92,12 @@
     if (authorityNearExpiry(now))
         sets = ownWitnessSets();
     if (!m_earlierRenewalsEnded)
-        sets.insert(sets.end(), m_row.earlier.begin(), m_row.earlier.end());
+        sets.push_back(uninformedWitnesses());
     if (sets.empty())
         return;
-    m_nextRound = now + times.witnessRound;
     askWitnesses(now, sets);
+    const auto asked = static_cast<std::int64_t>(m_rounds.back().asked.size());
+    m_nextRound = now + std::max(times.witnessRound, asked * roundPerWitnessMs);
 }
 
 void coordinator::impl::askWitnesses(instant now, const std::vector<std::vector<host_run>>& sets)
@@ -87,8 +109,10 @@
     }
     detail::witness_round round;
     round.sent = now;
-    if (m_witness.answer().highest == m_row.number)
+    if (m_witness.answer().highest == m_row.number) {
         round.agreed.insert(m_options.self);
+        recordInformed(now, m_options.self);
+    }
     for (const auto& each : hosts) {
         if (each == m_options.self.host)
             continue;
@@ -99,7 +123,7 @@
     m_rounds.push_back(std::move(round));
     if (m_rounds.size() > maxRounds)
         m_rounds.pop_front();
-    evaluateRound(now, m_rounds.back());
+    evaluateRound(m_rounds.back());
 }
 
 void coordinator::impl::on(instant now, const witness_answered& received)
@@ -116,14 +140,14 @@
     }
     if (*received.answer.highest != m_row.number)
         return;
-    round->agreed.insert({ received.host, received.answer.run });
-    evaluateRound(now, *round);
+    const host_run witness { received.host, received.answer.run };
+    round->agreed.insert(witness);
+    recordInformed(now, witness);
+    evaluateRound(*round);
 }
 
-void coordinator::impl::evaluateRound(instant now, const detail::witness_round& round)
+void coordinator::impl::evaluateRound(const detail::witness_round& round)
 {
-    if (!m_earlierRenewalsEnded && preventsEarlierQuorums(round.agreed))
-        endEarlierRenewals(now);
     const auto& times = m_options.times;
     const bool tooLong = round.sent >= m_storeConfirmed + times.maxOutage;
     if (!tooLong && hasOwnQuorums(round.agreed))
--- a/test/ownership-moves-test.cc
+++ b/test/ownership-moves-test.cc
@@ -77,3 +77,30 @@
     cr_assert(holdersOf(system, samples) == std::set { target_id { "t0" } });
     cr_assert(system.violation.empty());
 }
+
+Test(ownership_moves, takeover_ends_although_few_witnesses_answer_at_a_time)
+{
+    options chosen;
+    chosen.seed = 11;
+    chosen.hosts = 9;
+    simulation system(chosen);
+    system.runFor(settleMs);
+    const int lost = system.holder().value();
+    system.hosts[static_cast<std::size_t>(lost)].pausedUntil = system.now + 1'000'000'000;
+    system.runFor(milliseconds { 50 });
+    for (int period = 0; period < 60; ++period) {
+        system.activeFaults.cuts.clear();
+        for (int from = 0; from <= system.lastHost(); ++from) {
+            for (int to = 0; to <= system.lastHost(); ++to) {
+                const bool reachable = (from + to + period) % 3 == 0;
+                if (from != to && !reachable)
+                    system.activeFaults.cuts.insert({ from, to });
+            }
+        }
+        system.runFor(milliseconds { 200 });
+    }
+    system.want({ { rangeAt(3), target_id { "t0" } }, { rangeAt(12), target_id { "t0" } } });
+    system.runFor(milliseconds { 3000 });
+    cr_assert(holdersOf(system, { 3, 12 }) == std::set { target_id { "t0" } });
+    cr_assert(system.violation.empty());
+}
