Keep the row of a large service's assignment within the store's limit

Cause: the assignment row named the owner in full and two 16-digit hashes for each slice, 120 to 130 bytes a slice. With 204 targets it passes the store's 65,536 bytes a row at about 500 slices; from then on the store refuses each commit, and the coordinator gives each move up and plans it again. No line said so. Class: a document that grows with the installation into a limit of fixed size. Change: owners are listed once, a slice is FIRST,OWNER,EPOCH,SEQUENCE and ends where the next one begins: 2,048 slices (the most that are split) of 204 targets take less than a row. Rows of the version before are read; a host of the version before cannot read the new one. row-not-written tells size and reason of a refused write. Tests: assignment_of_a_large_service_fits_into_a_row (2,048 x 130 bytes before), assignment_of_the_version_before_is_read, and malformed texts among the faulty ones.

--- a/include/pimentomast/assignment.h
+++ b/include/pimentomast/assignment.h
@@ -52,7 +52,7 @@
 [[nodiscard]] result<void> check(const assignment& value);
 /// Returns the JSON text of the row.
 [[nodiscard]] std::string format(const assignment& value);
-/// Parses and checks the JSON text of the row.
+/// Parses and checks the JSON text of the row, also as earlier versions wrote it.
 [[nodiscard]] result<assignment> parseAssignment(const std::string& text);
 /// Returns the key of the row, assignment/<service>.
 [[nodiscard]] std::string assignmentKey(const service_id& service);
--- a/src/assignment/assignment.cc
+++ b/src/assignment/assignment.cc
@@ -1,7 +1,9 @@
 #include "json.h"
 
+#include <Poco/StringTokenizer.h>
 #include <algorithm>
 #include <limits>
+#include <map>
 
 namespace pimentomast::ownership {
 
@@ -13,20 +15,89 @@
     return { "check assignment", value.service.value(), reason };
 }
 
-Poco::JSON::Object::Ptr toJson(const owned_slice& value)
+constexpr std::size_t hashDigits = detail::hashDigits;
+
+/// Returns the hash's hexadecimal digits without trailing zeros, of which first hashes have many.
+std::string shortHex(std::uint64_t value)
+{
+    auto digits = detail::hexText(value);
+    digits.erase(digits.find_last_not_of('0') + 1);
+    return digits;
+}
+
+std::uint64_t fromShortHex(std::string digits)
 {
-    auto object = Poco::makeShared<Poco::JSON::Object>();
-    object->set("first", detail::hexText(value.range.first.value()));
-    object->set("last", detail::hexText(value.range.last.value()));
-    object->set("owner", value.owner.value());
-    object->set("epoch", value.grant.coordinator.value());
-    object->set("sequence", value.grant.assignment.value());
+    if (digits.size() > hashDigits)
+        throw Poco::SyntaxException("hash is too long: " + digits);
+    digits.resize(hashDigits, '0');
+    return detail::hexNumber(digits);
+}
+
+/// Numbers the targets that own slices or are their standbys.
+class owner_list {
+public:
+    std::size_t number(const target_id& owner)
+    {
+        const auto known = m_numbers.try_emplace(owner, m_numbers.size());
+        if (known.second)
+            m_names.add(owner.value());
+        return known.first->second;
+    }
+    [[nodiscard]] const Poco::JSON::Array& names() const noexcept { return m_names; }
+
+private:
+    std::map<target_id, std::size_t> m_numbers;
+    Poco::JSON::Array m_names;
+};
+
+/// Returns "FIRST,OWNER,EPOCH,SEQUENCE" or "FIRST,OWNER,EPOCH,SEQUENCE,STANDBY", with the numbers
+/// of the targets. A slice ends where the next one begins.
+std::string toText(const owned_slice& value, owner_list& owners)
+{
+    auto text = shortHex(value.range.first.value()) + ','
+        + std::to_string(owners.number(value.owner)) + ','
+        + std::to_string(value.grant.coordinator.value()) + ','
+        + std::to_string(value.grant.assignment.value());
     if (value.standby)
-        object->set("standby", value.standby->value());
-    return object;
+        text += ',' + std::to_string(owners.number(*value.standby));
+    return text;
+}
+
+target_id ownerAt(const Poco::JSON::Array& owners, const std::string& number)
+{
+    return target_id { owners.getElement<std::string>(Poco::NumberParser::parseUnsigned(number)) };
 }
 
-owned_slice toSlice(const Poco::JSON::Object& object)
+/// Throws a Poco exception if the text is malformed.
+owned_slice readSlice(const std::string& text, const Poco::JSON::Array& owners)
+{
+    const Poco::StringTokenizer fields(text, ",");
+    if (fields.count() != 4 && fields.count() != 5)
+        throw Poco::SyntaxException("slice is malformed: " + text);
+    owned_slice value;
+    value.range.first = key_hash { fromShortHex(fields[0]) };
+    value.owner = ownerAt(owners, fields[1]);
+    value.grant.coordinator = epoch { Poco::NumberParser::parseUnsigned64(fields[2]) };
+    value.grant.assignment = sequence { Poco::NumberParser::parseUnsigned64(fields[3]) };
+    if (fields.count() == 5)
+        value.standby = ownerAt(owners, fields[4]);
+    return value;
+}
+
+std::vector<owned_slice> readSlices(const std::string& text, const Poco::JSON::Array& owners)
+{
+    std::vector<owned_slice> slices;
+    for (const auto& each : Poco::StringTokenizer(text, ";"))
+        slices.push_back(readSlice(each, owners));
+    for (std::size_t i = 0; i + 1 < slices.size(); ++i)
+        slices[i].range.last = key_hash { slices[i + 1].range.first.value() - 1 };
+    if (!slices.empty())
+        slices.back().range.last = key_hash { highestHash };
+    return slices;
+}
+
+/// Reads a slice of a row as earlier versions wrote it: one object for each.
+owned_slice readObject(const Poco::JSON::Object& object)
 {
     owned_slice value;
     value.range.first = key_hash { detail::hexNumber(object.getValue<std::string>("first")) };
@@ -45,8 +116,13 @@
     value.service = service_id { object.getValue<std::string>("service") };
     value.coordinator = epoch { object.getValue<Poco::UInt64>("epoch") };
     value.number = sequence { object.getValue<Poco::UInt64>("sequence") };
+    if (object.has("owners")) {
+        value.slices = readSlices(
+            object.getValue<std::string>("slices"), *detail::arrayOf(object, "owners"));
+        return value;
+    }
     for (const auto& entry : *detail::arrayOf(object, "slices"))
-        value.slices.push_back(toSlice(*entry.extract<Poco::JSON::Object::Ptr>()));
+        value.slices.push_back(readObject(*entry.extract<Poco::JSON::Object::Ptr>()));
     return value;
 }
 } // namespace
@@ -83,13 +159,15 @@
 
 std::string format(const assignment& value)
 {
-    Poco::JSON::Array slices;
+    owner_list owners;
+    std::string slices;
     for (const auto& each : value.slices)
-        slices.add(toJson(each));
+        slices += (slices.empty() ? "" : ";") + toText(each, owners);
     Poco::JSON::Object object;
     object.set("service", value.service.value());
     object.set("epoch", value.coordinator.value());
     object.set("sequence", value.number.value());
+    object.set("owners", owners.names());
     object.set("slices", slices);
     return detail::text(object);
 }
--- a/src/assignment/json.h
+++ b/src/assignment/json.h
@@ -13,11 +13,12 @@
 /// Helpers for the JSON text of rows.
 namespace pimentomast::ownership::detail {
 
-constexpr int hashDigits = 16;
+constexpr std::size_t hashDigits = 16;
 
 inline std::string hexText(std::uint64_t value)
 {
-    return Poco::NumberFormatter::formatHex(static_cast<Poco::UInt64>(value), hashDigits);
+    return Poco::NumberFormatter::formatHex(
+        static_cast<Poco::UInt64>(value), static_cast<int>(hashDigits));
 }
 
 /// Throws Poco::SyntaxException if the text is not a hexadecimal number.
--- a/src/serve/control_actions.cc
+++ b/src/serve/control_actions.cc
@@ -12,8 +12,34 @@
 constexpr std::chrono::milliseconds peerTimeoutMs { 400 };
 constexpr std::chrono::milliseconds holdTimeoutMs { 50 };
 
+/// Returns why a write had no effect or may have had none; null if it was accepted or another write
+/// came first.
+const error* failureOf(const store::write_outcome& outcome)
+{
+    if (const auto* refused = std::get_if<store::write_refused>(&outcome))
+        return &refused->cause;
+    const auto* unknown = std::get_if<store::write_unknown>(&outcome);
+    return unknown ? &unknown->cause : nullptr;
+}
+
 } // namespace
 
+// Only the first of several failures in a row is logged: a write is repeated many times a second.
+void coordinator_driver::logIfNotWritten(
+    const ownership::write_row& action, const store::write_outcome& outcome)
+{
+    const auto* failure = failureOf(outcome);
+    const std::lock_guard guard(m_failingRowsLock);
+    if (!failure) {
+        m_failingRows.erase(action.key);
+        return;
+    }
+    if (m_failingRows.insert(action.key).second)
+        telemetry::log(telemetry::severity::Warning, "row-not-written",
+            { { "row", action.key }, { "bytes", std::to_string(action.value.size()) },
+                { "reason", failure->text() } });
+}
+
 void coordinator_driver::perform(
     const service_id& service, const std::vector<ownership::action>& actions)
 {
@@ -36,6 +62,7 @@
 {
     boost::asio::post(m_storePool, [this, service, action] {
         auto outcome = m_store.write(action.key, action.expected, action.value, action.writer);
+        logIfNotWritten(action, outcome);
         deliver(service, ownership::write_finished { action.request, std::move(outcome) });
     });
 }
--- a/src/serve/coordinator_driver.h
+++ b/src/serve/coordinator_driver.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <set>
 
 namespace pimentomast::serve::detail {
 
@@ -111,6 +112,7 @@
     void perform(const service_id& service, const ownership::renew_route& action);
     void perform(const service_id& service, const ownership::role_changed& action);
     void renewOwnRoute(const service_id& service, const ownership::renew_route& action);
+    void logIfNotWritten(const ownership::write_row& action, const store::write_outcome& outcome);
     [[nodiscard]] bool tryBeginGrant(const target_id& target);
     void endGrant(const target_id& target);
 
@@ -123,6 +125,9 @@
     std::map<service_id, service_state> m_services;
     ownership::membership_changed m_members { {}, false };
     bool m_stopping = false;
+    std::mutex m_failingRowsLock;
+    /// Rows whose last write failed.
+    std::set<std::string> m_failingRows;
     std::mutex m_grantLock;
     std::map<target_id, unsigned> m_grantsRunning;
     std::unique_ptr<grant_sender> m_grants;
--- a/test/ownership-rows-test.cc
+++ b/test/ownership-rows-test.cc
@@ -91,8 +91,46 @@
     }));
 }
 
+Test(ownership_rows, assignment_of_a_large_service_fits_into_a_row)
+{
+    constexpr std::size_t maxRowBytes = 65536;
+    constexpr std::size_t targets = 204;
+    constexpr std::uint64_t sliceCount = 2048;
+    constexpr std::uint64_t keysPerSlice = 65536 / sliceCount;
+    assignment value { service_id { "profiles" }, epoch { 12 }, sequence { 99999 }, {} };
+    for (std::uint64_t i = 0; i < sliceCount; ++i) {
+        const auto first = i * keysPerSlice << 48U;
+        const auto last = i + 1 == sliceCount ? highestHash : ((i + 1) * keysPerSlice << 48U) - 1;
+        const target_id owner { "i-cfd30addbb@17909907320" + std::to_string(100 + i % targets) };
+        value.slices.push_back(
+            { { key_hash { first }, key_hash { last } }, owner, value.version(), {} });
+    }
+    cr_assert_lt(format(value).size(), maxRowBytes);
+    cr_assert(parseAssignment(format(value)).value() == value);
+}
+
+Test(ownership_rows, assignment_of_the_version_before_is_read)
+{
+    const auto read = parseAssignment(
+        R"({"epoch":3,"sequence":9,"service":"s","slices":[)"
+        R"({"epoch":2,"first":"0000000000000000","last":"00ffffffffffffff","owner":"a","sequence":4},)"
+        R"({"epoch":3,"first":"0100000000000000","last":"ffffffffffffffff","owner":"b",)"
+        R"("sequence":9,"standby":"a"}]})")
+                          .value();
+    cr_assert(read.slices.size() == 2 && read.slices[0].owner == target_id { "a" });
+    cr_assert(read.slices[1].range.first == key_hash { 1ULL << 56U });
+    cr_assert(read.slices[1].standby == target_id { "a" });
+}
+
 Test(ownership_rows, faulty_assignments_are_refused)
 {
+    for (const std::string slices : { "0,5,1,1", "0,0,1", "0,0,1,1,0,0", "0,x,1,1", "zz,0,1,1",
+             "0,0,1,1;0,0,1,1", "1,0,1,1", "0,0,1,99", "00000000000000000,0,1,1", "" })
+        cr_expect(
+            parseAssignment(R"({"service":"s","epoch":1,"sequence":2,"owners":["a"],"slices":")"
+                + slices + "\"}")
+                .has_error(),
+            "%s", slices.c_str());
     const auto whole = randomAssignment({ 10, 20 }, 9);
     auto gap = whole;
     gap.slices.erase(gap.slices.begin() + 1);
