--- a/test/helper/scripted-server.h
+++ b/test/helper/scripted-server.h
@@ -9,8 +9,8 @@
 
 namespace pimentomast::test {
 
-/// A server whose handler runs for one connection after another, each with its number from 0, until
-/// the object is destroyed.
+/// A server whose handler runs for each connection on a thread of its own, with the connection's
+/// number from 0.
 class scripted_server {
 public:
     using handler = std::function<void(Poco::Net::StreamSocket&, int)>;
@@ -24,6 +24,8 @@
     {
         m_stopped = true;
         m_thread.join();
+        for (auto& each : m_connections)
+            each.join();
     }
 
     [[nodiscard]] endpoint address() const { return { "127.0.0.1", m_listening.address().port() }; }
@@ -34,18 +36,24 @@
         for (int number = 0; !m_stopped;) {
             if (!m_listening.poll(Poco::Timespan(20000), Poco::Net::Socket::SELECT_READ))
                 continue;
-            auto accepted = m_listening.acceptConnection();
-            try {
-                m_serve(accepted, number++);
-            } catch (const Poco::Exception&) {
-                // The client has closed the connection.
-            }
+            m_connections.emplace_back([this, accepted = m_listening.acceptConnection(),
+                                           number = number++] { serve(accepted, number); });
+        }
+    }
+
+    void serve(Poco::Net::StreamSocket accepted, int number)
+    {
+        try {
+            m_serve(accepted, number);
+        } catch (const Poco::Exception&) {
+            // The client has closed the connection.
         }
     }
 
     handler m_serve;
     Poco::Net::ServerSocket m_listening { Poco::Net::SocketAddress("127.0.0.1", 0) };
     std::atomic<bool> m_stopped { false };
+    std::vector<std::thread> m_connections;
     std::thread m_thread;
 };
 
--- a/test/platform-tables-test.cc
+++ b/test/platform-tables-test.cc
@@ -48,16 +48,18 @@
         + state + R"("}})";
 }
 
-/// Lists a configuration and a ready target; later the feed of configurations fails, and that of
-/// targets says that the target is leaving.
-void serveStore(Poco::Net::StreamSocket& socket, int)
+using answer_writer = std::function<void(Poco::Net::StreamSocket&)>;
+
+/// Lists a configuration and a ready target; later the feed of configurations is answered by
+/// answerFeed, and that of targets says that the target is leaving.
+void serveStore(Poco::Net::StreamSocket& socket, const answer_writer& answerFeed)
 {
     for (auto request = test::readRequest(socket); !request.empty();
          request = test::readRequest(socket)) {
         const bool isFeed = request.starts_with("GET /rows-feed");
         const bool isConfiguration = request.find("table=op&") != std::string::npos;
         if (isFeed && isConfiguration)
-            test::write(socket, "HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n");
+            answerFeed(socket);
         else if (isConfiguration)
             test::write(socket, answer(page(1, "config", configurationText)));
         else
@@ -67,18 +69,40 @@
     }
 }
 
-} // namespace
+/// Time within which a host must know that a target is leaving.
+constexpr std::chrono::milliseconds drainBound { 2500 };
 
-Test(platform_tables, leaving_target_is_seen_while_the_configuration_cannot_be_read)
+/// Returns whether a feed from a store that answers so sees in time that the target is leaving.
+bool seesLeavingTarget(const answer_writer& answerFeed)
 {
-    test::scripted_server store(&serveStore);
+    test::scripted_server store([&](auto& socket, int) { serveStore(socket, answerFeed); });
     row_client client(store.address(), test::waitTimeout);
     std::atomic<bool> leaves { false };
     table_feed feed(client, { 10ms, 20ms });
     feed.start([&](const auto& table) {
         leaves = !table->targets.empty() && table->targets[0].state == table::mark::Leaving;
     });
-    const bool seen = test::waitUntil([&] { return leaves.load(); });
+    const bool seen = test::waitUntil([&] { return leaves.load(); }, drainBound);
     feed.stop();
-    cr_assert(seen);
+    return seen;
+}
+
+} // namespace
+
+Test(platform_tables, leaving_target_is_seen_while_the_configuration_cannot_be_read)
+{
+    cr_assert(seesLeavingTarget([](auto& socket) {
+        test::write(socket, "HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n");
+    }));
+}
+
+Test(platform_tables, leaving_target_is_seen_while_a_large_configuration_arrives)
+{
+    cr_assert(seesLeavingTarget([](auto& socket) {
+        test::write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n{");
+        for (int i = 0; i < 40; ++i) {
+            std::this_thread::sleep_for(100ms);
+            test::write(socket, " ");
+        }
+    }));
 }
