Believe a refusal only if it belongs to the attempt

Found here: a refusal with the id of another request was skipped already. Two holes were left: a request refused by a target and sent there again on the same connection has the same id, so the copy of its first refusal was believed; and a refusal without an id was believed. Change: an attempt at a target that refused the request before opens a new connection; a refusal that names no request counts as a malformed answer, which promises nothing.

--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -81,6 +81,9 @@
     duration waited { 0 };
     instant submitted;
     std::vector<attempt_summary> history {};
+    /// Targets that refused an attempt. A connection that was used then may carry the refusal
+    /// again, where it would be taken for the answer to a later attempt, which has the same id.
+    std::vector<endpoint> refusedBy {};
 };
 
 } // namespace pimentomast::proxy::detail
--- a/src/proxy/message.cc
+++ b/src/proxy/message.cc
@@ -197,6 +197,12 @@
 
 } // namespace
 
+bool isNamelessRefusal(const response_parser& response, const contract& fields)
+{
+    const bool isNamed = !fields.callersChooseId || response.get().count(fields.id) > 0;
+    return !isNamed && refusedBeforeRunning(response, fields);
+}
+
 std::optional<reason> notRunReason(const response_parser& response, const contract& fields)
 {
     if (!refusedBeforeRunning(response, fields))
--- a/src/proxy/message.h
+++ b/src/proxy/message.h
@@ -19,6 +19,10 @@
 /// Returns the head of an interim (1xx) response to send to the caller.
 [[nodiscard]] std::string interimHead(const response_parser& response);
 
+/// Returns whether the response is a refusal without a request id, which may belong to an earlier
+/// request on the connection.
+[[nodiscard]] bool isNamelessRefusal(const response_parser& response, const contract& fields);
+
 /// Returns the reason if the response states that the target refused the request before running
 /// it.
 [[nodiscard]] std::optional<reason> notRunReason(
--- a/src/proxy/relay-response.cc
+++ b/src/proxy/relay-response.cc
@@ -135,6 +135,8 @@
     }
     if (const auto result = checkResponseFraming())
         return result;
+    if (isNamelessRefusal(*m_response, m_context.settings.contract))
+        return failed(reason::TargetAnswerMalformed);
     if (const auto why = notRunReason(*m_response, m_context.settings.contract))
         return completeNotRun(*why);
     if (m_request.pendingContinuation)
--- a/src/proxy/server-dispatch.cc
+++ b/src/proxy/server-dispatch.cc
@@ -117,7 +117,10 @@
 {
     ++work.request->attempts;
     const instant started = monotonic_clock::now();
-    auto acquired = m_targets.acquire(work.to.address, work.to.connections, work.to.newConnection);
+    const auto& refusedBy = work.request->refusedBy;
+    const bool mustBeNew = work.to.newConnection
+        || std::find(refusedBy.begin(), refusedBy.end(), work.to.address) != refusedBy.end();
+    auto acquired = m_targets.acquire(work.to.address, work.to.connections, mustBeNew);
     attempt finished;
     finished.id = work.request->facts.id;
     finished.target = work.to.target;
@@ -163,6 +166,7 @@
         },
         [&](const attempt_not_run& refused) {
             m_counts.add(refused.why);
+            work.request->refusedBy.push_back(work.to.address);
             waitForDecision(std::move(work.request), finished, abandoned);
         },
         [&](const attempt_unknown& lost) {
