Do not end when a call on a kept connection finds no free descriptor

Cause: before a kept connection to the store or to a target's grants is used, the pool asks POCO whether it is readable; POCO 1.11 opens an epoll descriptor for the question and throws if there is none left. That was outside of every try, on a thread of the coordinator. Class: an exception of a library where no failure is expected. Ruled out: POCO's admin server and accept() catch theirs. Change: the pool asks with poll(). Test: call_on_a_kept_connection_needs_no_further_descriptor; before, the same exception with the same text.

--- a/src/http/session-pool.cc
+++ b/src/http/session-pool.cc
@@ -1,5 +1,7 @@
 #include "session-pool.h"
 
+#include <poll.h>
+
 namespace pimentomast::http::detail {
 
 namespace {
@@ -32,7 +34,9 @@
 {
     if (!connected() || buffered() > 0)
         return false;
-    return !socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
+    // POCO's poll() opens a descriptor and throws if there is none left.
+    pollfd watched { socket().impl()->sockfd(), POLLIN, 0 };
+    return ::poll(&watched, 1, 0) == 0;
 }
 
 session_pool::session_pool(endpoint address)
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -4,6 +4,8 @@
 
 #include <criterion/criterion.h>
 #include <future>
+#include <sys/resource.h>
+#include <unistd.h>
 
 using namespace pimentomast;
 using namespace std::chrono_literals;
@@ -121,3 +123,18 @@
     cr_assert(isAnswer(client.sendOnce(get), "0"));
     cr_assert(isAnswer(client.sendOnce(get), "1"));
 }
+
+Test(http, call_on_a_kept_connection_needs_no_further_descriptor)
+{
+    scripted_server server([](auto& socket, int) {
+        while (!readRequest(socket).empty())
+            write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1");
+    });
+    http::client client({ server.address(), test::waitTimeout });
+    cr_assert(isAnswer(client.sendOnce(get), "1"));
+    const int next = ::dup(STDIN_FILENO);
+    ::close(next);
+    const rlimit noMore { static_cast<rlim_t>(next), static_cast<rlim_t>(next) };
+    cr_assert_eq(::setrlimit(RLIMIT_NOFILE, &noMore), 0);
+    cr_assert(isAnswer(client.sendOnce(get), "1"));
+}
