Leave half of a process's descriptors to connections to targets

What callers saw: connections that were not taken or cut while a host had used up its descriptors (up to 4,849 files on a host, limits of 4,100 to 8,192); no new connection to a target, the store or a peer. Cause: callers could use 8,192 connections, whatever the platform allows a process. Class: a limit that is not derived from what the machine has. Change: limits.descriptors, from the deployment's settings; callers get at most half and more are refused at once (too-many-connections, 503, not run), as the setting limits.connections does.

--- a/include/pimentomast/settings.h
+++ b/include/pimentomast/settings.h
@@ -2,6 +2,7 @@
 
 #include "pimentomast/core.h"
 
+#include <algorithm>
 #include <span>
 #include <variant>
 #include <vector>
@@ -50,6 +51,16 @@
 struct limit_settings {
     unsigned workers = 32;
     unsigned connections = 8192;
+    /// Descriptors that the process may open; 0 if it is not known.
+    unsigned descriptors = 0;
+
+    /// Returns the number of callers' connections to accept: at most half of the descriptors, since
+    /// requests need as many connections to targets.
+    [[nodiscard]] unsigned callerConnections() const noexcept
+    {
+        return descriptors == 0 ? connections : std::min(connections, descriptors / 2);
+    }
+
     unsigned headBytes = 32768;
     milliseconds headTimeoutMs { 10000 };
     milliseconds bodyTimeoutMs { 30000 };
--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -61,7 +61,7 @@
     proxy::options options;
     options.listen = values.host.callers;
     options.workers = values.limits.workers;
-    options.maxCallerConnections = values.limits.connections;
+    options.maxCallerConnections = values.limits.callerConnections();
     options.headBytes = values.limits.headBytes;
     options.headTimeout = values.limits.headTimeoutMs;
     options.idleTimeout = values.limits.idleTimeoutMs;
--- a/src/settings/keys.cc
+++ b/src/settings/keys.cc
@@ -226,6 +226,8 @@
             "limits", "workers", { 1, 1024 }, member { &s::limits, &limit_settings::workers }),
         countRule("limits", "connections", { 1, 1000000 },
             member { &s::limits, &limit_settings::connections }),
+        countRule("limits", "descriptors", { 0, 1000000 },
+            member { &s::limits, &limit_settings::descriptors }),
         countRule("limits", "head_bytes", { 1024, 1048576 },
             member { &s::limits, &limit_settings::headBytes }),
         timeRule("limits", "head_timeout_ms", { 10, 600000 },
--- a/test/settings-test.cc
+++ b/test/settings-test.cc
@@ -179,3 +179,13 @@
     const auto outcome = settings::load("/nowhere/pimentomast.ini");
     cr_assert(outcome.error().peer == "/nowhere/pimentomast.ini");
 }
+
+Test(settings, callers_get_at_most_half_of_the_descriptors)
+{
+    pimentomast::settings::limit_settings limits;
+    cr_assert_eq(limits.callerConnections(), 8192);
+    limits.descriptors = 4100;
+    cr_assert_eq(limits.callerConnections(), 2050);
+    limits.connections = 100;
+    cr_assert_eq(limits.callerConnections(), 100);
+}
