Publish what changed in an assignment, not all of it

Class: control messages whose size grows with the installation, times their number. Change: a notice carries the slices that changed since the publication before; its answer says what the host has, and one that lacked the base gets the whole. Publications are at least 2 ms a host apart. Hosts of the version before ignore the change and get the whole as they lack it. Ruled out: a smaller text for the whole (half the bytes).

--- a/include/pimentomast/assignment.h
+++ b/include/pimentomast/assignment.h
@@ -57,6 +57,23 @@
 /// Returns the key of the row, assignment/<service>.
 [[nodiscard]] std::string assignmentKey(const service_id& service);
 
+// ---- Changes of an assignment ----
+
+/// The slices that a newer assignment has in place of those of the base version.
+struct assignment_change {
+    service_id service;
+    token base;
+    token version;
+    /// In order; they cover the changed ranges once.
+    std::vector<owned_slice> slices;
+};
+
+/// Returns how to get from one assignment to a newer one of the same service.
+[[nodiscard]] assignment_change difference(const assignment& from, const assignment& to);
+/// Returns the newer assignment. Fails if from does not have the base version, or if the result
+/// does not pass check().
+[[nodiscard]] result<assignment> apply(const assignment& from, const assignment_change& change);
+
 // ---- Routes of a host ----
 
 /// Identifies an action that expects an answer; the answer contains the same number.
--- a/src/ownership/commit.cc
+++ b/src/ownership/commit.cc
@@ -12,6 +12,8 @@
 constexpr std::chrono::milliseconds grantWaitMs { 100 };
 constexpr std::chrono::milliseconds republishMs { 500 };
 constexpr std::chrono::milliseconds joinHoldMs { 200 };
+/// Limits the messages of publications to 500 per second, regardless of the number of hosts.
+constexpr std::chrono::milliseconds publicationPerHostMs { 2 };
 } // namespace
 
 bool coordinator::impl::decideOwner(move& entry, std::map<target_id, double>& shares) const
@@ -185,8 +187,9 @@
     const bool unconfirmed = needsRouteLeases() && m_leasableVersion != m_assignment->version();
     if (!m_publicationDue && !(unconfirmed && now >= m_publishAt + republishMs))
         return;
-    if (now < m_publishAt && !m_awaitedGrants.empty())
+    if (now < m_nextPublication || (now < m_publishAt && !m_awaitedGrants.empty()))
         return;
+    m_nextPublication = now + static_cast<std::int64_t>(m_live.size()) * publicationPerHostMs;
     m_publicationDue = false;
     m_publishAt = now;
     m_awaitedGrants.clear();
--- a/src/ownership/coordinator_impl.h
+++ b/src/ownership/coordinator_impl.h
@@ -388,6 +388,8 @@
     std::map<std::chrono::milliseconds, std::vector<slice>> m_queuedHolds;
     bool m_publicationDue = false;
     instant m_publishAt {};
+    /// No publication before this time.
+    instant m_nextPublication {};
     std::map<target_id, request_number> m_awaitedGrants;
 
     std::map<host_id, detail::route_state> m_routes;
--- a/src/serve/directory.cc
+++ b/src/serve/directory.cc
@@ -35,17 +35,17 @@
         [&](const auto& target) { return target.service == service && !target.checksTokens; });
 }
 
-token versionIn(const wire::Digest& digest, const service_id& service)
+} // namespace
+
+token directory::versionIn(const wire_versions& versions, const service_id& service)
 {
-    for (const auto& known : digest.assignments()) {
+    for (const auto& known : versions) {
         if (known.service() == service.value())
             return { epoch { known.epoch() }, sequence { known.sequence() } };
     }
     return {};
 }
 
-} // namespace
-
 routing::owner_answer directory::find(instant now, const service_id& service, key_hash key) const
 {
     const std::shared_lock guard(m_lock);
@@ -169,24 +169,32 @@
     m_services[service].forwarded.giveUp(attempt, now + m_cancelLimit);
 }
 
-void directory::describe(wire::Digest& digest) const
+void directory::describe(wire_versions& versions) const
 {
     const std::shared_lock guard(m_lock);
     for (const auto& [service, known] : m_services) {
         const auto version = known.routes.version();
-        auto* message = digest.add_assignments();
+        auto* message = versions.Add();
         message->set_service(service.value());
         message->set_epoch(version.coordinator.value());
         message->set_sequence(version.assignment.value());
     }
 }
 
+std::optional<ownership::assignment> directory::assignmentOf(const service_id& service) const
+{
+    const std::shared_lock guard(m_lock);
+    const auto found = m_services.find(service);
+    const auto* current = found == m_services.end() ? nullptr : found->second.routes.current();
+    return current ? std::optional(*current) : std::nullopt;
+}
+
 void directory::addNewer(const wire::Digest& digest, wire::Update& update) const
 {
     const std::shared_lock guard(m_lock);
     for (const auto& [service, known] : m_services) {
         const auto* current = known.routes.current();
-        const bool newer = current && current->version() > versionIn(digest, service);
+        const bool newer = current && current->version() > versionIn(digest.assignments(), service);
         if (newer && update.assignments_size() < maxAssignmentsPerUpdate)
             *update.add_assignments() = toWire(*current, known.coordinator);
     }
--- a/src/serve/directory.h
+++ b/src/serve/directory.h
@@ -65,8 +65,15 @@
     void abandonForward(
         instant now, const service_id& service, const ownership::attempt_id& attempt);
 
-    /// Adds the versions of all assignments to a digest.
-    void describe(wire::Digest& digest) const;
+    using wire_versions = google::protobuf::RepeatedPtrField<wire::AssignmentVersion>;
+
+    /// Adds the versions of all assignments.
+    void describe(wire_versions& versions) const;
+    /// Returns the version that is stated for the service, (0, 0) if there is none.
+    [[nodiscard]] static token versionIn(const wire_versions& versions, const service_id& service);
+    /// Returns a copy of the service's newest assignment, if there is one.
+    [[nodiscard]] std::optional<ownership::assignment> assignmentOf(
+        const service_id& service) const;
     /// Adds to update the assignments that the digest's sender lacks, at most a few per update.
     void addNewer(const wire::Digest& digest, wire::Update& update) const;
 
--- a/src/serve/gossip.cc
+++ b/src/serve/gossip.cc
@@ -219,6 +219,18 @@
     m_callbacks.putAssignment(value.value(), host_id { message.coordinator() });
 }
 
+void gossip::applyChange(const wire::AssignmentChange& message)
+{
+    const auto change = fromWire(message);
+    const auto current = m_routes.assignmentOf(change.service);
+    if (!current || current->version() != change.base)
+        return;
+    const auto value = ownership::apply(*current, change);
+    if (!value)
+        throw failure(value.error());
+    m_callbacks.putAssignment(value.value(), host_id { message.coordinator() });
+}
+
 wire::Digest gossip::digest(instant now) const
 {
     wire::Digest digest;
@@ -228,7 +240,7 @@
     digest.set_ip(m_options.advertised.ip);
     digest.set_port(m_options.advertised.port);
     digest.set_table_version(version().value());
-    m_routes.describe(digest);
+    m_routes.describe(*digest.mutable_assignments());
     addHeard(m_peerRegistry.heardHosts(now), digest);
     for (const auto& crash : m_callbacks.crashes())
         *digest.add_crashes() = toWire(crash, now);
@@ -320,18 +332,65 @@
         applyTable(config_version { notice.table().version() }, notice.table().value());
     for (const auto& message : notice.assignments())
         applyAssignment(message);
+    for (const auto& message : notice.changes())
+        applyChange(message);
     wire::NoticeReply reply;
+    m_routes.describe(*reply.mutable_assignments());
     reply.set_incarnation(m_options.run.value());
     reply.set_table_version(version().value());
     return reply;
 }
 
+// Only the change is sent: the whole assignment of a large service, sent to each host for each
+// commit, fills the links of the coordinator and of the slowest hosts.
 void gossip::publish(const ownership::assignment& value)
 {
     wire::Notice notice;
     notice.set_host(m_options.self.value());
-    *notice.add_assignments() = toWire(value, m_options.self);
-    notifyAll(notice);
+    const auto base = exchangePublished(value);
+    if (base && base->coordinator == value.coordinator)
+        *notice.add_changes() = toWire(ownership::difference(*base, value), m_options.self);
+    else
+        *notice.add_assignments() = toWire(value, m_options.self);
+    for (const auto& peer : m_peerRegistry.allPeers(monotonic_clock::now()))
+        publishTo(peer, notice, value.service);
+}
+
+std::optional<ownership::assignment> gossip::exchangePublished(const ownership::assignment& value)
+{
+    const std::lock_guard guard(m_lock);
+    auto& published = m_published[value.service];
+    // Publications of two steps may arrive here in either order.
+    if (published && published->version() >= value.version())
+        return {};
+    return std::exchange(published, value);
+}
+
+void gossip::publishTo(const peer_registry::client_pointer& peer, const wire::Notice& notice,
+    const service_id& service)
+{
+    const std::weak_ptr receiver = peer;
+    peer->publish(notice, peerTimeoutMs, [this, receiver, service](auto reply) {
+        if (!reply)
+            return;
+        const auto known = directory::versionIn(reply.value().assignments(), service);
+        // The last owner of a client must not be one of its own handlers.
+        boost::asio::post(
+            m_pool, [this, receiver, service, known] { catchUp(receiver.lock(), service, known); });
+    });
+}
+
+// A host that lacks the base of a change gets the whole assignment.
+void gossip::catchUp(
+    const peer_registry::client_pointer& peer, const service_id& service, token known)
+{
+    const auto newest = m_routes.assignmentOf(service);
+    if (!peer || !newest || known >= newest->version())
+        return;
+    wire::Notice whole;
+    whole.set_host(m_options.self.value());
+    *whole.add_assignments() = toWire(*newest, m_routes.coordinator(service));
+    peer->publish(whole, peerTimeoutMs, [](const auto&) {});
 }
 
 void gossip::announce(config_version version, const std::string& value)
--- a/src/serve/gossip.h
+++ b/src/serve/gossip.h
@@ -84,7 +84,14 @@
     void applyUpdate(instant sentAt, const wire::Update& update);
     void applyTable(config_version version, const std::string& value);
     void applyAssignment(const wire::Assignment& message);
+    /// Ignores a change of an assignment that this host does not have.
+    void applyChange(const wire::AssignmentChange& message);
     void notifyAll(const wire::Notice& notice);
+    void publishTo(const peer_registry::client_pointer& peer, const wire::Notice& notice,
+        const service_id& service);
+    void catchUp(const peer_registry::client_pointer& peer, const service_id& service, token known);
+    /// Records what is published; returns what was published before for that service, if anything.
+    std::optional<ownership::assignment> exchangePublished(const ownership::assignment& value);
     [[nodiscard]] wire::Digest digest(instant now) const;
     [[nodiscard]] duration exchangeInterval(instant now) const;
     [[nodiscard]] duration hostsInterval(instant now) const;
@@ -111,6 +118,7 @@
     mutable std::mutex m_lock;
     membership::freshness m_freshness;
     wire::Table m_table;
+    std::map<service_id, std::optional<ownership::assignment>> m_published;
     instant m_started;
     boost::asio::thread_pool m_pool;
 };
--- a/src/serve/wire.cc
+++ b/src/serve/wire.cc
@@ -52,6 +52,31 @@
     return value;
 }
 
+wire::AssignmentChange toWire(const ownership::assignment_change& value, const host_id& coordinator)
+{
+    wire::AssignmentChange message;
+    message.set_service(value.service.value());
+    message.set_epoch(value.version.coordinator.value());
+    message.set_sequence(value.version.assignment.value());
+    message.set_base_epoch(value.base.coordinator.value());
+    message.set_base_sequence(value.base.assignment.value());
+    message.set_coordinator(coordinator.value());
+    for (const auto& owned : value.slices)
+        fill(*message.add_slices(), owned);
+    return message;
+}
+
+ownership::assignment_change fromWire(const wire::AssignmentChange& message)
+{
+    ownership::assignment_change value;
+    value.service = service_id { message.service() };
+    value.version = { epoch { message.epoch() }, sequence { message.sequence() } };
+    value.base = { epoch { message.base_epoch() }, sequence { message.base_sequence() } };
+    for (const auto& owned : message.slices())
+        value.slices.push_back(readSlice(owned));
+    return value;
+}
+
 wire::TableStanding toWire(const table_standing& value, instant now)
 {
     wire::TableStanding message;
--- a/src/serve/wire.h
+++ b/src/serve/wire.h
@@ -15,6 +15,10 @@
 /// Returns the validated assignment. Fails if its slices do not cover the hash space exactly once.
 [[nodiscard]] result<ownership::assignment> fromWire(const wire::Assignment& message);
 
+[[nodiscard]] wire::AssignmentChange toWire(
+    const ownership::assignment_change& value, const host_id& coordinator);
+[[nodiscard]] ownership::assignment_change fromWire(const wire::AssignmentChange& message);
+
 [[nodiscard]] wire::Crash toWire(const routing::crash& crash, instant now);
 [[nodiscard]] routing::crash fromWire(const wire::Crash& message, instant now);
 
--- a/test/ownership-rows-test.cc
+++ b/test/ownership-rows-test.cc
@@ -109,6 +109,29 @@
     cr_assert(parseAssignment(format(value)).value() == value);
 }
 
+Test(ownership_rows, change_leads_from_one_assignment_to_the_other)
+{
+    cr_assert(rc::check(
+        [](const std::vector<std::uint64_t>& before, const std::vector<std::uint64_t>& after) {
+            const auto from = randomAssignment(before, 9);
+            const auto to = randomAssignment(after, 10);
+            RC_ASSERT(apply(from, difference(from, to)).value() == to);
+            RC_ASSERT(apply(to, difference(from, to)).has_error());
+        }));
+}
+
+Test(ownership_rows, change_of_one_slice_names_no_other)
+{
+    const auto from = randomAssignment({ 10, 20, 30, 40 }, 9);
+    auto to = from;
+    to.number = sequence { 10 };
+    to.slices[2].owner = target_id { "other" };
+    to.slices[2].grant = to.version();
+    const auto change = difference(from, to);
+    cr_assert(change.slices == std::vector { to.slices[2] });
+    cr_assert(apply(from, change).value() == to);
+}
+
 Test(ownership_rows, assignment_of_the_version_before_is_read)
 {
     const auto read = parseAssignment(
