--- a/src/serve/gossip.cc
+++ b/src/serve/gossip.cc
@@ -9,7 +9,6 @@
 namespace pimentomast::serve::detail {
 namespace {
 
-constexpr std::chrono::milliseconds peerTimeoutMs { 800 };
 constexpr unsigned poolThreads = 2;
 /// The host that polls the store is elected like the coordinator of a service with this name.
 constexpr auto storePollerElection = "tables";
@@ -211,26 +210,6 @@
     m_callbacks.putTable(std::make_shared<const table::table>(std::move(decoded).value()));
 }
 
-void gossip::applyAssignment(const wire::Assignment& message)
-{
-    const auto value = fromWire(message);
-    if (!value)
-        throw failure(value.error());
-    m_callbacks.putAssignment(value.value(), host_id { message.coordinator() });
-}
-
-void gossip::applyChange(const wire::AssignmentChange& message)
-{
-    const auto change = fromWire(message);
-    const auto current = m_routes.assignmentOf(change.service);
-    if (!current || current->version() != change.base)
-        return;
-    const auto value = ownership::apply(*current, change);
-    if (!value)
-        throw failure(value.error());
-    m_callbacks.putAssignment(value.value(), host_id { message.coordinator() });
-}
-
 wire::Digest gossip::digest(instant now) const
 {
     wire::Digest digest;
@@ -253,7 +232,7 @@
 {
     const auto sentAt = monotonic_clock::now();
     const auto address = peer->address();
-    peer->exchange(digest(sentAt), peerTimeoutMs, [this, sentAt, address](auto reply) {
+    peer->exchange(digest(sentAt), gossipTimeoutMs, [this, sentAt, address](auto reply) {
         if (!reply)
             return;
         const auto& update = reply.value();
@@ -341,58 +320,6 @@
     return reply;
 }
 
-// Only the change is sent: the whole assignment of a large service, sent to each host for each
-// commit, fills the links of the coordinator and of the slowest hosts.
-void gossip::publish(const ownership::assignment& value)
-{
-    wire::Notice notice;
-    notice.set_host(m_options.self.value());
-    const auto base = exchangePublished(value);
-    if (base && base->coordinator == value.coordinator)
-        *notice.add_changes() = toWire(ownership::difference(*base, value), m_options.self);
-    else
-        *notice.add_assignments() = toWire(value, m_options.self);
-    for (const auto& peer : m_peerRegistry.allPeers(monotonic_clock::now()))
-        publishTo(peer, notice, value.service);
-}
-
-std::optional<ownership::assignment> gossip::exchangePublished(const ownership::assignment& value)
-{
-    const std::lock_guard guard(m_lock);
-    auto& published = m_published[value.service];
-    // Publications of two steps may arrive here in either order.
-    if (published && published->version() >= value.version())
-        return {};
-    return std::exchange(published, value);
-}
-
-void gossip::publishTo(const peer_registry::client_pointer& peer, const wire::Notice& notice,
-    const service_id& service)
-{
-    const std::weak_ptr receiver = peer;
-    peer->publish(notice, peerTimeoutMs, [this, receiver, service](auto reply) {
-        if (!reply)
-            return;
-        const auto known = directory::versionIn(reply.value().assignments(), service);
-        // The last owner of a client must not be one of its own handlers.
-        boost::asio::post(
-            m_pool, [this, receiver, service, known] { catchUp(receiver.lock(), service, known); });
-    });
-}
-
-// A host that lacks the base of a change gets the whole assignment.
-void gossip::catchUp(
-    const peer_registry::client_pointer& peer, const service_id& service, token known)
-{
-    const auto newest = m_routes.assignmentOf(service);
-    if (!peer || !newest || known >= newest->version())
-        return;
-    wire::Notice whole;
-    whole.set_host(m_options.self.value());
-    *whole.add_assignments() = toWire(*newest, m_routes.coordinator(service));
-    peer->publish(whole, peerTimeoutMs, [](const auto&) {});
-}
-
 void gossip::announce(config_version version, const std::string& value)
 {
     if (version <= this->version())
@@ -410,13 +337,13 @@
     wire::Digest message = digest(monotonic_clock::now());
     *message.add_crashes() = toWire(crash, monotonic_clock::now());
     for (const auto& peer : m_peerRegistry.allPeers(monotonic_clock::now()))
-        peer->exchange(message, peerTimeoutMs, [](const auto&) {});
+        peer->exchange(message, gossipTimeoutMs, [](const auto&) {});
 }
 
 void gossip::notifyAll(const wire::Notice& notice)
 {
     for (const auto& peer : m_peerRegistry.allPeers(monotonic_clock::now()))
-        peer->publish(notice, peerTimeoutMs, [](const auto&) {});
+        peer->publish(notice, gossipTimeoutMs, [](const auto&) {});
 }
 
 bool gossip::confirmed(instant now) const
--- a/src/serve/gossip.h
+++ b/src/serve/gossip.h
@@ -14,6 +14,9 @@
 
 namespace pimentomast::serve::detail {
 
+/// Timeout of each call to another host.
+constexpr std::chrono::milliseconds gossipTimeoutMs { 800 };
+
 struct gossip_options {
     host_id self;
     incarnation run;
--- /dev/null
+++ b/src/serve/node_peers.cc
@@ -0,0 +1,63 @@
+#include "node.h"
+
+/// Answers of a host to the calls of others.
+namespace pimentomast::serve::detail {
+
+peers::wire::Update node::exchange(const peers::wire::Digest& digest)
+{
+    return m_gossip->exchange(digest);
+}
+
+peers::wire::NoticeReply node::publish(const peers::wire::Notice& notice)
+{
+    return m_gossip->applyNotice(notice);
+}
+
+peers::wire::WitnessReply node::witness(const peers::wire::WitnessRequest& request)
+{
+    const auto answer = m_coordinators->answerWitness(
+        service_id { request.service() }, epoch { request.epoch() });
+    peers::wire::WitnessReply reply;
+    reply.set_incarnation(answer.run.value());
+    reply.set_read(answer.highest.has_value());
+    if (answer.highest)
+        reply.set_epoch(answer.highest->value());
+    return reply;
+}
+
+peers::wire::HoldReply node::hold(const peers::wire::HoldRequest& request)
+{
+    const service_id service { request.service() };
+    const token version { epoch { request.epoch() }, sequence { request.sequence() } };
+    const auto until = monotonic_clock::now() + std::chrono::milliseconds(request.hold_ms());
+    for (const auto& range : rangesOf(request))
+        m_directory.hold(service, range, version, until);
+    if (request.hold_ms() == 0)
+        m_dispatch->ownersChanged(service);
+    peers::wire::HoldReply reply;
+    reply.set_incarnation(m_incarnation.value());
+    return reply;
+}
+
+peers::wire::RouteRenewalReply node::renewRoute(const peers::wire::RouteRenewal& renewal)
+{
+    const service_id service { renewal.service() };
+    const auto now = monotonic_clock::now();
+    const auto versions = m_directory.renewRoute(now, service, fromWire(renewal));
+    peers::wire::RouteRenewalReply reply;
+    reply.set_incarnation(m_incarnation.value());
+    reply.set_clock_us(clockUs(now));
+    reply.set_epoch(versions.confirmed.coordinator.value());
+    reply.set_sequence(versions.confirmed.assignment.value());
+    reply.set_known_epoch(versions.known.coordinator.value());
+    reply.set_known_sequence(versions.known.assignment.value());
+    return reply;
+}
+
+peers::wire::LoadReply node::reportLoad(const peers::wire::LoadReport& report)
+{
+    m_placement->addLoad(host_id { report.host() }, report);
+    return {};
+}
+
+} // namespace pimentomast::serve::detail
--- a/test/helper/proxy-fixture.h
+++ b/test/helper/proxy-fixture.h
@@ -112,6 +112,19 @@
     bool m_reset = false;
 };
 
+/// Returns settings for callers that choose the ids of their requests and state their deadlines.
+inline proxy::options callersChooseIds()
+{
+    proxy::options settings;
+    settings.contract.id = "X-Id";
+    settings.contract.callersChooseId = true;
+    settings.contract.notRun = "X-Refused";
+    settings.contract.deadline = "X-Left";
+    settings.contract.callersStateDeadline = true;
+    settings.contract.sendPimentomastFields = false;
+    return settings;
+}
+
 /// A proxy in the test process with a fixed list of targets.
 class proxy_fixture {
 public:
--- a/test/proxy-failure-test.cc
+++ b/test/proxy-failure-test.cc
@@ -95,18 +95,6 @@
 
 namespace {
 
-proxy::options callersChooseIds()
-{
-    proxy::options settings;
-    settings.contract.id = "X-Id";
-    settings.contract.callersChooseId = true;
-    settings.contract.notRun = "X-Refused";
-    settings.contract.deadline = "X-Left";
-    settings.contract.callersStateDeadline = true;
-    settings.contract.sendPimentomastFields = false;
-    return settings;
-}
-
 constexpr const char* getWithId = "GET /weights/g1 HTTP/1.1\r\nHost: h\r\nX-Id: new\r\n"
                                   "X-Left: 900\r\nConnection: close\r\n\r\n";
 
--- a/test/proxy-refusal-test.cc
+++ b/test/proxy-refusal-test.cc
@@ -8,16 +8,6 @@
 
 namespace {
 
-proxy::options callersChooseIds()
-{
-    proxy::options settings;
-    settings.contract.id = "X-Id";
-    settings.contract.callersChooseId = true;
-    settings.contract.notRun = "X-Refused";
-    settings.contract.sendPimentomastFields = false;
-    return settings;
-}
-
 std::string refusal(const std::string& fields)
 {
     return "HTTP/1.1 503 Service Unavailable\r\n" + fields
