Block signals before the environment starts threads

Class: a precondition that nothing enforces. Change: run() takes what connects the environment and calls it after the signals are blocked.

--- a/include/pimentomast/serve.h
+++ b/include/pimentomast/serve.h
@@ -84,8 +84,10 @@
 /// Runs an entry host until SIGTERM or SIGINT, then drains it: the host reports itself unhealthy,
 /// hands its services over, keeps accepting requests for the configured time and finishes every
 /// request in flight. Returns the process's exit code. Throws failure if the host cannot start.
-/// Must be called only once, from the main thread, before any other thread is started.
-int run(const settings::settings& values, environment& env);
+/// Signals are blocked before connect is called, so that threads of the environment do not receive
+/// them. Must be called only once, from the main thread, before any other thread is started.
+int run(const settings::settings& values,
+    const std::function<result<std::unique_ptr<environment>>()>& connect);
 
 /// Returns the environment that uses this project's own protocols (docs/DESIGN.md). Fails if the
 /// store's address is incomplete.
--- a/src/command/host_commands.cc
+++ b/src/command/host_commands.cc
@@ -124,8 +124,8 @@
 exit_code serve(const invocation& call)
 {
     const auto values = loadSettings(call);
-    const auto environment = makeEnvironment(values.store).value();
-    return static_cast<exit_code>(serve::run(values, *environment));
+    return static_cast<exit_code>(
+        serve::run(values, [&] { return makeEnvironment(values.store); }));
 }
 
 exit_code checkSettings(const invocation& call)
--- a/src/serve/serve.cc
+++ b/src/serve/serve.cc
@@ -68,18 +68,20 @@
         std::make_unique<default_environment>(std::move(services).value()));
 }
 
-int run(const settings::settings& values, environment& env)
+int run(const settings::settings& values,
+    const std::function<result<std::unique_ptr<environment>>()>& connect)
 {
     const auto signals = terminationSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
     telemetry::setUpLog(logOptions(values));
-    detail::node host(values, env);
+    const auto env = connect().value();
+    detail::node host(values, *env);
     telemetry::log(telemetry::severity::Info, "started",
         { { "host", values.host.id.value() }, { "callers", values.host.callers.text() } });
     waitForTermination(signals);
     host.drain();
-    env.withdraw(values.host.id);
+    env->withdraw(values.host.id);
     telemetry::log(telemetry::severity::Info, "stopped", {});
     return 0;
 }
