--- a/test/platform-signals-test.cc
+++ b/test/platform-signals-test.cc
@@ -12,7 +12,7 @@
 /// Writes settings for a host on the users' platform and returns their path.
 std::string writeSettings(const endpoint& store, const endpoint& admin)
 {
-    const auto path = scratchFolder() + "/signals.ini";
+    auto path = scratchFolder() + "/signals.ini";
     std::ofstream(path) << "[host]\nid = h1\ndomain = d1\ncallers = " << freeAddress().text()
                         << "\npeers = " << freeAddress().text() << "\nadmin = " << admin.text()
                         << "\n[store]\ninterface = platform\naddress = " << store.text()
