Deal out the keys of a new service once no target has joined for a second

Cause: a new holder divided the key space among the targets that its table had at that moment. Targets register one after the other within some two seconds; hosts that start with them take over in between.

Ruled out: the planner (it asked for moves in each round), the routes (hosts followed the published assignment).

Change: without an assignment row the holder waits until no target has been added for 1 s, at most 4 s after the takeover.

--- a/include/pimentomast/ownership.h
+++ b/include/pimentomast/ownership.h
@@ -348,6 +348,10 @@
     service_id service;
     host_run self;
     /// Initial value of the counter for write ids; differs for each run of a host.
+    /// Time without a new target after which the keys of a new service are dealt out.
+    std::chrono::milliseconds targetsSettling { 1000 };
+    /// Longest time for which the first deal waits for that.
+    std::chrono::milliseconds firstDealDelay { 4000 };
     std::uint64_t seed = 0;
     timings times;
     /// Number of hashes that one key covers; slices are split only between keys.
--- a/src/ownership/coordinator.cc
+++ b/src/ownership/coordinator.cc
@@ -10,7 +10,8 @@
     return { times.targetLease, times.targetRenewal, times.authority, times.authorityRenewal,
         times.fastPoll, times.slowPoll, times.stagger, times.witnessRound, times.maxOutage,
         times.clockMargin, times.holdAnswer, times.drain, times.announce, times.retryMove,
-        times.routeLease, times.storeTimeout, times.settling };
+        times.routeLease, times.storeTimeout, times.settling, times.targetsSettling,
+        times.firstDealDelay };
 }
 
 result<void> checkTimes(const timings& times)
@@ -163,11 +164,22 @@
 
 void coordinator::impl::on(instant now, const table_changed& received)
 {
+    if (hasNewTarget(received.targets))
+        m_targetsGrew = now;
     m_tableRows = received.targets;
     if (m_role == role::Holder)
         refreshTargets(now);
 }
 
+bool coordinator::impl::hasNewTarget(const std::vector<table::target_row>& rows) const
+{
+    std::set<target_id> known;
+    for (const auto& each : m_tableRows)
+        known.insert(each.id);
+    return std::any_of(
+        rows.begin(), rows.end(), [&](const auto& each) { return !known.contains(each.id); });
+}
+
 void coordinator::impl::on(instant now, const membership_changed& received)
 {
     const bool grown = received.live.size() > m_live.size();
--- a/src/ownership/coordinator_impl.h
+++ b/src/ownership/coordinator_impl.h
@@ -169,6 +169,7 @@
     void on(instant now, const membership_changed& received);
     void on(instant now, const placement_wanted& received);
     void on(instant now, const stop& received);
+    bool hasNewTarget(const std::vector<table::target_row>& rows) const;
 
     // Standby (authority.cc).
     void tickStandby(instant now);
@@ -217,6 +218,8 @@
     void readAssignment(instant now);
     void handleAssignmentRow(instant now, const std::optional<store::row>& row);
     void fence(instant now, const std::optional<store::row>& row);
+    /// When the keys of a service without an assignment are dealt out.
+    instant firstDealAt() const;
     void raiseUndecidedTokens();
     void handleAssignmentWrite(instant now, const detail::write_state& state);
     void becomeHolder(instant now);
@@ -318,6 +321,8 @@
     instant m_stopBegan {};
     std::vector<table::target_row> m_tableRows;
     std::vector<host_run> m_live;
+    /// When a target was last added to the table.
+    instant m_targetsGrew {};
     /// Whether m_live contains every host that the platform lists.
     bool m_membershipComplete = true;
     std::optional<instant> m_firstTick;
--- a/src/ownership/takeover.cc
+++ b/src/ownership/takeover.cc
@@ -47,8 +47,19 @@
         fence(now, row);
 }
 
+// Targets register one after the other: keys dealt to the first few would have to move again.
+instant coordinator::impl::firstDealAt() const
+{
+    const auto& times = m_options.times;
+    return std::min(m_targetsGrew + times.targetsSettling, m_takeoverTime + times.firstDealDelay);
+}
+
 void coordinator::impl::fence(instant now, const std::optional<store::row>& row)
 {
+    if (!row && now < firstDealAt()) {
+        m_nextAssignmentRead = firstDealAt();
+        return;
+    }
     m_assignmentVersion = row ? row->version : row_version {};
     if (row) {
         const auto parsed = parseAssignment(row->value);
--- a/test/ownership-fakes.h
+++ b/test/ownership-fakes.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <limits>
 #include <map>
 #include <set>
 
@@ -23,6 +24,8 @@
     std::uint64_t seed = 0;
     int hosts = 3;
     int targets = 3;
+    /// Targets that the table lists at first; see simulation::listedTargets.
+    int listedTargets = std::numeric_limits<int>::max();
     bool checksTokens = true;
     /// Targets report the slices that they hold to a new coordinator.
     bool reportsHeld = true;
--- a/test/ownership-simulation.h
+++ b/test/ownership-simulation.h
@@ -12,7 +12,8 @@
 class simulation {
 public:
     explicit simulation(const options& chosen)
-        : m_options(chosen)
+        : listedTargets(chosen.listedTargets)
+        , m_options(chosen)
         , m_random(chosen.seed)
     {
         for (int i = 0; i < chosen.targets; ++i) {
@@ -36,6 +37,8 @@
     std::vector<fake_target> targets;
     std::vector<fake_host> hosts;
     std::map<target_id, table::mark> marks;
+    /// Number of targets, from the first, that the table lists.
+    int listedTargets;
     /// Description of a violation; empty as long as the invariants hold.
     std::string violation;
     std::map<std::string, store::row> rows;
@@ -165,6 +168,8 @@
         for (const auto& each : targets) {
             table::target_row row;
             row.id = each.id;
+            if (static_cast<int>(all.size()) == listedTargets)
+                break;
             row.service = service;
             row.address = { "127.0.0.1", 1 };
             row.checksTokens = m_options.checksTokens;
