Drain all moves of one old owner by one message

Keys of a busy target stayed where they were: several moves planned together from one target sent it a message each in the same step. A target carries out one message at a time (range_grants answers the others as failed), and three without an answer count as unreachable, so that no move from or to it is planned until the next renewal is answered.

A search over all slices for each wanted move is a binary search now.

Evidence: moves_planned_together_drain_their_old_owner_by_one_message; with a message for each move (a trial) it fails, with this change it passes, as do the other three tests of ownership-moves-test.

--- a/src/ownership/coordinator_impl.h
+++ b/src/ownership/coordinator_impl.h
@@ -263,7 +263,8 @@
     std::optional<target_id> chooseNewOwner(
         const slice& range, const target_id& from, const std::map<target_id, double>& shares) const;
     void advance(instant now, detail::move& entry);
-    void startDrain(instant now, detail::move& entry);
+    static void startDrain(instant now, detail::move& entry);
+    void sendDrains(instant now);
     bool isDrained(const detail::move& entry, request_number request) const;
     void noteDrained(instant now, const target_id& from, request_number request);
     static bool waitsForRow(const detail::move& entry);
--- a/src/ownership/moves.cc
+++ b/src/ownership/moves.cc
@@ -26,6 +26,7 @@
     for (auto& each : m_moves)
         advance(now, each);
     eraseCancelled();
+    sendDrains(now);
     promote(now);
     commit(now);
 }
@@ -158,10 +159,12 @@
     for (const auto& wanted : m_wanted) {
         if (!canOwn(wanted.owner))
             continue;
-        for (const auto& each : m_assignment->slices) {
-            if (each.owner != wanted.owner && overlap(each.range, wanted.range))
+        const auto* const end = m_assignment->slices.data() + m_assignment->slices.size();
+        for (const auto* each = m_assignment->find(wanted.range.first);
+             each != end && each->range.first <= wanted.range.last; ++each) {
+            if (each->owner != wanted.owner)
                 planMove(
-                    now, intersection(each.range, wanted.range), each.owner, wanted.owner, false);
+                    now, intersection(each->range, wanted.range), each->owner, wanted.owner, false);
         }
     }
 }
@@ -252,6 +255,7 @@
             advance(now, each);
     }
     eraseCancelled();
+    sendDrains(now);
 }
 
 void coordinator::impl::advance(instant now, move& entry)
@@ -263,9 +267,7 @@
         if (answered || waited >= times.holdAnswer)
             startDrain(now, entry);
     } else if (entry.phase == move_phase::Draining) {
-        if (entry.drainRequest == request_number {})
-            startDrain(now, entry);
-        else if (!entry.forced && waited >= times.drain)
+        if (!entry.forced && waited >= times.drain)
             cancelMove(now, entry);
     } else if (waitsForRow(entry)) {
         if (waited >= times.announce)
@@ -284,13 +286,27 @@
 
 void coordinator::impl::startDrain(instant now, move& entry)
 {
-    if (entry.phase == move_phase::Holding)
-        entry.since = now;
+    entry.since = now;
     entry.phase = move_phase::Draining;
-    auto& from = m_targets.at(entry.from);
-    const auto request = sendGrant(now, from);
-    if (request && !from.outstanding.back().adopt)
-        entry.drainRequest = *request;
+}
+
+// One message to each old owner for all of its moves: a target carries out one message at a time,
+// and one that leaves several unanswered counts as unreachable.
+void coordinator::impl::sendDrains(instant now)
+{
+    std::map<target_id, std::vector<move*>> unsent;
+    for (auto& each : m_moves) {
+        if (each.phase == move_phase::Draining && each.drainRequest == request_number {})
+            unsent[each.from].push_back(&each);
+    }
+    for (const auto& [id, moves] : unsent) {
+        auto& from = m_targets.at(id);
+        const auto request = sendGrant(now, from);
+        if (!request || from.outstanding.back().adopt)
+            continue;
+        for (auto* each : moves)
+            each->drainRequest = *request;
+    }
 }
 
 bool coordinator::impl::isDrained(const move& entry, request_number request) const
--- a/test/ownership-moves-test.cc
+++ b/test/ownership-moves-test.cc
@@ -78,6 +78,28 @@
     cr_assert(system.violation.empty());
 }
 
+Test(ownership_moves, moves_planned_together_drain_their_old_owner_by_one_message)
+{
+    options chosen;
+    chosen.seed = 6;
+    chosen.targets = 2;
+    simulation system(chosen);
+    system.runFor(settleMs);
+    const target_id from { "t0" };
+    std::vector<wanted_slice> wanted;
+    for (const int sampled : { 0, 2, 4, 6 })
+        wanted.push_back({ rangeAt(sampled), target_id { "t1" } });
+    system.want(wanted);
+    const auto before = system.grantMessages[from];
+    constexpr milliseconds span { 150 };
+    system.runFor(span);
+    constexpr std::size_t drains = 1;
+    const auto renewals = static_cast<std::size_t>(span / timings {}.targetRenewal) + 1;
+    cr_assert_leq(system.grantMessages[from] - before, drains + renewals);
+    system.runFor(settleMs);
+    cr_assert(holdersOf(system, { 0, 2, 4, 6 }) == std::set { target_id { "t1" } });
+}
+
 Test(ownership_moves, takeover_ends_although_few_witnesses_answer_at_a_time)
 {
     options chosen;
--- a/test/ownership-simulation.h
+++ b/test/ownership-simulation.h
@@ -44,6 +44,8 @@
     std::map<std::string, store::row> rows;
     /// Messages by which coordinators asked hosts to hold requests.
     std::size_t holdMessages = 0;
+    /// Messages by which coordinators granted slices.
+    std::map<target_id, std::size_t> grantMessages;
 
     std::int64_t between(std::int64_t low, std::int64_t high)
     {
@@ -261,6 +263,7 @@
     void perform(int index, incarnation run, const send_grant& operation)
     {
         const int target = std::stoi(operation.target.value().substr(1));
+        ++grantMessages[operation.target];
         send(index, firstTargetNode + target,
             [=, this] { deliverGrant(index, run, target, operation); });
     }
