Let hosts with more processor time coordinate and poll

Change: hosts state their processor time in the platform's list ([host] processors, 1 core unless set); hosts with more of it rank first as coordinators and as the host that polls the store, equal ones by hash as before. Safety does not rest on the ranking: it only orders who waits.

Evidence: hosts_with_little_processor_time_do_not_coordinate_beside_stronger_ones does not compile on the code before.

--- a/include/pimentomast/membership.h
+++ b/include/pimentomast/membership.h
@@ -17,6 +17,7 @@
 struct view_options {
     host_id self;
     incarnation run;
+    unsigned millicores = 0;
     /// Addresses of peers to call while no peer is known from the platform's list or from messages.
     std::vector<endpoint> seeds;
     /// A host whose last known message is older than this is not live.
@@ -50,6 +51,8 @@
     host_id id;
     incarnation run;
     endpoint peers;
+    /// Processor time that the host may use, in thousandths of a core; 0 if it is not known.
+    unsigned millicores = 0;
 
     auto operator<=>(const member&) const = default;
 };
@@ -96,6 +99,7 @@
     struct entry {
         endpoint peers;
         incarnation run;
+        unsigned millicores = 0;
         std::optional<instant> listedAt;
         std::optional<instant> heardAt;
         bool listed = false;
--- a/include/pimentomast/ownership.h
+++ b/include/pimentomast/ownership.h
@@ -55,13 +55,18 @@
 
 // ---- Which host coordinates ----
 
-/// Ranks the hosts for a service, the preferred one first, by rendezvous hashing: the score of a
-/// host is the hash of service and host. Duplicates are dropped.
-[[nodiscard]] std::vector<host_id> rankCoordinators(
-    const service_id& service, std::span<const host_id> live);
+/// Processor time that each host may use, in thousandths of a core; 0 for hosts that are missing.
+using host_millicores = std::map<host_id, unsigned>;
+
+/// Ranks the hosts for a service, the preferred one first: those with more processor time before
+/// the others, since coordination costs grow with the targets, not with the host's own requests;
+/// equal ones by rendezvous hashing, where the score is the hash of service and host. Duplicates
+/// are dropped.
+[[nodiscard]] std::vector<host_id> rankCoordinators(const service_id& service,
+    std::span<const host_id> live, const host_millicores& millicores = {});
 /// Returns the first host of that ranking, or nothing if no host is live.
-[[nodiscard]] std::optional<host_id> preferredCoordinator(
-    const service_id& service, std::span<const host_id> live);
+[[nodiscard]] std::optional<host_id> preferredCoordinator(const service_id& service,
+    std::span<const host_id> live, const host_millicores& millicores = {});
 
 // ---- Witness ----
 
@@ -220,6 +225,7 @@
     /// no service until this is true or the settling time has passed, so that its coordinator row
     /// names the other hosts.
     bool complete = true;
+    host_millicores millicores {};
 
     bool operator==(const membership_changed&) const = default;
 };
@@ -342,16 +348,16 @@
     std::chrono::milliseconds storeTimeout { 1000 };
     /// Longest time for which a newly started host waits until it has heard of all listed hosts.
     std::chrono::milliseconds settling { 1500 };
+    /// Time without a new target after which the keys of a new service are dealt out.
+    std::chrono::milliseconds targetsSettling { 1000 };
+    /// Longest time for which the first deal waits for that.
+    std::chrono::milliseconds firstDealDelay { 4000 };
 };
 
 struct coordinator_options {
     service_id service;
     host_run self;
     /// Initial value of the counter for write ids; differs for each run of a host.
-    /// Time without a new target after which the keys of a new service are dealt out.
-    std::chrono::milliseconds targetsSettling { 1000 };
-    /// Longest time for which the first deal waits for that.
-    std::chrono::milliseconds firstDealDelay { 4000 };
     std::uint64_t seed = 0;
     timings times;
     /// Number of hashes that one key covers; slices are split only between keys.
--- a/include/pimentomast/settings.h
+++ b/include/pimentomast/settings.h
@@ -25,6 +25,8 @@
     endpoint advertise;
     /// Peers to contact until the platform's list of hosts has been read.
     std::vector<endpoint> seeds;
+    /// Processor time that the host may use, in thousandths of a core.
+    unsigned millicores = 1000;
 };
 
 enum class store_interface {
--- a/include/pimentomast/store.h
+++ b/include/pimentomast/store.h
@@ -49,6 +49,8 @@
     domain_id domain;
     endpoint peers;
     host_state state = host_state::Live;
+    /// Processor time that the host may use, in thousandths of a core; 0 if the list does not say.
+    unsigned millicores = 0;
 };
 
 /// The platform's services. Each call blocks until it is answered or its timeout has passed.
--- a/src/membership/host_view.cc
+++ b/src/membership/host_view.cc
@@ -41,6 +41,7 @@
         known.listed = true;
         known.listedAt = now;
         known.peers = host.peers;
+        known.millicores = host.millicores;
         // A peer's own announcement that it leaves is newer than the list, so the list never
         // revokes it.
         known.leaving = known.leaving || host.state == store::host_state::Leaving;
@@ -113,10 +114,10 @@
 {
     std::vector<member> members;
     if (!m_leaving)
-        members.push_back({ m_options.self, m_options.run, {} });
+        members.push_back({ m_options.self, m_options.run, {}, m_options.millicores });
     for (const auto& [id, known] : m_hosts) {
         if (heardRecently(known, now) && !known.leaving)
-            members.push_back({ id, known.run, known.peers });
+            members.push_back({ id, known.run, known.peers, known.millicores });
     }
     std::sort(members.begin(), members.end());
     return members;
--- a/src/ownership/authority.cc
+++ b/src/ownership/authority.cc
@@ -86,7 +86,7 @@
         if (!holds)
             candidates.push_back(each.host);
     }
-    const auto ranked = rankCoordinators(m_options.service, candidates);
+    const auto ranked = rankCoordinators(m_options.service, candidates, m_millicores);
     const auto self = std::find(ranked.begin(), ranked.end(), m_options.self.host);
     return static_cast<std::size_t>(self - ranked.begin());
 }
--- a/src/ownership/coordinator.cc
+++ b/src/ownership/coordinator.cc
@@ -184,6 +184,7 @@
 {
     const bool grown = received.live.size() > m_live.size();
     m_live = received.live;
+    m_millicores = received.millicores;
     m_membershipComplete = received.complete;
     // A new host is named in the row at once, since more named witnesses tolerate more failures.
     if (grown)
--- a/src/ownership/coordinator_impl.h
+++ b/src/ownership/coordinator_impl.h
@@ -321,9 +321,10 @@
     bool m_stopping = false;
     instant m_stopBegan {};
     std::vector<table::target_row> m_tableRows;
-    std::vector<host_run> m_live;
     /// When a target was last added to the table.
     instant m_targetsGrew {};
+    std::vector<host_run> m_live;
+    host_millicores m_millicores;
     /// Whether m_live contains every host that the platform lists.
     bool m_membershipComplete = true;
     std::optional<instant> m_firstTick;
--- a/src/ownership/ranking.cc
+++ b/src/ownership/ranking.cc
@@ -6,6 +6,7 @@
 
 namespace {
 struct scored_host {
+    unsigned millicores = 0;
     key_hash score;
     host_id host;
 
@@ -13,12 +14,16 @@
 };
 } // namespace
 
-std::vector<host_id> rankCoordinators(const service_id& service, std::span<const host_id> live)
+std::vector<host_id> rankCoordinators(
+    const service_id& service, std::span<const host_id> live, const host_millicores& millicores)
 {
     std::vector<scored_host> scored;
     scored.reserve(live.size());
-    for (const auto& host : live)
-        scored.push_back({ hashKey(service.value() + '\n' + host.value()), host });
+    for (const auto& host : live) {
+        const auto known = millicores.find(host);
+        scored.push_back({ known == millicores.end() ? 0 : known->second,
+            hashKey(service.value() + '\n' + host.value()), host });
+    }
     std::sort(scored.begin(), scored.end(), std::greater<> {});
     scored.erase(std::unique(scored.begin(), scored.end()), scored.end());
     std::vector<host_id> ranked;
@@ -29,9 +34,9 @@
 }
 
 std::optional<host_id> preferredCoordinator(
-    const service_id& service, std::span<const host_id> live)
+    const service_id& service, std::span<const host_id> live, const host_millicores& millicores)
 {
-    const auto ranked = rankCoordinators(service, live);
+    const auto ranked = rankCoordinators(service, live, millicores);
     if (ranked.empty())
         return {};
     return ranked.front();
--- a/src/serve/coordinator_driver.cc
+++ b/src/serve/coordinator_driver.cc
@@ -117,8 +117,10 @@
 void coordinator_driver::applyMembership(const std::vector<membership::member>& live, bool complete)
 {
     ownership::membership_changed members;
-    for (const auto& host : live)
+    for (const auto& host : live) {
         members.live.push_back({ host.id, host.run });
+        members.millicores.emplace(host.id, host.millicores);
+    }
     members.complete = complete;
     {
         const std::lock_guard guard(m_lock);
--- a/src/serve/gossip.cc
+++ b/src/serve/gossip.cc
@@ -127,10 +127,14 @@
     if (!m_options.tableSource)
         return;
     std::vector<host_id> live;
-    for (const auto& each : m_peerRegistry.live(now))
+    ownership::host_millicores millicores;
+    for (const auto& each : m_peerRegistry.live(now)) {
         live.push_back(each.id);
-    m_storePoller = ownership::preferredCoordinator(service_id { storePollerElection }, live)
-                        .value_or(host_id {});
+        millicores.emplace(each.id, each.millicores);
+    }
+    m_storePoller
+        = ownership::preferredCoordinator(service_id { storePollerElection }, live, millicores)
+              .value_or(host_id {});
     m_isStorePoller = m_storePoller == m_options.self;
     m_options.tableSource->setDesignatedPoller(m_isStorePoller);
 }
--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -112,7 +112,8 @@
 {
     createComponents();
     startListening();
-    m_environment.announce({ values.host.id, values.host.domain, values.host.advertise });
+    m_environment.announce({ values.host.id, values.host.domain, values.host.advertise,
+        store::host_state::Live, values.host.millicores });
     if (auto* tableSource = m_environment.tableSource())
         tableSource->start([this](const auto& table) { putTable(table); });
     m_controlTimer = std::thread([this] { runControlTimer(); });
@@ -139,6 +140,7 @@
     membership::view_options view;
     view.self = m_values.host.id;
     view.run = m_incarnation;
+    view.millicores = m_values.host.millicores;
     view.seeds = m_values.host.seeds;
     view.seed = m_incarnation.value();
     m_peerRegistry = std::make_unique<peer_registry>(membership::host_view::create(view).value());
--- a/src/settings/keys.cc
+++ b/src/settings/keys.cc
@@ -2,14 +2,18 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/IPAddress.h>
+#include <Poco/NumberFormatter.h>
 #include <Poco/NumberParser.h>
 #include <Poco/String.h>
 #include <Poco/StringTokenizer.h>
 #include <algorithm>
+#include <cmath>
 
 namespace pimentomast::settings::detail {
 namespace {
 
+constexpr unsigned maxMillicores = 1'000'000;
+
 struct range {
     std::uint64_t lowest;
     std::uint64_t highest;
@@ -170,6 +174,28 @@
 
 key_rule seedsRule() { return { { "host", "seeds", false, false }, &readSeeds, &formatSeeds }; }
 
+std::optional<std::string> readProcessors(settings& all, const std::string& text)
+{
+    double cores = 0;
+    if (!Poco::NumberParser::tryParseFloat(text, cores) || !std::isfinite(cores))
+        return "is not a number of cores";
+    const double millicores = std::round(cores * 1000);
+    if (millicores < 1 || millicores > maxMillicores)
+        return "is out of range 0.001.." + std::to_string(maxMillicores / 1000);
+    all.host.millicores = static_cast<unsigned>(millicores);
+    return std::nullopt;
+}
+
+std::string formatProcessors(const settings& all)
+{
+    return Poco::NumberFormatter::format(all.host.millicores / 1000.0, 3);
+}
+
+key_rule processorsRule()
+{
+    return { { "host", "processors", false, false }, &readProcessors, &formatProcessors };
+}
+
 key_rule tokenRule()
 {
     return { { "admin", "token", false, true },
@@ -213,6 +239,7 @@
         addressRule("host", "admin", true, member { &s::host, &host_settings::admin }),
         addressRule("host", "advertise", false, member { &s::host, &host_settings::advertise }),
         seedsRule(),
+        processorsRule(),
         addressRule("store", "address", true, member { &s::store, &store_settings::address }),
         choiceRule("store", "interface",
             interfaces {
--- a/src/store/client.cc
+++ b/src/store/client.cc
@@ -62,7 +62,8 @@
     return { host_id { object.getValue<std::string>("id") },
         domain_id { object.getValue<std::string>("domain") },
         endpointFrom(object.getValue<std::string>("peers")),
-        state == "leaving" ? host_state::Leaving : host_state::Live };
+        state == "leaving" ? host_state::Leaving : host_state::Live,
+        object.optValue<unsigned>("millicores", 0) };
 }
 
 std::vector<listed_host> hostsFrom(const std::string& body)
--- a/test/membership-test.cc
+++ b/test/membership-test.cc
@@ -42,6 +42,16 @@
     cr_assert_eq(view.live(start + 4s).size(), 1);
 }
 
+Test(membership, live_hosts_have_the_processor_time_of_the_list)
+{
+    auto view = makeView("a");
+    auto strong = listed("b", 2);
+    strong.millicores = 500;
+    view.replaceList(start, { listed("a", 1), strong });
+    view.recordContact(start, contact("b", 1));
+    cr_assert_eq(view.live(start).back().millicores, 500);
+}
+
 Test(membership, view_is_complete_once_all_listed_hosts_that_stay_are_heard)
 {
     auto view = makeView("a");
--- a/test/ownership-rows-test.cc
+++ b/test/ownership-rows-test.cc
@@ -255,6 +255,25 @@
     cr_assert(!preferredCoordinator(service, {}).has_value());
 }
 
+Test(ownership_rows, hosts_with_little_processor_time_do_not_coordinate_beside_stronger_ones)
+{
+    std::vector<host_id> hosts;
+    host_millicores millicores;
+    for (int i = 0; i < 60; ++i) {
+        hosts.emplace_back("h" + std::to_string(i));
+        millicores[hosts.back()] = i % 6 == 0 ? 500 : 100;
+    }
+    std::set<host_id> preferred;
+    for (int i = 0; i < 100; ++i) {
+        const auto ranked
+            = rankCoordinators(service_id { "s" + std::to_string(i) }, hosts, millicores);
+        for (std::size_t rank = 0; rank < ranked.size(); ++rank)
+            cr_assert_eq(millicores[ranked[rank]], rank < 10 ? 500U : 100U);
+        preferred.insert(ranked.front());
+    }
+    cr_assert_eq(preferred.size(), 10);
+}
+
 Test(ownership_rows, witness_keeps_the_highest_epoch)
 {
     witness seen(incarnation { 4 });
--- a/test/ownership-simulation.h
+++ b/test/ownership-simulation.h
@@ -168,10 +168,10 @@
     {
         std::vector<table::target_row> all;
         for (const auto& each : targets) {
-            table::target_row row;
-            row.id = each.id;
             if (static_cast<int>(all.size()) == listedTargets)
                 break;
+            table::target_row row;
+            row.id = each.id;
             row.service = service;
             row.address = { "127.0.0.1", 1 };
             row.checksTokens = m_options.checksTokens;
--- a/test/settings-test.cc
+++ b/test/settings-test.cc
@@ -76,6 +76,10 @@
         { replaced(valid, "127.0.0.1:8002", "127.0.0.1:8001"), "[host] admin", "same address" },
         { replaced(valid, "id = k1", "id = k1\nseeds = 127.0.0.1:1, x"), "[host] seeds",
             "ip:port" },
+        { replaced(valid, "id = k1", "id = k1\nprocessors = many"), "[host] processors", "number" },
+        { replaced(valid, "id = k1", "id = k1\nprocessors = nan"), "[host] processors", "number" },
+        { replaced(valid, "id = k1", "id = k1\nprocessors = 0"), "[host] processors", "range" },
+        { replaced(valid, "id = k1", "id = k1\nprocessors = 1e9"), "[host] processors", "range" },
         { valid + "[host]\nadvertise = 127.0.0.1:1\n", "[host]", "duplicate section" },
         { valid + "[HOST]\n", "[HOST]", "duplicate section" },
         { replaced(valid, "id = k1", "id = k1\nid = k2"), "[host] id", "duplicate key" },
@@ -106,6 +110,9 @@
     cr_assert(values.value().log.level == settings::log_level::Error);
     cr_assert(values.value().drain.acceptMs.count() == 0);
     cr_assert(values.value().ownership.targetLeaseMs.count() == 1500);
+    cr_assert_eq(values.value().host.millicores, 1000);
+    const auto small = settings::parse(replaced(valid, "id = k1", "id = k1\nprocessors = 0.1"));
+    cr_assert_eq(small.value().host.millicores, 100);
 }
 
 Test(settings, each_problem_names_its_section_and_key)
