Keep the order of the view's options

A test that sets them by position did not compile with the processor time in their middle (serve-placement-rounds-test); it stands last now. No change of behaviour.

--- a/include/pimentomast/membership.h
+++ b/include/pimentomast/membership.h
@@ -17,7 +17,6 @@
 struct view_options {
     host_id self;
     incarnation run;
-    unsigned millicores = 0;
     /// Addresses of peers to call while no peer is known from the platform's list or from messages.
     std::vector<endpoint> seeds;
     /// A host whose last known message is older than this is not live.
@@ -30,6 +29,8 @@
     /// Number of live hosts reported to a peer in one message.
     unsigned heardPerMessage = 20;
     std::uint64_t seed = 1;
+    /// Processor time that this host may use, in thousandths of a core.
+    unsigned millicores = 0;
 };
 
 /// The sender of a message that came directly from a peer, as a call or as an answer.
