Do not let a hot key hide the imbalance of the other targets

Change: a single key counts at most as much as a target may have; the even share is computed with that limit. The key still fills its target, so other keys leave it.

Evidence: hot_key_does_not_hide_the_imbalance_of_the_other_targets; without the limit (a trial) it fails, with it it passes.

--- a/src/balancing/planning.cc
+++ b/src/balancing/planning.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <limits>
 
 namespace pimentomast::balancing {
 namespace {
@@ -11,6 +12,8 @@
 constexpr double boundSlack = 1 - 1e-9;
 /// Number of standard deviations that a load may exceed its share by.
 constexpr double chanceDeviations = 1.5;
+/// Steps of the approximation of an even share beside hot keys.
+constexpr unsigned shareSteps = 8;
 
 } // namespace
 
@@ -20,6 +23,7 @@
     , m_slices(input.slices)
 {
     addTargets();
+    limitSingleKeys();
     addSlices();
 }
 
@@ -38,6 +42,26 @@
     }
 }
 
+void planning_round::limitSingleKeys()
+{
+    const auto ready = std::count_if(
+        m_targets.begin(), m_targets.end(), [](const auto& each) { return each.weight > 0; });
+    if (ready == 0)
+        return;
+    // Each share is the mean load if single keys count as the one before it.
+    double share = std::numeric_limits<double>::infinity();
+    for (unsigned i = 0; i < shareSteps; ++i) {
+        double total = 0;
+        for (const placed_slice& each : m_slices)
+            total += isSingleKey(each) ? std::min(each.load, share) : each.load;
+        share = total / static_cast<double>(ready);
+    }
+    for (placed_slice& each : m_slices) {
+        if (isSingleKey(each))
+            each.load = std::min(each.load, highestLoad(share));
+    }
+}
+
 void planning_round::addSlices()
 {
     m_owners.reserve(m_slices.size());
--- a/src/balancing/planning.h
+++ b/src/balancing/planning.h
@@ -63,18 +63,21 @@
     };
 
     void addTargets();
+    /// Limits the loads of single keys to what a target may have, so that a hot key, which cannot
+    /// be divided, fills its target but does not make the others look idle.
+    void limitSingleKeys();
     void addSlices();
     [[nodiscard]] double effectiveWeight(const placement_target& target) const;
     [[nodiscard]] std::optional<target_index> indexOf(const std::optional<target_id>& id) const;
     /// Load that targets of this weight would have if load were proportional to weight.
     [[nodiscard]] double evenShare(double weight) const;
-    [[nodiscard]] double excess(const target_load& of, double extra) const;
-    [[nodiscard]] bool domainAllows(const target_load& to, double extra) const;
-    [[nodiscard]] std::uint64_t rank(target_index target, const slice& keys) const;
     /// Standard deviation of a counted load whose true value is the given one.
     [[nodiscard]] double deviation(double load) const;
     /// Highest load that a target with this even share keeps.
     [[nodiscard]] double highestLoad(double share) const;
+    [[nodiscard]] double excess(const target_load& of, double extra) const;
+    [[nodiscard]] bool domainAllows(const target_load& to, double extra) const;
+    [[nodiscard]] std::uint64_t rank(target_index target, const slice& keys) const;
     [[nodiscard]] std::optional<target_index> leastLoaded(std::size_t moving) const;
     [[nodiscard]] std::optional<candidate> bestMoveOf(std::size_t slice) const;
     /// Overload that a move of the slice must remove.
--- a/test/balancing-planner-test.cc
+++ b/test/balancing-planner-test.cc
@@ -161,6 +161,21 @@
     cr_assert_lt(imbalance(input.slices, input.targets), before);
 }
 
+Test(balancing_planner, hot_key_does_not_hide_the_imbalance_of_the_other_targets)
+{
+    plan_input input = makeInput(20);
+    const auto first = input.slices.front().keys.first;
+    const split_slice isolate { input.slices.front().keys, key_hash { first.value() + 1 } };
+    apply(now, input.slices, isolate).value();
+    input.slices[0].load = 2000;
+    for (placed_slice& each : input.slices)
+        if (each.owner == target_id { "t1" })
+            each.load = 16;
+    const auto moves = only<move_slice>(makeFrequentPlanner().plan(input));
+    cr_assert(std::any_of(moves.begin(), moves.end(),
+        [](const move_slice& each) { return each.from == target_id { "t1" }; }));
+}
+
 Test(balancing_planner, loads_that_differ_by_chance_alone_are_not_moved)
 {
     constexpr unsigned targets = 204;
