Keep a decision that overtakes the end of its last attempt

What callers saw: a request whose attempt was given up (its connection was silent, or its target was ejected) could get neither an answer nor a refusal. Its connection stayed open, and a drain waited for it until it was killed.

Cause: the router's actions are carried out after its lock is released, each by the thread that asked. One thread gets "abandon attempt 1"; the request backs off for 0 to a few ms; the timer's thread gets "dispatch attempt 2" (or a refusal) and may carry it out first. The registry then saw a running attempt that nobody had abandoned and dropped the decision. The router forgot the request (cancelled), and once the abandon came, the request waited for ever. Class: two threads carry out ordered steps without keeping their order.

Ruled out by reading: steps of one call (abandon and refuse of a request that may not be repeated) keep their order; a decision for a running attempt has no other source, since an attempt's end reaches the router only once its request waits again.

Change: a decision about a running request ends its attempt like abandon() and waits for its end. A repeated decision for the running attempt has no effect.

Conclusion: the order of the two calls no longer matters.

--- a/src/proxy/registry.cc
+++ b/src/proxy/registry.cc
@@ -20,7 +20,6 @@
         found->second.attempt = to->attempt;
         found->second.abandoned = false;
         found->second.responseStarted = false;
-        found->second.superseded = false;
     } else {
         m_entries.erase(found);
     }
@@ -35,8 +34,12 @@
         return {};
     if (found->second.waitingRequest)
         return { release(id, what), false };
-    if (!found->second.superseded || found->second.pendingDecision)
+    const auto* to = std::get_if<destination>(&what);
+    const bool isRepeated = to != nullptr && to->attempt <= found->second.attempt;
+    if (isRepeated || found->second.pendingDecision)
         return {};
+    // The dispatcher has abandoned the attempt, even if another thread has yet to call abandon().
+    supersede(found->second);
     found->second.pendingDecision = what;
     return { nullptr, true };
 }
@@ -85,10 +88,14 @@
     if (found == m_entries.end() || found->second.waitingRequest
         || found->second.attempt != attempt)
         return;
-    found->second.superseded = true;
-    found->second.abandoned = !found->second.responseStarted;
-    if (found->second.abandoned && found->second.target)
-        shutdownBoth(*found->second.target);
+    supersede(found->second);
+}
+
+void registry::supersede(entry& running)
+{
+    running.abandoned = !running.responseStarted;
+    if (running.abandoned && running.target)
+        shutdownBoth(*running.target);
 }
 
 bool registry::detachConnection(request_id id)
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -33,8 +33,9 @@
 public:
     /// Adds a waiting request.
     void add(std::unique_ptr<exchange> request);
-    /// Returns the request if it is waiting. If abandon() was called for its running attempt,
-    /// stores the decision until the attempt has ended. Otherwise has no effect.
+    /// Returns the request if it is waiting. If it is running, ends its attempt like abandon() and
+    /// stores the decision until then; has no effect if there is such a decision, or if it is for
+    /// the running attempt itself.
     [[nodiscard]] decide_result decide(request_id id, const decision& what);
     /// Removes and returns a waiting request. Returns null if it is not waiting (any more).
     [[nodiscard]] std::unique_ptr<exchange> cancel(request_id id);
@@ -47,8 +48,8 @@
     /// Records that the running attempt's response has started. From then on abandon() does not
     /// close its connection.
     void markResponseStarted(request_id id);
-    /// Marks the running attempt as superseded by a later decision. Unless its response has
-    /// started, also marks it as abandoned and shuts down its connection.
+    /// Marks the running attempt as abandoned and shuts down its connection, unless its response
+    /// has started. Another decision about the request follows.
     void abandon(request_id id, unsigned attempt);
     /// Unregisters the attempt's connection. Returns whether the attempt was abandoned.
     [[nodiscard]] bool detachConnection(request_id id);
@@ -69,13 +70,12 @@
         unsigned attempt = 0;
         bool abandoned = false;
         bool responseStarted = false;
-        /// The dispatcher abandoned the attempt; another decision follows.
-        bool superseded = false;
         std::optional<Poco::Net::StreamSocket> target;
         std::optional<decision> pendingDecision;
     };
 
     [[nodiscard]] std::unique_ptr<exchange> release(request_id id, const decision& what);
+    static void supersede(entry& running);
 
     mutable std::mutex m_mutex;
     std::unordered_map<request_id, entry> m_entries;
