Refuse at once what a full and silent target cannot serve

And the wait of a request was estimated as if a window below 1 were open at once, although such windows space requests out in time.

Change: an attempt that was sent, got no byte for as long as a late one and ends by its deadline or its caller shrinks the window like a refusal, where targets do not report their load; the estimate adds the time until a paced window opens.

Evidence: requests_for_a_target_that_is_full_and_silent_are_refused_at_once fails on the code before (assertion on the refusal) and passes now, with the other seven tests of routing-overload-test.

--- a/src/routing/attempts.cc
+++ b/src/routing/attempts.cc
@@ -102,8 +102,17 @@
                 ended, retry_reason::ConnectionBroken, refusal_reason::ConnectionBroken);
     }
 
+    // A full target may not answer at all; its silence is the only sign.
+    void shrinkIfSilent() const
+    {
+        const bool isSilent = ended.wasSent && !ended.responded && self.m_now >= self.lateAt(ended);
+        if (target != nullptr && isSilent && !self.m_settings.targetsReportLoad)
+            target->window.onShed(false);
+    }
+
     void operator()(const timed_out&) const
     {
+        shrinkIfSilent();
         if (target != nullptr) {
             target->health.onFailure(self.m_now);
             self.recordLoss(ended, *target);
@@ -114,6 +123,7 @@
 
     void operator()(const cancelled&) const
     {
+        shrinkIfSilent();
         ++self.m_counts.cancelled;
         self.forget(ended.submitted.number);
     }
--- a/src/routing/waiting.cc
+++ b/src/routing/waiting.cc
@@ -59,12 +59,17 @@
 {
     const auto outstanding = static_cast<double>(target.inFlight.size());
     const double size = std::max(target.window.size(), windowFloor);
-    const double excess = static_cast<double>(ahead) + outstanding + 1 - std::max(size, 1.0);
     const duration latency = target.health.latency().smoothed(initialLatency);
     const auto perRequest = std::chrono::duration<double, std::micro>(latency) / size;
     const auto pause = std::max(target.shedUntil - m_now, duration {});
+    // Below a window of 1 the next dispatch is due a certain time after the last one.
+    const bool isPaced = size < 1;
+    const auto opens = isPaced ? target.window.nextFraction(0, latency) : m_now;
+    const double excess = isPaced ? static_cast<double>(ahead)
+                                  : static_cast<double>(ahead) + outstanding + 1 - size;
     const auto queued = std::chrono::duration_cast<duration>(perRequest * std::max(excess, 0.0));
-    return { pause + queued, std::chrono::duration_cast<duration>(perRequest), latency };
+    const auto wait = std::max(pause, std::max(opens - m_now, duration {})) + queued;
+    return { wait, std::chrono::duration_cast<duration>(perRequest), latency };
 }
 
 // Targets of a service without keys share its queue.
--- a/test/routing-overload-test.cc
+++ b/test/routing-overload-test.cc
@@ -75,6 +75,45 @@
 
 namespace {
 
+request makeKeyed(driver& test)
+{
+    auto made = test.make();
+    made.key = key_hash { 1 };
+    made.objective = test.now + 250ms;
+    return made;
+}
+
+/// Sends a request that the target does not answer, until its caller leaves.
+void leaveUnanswered(driver& test)
+{
+    const auto number = test.arrive(makeKeyed(test));
+    test.run(4s);
+    const auto attempt = test.lastDispatch(number);
+    test.sent(attempt, test.now);
+    test.run(2s);
+    (void)test.host->cancel(test.now, number);
+    test.finish(attempt, cancelled {});
+}
+
+} // namespace
+
+Test(routing_overload, requests_for_a_target_that_is_full_and_silent_are_refused_at_once)
+{
+    driver test(makeTable(1, true, 1), settingsWithoutLoadReports());
+    test.owners.answer = owned_by { target_id { "t0" }, {} };
+    const auto answeredFirst = test.arrive(makeKeyed(test));
+    test.run(serviceTime);
+    test.finish(test.lastDispatch(answeredFirst), answered { 200, serviceTime, serviceTime });
+    for (int i = 0; i < 20; ++i)
+        leaveUnanswered(test);
+    cr_assert_not(test.refusal(test.arrive(makeKeyed(test))));
+    const auto refusal = test.refusal(test.arrive(makeKeyed(test)));
+    cr_assert(refusal && refusal->reason == refusal_reason::WaitTooLong);
+    cr_assert_gt(refusal->retryAfter, duration::zero());
+}
+
+namespace {
+
 constexpr duration objective = 300ms;
 
 /// Sends a request; if it is refused, returns the time at which it may be sent again.
