Send no grant whose lease is too short to be of use

Cause: a grant is made of what its message's lease has left. If less than a millisecond was left (grants of one message are sent one after the other, so the last may be late), the hold time was cut to "0ms", which is no time a target can take. Ruled out by reading: a lease of zero or less was not sent before either. Releases are not concerned.

Conclusion: one cause of the 400s is gone. Whether all earlier ones were of this kind was not checked; why grants are that late is not answered by this change, the new log line shows how often they are.

--- a/include/pimentomast/serve.h
+++ b/include/pimentomast/serve.h
@@ -53,6 +53,7 @@
 public:
     virtual ~range_client() = default;
 
+    /// A lease that is too short for the protocol of the target is not sent.
     [[nodiscard]] virtual ranges::call_result grant(
         const range_recipient& to, const ranges::grant_range& wanted, duration lease)
         = 0;
--- a/src/serve/range_grants.cc
+++ b/src/serve/range_grants.cc
@@ -11,6 +11,8 @@
 
 /// Releases that can wait for targets at the same time, in addition to one per call of send().
 constexpr unsigned maxParallelReleases = 16;
+/// A shorter lease would end before requests for its keys could reach the target.
+constexpr duration minLease = std::chrono::milliseconds(10);
 
 std::uint64_t clockReading(instant now)
 {
@@ -32,12 +34,11 @@
     return reply;
 }
 
-void logFencedOut(const ownership::send_grant& action, const slice& range)
+std::vector<telemetry::field> fieldsOf(const ownership::send_grant& action, const slice& range)
 {
-    telemetry::log(telemetry::severity::Warning, "grant-fenced-out",
-        { { "target", action.target.value() }, { "service", action.message.service.value() },
-            { "first", std::to_string(range.first.value()) },
-            { "epoch", std::to_string(action.message.coordinator.value()) } });
+    return { { "target", action.target.value() }, { "service", action.message.service.value() },
+        { "first", std::to_string(range.first.value()) },
+        { "epoch", std::to_string(action.message.coordinator.value()) } };
 }
 
 } // namespace
@@ -138,12 +139,16 @@
         return { made, {}, m_client.release(to, *release) };
     const duration left = leaseEnd(message) - monotonic_clock::now() - m_client.maxDeliveryDelay();
     const auto lease = std::chrono::duration_cast<duration>(left / ranges::maxClockDriftRatio);
-    if (lease <= duration::zero())
-        return { made, {}, ranges::not_sent {} };
     const auto& grant = std::get<ranges::grant_range>(made);
+    if (lease < minLease) {
+        telemetry::log(
+            telemetry::severity::Warning, "grant-too-late", fieldsOf(action, grant.range));
+        return { made, {}, ranges::not_sent {} };
+    }
     ended_call ended { made, lease, m_client.grant(to, grant, lease) };
     if (std::holds_alternative<ranges::fenced_out>(ended.outcome))
-        logFencedOut(action, grant.range);
+        telemetry::log(
+            telemetry::severity::Warning, "grant-fenced-out", fieldsOf(action, grant.range));
     return ended;
 }
 
--- a/test/platform-grants-test.cc
+++ b/test/platform-grants-test.cc
@@ -11,6 +11,7 @@
 
 constexpr std::uint64_t numberKeyWidth = table::keyWidth(table::key_form::Number);
 const slice keys { key_hash { 16 * numberKeyWidth }, key_hash { 32 * numberKeyWidth - 1 } };
+constexpr std::chrono::milliseconds deliveryDelay { 100 };
 const token fence { epoch { 2 }, sequence { 14 } };
 
 bool contains(const std::string& text, const std::string& part)
@@ -39,7 +40,7 @@
         instances.push_back(to.instance);
         return ranges::accepted {};
     }
-    [[nodiscard]] duration maxDeliveryDelay() const override { return 100ms; }
+    [[nodiscard]] duration maxDeliveryDelay() const override { return deliveryDelay; }
 };
 
 } // namespace
@@ -123,3 +124,24 @@
     cr_assert(std::holds_alternative<ownership::target_failed>(late));
     cr_assert(calls.instances.size() == made);
 }
+
+// A lease below a millisecond is "0ms" on the wire, which no target can take.
+Test(platform_grants, grant_below_the_unit_of_the_hold_time_is_not_sent)
+{
+    test::scripted_target target({ { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" } });
+    platform::detail::target_calls calls(platform::options {});
+    const auto outcome = calls.grant(recipient(target), { keys, fence, {} }, 999us);
+    cr_assert(std::holds_alternative<ranges::not_sent>(outcome));
+    cr_assert(target.heads().empty());
+}
+
+Test(platform_grants, grant_whose_lease_is_too_short_to_be_of_use_is_not_sent)
+{
+    recording_range_client calls;
+    serve::detail::range_grants grants(calls);
+    auto late = makeSendGrant(1, { keys });
+    late.message.lease = deliveryDelay + 9ms;
+    const auto answer = grants.send(late);
+    cr_assert(std::holds_alternative<ownership::target_failed>(answer));
+    cr_assert(calls.instances.empty());
+}
