Take no answer of the store or of a grant for whole that was cut

What was seen: an answer whose head was cut, at any byte after the status line, came back from http::client as a whole 200 (or 204, 409) with an empty body, and one in chunks came back whole however many chunks were missing. A conditional write or a grant counted as accepted, and an object or a list came back empty or short. Interim answers without end were read for ever, past the deadline.

Cause: POCO's MessageHeader::read stops at the end of the stream without an error, HTTPChunkedInputStream ends without one, and receiveResponse loops over 100 Continue without a limit. The relay reads with Boost.Beast and was not affected; the client of the store and of the grants read with POCO.

Ruled out: the check of Content-Length, which was there, sees neither a head that is cut before that field nor chunks.

An answer with two lengths, or with an encoding other than chunked, counts as no answer. An answer without a length is whole only after its head and an orderly close.

--- /dev/null
+++ b/src/http/answer-reader.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "pimentomast/http.h"
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <string_view>
+
+namespace pimentomast::http::detail {
+
+/// Decodes the answer to one request. Boost.Beast is used because POCO's readers take a message
+/// that ends early for a whole one. Not thread-safe.
+class answer_reader {
+public:
+    /// `method` is the method of the request, `maxBodyBytes` the longest body accepted.
+    answer_reader(const std::string& method, std::size_t maxBodyBytes);
+
+    /// Decodes the next bytes. Throws Poco::Net::MessageException if they are no answer or exceed a
+    /// limit.
+    void put(std::string_view bytes);
+    /// Takes note of the orderly end of the connection. Throws Poco::Net::MessageException unless
+    /// the answer is whole.
+    void end();
+
+    [[nodiscard]] bool headDone() const { return m_parser->is_header_done(); }
+    [[nodiscard]] bool done() const { return m_parser->is_done(); }
+    /// Returns whether another request may be sent on the connection. Precondition: done().
+    [[nodiscard]] bool reusable() const { return m_input.empty() && m_parser->keep_alive(); }
+    /// Returns the answer. Precondition: done().
+    [[nodiscard]] answer take();
+
+private:
+    using parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+    void startMessage();
+    void decode();
+    void checkHead() const;
+    [[nodiscard]] bool isInterim() const;
+
+    bool m_hasNoBody;
+    std::size_t m_maxBodyBytes;
+    std::unique_ptr<parser> m_parser;
+    /// Bytes that have not been decoded.
+    std::string m_input;
+};
+
+} // namespace pimentomast::http::detail
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -1,5 +1,6 @@
 #include "pimentomast/http.h"
 
+#include "answer-reader.h"
 #include "session-pool.h"
 
 #include <Poco/Net/HTTPRequest.h>
@@ -15,7 +16,6 @@
 using namespace std::chrono_literals;
 using Poco::Net::HTTPMessage;
 using Poco::Net::HTTPRequest;
-using Poco::Net::HTTPResponse;
 
 constexpr std::size_t chunkBytes = 64U << 10U;
 
@@ -57,28 +57,30 @@
     }
 };
 
-std::string receiveBody(
-    session& connection, const HTTPResponse& head, std::istream& in, const limits& allowed)
+/// The answer of one exchange.
+struct received {
+    answer whole;
+    bool reusable = false;
+};
+
+received receiveAnswer(session& connection, const request& sent, const limits& allowed)
 {
-    std::string body;
-    std::string chunk(chunkBytes, '\0');
-    connection.setIoTimeout(allowed.forNextPart());
-    // peek() receives once; readsome() takes what has arrived.
-    while (in.peek() != std::istream::traits_type::eof()) {
-        const auto count = in.readsome(chunk.data(), static_cast<std::streamsize>(chunk.size()));
-        body.append(chunk, 0, static_cast<std::size_t>(count));
-        if (body.size() > allowed.bodyBytes)
-            throw Poco::Net::MessageException("answer is too large");
-        if (monotonic_clock::now() > allowed.bodyDeadline)
+    detail::answer_reader reader(sent.method, allowed.bodyBytes);
+    std::string piece(chunkBytes, '\0');
+    while (!reader.done()) {
+        const bool inBody = reader.headDone();
+        if (monotonic_clock::now() > (inBody ? allowed.bodyDeadline : allowed.deadline))
             throw Poco::TimeoutException("answer took too long");
-        connection.setIoTimeout(allowed.forNextPart());
+        connection.setIoTimeout(inBody ? allowed.forNextPart() : remaining(allowed.deadline));
+        const int count
+            = connection.socket().receiveBytes(piece.data(), static_cast<int>(piece.size()));
+        if (count > 0)
+            reader.put(std::string_view(piece).substr(0, static_cast<std::size_t>(count)));
+        else if (count == 0)
+            reader.end();
     }
-    if (const auto* broken = connection.networkException())
-        broken->rethrow();
-    const auto expected = head.hasContentLength() ? head.getContentLength64() : -1;
-    if (expected >= 0 && static_cast<std::size_t>(expected) != body.size())
-        throw Poco::Net::MessageException("answer broken off");
-    return body;
+    const bool reusable = reader.reusable();
+    return { reader.take(), reusable };
 }
 
 std::string reason(const Poco::Exception& cause)
@@ -86,14 +88,6 @@
     return cause.message().empty() ? std::string(cause.name()) : cause.displayText();
 }
 
-std::vector<field> fieldsOf(const HTTPResponse& head)
-{
-    std::vector<field> fields;
-    for (const auto& [name, value] : head)
-        fields.push_back({ name, value });
-    return fields;
-}
-
 } // namespace
 
 struct client::state {
@@ -176,14 +170,10 @@
     try {
         connection->setIoTimeout(remaining(allowed.deadline));
         sendBody(*connection, sent);
-        connection->setIoTimeout(remaining(allowed.deadline));
-        HTTPResponse head;
-        auto& in = connection->receiveResponse(head);
-        answer whole { head.getStatus(), receiveBody(*connection, head, in, allowed),
-            fieldsOf(head) };
-        if (head.getKeepAlive())
+        auto got = receiveAnswer(*connection, sent, allowed);
+        if (got.reusable)
             pool.returnIdle(std::move(connection));
-        return whole;
+        return got.whole;
     } catch (const Poco::Exception& cause) {
         // The cause of the failure may affect the idle connections too.
         pool.clear();
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -39,6 +39,31 @@
     return answer && answer->body == body;
 }
 
+enum class ending { Close, Reset };
+
+/// Returns what clients make of the first bytes of an answer, then the end of the connection; the
+/// index is the number of bytes.
+std::vector<http::outcome> outcomesOfParts(
+    const std::string& whole, std::size_t parts, ending after)
+{
+    scripted_server server([&](auto& socket, int number) {
+        readRequest(socket);
+        write(socket, whole.substr(0, static_cast<std::size_t>(number)));
+        if (after == ending::Reset)
+            socket.setLinger(true, 0);
+        socket.close();
+    });
+    std::vector<http::outcome> outcomes;
+    while (outcomes.size() < parts)
+        outcomes.push_back(http::client({ server.address(), test::waitTimeout }).sendOnce(get));
+    return outcomes;
+}
+
+bool isNoAnswer(const http::outcome& outcome)
+{
+    return std::holds_alternative<http::no_answer>(outcome);
+}
+
 /// What the buffers of both sockets may hold beyond what the client reads.
 constexpr std::size_t socketBytes = 16U << 20U;
 constexpr std::size_t endlessBytes = 256U << 20U;
@@ -138,3 +163,45 @@
     cr_assert_eq(::setrlimit(RLIMIT_NOFILE, &noMore), 0);
     cr_assert(isAnswer(client.sendOnce(get), "1"));
 }
+
+Test(http, answer_that_is_cut_at_any_byte_is_never_taken_for_whole)
+{
+    for (const std::string& whole : { std::string("HTTP/1.1 200 OK\r\nX-Range: 12\r\n"
+                                                  "Content-Length: 13\r\n\r\n{\"version\":1}"),
+             std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                         "5\r\ngoats\r\na\r\n0123456789\r\n0\r\nX-End: 1\r\n\r\n"),
+             std::string("HTTP/1.1 100 Continue\r\n\r\n"
+                         "HTTP/1.1 409 Conflict\r\nContent-Length: 2\r\n\r\nno"),
+             std::string("HTTP/1.1 204 No Content\r\nX-Revision: 12\r\n\r\n") }) {
+        for (const auto after : { ending::Close, ending::Reset }) {
+            const auto outcomes = outcomesOfParts(whole, whole.size(), after);
+            for (std::size_t bytes = 0; bytes < outcomes.size(); ++bytes)
+                cr_expect(
+                    isNoAnswer(outcomes[bytes]), "the first %zu bytes of %s", bytes, whole.c_str());
+        }
+    }
+}
+
+Test(http, answer_without_a_length_is_whole_only_after_its_head_and_an_orderly_close)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Revision: 12\r\n\r\n";
+    const auto closed = outcomesOfParts(head + "goats", head.size() + 6, ending::Close);
+    for (std::size_t bytes = 0; bytes < head.size(); ++bytes)
+        cr_expect(isNoAnswer(closed[bytes]), "the first %zu bytes", bytes);
+    cr_assert(isAnswer(closed.back(), "goats"));
+    for (const auto& outcome : outcomesOfParts(head + "goats", head.size() + 6, ending::Reset))
+        cr_expect(isNoAnswer(outcome));
+}
+
+Test(http, interim_answers_without_end_are_given_up_at_the_deadline)
+{
+    scripted_server server([](auto& socket, int) {
+        readRequest(socket);
+        writeWithoutEnd(socket, "HTTP/1.1 100 Continue\r\n\r\n", std::size_t { 1 } << 40U);
+    });
+    http::client client({ server.address(), 300ms });
+    const auto started = monotonic_clock::now();
+    cr_assert(std::holds_alternative<http::no_answer>(client.sendOnce(get)));
+    cr_assert_lt(
+        (monotonic_clock::now() - started).count(), duration(test::waitTimeout).count() / 2);
+}
