Check the length of the rest of a download that ends with its connection

What callers saw (in the test): a download was cut, the rest was asked for by Range, and the 206 had no length of its own. If the 206 had more bytes than were asked for, they went out after the end of the answer.

Cause: a body that is delimited by the close of the connection was complete at an orderly close, whatever the length that the first answer had stated; and the length was compared after the bytes had been appended.

Change: such a body is complete only with the stated length; bytes beyond it end the answer as broken before any of them is appended.

--- a/src/proxy/relay-response.cc
+++ b/src/proxy/relay-response.cc
@@ -117,7 +117,7 @@
 void relay::completeUnframedResponse()
 {
     if (m_responseState != response_state::Body || m_notRun || !m_response->need_eof()
-        || !m_targetInput.empty())
+        || !m_targetInput.empty() || !hasWholeLength())
         return;
     m_responseState = response_state::Done;
     if (m_framing == framing::Chunked)
@@ -191,10 +191,12 @@
     const auto state = decodeBody(*m_response, m_targetInput, piece, bufferBytes);
     if (state == body_state::Bad || m_targetInput.size() >= bufferBytes)
         return failed(reason::TargetAnswerMalformed);
+    if (m_total && m_delivered + piece.size() > *m_total)
+        return attempt_broken { reason::AnswerBroken };
     appendToDownload(piece);
     if (state != body_state::Done)
         return std::nullopt;
-    if (m_total && m_framing != framing::None && m_delivered != *m_total)
+    if (!hasWholeLength())
         return attempt_broken { reason::AnswerBroken };
     m_responseState = response_state::Done;
     if (m_framing == framing::Chunked)
@@ -202,6 +204,11 @@
     return std::nullopt;
 }
 
+bool relay::hasWholeLength() const
+{
+    return !m_total || m_framing == framing::None || m_delivered == *m_total;
+}
+
 void relay::appendToDownload(std::string_view piece)
 {
     m_delivered += piece.size();
--- a/src/proxy/relay.h
+++ b/src/proxy/relay.h
@@ -75,6 +75,9 @@
     [[nodiscard]] attempt_result completeNotRun(reason why);
     [[nodiscard]] std::optional<attempt_result> decodeResponseBody();
     void appendToDownload(std::string_view piece);
+    /// Returns whether all bytes of the complete representation are delivered, as far as its length
+    /// is known.
+    [[nodiscard]] bool hasWholeLength() const;
     [[nodiscard]] std::optional<attempt_result> flushToCaller();
     [[nodiscard]] std::optional<attempt_result> wait();
     [[nodiscard]] std::optional<attempt_result> checkTimeouts(instant now);
--- /dev/null
+++ b/test/proxy-continuation-test.cc
@@ -0,0 +1,82 @@
+#include "helper/answer-parser.h"
+#include "helper/proxy-fixture.h"
+#include "helper/scripted-server.h"
+
+#include <criterion/criterion.h>
+
+using namespace pimentomast;
+using namespace pimentomast::test;
+
+namespace {
+
+const std::string first = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\nETag: \"a\"\r\n\r\n01234";
+const std::string firstChunked
+    = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nETag: \"a\"\r\n\r\n5\r\n01234\r\n";
+const std::string rangeHead
+    = "HTTP/1.1 206 Partial Content\r\nETag: \"a\"\r\nContent-Range: bytes 5-9/10\r\n";
+const std::string last = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlast";
+
+proxy::destination destinationOf(const scripted_server& server)
+{
+    return { target_id { "scripted" }, server.address(), std::nullopt, 64 };
+}
+
+/// Sends two requests at once and returns the answers; the download is answered with the first two
+/// texts.
+std::vector<parsed_answer> answersAfter(const std::string& start, const std::string& rest)
+{
+    scripted_server server([&](auto& socket, int number) {
+        readRequest(socket);
+        write(socket, number == 0 ? start : number == 1 ? rest : last);
+        socket.close();
+    });
+    proxy_fixture host({ destinationOf(server) });
+    raw_connection caller(host.address());
+    caller.send("GET /export/a HTTP/1.1\r\nHost: h\r\n\r\n"
+                "GET /export/b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    return parseAnswers(caller.readAll());
+}
+
+/// Returns whether the download is whole or visibly cut, and what follows it is the next answer.
+bool inOrder(const std::vector<parsed_answer>& answers)
+{
+    if (answers.empty())
+        return false;
+    if (!answers[0].complete)
+        return answers.size() == 1;
+    return answers[0].body == "0123456789" && answers.size() == 2 && answers[1].complete
+        && answers[1].body == "last";
+}
+
+std::string bodies(const std::vector<parsed_answer>& answers)
+{
+    std::string text;
+    for (const auto& answer : answers)
+        text += answer.head + "|" + answer.body + (answer.complete ? "|" : "...") + "\n";
+    return text;
+}
+
+} // namespace
+
+Test(proxy_continuation, rest_without_a_length_that_is_cut_never_looks_whole)
+{
+    for (const auto& start : { first, firstChunked }) {
+        for (const std::string part : { "", "5", "5678", "56789", "567890" }) {
+            std::string rest = rangeHead;
+            rest.append("\r\n").append(part);
+            const auto answers = answersAfter(start, rest);
+            cr_expect(inOrder(answers), "%s gave %s", part.c_str(), bodies(answers).c_str());
+        }
+    }
+}
+
+Test(proxy_continuation, rest_that_is_longer_than_asked_for_adds_nothing_to_the_answer)
+{
+    for (const auto& start : { first, firstChunked }) {
+        const auto answers = answersAfter(start,
+            rangeHead
+                + "Content-Length: 52\r\n\r\n56789HTTP/1.1 200 OK\r\n"
+                  "Content-Length: 6\r\n\r\nstolen");
+        cr_expect(inOrder(answers), "%s", bodies(answers).c_str());
+    }
+}
