Put no interim answer into the body of a continued download

What callers saw (in the test): the rest of a cut download was asked for by Range, the target sent a 103 first, and its head stood in the middle of the body: MIXED, and in chunks a broken stream.

Cause: sendInterim did not distinguish an answer that had begun.

Change: interim answers to a continuation are dropped; the caller is past its own head.

Before: interim_answer_before_the_rest_is_not_put_into_the_body failed (the 103 stood where a chunk was due). After: passes.

--- a/src/proxy/relay-response.cc
+++ b/src/proxy/relay-response.cc
@@ -165,7 +165,7 @@
 
 void relay::sendInterim()
 {
-    if (m_request.head.http10)
+    if (m_request.head.http10 || m_request.pendingContinuation)
         return;
     const bool isContinue = m_response->get().result_int() == 100;
     if (isContinue && (m_request.continueSent || !m_request.head.expectsContinue))
--- a/test/proxy-continuation-test.cc
+++ b/test/proxy-continuation-test.cc
@@ -80,3 +80,13 @@
         cr_expect(inOrder(answers), "%s", bodies(answers).c_str());
     }
 }
+
+Test(proxy_continuation, interim_answer_before_the_rest_is_not_put_into_the_body)
+{
+    for (const auto& start : { first, firstChunked }) {
+        const auto answers = answersAfter(start,
+            "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + rangeHead
+                + "Content-Length: 5\r\n\r\n56789");
+        cr_expect(inOrder(answers) && answers[0].complete, "%s", bodies(answers).c_str());
+    }
+}
