Retry a new owner's grant before its keys are published

Cause: a grant that failed was repeated with the next renewal only, 0.5 s later, and the assignment was published 0.1 s after the first grant was sent, whatever became of it. A message that had not been sent, as an earlier one was still under way, counted as unanswered besides.

Change: a failed grant of slices that wait for publication is repeated after 25 ms; the publication waits for it up to 0.3 s (hosts hold the keys' requests for longer than that); what was not sent does not count against the target.

--- a/include/pimentomast/ownership.h
+++ b/include/pimentomast/ownership.h
@@ -184,6 +184,9 @@
 struct target_failed {
     request_number request;
     target_id target;
+    /// False if nothing was sent, for example because an earlier message is still being carried
+    /// out; then the failure says nothing of the target.
+    bool sent = true;
 };
 /// Answer to ask_witness.
 struct witness_answered {
--- a/src/ownership/commit.cc
+++ b/src/ownership/commit.cc
@@ -9,7 +9,8 @@
 
 namespace {
 constexpr std::chrono::milliseconds commitRetryMs { 100 };
-constexpr std::chrono::milliseconds grantWaitMs { 100 };
+/// Longest time for which a publication waits until the new owners have their slices.
+constexpr std::chrono::milliseconds grantWaitMs { 300 };
 constexpr std::chrono::milliseconds republishMs { 500 };
 constexpr std::chrono::milliseconds joinHoldMs { 200 };
 /// Limits the messages of publications to 500 per second, regardless of the number of hosts.
--- a/src/ownership/grants.cc
+++ b/src/ownership/grants.cc
@@ -8,6 +8,8 @@
 constexpr std::size_t maxOutstanding = 16;
 constexpr unsigned lostAfterUnanswered = 3;
 constexpr std::chrono::milliseconds lostAfterMs { 450 };
+/// Delay before slices that a target is about to be published for are granted to it again.
+constexpr std::chrono::milliseconds grantRetryMs { 25 };
 } // namespace
 
 detail::target_state& coordinator::impl::targetState(instant now, const target_id& id)
@@ -240,11 +242,18 @@
         sendGrant(now, target);
 }
 
-void coordinator::impl::on(instant, const target_failed& received)
+void coordinator::impl::on(instant now, const target_failed& received)
 {
     const auto found = m_targets.find(received.target);
-    if (found != m_targets.end())
-        removeOutstanding(found->second, received.request);
+    if (found == m_targets.end())
+        return;
+    auto& target = found->second;
+    if (!removeOutstanding(target, received.request))
+        return;
+    if (!received.sent && target.unanswered > 0)
+        --target.unanswered;
+    if (m_awaitedGrants.contains(received.target))
+        target.nextSend = std::min(target.nextSend, instant { now + grantRetryMs });
 }
 
 bool coordinator::impl::isReachable(const detail::target_state& target) const
--- a/src/serve/control_actions.cc
+++ b/src/serve/control_actions.cc
@@ -71,7 +71,7 @@
 {
     if (!tryBeginGrant(action.target)) {
         boost::asio::post(m_grantPool, [this, service, action] {
-            deliver(service, ownership::target_failed { action.request, action.target });
+            deliver(service, ownership::target_failed { action.request, action.target, false });
         });
         return;
     }
--- a/src/serve/range_grants.cc
+++ b/src/serve/range_grants.cc
@@ -75,7 +75,7 @@
     auto& target = stateOf(action.target);
     const std::unique_lock guard(target.lock, std::try_to_lock);
     if (!guard)
-        return ownership::target_failed { action.request, action.target };
+        return ownership::target_failed { action.request, action.target, false };
     if (target.coordinator < message.coordinator) {
         target.granted = {};
         target.coordinator = message.coordinator;
@@ -83,7 +83,7 @@
     }
     // An older message would grant again what a newer one revoked.
     if (message.coordinator < target.coordinator || message.number <= target.handled)
-        return ownership::target_failed { action.request, action.target };
+        return ownership::target_failed { action.request, action.target, false };
     target.handled = message.number;
     if (message.adopt)
         return ownership::target_acknowledged { action.request, action.target, replyTo(message) };
--- a/test/ownership-moves-test.cc
+++ b/test/ownership-moves-test.cc
@@ -100,6 +100,33 @@
     cr_assert(holdersOf(system, { 0, 2, 4, 6 }) == std::set { target_id { "t1" } });
 }
 
+Test(ownership_moves, hosts_are_not_sent_to_a_new_owner_whose_grant_has_failed)
+{
+    options chosen;
+    chosen.seed = 8;
+    chosen.targets = 2;
+    chosen.times.targetLease = milliseconds { 2500 };
+    chosen.times.targetRenewal = milliseconds { 500 };
+    simulation system(chosen);
+    system.runFor(settleMs);
+    const target_id to { "t1" };
+    const auto moved = simulation::sample(0);
+    system.failingGrants[to] = 3;
+    system.want({ { rangeAt(0), to } });
+    milliseconds astray { 0 };
+    for (milliseconds passed { 0 }; passed < milliseconds { 2000 }; passed += milliseconds { 1 }) {
+        system.runFor(milliseconds { 1 });
+        auto& host = system.hosts.front();
+        const auto outcome = host.routes.find(moved, system.hostTime(host));
+        const auto* found = std::get_if<route>(&outcome);
+        if (found && found->owner == to && !system.targets[1].holds(system.now, moved))
+            astray += milliseconds { 1 };
+    }
+    cr_assert_eq(astray.count(), 0);
+    cr_assert_eq(system.failingGrants[to], 0);
+    cr_assert(system.targets[1].holds(system.now, moved));
+}
+
 Test(ownership_moves, takeover_ends_although_few_witnesses_answer_at_a_time)
 {
     options chosen;
--- a/test/ownership-simulation.h
+++ b/test/ownership-simulation.h
@@ -44,6 +44,8 @@
     std::map<std::string, store::row> rows;
     /// Messages by which coordinators asked hosts to hold requests.
     std::size_t holdMessages = 0;
+    /// Number of the next grants of slices to each target that fail at once.
+    std::map<target_id, int> failingGrants;
     /// Messages by which coordinators granted slices.
     std::map<target_id, std::size_t> grantMessages;
 
@@ -262,6 +264,13 @@
 
     void perform(int index, incarnation run, const send_grant& operation)
     {
+        if (!operation.message.adopt && failingGrants[operation.target] > 0) {
+            --failingGrants[operation.target];
+            at(now + delay(), [=, this] {
+                deliver(index, run, target_failed { operation.request, operation.target });
+            });
+            return;
+        }
         const int target = std::stoi(operation.target.value().substr(1));
         ++grantMessages[operation.target];
         send(index, firstTargetNode + target,
