Keep what the caller has yet to read when a target refuses to continue

What callers saw (in the test): a slow caller's download was cut, the next target refused the rest as not run (503), the one after it gave the rest: the body had a hole where the bytes were that the proxy still held. In chunks it looked whole; with a length the connection ended short.

Cause: the relay takes the unsent bytes out of the continuation, and left them in its own buffer when its attempt was refused.

Change: an attempt that was not run puts them back.

--- a/src/proxy/relay.cc
+++ b/src/proxy/relay.cc
@@ -270,6 +270,8 @@
 {
     relay_result ended { result, false, m_fault, m_firstByte, false };
     ended.continues = std::holds_alternative<attempt_broken>(result) && saveContinuation();
+    if (m_request.pendingContinuation && std::holds_alternative<attempt_not_run>(result))
+        m_request.pendingContinuation->unsent = std::move(m_download);
     const bool answered = std::holds_alternative<attempt_answered>(result);
     ended.callerReusable = answered && m_request.bodyDone && !m_closesCaller;
     return ended;
--- a/test/proxy-continuation-test.cc
+++ b/test/proxy-continuation-test.cc
@@ -3,6 +3,7 @@
 #include "helper/scripted-server.h"
 
 #include <criterion/criterion.h>
+#include <set>
 
 using namespace pimentomast;
 using namespace pimentomast::test;
@@ -90,3 +91,71 @@
         cr_expect(inOrder(answers) && answers[0].complete, "%s", bodies(answers).c_str());
     }
 }
+
+namespace {
+
+/// Answers GET /export/SIZE by the first SIZE bytes of a body twice as long, then refuses to
+/// continue once, then continues.
+class refusing_target {
+public:
+    [[nodiscard]] proxy::destination destination() const { return destinationOf(m_server); }
+
+private:
+    [[nodiscard]] bool refuses(std::size_t half)
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_refused.insert(half).second;
+    }
+
+    void serve(Poco::Net::StreamSocket& socket)
+    {
+        const auto head = readRequest(socket);
+        const auto half = std::stoul(head.substr(std::string("GET /export/").size()));
+        const auto total = std::to_string(2 * half);
+        if (head.find("Range: ") == std::string::npos)
+            write(socket,
+                "HTTP/1.1 200 OK\r\nETag: \"a\"\r\nContent-Length: " + total + "\r\n\r\n"
+                    + std::string(half, 'b'));
+        else if (refuses(half))
+            write(socket,
+                "HTTP/1.1 503 Service Unavailable\r\nPimentomast-Outcome: not-run\r\n"
+                "Content-Length: 0\r\n\r\n");
+        else
+            write(socket,
+                "HTTP/1.1 206 Partial Content\r\nETag: \"a\"\r\nContent-Length: "
+                    + std::to_string(half) + "\r\nContent-Range: bytes " + std::to_string(half)
+                    + "-" + std::to_string(2 * half - 1) + "/" + total + "\r\n\r\n"
+                    + std::string(half, 'c'));
+        socket.close();
+    }
+
+    std::mutex m_mutex;
+    std::set<std::size_t> m_refused;
+    scripted_server m_server { [this](auto& socket, int) { serve(socket); } };
+};
+
+} // namespace
+
+// Which sizes leave bytes in the proxy depends on the kernel's buffers, so many are tried.
+Test(proxy_continuation, refusal_to_continue_loses_no_byte_that_the_caller_had_yet_to_read)
+{
+    constexpr std::size_t step = 48UL << 10U;
+    constexpr std::size_t largest = 4UL << 20U;
+    refusing_target target;
+    proxy_fixture host({ target.destination() }, 3);
+    for (std::size_t half = step; half <= largest; half += step) {
+        raw_connection caller(host.address());
+        caller.socket().setReceiveBufferSize(static_cast<int>(step));
+        caller.send("GET /export/" + std::to_string(half)
+            + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        const auto refusals = host.server->counts().count(proxy::reason::TargetShed);
+        (void)waitUntil(
+            [&] { return host.server->counts().count(proxy::reason::TargetShed) > refusals; },
+            milliseconds(20));
+        const auto answers = parseAnswers(caller.readAll());
+        cr_assert_eq(answers.size(), 1);
+        cr_expect(answers[0].complete
+                && answers[0].body == std::string(half, 'b') + std::string(half, 'c'),
+            "%zu of %zu bytes", answers[0].body.size(), 2 * half);
+    }
+}
