End a request at its deadline while a stale answer has no end

What callers saw (in the test): a target sent an answer to an earlier request whose body had no end; the caller's request got no answer, at its deadline or later, as long as bytes came.

Cause: while a stale answer is skipped the relay counted the transfer as its own, which has a limit of pauses but no deadline.

Ruled out: endless heads, interim answers and refusals, which ended by the deadline before this change; memory, which was bounded.

Change: only the answer's own body suspends the deadline.

Before: stale_answer_without_end_is_answered_by_the_deadline, no answer in 10 s with a deadline of 0.3 s. After: proxy-endless-test 11 of 11.

--- a/src/proxy/relay.cc
+++ b/src/proxy/relay.cc
@@ -205,18 +205,24 @@
         m_callerWait += now - before;
 }
 
+bool relay::responseBegun() const
+{
+    return m_responseState == response_state::Body || m_responseState == response_state::Done;
+}
+
+bool relay::transferActive() const { return responseBegun() || !uploadComplete(); }
+
 instant relay::nextTimeout() const
 {
     const instant stallDeadline = m_lastProgress + m_context.settings.bodyTimeout;
-    if (m_responseState != response_state::Awaited || !uploadComplete())
+    if (transferActive())
         return stallDeadline;
     return m_responseDeadline;
 }
 
 std::optional<attempt_result> relay::checkTimeouts(instant now)
 {
-    const bool transferActive = m_responseState != response_state::Awaited || !uploadComplete();
-    if (transferActive && now >= m_lastProgress + m_context.settings.bodyTimeout) {
+    if (transferActive() && now >= m_lastProgress + m_context.settings.bodyTimeout) {
         const bool callerStalled = (!m_request.bodyDone && m_upload.empty()) || !m_download.empty();
         return callerStalled ? requestFault(reason::BodyTimeout) : failed(reason::TargetTimeout);
     }
@@ -226,7 +232,7 @@
             < waited.count() * double(m_context.settings.minBodyBytesPerSecond);
     if (!m_request.bodyDone && tooSlow)
         return requestFault(reason::BodyTimeout);
-    if (transferActive)
+    if (transferActive())
         return std::nullopt;
     return now >= m_responseDeadline ? std::optional(failed(reason::Deadline)) : std::nullopt;
 }
--- a/src/proxy/relay.h
+++ b/src/proxy/relay.h
@@ -87,6 +87,10 @@
     void addCallerWait(instant before, instant now, bool waitsForCaller);
     [[nodiscard]] bool uploadComplete() const;
     [[nodiscard]] bool reusableTarget() const;
+    /// Returns whether the head of the final response to this request has been received.
+    [[nodiscard]] bool responseBegun() const;
+    /// Returns whether a body is being transferred, so that pauses are limited, not the deadline.
+    [[nodiscard]] bool transferActive() const;
     [[nodiscard]] instant nextTimeout() const;
     [[nodiscard]] relay_result finish(const attempt_result& result);
 
