End a planned stop within its grace, with an answer to every request

Cause: a stopping host did not know its grace.

Change: drain.grace_ms, or the platform's bounds (store.terms, decoded in platform/). 11/12 of the grace are for requests. proxy/drain-schedule decides, pure: accepting ends at 0.4 of that at the latest; until 0.5, deadlines are shortened to 0.95; afterwards a request that needs longer is refused (503, not run, Retry-After) instead of passed on, and so is one that still waits; at 0.95 whatever has not been passed on is refused and incomplete requests end; at 1 running requests get a 504 of ours. With a grace of 6 s that is at 5.5 s, and only requests taken in the first 2.75 s, or before, can be cut so. /health is 503 from the first moment, as before.

A transfer that is still running at the end is broken off visibly; no answer of ours can take its place.

--- a/include/pimentomast/dispatch.h
+++ b/include/pimentomast/dispatch.h
@@ -64,6 +64,10 @@
     TargetDraining,
     AttemptAbandoned,
     BodyNotReplayable,
+    /// This host stops and could not have finished the request.
+    HostStopping,
+    /// This host stops and ended a request that a target may have been running.
+    HostStopped,
     Internal,
     Last = Internal,
 };
--- a/include/pimentomast/proxy.h
+++ b/include/pimentomast/proxy.h
@@ -175,9 +175,15 @@
     /// server always returns 503. Thread-safe.
     virtual void setHealthy(bool healthy) = 0;
     /// Keeps accepting for the given time, with responses closing their connections, then stops
-    /// accepting. Blocks without a time limit until every exchange has ended and every caller
-    /// connection is closed; idle ones are closed after drainIdleTimeout. Call at most once.
-    virtual void drain(duration accepting) = 0;
+    /// accepting. Blocks until every exchange has ended and every caller connection is closed; idle
+    /// ones are closed after drainIdleTimeout. Call at most once.
+    ///
+    /// If an end is given, no request is passed on with a deadline after it, requests that could
+    /// not be finished are refused, and at the end those still running get a last answer. Then it
+    /// returns soon, even if callers keep their connections open.
+    virtual void drain(duration accepting, instant end) = 0;
+    /// As above, without a time limit.
+    void drain(duration accepting) { drain(accepting, instant::max()); }
     /// Returns the counters; valid for the lifetime of the server. Thread-safe.
     [[nodiscard]] virtual const counters& counts() const = 0;
     /// Returns the current values. Thread-safe.
--- a/include/pimentomast/serve.h
+++ b/include/pimentomast/serve.h
@@ -75,6 +75,8 @@
     /// Returns null if targets are granted whole lists of slices instead.
     [[nodiscard]] virtual range_client* rangeClient() = 0;
     [[nodiscard]] virtual proxy::contract contract() const = 0;
+    /// Returns the time from the request to stop until the process is killed; 0 if it is not known.
+    [[nodiscard]] virtual duration stopGrace() const = 0;
     /// Makes this host known to the other hosts. Called before it serves requests.
     virtual void announce(const store::listed_host& self) = 0;
     /// Reverts announce(). Called after the host has stopped.
--- a/include/pimentomast/settings.h
+++ b/include/pimentomast/settings.h
@@ -42,6 +42,8 @@
     milliseconds timeoutMs { 500 };
     /// Interval between reads of the configuration version.
     milliseconds pollMs { 500 };
+    /// What the users' platform tells about itself, in its own spelling; read by its adapter.
+    std::string terms {};
 };
 
 struct admin_settings {
@@ -150,6 +152,8 @@
     milliseconds acceptMs { 3000 };
     /// How long idle connections stay open after that.
     milliseconds idleMs { 2000 };
+    /// Time from the request to stop until the process is killed; 0 if it is not known.
+    milliseconds graceMs { 0 };
 };
 
 struct settings {
--- a/src/command/host_commands.cc
+++ b/src/command/host_commands.cc
@@ -102,6 +102,7 @@
     options.store = values.address;
     options.storeTimeout = values.timeoutMs;
     options.maxTableAge = values.pollMs;
+    options.terms = values.terms;
     return platform::connect(options);
 }
 
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -78,6 +78,8 @@
     std::optional<continuation> pendingContinuation;
     /// Set once a byte of a final (not 1xx) response was sent to the caller.
     bool responseStarted = false;
+    /// An earlier attempt may have been executed.
+    bool mayHaveRun = false;
     duration waited { 0 };
     instant submitted;
     std::vector<attempt_summary> history {};
--- a/src/proxy/poller.cc
+++ b/src/proxy/poller.cc
@@ -70,8 +70,9 @@
     return true;
 }
 
-void poller::closeIdle()
+void poller::closeIdle(instant latest)
 {
+    m_latestIdle = latest;
     m_closesIdle = true;
     wake();
 }
@@ -190,12 +191,14 @@
 
 bool poller::expired(const caller_connection& connection, instant now) const
 {
+    const bool mustEnd = now >= m_latestIdle.load();
     switch (connection.state) {
     case phase::Idle:
-        return now >= connection.phaseStarted
-            + (m_closesIdle ? m_timeouts.idleWhileDraining : m_timeouts.idle);
+        return mustEnd
+            || now >= connection.phaseStarted
+                + (m_closesIdle ? m_timeouts.idleWhileDraining : m_timeouts.idle);
     case phase::Head:
-        return now >= connection.phaseStarted + m_timeouts.head;
+        return mustEnd || now >= connection.phaseStarted + m_timeouts.head;
     case phase::Lingering:
         return now >= connection.phaseStarted + m_timeouts.linger;
     case phase::Waiting:
--- a/src/proxy/poller.h
+++ b/src/proxy/poller.h
@@ -56,8 +56,9 @@
     bool unwatch(const caller_pointer& connection);
     /// Makes this poller call sweepDue periodically.
     void enableSweepEvents() { m_sweepEventsEnabled = true; }
-    /// Applies the idle timeout of a drain from now on.
-    void closeIdle();
+    /// Applies the idle timeout of a drain from now on. From `latest` on, connections without a
+    /// complete request time out at once.
+    void closeIdle(instant latest);
     /// Calls accept whenever the listener has a connection to accept, until stopListening().
     void listen(const Poco::Net::ServerSocket& listener, std::function<void()> accept);
     void stopListening();
@@ -89,6 +90,7 @@
     std::vector<caller_pointer> m_ready;
     std::unique_ptr<Poco::Net::ServerSocket> m_listener;
     std::function<void()> m_accept;
+    std::atomic<instant> m_latestIdle { instant::max() };
     std::atomic<bool> m_closesIdle { false };
     std::atomic<bool> m_stopped { false };
     std::atomic<bool> m_sweepEventsEnabled { false };
--- a/src/proxy/registry.cc
+++ b/src/proxy/registry.cc
@@ -53,6 +53,24 @@
     return request;
 }
 
+std::vector<std::unique_ptr<exchange>> registry::cancelIf(
+    const std::function<bool(const exchange&)>& chosen)
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<std::unique_ptr<exchange>> cancelled;
+    for (auto each = m_entries.begin(); each != m_entries.end();) {
+        auto& request = each->second.waitingRequest;
+        if (!request || !chosen(*request)) {
+            ++each;
+            continue;
+        }
+        cancelled.push_back(std::move(request));
+        --m_waiting;
+        each = m_entries.erase(each);
+    }
+    return cancelled;
+}
+
 void registry::ifWaiting(request_id id, const std::function<void()>& function)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/proxy/registry.h
+++ b/src/proxy/registry.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <unordered_map>
 #include <variant>
+#include <vector>
 
 /// Registry of submitted requests, waiting or running.
 namespace pimentomast::proxy::detail {
@@ -38,6 +39,10 @@
     [[nodiscard]] decide_result decide(request_id id, const decision& what);
     /// Removes and returns a waiting request. Returns null if it is not waiting (any more).
     [[nodiscard]] std::unique_ptr<exchange> cancel(request_id id);
+    /// Removes and returns the waiting requests for which the function, called with the lock held,
+    /// returns true.
+    [[nodiscard]] std::vector<std::unique_ptr<exchange>> cancelIf(
+        const std::function<bool(const exchange&)>& chosen);
     /// Calls the function with the lock held if the request is waiting.
     void ifWaiting(request_id id, const std::function<void()>& function);
 
--- a/src/proxy/relay.cc
+++ b/src/proxy/relay.cc
@@ -208,13 +208,15 @@
 instant relay::nextTimeout() const
 {
     const instant stallDeadline = m_lastProgress + m_context.settings.bodyTimeout;
-    if (m_responseState != response_state::Awaited || !uploadComplete())
-        return stallDeadline;
-    return m_responseDeadline;
+    const bool transferActive = m_responseState != response_state::Awaited || !uploadComplete();
+    return std::min(transferActive ? stallDeadline : m_responseDeadline, m_context.end());
 }
 
 std::optional<attempt_result> relay::checkTimeouts(instant now)
 {
+    if (now >= m_context.end())
+        return requestFault(m_requestBytesSent == 0 && !m_request.mayHaveRun ? reason::HostStopping
+                                                                             : reason::HostStopped);
     const bool transferActive = m_responseState != response_state::Awaited || !uploadComplete();
     if (transferActive && now >= m_lastProgress + m_context.settings.bodyTimeout) {
         const bool callerStalled = (!m_request.bodyDone && m_upload.empty()) || !m_download.empty();
--- a/src/proxy/relay.h
+++ b/src/proxy/relay.h
@@ -18,6 +18,8 @@
     std::function<void()> responded;
     /// Returns whether responses should close the caller's connection.
     std::function<bool()> shouldClose;
+    /// Returns the time at which the attempt must have ended.
+    std::function<instant()> end;
     /// Set when the server is destroyed.
     const std::atomic<bool>& aborting;
 };
--- a/src/proxy/server-dispatch.cc
+++ b/src/proxy/server-dispatch.cc
@@ -101,6 +101,7 @@
             m_dispatcher.responded(id, number, *this);
         },
         [this] { return m_draining.load(); },
+        [this] { return schedule().end; },
         m_aborting,
     };
 }
@@ -115,16 +116,21 @@
 
 void server_impl::runForward(forward_job& work)
 {
+    attempt finished;
+    finished.id = work.request->facts.id;
+    finished.target = work.to.target;
+    finished.number = work.to.attempt;
+    if (const auto why = checkStop(*work.request, schedule())) {
+        finished.result = attempt_cancelled {};
+        const relay_result stopped { finished.result, false, why, duration(0) };
+        return handleAttemptResult(work, stopped, std::move(finished));
+    }
     ++work.request->attempts;
     const instant started = monotonic_clock::now();
     const auto& refusedBy = work.request->refusedBy;
     const bool mustBeNew = work.to.newConnection
         || std::find(refusedBy.begin(), refusedBy.end(), work.to.address) != refusedBy.end();
     auto acquired = m_targets.acquire(work.to.address, work.to.connections, mustBeNew);
-    attempt finished;
-    finished.id = work.request->facts.id;
-    finished.target = work.to.target;
-    finished.number = work.to.attempt;
     finished.connecting = monotonic_clock::now() - started;
     relay_result ended;
     if (const auto* why = std::get_if<reason>(&acquired))
@@ -171,6 +177,7 @@
         },
         [&](const attempt_unknown& lost) {
             m_counts.add(abandoned ? reason::AttemptAbandoned : lost.why);
+            work.request->mayHaveRun = true;
             waitForDecision(std::move(work.request), finished, abandoned);
         },
         [&](const attempt_broken& broken) {
@@ -235,6 +242,8 @@
         complete(request, { 0, std::string(name(fault.value_or(reason::CallerGone))) });
         return releaseCaller(request.caller, false, true);
     }
+    if (*fault == reason::HostStopping || *fault == reason::HostStopped)
+        return endStopped(request, *fault);
     local_response response;
     response.status = statusOf(*fault);
     response.outcome = request_outcome::Unknown;
--- a/src/proxy/server-impl.cc
+++ b/src/proxy/server-impl.cc
@@ -12,15 +12,15 @@
 constexpr std::chrono::seconds poolSweepInterval { 1 };
 /// Delay after a failed accept (no descriptors left), so that the poller does not spin.
 constexpr std::chrono::milliseconds acceptRetryDelay { 10 };
-/// Time for handshakes in progress to complete once a drain has stopped new ones.
-constexpr std::chrono::milliseconds handshakeDrainTime { 200 };
 
-std::string refusalText(reason why, bool withBody)
+std::string refusalText(reason why, bool withBody, const contract& fields)
 {
     local_response response;
     response.status = statusOf(why);
     response.reason = name(why);
     response.step = "accept request";
+    response.retryAfter = why == reason::HostStopping ? stopRetryAfter : duration::zero();
+    response.fractionalRetryAfter = fields.fractionalRetryAfter;
     response.withBody = withBody;
     return formatLocalResponse(response);
 }
@@ -205,6 +205,8 @@
 
 void server_impl::onHeadTimeout(const caller_pointer& caller)
 {
+    if (monotonic_clock::now() >= schedule().lastDeadline)
+        return refuseHead(caller, reason::HostStopping);
     refuseHead(caller, caller->pendingHead ? reason::BodyTimeout : reason::HeadTimeout);
 }
 
@@ -250,6 +252,10 @@
 void server_impl::submit(
     const caller_pointer& caller, checked_head head, const table::classified_request& found)
 {
+    const instant arrived = monotonic_clock::now();
+    const auto deadline = schedule().deadlineFor(arrived, arrived + requestTimeout(head, found));
+    if (!deadline)
+        return refuseRequest(caller, head, reason::HostStopping);
     auto request = std::make_unique<exchange>();
     request_facts& facts = request->facts;
     facts.id = request_id { m_nextId.fetch_add(1, std::memory_order_relaxed) };
@@ -267,8 +273,8 @@
         : 0;
     facts.fingerprint
         = fingerprint(head, std::string_view(caller->input).substr(0, fingerprintBytes));
-    facts.arrived = monotonic_clock::now();
-    facts.deadline = facts.arrived + requestTimeout(head, found);
+    facts.arrived = arrived;
+    facts.deadline = *deadline;
     if (found.route)
         facts.objective = facts.arrived + found.route->objective;
     request->caller = caller;
@@ -310,7 +316,7 @@
 {
     m_counts.add(why);
     m_observer.rejected({ {}, {}, {}, why });
-    send(caller, refusalText(why, true), true);
+    send(caller, refusalText(why, true, m_options.contract), true);
 }
 
 void server_impl::refuseRequest(const caller_pointer& caller, const checked_head& head, reason why)
@@ -318,7 +324,8 @@
     m_counts.add(why);
     m_observer.rejected(
         { callerSuppliedId(head, m_options.contract), head.host, head.target, why });
-    send(caller, refusalText(why, head.parser->get().method() != http::verb::head), true);
+    const bool withBody = head.parser->get().method() != http::verb::head;
+    send(caller, refusalText(why, withBody, m_options.contract), true);
 }
 
 void server_impl::send(const caller_pointer& caller, const std::string& text, bool closes)
@@ -346,30 +353,6 @@
     pollerOf(*caller).watch(caller);
 }
 
-// Closing a listener resets the connections in its backlog, so the backlog is emptied first.
-void server_impl::stopAccepting()
-{
-    (void)dropIncomingSyns(m_listener);
-    std::this_thread::sleep_for(handshakeDrainTime);
-    m_pollers.front()->stopListening();
-    const instant limit = monotonic_clock::now() + lingerTime;
-    while (hasPendingConnection(m_listener) && monotonic_clock::now() < limit)
-        accept();
-    const std::lock_guard lock(m_acceptMutex);
-    m_listener.close();
-}
-
-void server_impl::drain(duration accepting)
-{
-    m_draining = true;
-    std::this_thread::sleep_for(accepting);
-    stopAccepting();
-    for (const auto& callerPoller : m_pollers)
-        callerPoller->closeIdle();
-    std::unique_lock lock(m_connectionsMutex);
-    m_allClosed.wait(lock, [this] { return m_connections == 0; });
-}
-
 } // namespace pimentomast::proxy::detail
 
 namespace pimentomast::proxy {
--- a/src/proxy/server-impl.h
+++ b/src/proxy/server-impl.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "classify.h"
+#include "drain-schedule.h"
 #include "poller.h"
 #include "registry.h"
 #include "relay.h"
@@ -23,6 +24,9 @@
 };
 using job = std::variant<forward_job, probe_job>;
 
+/// Retry-After of requests that a stopping host refuses: other hosts take them at once.
+constexpr std::chrono::milliseconds stopRetryAfter { 100 };
+
 /// Result of a request as seen by its caller.
 struct request_result {
     /// 0 if the caller got no complete response.
@@ -46,7 +50,8 @@
     [[nodiscard]] endpoint address() const override;
     void setTable(std::shared_ptr<const table::table> rows) override;
     void setHealthy(bool healthy) override;
-    void drain(duration accepting) override;
+    using server::drain;
+    void drain(duration accepting, instant end) override;
     [[nodiscard]] const counters& counts() const override { return m_counts; }
     [[nodiscard]] gauges state() const override;
 
@@ -60,6 +65,14 @@
 private:
     void accept();
     void stopAccepting();
+    /// Waits until all connections are closed. Returns false if that takes too long.
+    [[nodiscard]] bool waitForClosed(duration limit);
+    /// Ends the waiting requests that must not be passed on any more.
+    void refuseUnfinishable(instant now);
+    /// Answers a request that is ended because the host stops.
+    void endStopped(const exchange& request, reason why);
+    /// Times of the drain; those of no drain before it has begun.
+    [[nodiscard]] drain_schedule schedule() const;
     void addCaller(const Poco::Net::StreamSocket& socket);
     void onInput(const caller_pointer& caller);
     void onCallerDisconnected(const caller_pointer& caller);
@@ -96,6 +109,10 @@
     void continueResponse(std::unique_ptr<exchange> request);
     void abortResponse(const exchange& request);
     void sendFault(const exchange& request, std::optional<reason> fault);
+    /// Returns why the request must not be passed on any more, if the host stops. Otherwise
+    /// shortens its deadline where needed.
+    [[nodiscard]] static std::optional<reason> checkStop(
+        exchange& request, const drain_schedule& times);
     void complete(const exchange& request, const request_result& end);
     void releaseCaller(const caller_pointer& caller, bool reusable, bool broken);
     [[nodiscard]] relay_context context(const forward_job& work);
@@ -111,6 +128,8 @@
     counters m_counts;
     std::atomic<std::shared_ptr<const table::table>> m_table;
     std::atomic<bool> m_healthy { false };
+    /// Set before m_draining and constant afterwards.
+    drain_schedule m_schedule;
     std::atomic<bool> m_draining { false };
     std::atomic<bool> m_aborting { false };
     std::atomic<std::uint64_t> m_nextId { 1 };
--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -15,6 +15,8 @@
 constexpr std::chrono::milliseconds loadTimeoutMs { 500 };
 constexpr std::chrono::milliseconds handoverTimeoutMs { 3000 };
 constexpr std::chrono::milliseconds grantTimeoutMs { 400 };
+/// Running requests are ended this part of the grace before the process is killed.
+constexpr int endMarginParts = 12;
 /// Ratio of the busiest target's load to the mean above which a plan without moves is logged too.
 constexpr double minLoggedImbalance = 1.3;
 /// A round of the control timer, a new table or a plan that takes longer is logged.
@@ -294,15 +296,27 @@
     return m_draining || (row && row->state == table::mark::Leaving);
 }
 
+// The rest of the grace is for the last answers on their way and for the process's own end.
+instant node::drainEnd(instant started) const
+{
+    const duration grace = m_values.drain.graceMs > duration::zero() ? m_values.drain.graceMs
+                                                                     : m_environment.stopGrace();
+    if (grace == duration::zero())
+        return instant::max();
+    return started + grace - grace / endMarginParts;
+}
+
 void node::drain()
 {
+    const auto started = monotonic_clock::now();
+    const auto end = drainEnd(started);
     m_draining = true;
     m_proxy->setHealthy(false);
     telemetry::log(telemetry::severity::Info, "draining", {});
     m_coordinators->stop();
-    const auto started = monotonic_clock::now();
-    m_proxy->drain(m_values.drain.acceptMs);
-    while (!m_coordinators->stopped() && monotonic_clock::now() - started < handoverTimeoutMs)
+    m_proxy->drain(m_values.drain.acceptMs, end);
+    const auto handoverEnd = std::min(started + handoverTimeoutMs, end);
+    while (!m_coordinators->stopped() && monotonic_clock::now() < handoverEnd)
         std::this_thread::sleep_for(controlTickMs);
     telemetry::log(telemetry::severity::Info, "drained", {});
 }
--- a/src/serve/node.h
+++ b/src/serve/node.h
@@ -32,7 +32,7 @@
     node& operator=(const node&) = delete;
     ~node() override;
 
-    /// Drains the host; returns once every request has ended.
+    /// Drains the host; returns once every request has ended, within the grace if one is known.
     void drain();
 
     // admin::node
@@ -67,6 +67,8 @@
     std::size_t reportLoads(instant now);
     void updateMetrics();
     [[nodiscard]] bool markedLeaving() const;
+    /// Returns the time by which requests must have ended in a drain that starts now.
+    [[nodiscard]] instant drainEnd(instant started) const;
     /// Whether the table in force is known to be the newest.
     [[nodiscard]] bool tableConfirmed(instant now) const;
     [[nodiscard]] bool ownersKnown() const;
--- a/src/serve/serve.cc
+++ b/src/serve/serve.cc
@@ -39,6 +39,7 @@
     [[nodiscard]] table_source* tableSource() override { return nullptr; }
     [[nodiscard]] range_client* rangeClient() override { return nullptr; }
     [[nodiscard]] proxy::contract contract() const override { return {}; }
+    [[nodiscard]] duration stopGrace() const override { return {}; }
     /// Does nothing: the platform lists the hosts itself.
     void announce(const store::listed_host&) override { }
     void withdraw(const host_id&) override { }
--- a/src/settings/keys.cc
+++ b/src/settings/keys.cc
@@ -210,6 +210,16 @@
         [](const settings& all) { return all.admin.token; } };
 }
 
+key_rule termsRule()
+{
+    return { { "store", "terms", false, false },
+        [](settings& all, const std::string& text) -> std::optional<std::string> {
+            all.store.terms = text;
+            return std::nullopt;
+        },
+        [](const settings& all) { return all.store.terms; } };
+}
+
 key_rule logFileRule()
 {
     return { { "log", "file", false, false },
@@ -248,6 +258,7 @@
         timeRule(
             "store", "timeout_ms", { 10, 60000 }, member { &s::store, &store_settings::timeoutMs }),
         timeRule("store", "poll_ms", { 500, 60000 }, member { &s::store, &store_settings::pollMs }),
+        termsRule(),
         tokenRule(),
         countRule(
             "limits", "workers", { 1, 1024 }, member { &s::limits, &limit_settings::workers }),
@@ -320,6 +331,8 @@
         timeRule(
             "drain", "accept_ms", { 0, 600000 }, member { &s::drain, &drain_settings::acceptMs }),
         timeRule("drain", "idle_ms", { 0, 600000 }, member { &s::drain, &drain_settings::idleMs }),
+        timeRule(
+            "drain", "grace_ms", { 0, 600000 }, member { &s::drain, &drain_settings::graceMs }),
     };
 }
 
--- a/test/platform-documents-test.cc
+++ b/test/platform-documents-test.cc
@@ -149,3 +149,11 @@
     cr_assert(before.targets[0].instance == after.targets[0].instance);
     cr_assert(before.targets[0].connections == 130);
 }
+
+Test(platform_documents, grace_is_read_from_the_bounds)
+{
+    cr_assert(stopGrace("seedLag=3s,drain=2000ms,grace=6s,thaw=300ms") == std::chrono::seconds(6));
+    cr_assert(stopGrace("grace=2500ms") == std::chrono::milliseconds(2500));
+    for (const auto* terms : { "", "seedLag=3s", "grace=", "grace=6", "grace=-1s", "grace=inf s" })
+        cr_assert(stopGrace(terms) == duration::zero(), "%s", terms);
+}
--- a/test/platform-settings-test.cc
+++ b/test/platform-settings-test.cc
@@ -33,15 +33,17 @@
 
 Test(platform_settings, deploy_template_renders_to_valid_settings)
 {
+    const std::string terms = "seedLag=3s,drain=2000ms,grace=6s,lost_time=200ms";
     const auto text = rendered(source("deploy/settings.ini"),
         { { "node", "front-kalimati-1" }, { "zone", "kalimati" }, { "ip", "10.1.0.34" },
             { "listen.front", "10.1.0.34:8548" }, { "listen.ready", "10.1.0.34:8542" },
             { "portRange.0", "7540" }, { "provider.address", "10.200.1.7:8541" },
-            { "limits.maxFds", "4100" }, { "limits.cpuShare", "0.2" } });
+            { "limits.maxFds", "4100" }, { "limits.cpuShare", "0.2" }, { "bounds", terms } });
     cr_assert(text.find("{{") == std::string::npos, "%s", text.c_str());
     const auto values = settings::parse(text);
     cr_assert(values.has_value(), "%s", values.has_error() ? values.error().reason.c_str() : "");
     cr_assert(values.value().store.interface == settings::store_interface::Platform);
     cr_assert(values.value().admin.token.empty());
     cr_assert_eq(values.value().limits.callerConnections(), 2050);
+    cr_assert_eq(values.value().store.terms, terms);
 }
--- a/test/proxy-drain-test.cc
+++ b/test/proxy-drain-test.cc
@@ -1,4 +1,5 @@
-#include "helper/proxy-fixture.h"
+#include "helper/scripted-target.h"
+#include "proxy/drain-schedule.h"
 #include "stand-ins/pattern.h"
 
 #include <criterion/criterion.h>
@@ -15,6 +16,22 @@
     return text.find(part) != std::string::npos;
 }
 
+/// A drain on a thread of its own that has to end after the given time.
+std::future<void> drainUntil(proxy_fixture& host, milliseconds end)
+{
+    return std::async(std::launch::async, [&host, latest = monotonic_clock::now() + end] {
+        host.server->drain(milliseconds(0), latest);
+    });
+}
+
+bool isRefusedAsStopping(const std::string& answer)
+{
+    return answer.starts_with("HTTP/1.1 503") && contains(answer, "Retry-After: 1\r\n")
+        && contains(answer, "\"outcome\":\"not-run\",\"reason\":\"host-stopping\"");
+}
+
+constexpr milliseconds shortEnd { 600 };
+
 } // namespace
 
 Test(proxy_drain, running_transfers_complete_and_new_requests_are_accepted_during_a_drain)
@@ -111,3 +128,117 @@
     host.reset();
     cr_assert(caller.readAll().empty());
 }
+
+Test(proxy_drain, request_without_an_owner_is_refused_before_the_end)
+{
+    proxy_fixture host({ proxy::destination {} });
+    host.dispatcher.holdsRequests = true;
+    raw_connection caller(host.address());
+    caller.send("POST /ledger/k1 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
+    cr_assert(waitUntil([&] { return host.server->state().waiting == 1; }));
+    const auto drained = drainUntil(host, shortEnd);
+    const auto answer = caller.readAll();
+    cr_assert(isRefusedAsStopping(answer), "%s", answer.c_str());
+    cr_assert_eq(host.dispatcher.cancelledRequests.size(), 1);
+}
+
+Test(proxy_drain, incomplete_requests_are_refused_before_the_end)
+{
+    proxy_fixture host({});
+    raw_connection head(host.address());
+    head.send("GET /weights/x HTTP/1.1\r\nHost:");
+    raw_connection body(host.address());
+    body.send("POST /ledger/k1 HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\nfirst");
+    raw_connection idle(host.address());
+    cr_assert(waitUntil([&] { return host.server->state().connections == 3; }));
+    const auto drained = drainUntil(host, shortEnd);
+    cr_assert(isRefusedAsStopping(head.readAll()));
+    cr_assert(isRefusedAsStopping(body.readAll()));
+    cr_assert(idle.readAll().empty());
+}
+
+Test(proxy_drain, running_request_is_ended_at_the_end_and_not_before)
+{
+    target_process target("t1", { "--no-token-checks" });
+    proxy_fixture host({ target.destination() }, 4);
+    raw_connection caller(host.address());
+    caller.send("GET /weights/g1?service_ms=600000 HTTP/1.1\r\nHost: h\r\n\r\n");
+    cr_assert(waitUntil([&] { return !target.record("running").empty(); }));
+    const instant end = monotonic_clock::now() + shortEnd;
+    const auto drained = drainUntil(host, shortEnd);
+    const auto answer = caller.readAll();
+    cr_assert(answer.starts_with("HTTP/1.1 504"), "%s", answer.c_str());
+    cr_assert(contains(answer, "\"outcome\":\"unknown\",\"reason\":\"host-stopped\""));
+    cr_assert_geq(monotonic_clock::now(), end);
+    cr_assert_eq(target.runs("/weights/g1?service_ms=600000"), 1);
+}
+
+Test(proxy_drain, request_that_waits_for_a_worker_is_refused_at_the_end)
+{
+    target_process target("t1", { "--no-token-checks" });
+    proxy::options settings;
+    settings.workers = 1;
+    proxy_fixture host({ target.destination() }, 1, settings);
+    raw_connection running(host.address());
+    running.send("GET /weights/g1?service_ms=600000 HTTP/1.1\r\nHost: h\r\n\r\n");
+    cr_assert(waitUntil([&] { return !target.record("running").empty(); }));
+    raw_connection queued(host.address());
+    queued.send("POST /ledger/k1 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
+    cr_assert(waitUntil([&] { return host.server->state().running == 2; }));
+    const auto drained = drainUntil(host, shortEnd);
+    const auto answer = queued.readAll();
+    cr_assert(isRefusedAsStopping(answer), "%s", answer.c_str());
+    cr_assert_eq(target.runs("/ledger/k1"), 0);
+}
+
+Test(proxy_drain, caller_that_stops_reading_does_not_hold_up_the_end)
+{
+    target_process target("t1", { "--no-token-checks" });
+    proxy::options settings;
+    settings.bodyTimeout = std::chrono::hours(1);
+    proxy_fixture host({ target.destination() }, 1, settings);
+    raw_connection caller(host.address());
+    caller.send("GET /export?bytes=100000000 HTTP/1.1\r\nHost: h\r\n\r\n");
+    cr_assert(contains(caller.readUntil("\r\n\r\n"), "200 OK"));
+    const auto drained = drainUntil(host, shortEnd);
+    cr_assert(drained.wait_for(waitTimeout) == std::future_status::ready);
+}
+
+Test(proxy_drain, deadline_of_a_request_is_shortened_to_the_end)
+{
+    scripted_target target({ { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" } });
+    proxy::options settings = callersChooseIds();
+    settings.drainIdleTimeout = waitTimeout;
+    proxy_fixture host({ target.destination() }, 1, settings);
+    auto rows = std::make_shared<table::table>(*proxyTable());
+    for (auto& service : rows->services)
+        service.deadline = std::chrono::hours(1);
+    host.server->setTable(rows);
+    raw_connection caller(host.address());
+    const auto drained = drainUntil(host, seconds(20));
+    cr_assert(waitUntil([&] {
+        return call(host.address(), { "GET", "/pimentomast/health" }).failure.find("refused")
+            != std::string::npos;
+    }));
+    caller.send("GET /weights/g1 HTTP/1.1\r\nHost: h\r\nX-Id: a\r\nX-Left: 900000\r\n\r\n");
+    cr_assert(contains(caller.readAll(), "200 OK"));
+    const auto head = target.heads().at(0);
+    const auto left = std::stoul(head.substr(head.find("X-Left: ") + 8));
+    cr_assert_leq(left, 20000);
+}
+
+Test(proxy_drain, schedule_passes_nothing_on_beyond_the_end)
+{
+    const instant begun = monotonic_clock::now();
+    const proxy::detail::drain_schedule times(begun, seconds(30), begun + seconds(10));
+    cr_assert_eq(times.acceptUntil, begun + seconds(4));
+    const auto at = [&](int ms) { return begun + milliseconds(ms); };
+    cr_assert(times.deadlineFor(at(0), at(9000)) == at(9000));
+    cr_assert(times.deadlineFor(at(4999), at(9501)) == at(9500));
+    cr_assert_not(times.deadlineFor(at(5000), at(9501)));
+    cr_assert(times.deadlineFor(at(9499), at(9500)) == at(9500));
+    cr_assert_not(times.deadlineFor(at(9500), at(9500)));
+    const proxy::detail::drain_schedule unbounded(begun, seconds(30), instant::max());
+    cr_assert_eq(unbounded.acceptUntil, begun + seconds(30));
+    cr_assert(unbounded.deadlineFor(at(3600000), at(9000000)) == at(9000000));
+}
