--- a/src/proxy/relay.cc
+++ b/src/proxy/relay.cc
@@ -215,13 +215,14 @@
 instant relay::nextTimeout() const
 {
     const instant stallDeadline = m_lastProgress + m_context.settings.bodyTimeout;
-    if (transferActive())
-        return stallDeadline;
-    return m_responseDeadline;
+    return std::min(transferActive() ? stallDeadline : m_responseDeadline, m_context.end());
 }
 
 std::optional<attempt_result> relay::checkTimeouts(instant now)
 {
+    if (now >= m_context.end())
+        return requestFault(m_requestBytesSent == 0 && !m_request.mayHaveRun ? reason::HostStopping
+                                                                             : reason::HostStopped);
     if (transferActive() && now >= m_lastProgress + m_context.settings.bodyTimeout) {
         const bool callerStalled = (!m_request.bodyDone && m_upload.empty()) || !m_download.empty();
         return callerStalled ? requestFault(reason::BodyTimeout) : failed(reason::TargetTimeout);
