Hold keys until they have moved, whatever else is published

Cause: a host ended each hold as soon as any newer assignment came, also one that moved other keys. Moves that are planned together drain at different times, so the first one to end (or two slices that were joined) lifted the holds of all others. A hold that arrived after such an assignment was dropped for the same reason.

Ruled out by reading: publishing before the new owner has its grant (the publication waits for grants, at most grantWaitMs; a grant that is later than this can still cost retries).

Change: a hold counts for a key until its time is over, the key has a token above the hold's version, or the coordinator's epoch has changed.

The first part of route_table_takes_only_newer_assignments_and_ends_holds expected the fault: a hold ended by an assignment that does not move its keys. It now expects the end by one that moves them; three new tests cover the others, among them that an epoch still ends a hold.

Conclusion: this way to spend the budget in planned moves is closed.

--- a/include/pimentomast/assignment.h
+++ b/include/pimentomast/assignment.h
@@ -111,15 +111,17 @@
 class route_table {
 public:
     /// Replaces the assignment if the given one has a higher version, and then ends the holds of
-    /// lower versions. Returns whether it was replaced.
+    /// keys that have got a higher token than the version of their hold, and those of older epochs.
+    /// Returns whether it was replaced.
     bool replaceIfNewer(const assignment& newer);
     /// Returns the newest assignment, or null if there is none.
     [[nodiscard]] const assignment* current() const noexcept;
     /// Returns the version of the newest assignment, (0, 0) if there is none.
     [[nodiscard]] token version() const noexcept;
 
-    /// Holds the slice until the given time, unless the table already has an assignment of a higher
-    /// version than the given one. A time in the past releases the slice.
+    /// Holds the keys of the slice until the given time or until they get a token above the given
+    /// version, unless the table already has an assignment of a higher epoch. A time in the past
+    /// releases the slice. Precondition: the time is less than a minute away.
     void hold(slice range, token version, instant until);
 
     /// Sets whether requests need a route lease. They do if a target of the service does not check
--- a/src/assignment/route_table.cc
+++ b/src/assignment/route_table.cc
@@ -3,13 +3,29 @@
 #include <algorithm>
 
 namespace pimentomast::ownership {
+namespace {
+
+/// Longer than any hold.
+constexpr duration holdMax = std::chrono::minutes(1);
+
+/// Whether a key of the range has no token above the version yet.
+bool waitsForMove(const assignment& current, const slice& range, token version)
+{
+    return std::any_of(current.slices.begin(), current.slices.end(),
+        [&](const auto& each) { return overlap(each.range, range) && each.grant <= version; });
+}
+
+} // namespace
 
 bool route_table::replaceIfNewer(const assignment& newer)
 {
     if (newer.version() <= version())
         return false;
     m_current = newer;
-    std::erase_if(m_holds, [&](const held& each) { return each.version < newer.version(); });
+    std::erase_if(m_holds, [&](const held& each) {
+        return each.version.coordinator < newer.version().coordinator
+            || !waitsForMove(newer, each.range, each.version);
+    });
     return true;
 }
 
@@ -22,9 +38,10 @@
 
 void route_table::hold(slice range, token known, instant until)
 {
-    if (known < version())
+    if (known.coordinator < version().coordinator)
         return;
-    std::erase_if(m_holds, [&](const auto& each) { return each.range == range; });
+    std::erase_if(m_holds,
+        [&](const auto& each) { return each.range == range || each.until + holdMax < until; });
     m_holds.push_back({ range, known, until });
 }
 
@@ -46,11 +63,12 @@
 {
     if (!m_current)
         return no_route {};
+    const auto* found = m_current->find(hash);
     for (const auto& each : m_holds) {
-        if (each.range.contains(hash) && now < each.until)
+        const bool hasMoved = found && each.version < found->grant;
+        if (each.range.contains(hash) && now < each.until && !hasMoved)
             return held_route { each.until };
     }
-    const auto* found = m_current->find(hash);
     if (!found)
         return no_route {};
     const bool leased = found->grant <= m_leaseVersion && now < m_leaseUntil;
--- a/test/ownership-moves-test.cc
+++ b/test/ownership-moves-test.cc
@@ -27,6 +27,27 @@
     return holders;
 }
 
+/// Returns how many routes of hosts to sampled keys lead to a target that would refuse a request.
+int refusedRoutes(const simulation& system)
+{
+    int refused = 0;
+    for (const auto& host : system.hosts) {
+        for (int sampled = 0; sampled < 16; ++sampled) {
+            const auto key = simulation::sample(sampled);
+            const auto outcome = host.routes.find(key, system.hostTime(host));
+            const auto* found = std::get_if<route>(&outcome);
+            if (!found)
+                continue;
+            const auto owner = std::find_if(system.targets.begin(), system.targets.end(),
+                [&](const auto& each) { return each.id == found->owner; });
+            const bool serves = std::any_of(owner->held.begin(), owner->held.end(),
+                [&](const auto& each) { return each.range.contains(key) && !each.draining; });
+            refused += serves ? 0 : 1;
+        }
+    }
+    return refused;
+}
+
 } // namespace
 
 Test(ownership_moves, slices_of_a_leaving_target_go_to_several_others)
@@ -100,6 +121,26 @@
     cr_assert(holdersOf(system, { 0, 2, 4, 6 }) == std::set { target_id { "t1" } });
 }
 
+Test(ownership_moves, no_host_uses_an_owner_that_drains_while_another_move_ends)
+{
+    options chosen;
+    chosen.seed = 8;
+    chosen.targets = 5;
+    simulation system(chosen);
+    system.runFor(settleMs);
+    cr_assert_eq(refusedRoutes(system), 0);
+    std::vector<wanted_slice> wanted;
+    for (int sampled = 1; sampled < 15; ++sampled)
+        wanted.push_back({ rangeAt(sampled), target_id { "t0" } });
+    system.want(wanted);
+    int refused = 0;
+    for (int step = 0; step < 2000; ++step) {
+        system.runFor(milliseconds { 1 });
+        refused += refusedRoutes(system);
+    }
+    cr_assert_eq(refused, 0, "%d", refused);
+}
+
 Test(ownership_moves, takeover_ends_although_few_witnesses_answer_at_a_time)
 {
     options chosen;
--- a/test/ownership-rows-test.cc
+++ b/test/ownership-rows-test.cc
@@ -294,7 +294,50 @@
     cr_assert(std::holds_alternative<held_route>(routes.find(key_hash { 5 }, at(0))));
     cr_assert(std::holds_alternative<route>(routes.find(key_hash { 11 }, at(0))));
     cr_assert(std::holds_alternative<route>(routes.find(key_hash { 5 }, at(100))));
-    cr_assert(routes.replaceIfNewer(randomAssignment({ 10 }, 9)));
+    auto moved = randomAssignment({ 10 }, 9);
+    moved.slices[0].grant = moved.version();
+    cr_assert(routes.replaceIfNewer(moved));
+    cr_assert(std::holds_alternative<route>(routes.find(key_hash { 5 }, at(0))));
+}
+
+Test(ownership_rows, hold_outlasts_assignments_that_do_not_move_its_keys)
+{
+    route_table routes;
+    routes.replaceIfNewer(randomAssignment({ 10 }, 8));
+    routes.hold({ key_hash { 0 }, key_hash { highestHash } }, routes.version(), at(100));
+    auto moved = randomAssignment({ 10 }, 9);
+    moved.slices[0].grant = moved.version();
+    routes.replaceIfNewer(moved);
+    cr_assert(std::holds_alternative<route>(routes.find(key_hash { 5 }, at(0))));
+    cr_assert(std::holds_alternative<held_route>(routes.find(key_hash { 11 }, at(0))));
+    moved.number = sequence { 10 };
+    moved.slices[1].grant = moved.version();
+    routes.replaceIfNewer(moved);
+    cr_assert(std::holds_alternative<route>(routes.find(key_hash { 11 }, at(0))));
+}
+
+Test(ownership_rows, hold_that_arrives_after_another_move_counts)
+{
+    route_table routes;
+    const token asked = randomAssignment({ 10 }, 8).version();
+    routes.replaceIfNewer(randomAssignment({ 10 }, 9));
+    routes.hold({ key_hash { 0 }, key_hash { 10 } }, asked, at(100));
+    cr_assert(std::holds_alternative<held_route>(routes.find(key_hash { 5 }, at(0))));
+    routes.hold({ key_hash { 0 }, key_hash { 10 } }, asked, at(0));
+    cr_assert(std::holds_alternative<route>(routes.find(key_hash { 5 }, at(0))));
+}
+
+Test(ownership_rows, hold_of_an_earlier_coordinator_ends_with_its_epoch)
+{
+    route_table routes;
+    auto value = randomAssignment({ 10 }, 8);
+    routes.replaceIfNewer(value);
+    const token asked = value.version();
+    routes.hold({ key_hash { 0 }, key_hash { 10 } }, asked, at(100));
+    value.coordinator = epoch { 4 };
+    routes.replaceIfNewer(value);
+    cr_assert(std::holds_alternative<route>(routes.find(key_hash { 5 }, at(0))));
+    routes.hold({ key_hash { 0 }, key_hash { 10 } }, asked, at(100));
     cr_assert(std::holds_alternative<route>(routes.find(key_hash { 5 }, at(0))));
 }
 
