Believe no refusal of a grant, and no release, on a kept connection

The answers to /grant and /release carry no number, so it was taken for the newer call's: a grant that took effect counted as certainly without effect, or a release as ended while work on its keys was running. Either may let two targets own a key. Cause: the look at a kept connection before its use sees only what has arrived by then.

Change: a release has a connection of its own; releases are rare. A refusal of a grant on a kept connection is asked for again on a new one within the same time limit: a grant may be repeated. If that call can't be sent, the grant may have taken effect. Renewals that are accepted, nearly all calls, keep their connections. Left: an extra 200 may be taken for the answer to a grant. The target is then believed to hold keys that it doesn't, until the next renewal; no key gets two owners by it (by reading, no test).

calls_name_the_addressed_process: its scripted target answers 421 to the repeated call too, as a process at a reused address does.

Conclusion: fixed for both calls, but for the extra 200.

--- a/include/pimentomast/http.h
+++ b/include/pimentomast/http.h
@@ -31,12 +31,17 @@
     /// bytes keep arriving; counted from the start of the exchange.
     std::optional<std::chrono::milliseconds> bodyTimeout {};
     std::vector<field> fields {};
+    /// Whether to open a connection for this request alone. On a kept one, what the server wrote
+    /// beyond an earlier answer can be taken for the answer to this request.
+    bool ownConnection = false;
 };
 
 struct answer {
     Poco::Net::HTTPResponse::HTTPStatus status = Poco::Net::HTTPResponse::HTTP_OK;
     std::string body;
     std::vector<field> fields {};
+    /// Whether the connection had carried other requests before.
+    bool onKeptConnection = false;
 
     /// Returns the value of the first field with this name, ignoring case; empty if there is none.
     [[nodiscard]] std::string header(const std::string& name) const;
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -29,7 +29,7 @@
 void sendBody(session& connection, const request& sent)
 {
     HTTPRequest head(sent.method, sent.path, HTTPMessage::HTTP_1_1);
-    head.setKeepAlive(true);
+    head.setKeepAlive(!sent.ownConnection);
     head.setContentLength64(static_cast<Poco::Int64>(sent.body.size()));
     for (const auto& [name, value] : sent.fields)
         head.set(name, value);
@@ -112,6 +112,8 @@
         return { now + silence, now + sent.bodyTimeout.value_or(silence), maxAnswerBytes, silence };
     }
     outcome sendOn(std::unique_ptr<session> connection, const request& sent, const limits& allowed);
+    outcome sendOnKept(
+        std::unique_ptr<session> connection, const request& sent, const limits& allowed);
     outcome sendOnNew(const request& sent, const limits& allowed);
 
     std::chrono::milliseconds timeout;
@@ -141,22 +143,31 @@
 outcome client::sendOnce(const request& sent)
 {
     const auto allowed = m_state->limitsOf(sent);
-    if (auto idle = m_state->pool.takeIdle())
-        return m_state->sendOn(std::move(idle), sent, allowed);
+    if (auto idle = sent.ownConnection ? nullptr : m_state->pool.takeIdle())
+        return m_state->sendOnKept(std::move(idle), sent, allowed);
     return m_state->sendOnNew(sent, allowed);
 }
 
 outcome client::sendIdempotent(const request& sent)
 {
     const auto allowed = m_state->limitsOf(sent);
-    if (auto idle = m_state->pool.takeIdle()) {
-        auto first = m_state->sendOn(std::move(idle), sent, allowed);
+    if (auto idle = sent.ownConnection ? nullptr : m_state->pool.takeIdle()) {
+        auto first = m_state->sendOnKept(std::move(idle), sent, allowed);
         if (std::holds_alternative<answer>(first) || monotonic_clock::now() >= allowed.deadline)
             return first;
     }
     return m_state->sendOnNew(sent, allowed);
 }
 
+outcome client::state::sendOnKept(
+    std::unique_ptr<session> connection, const request& sent, const limits& allowed)
+{
+    auto ended = sendOn(std::move(connection), sent, allowed);
+    if (auto* received = std::get_if<answer>(&ended))
+        received->onKeptConnection = true;
+    return ended;
+}
+
 outcome client::state::sendOnNew(const request& sent, const limits& allowed)
 {
     std::unique_ptr<session> opened;
@@ -181,7 +192,7 @@
         auto& in = connection->receiveResponse(head);
         answer whole { head.getStatus(), receiveBody(*connection, head, in, allowed),
             fieldsOf(head) };
-        if (head.getKeepAlive())
+        if (head.getKeepAlive() && !sent.ownConnection)
             pool.returnIdle(std::move(connection));
         return whole;
     } catch (const Poco::Exception& cause) {
--- a/test/platform-grants-test.cc
+++ b/test/platform-grants-test.cc
@@ -1,4 +1,5 @@
 #include "grants.h"
+#include "helper/scripted-server.h"
 #include "helper/scripted-target.h"
 #include "serve/range_grants.h"
 
@@ -70,8 +71,9 @@
 // old one.
 Test(platform_grants, calls_name_the_addressed_process)
 {
-    test::scripted_target target({ { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" },
-        { "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n" } });
+    const std::string misdirected = "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n";
+    test::scripted_target target(
+        { { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" }, { misdirected }, { misdirected } });
     platform::detail::target_calls calls(platform::options {});
     const ranges::grant_range wanted { keys, fence, ranges::handover { "warm" } };
     const auto taken = calls.grant(recipient(target), wanted, 1500ms);
@@ -145,3 +147,45 @@
     cr_assert(std::holds_alternative<ownership::target_failed>(answer));
     cr_assert(calls.instances.empty());
 }
+
+namespace {
+
+const std::string accepted = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+/// Returns false if the caller closed the connection.
+bool readCall(Poco::Net::StreamSocket& socket) { return !test::readRequest(socket).empty(); }
+
+} // namespace
+
+Test(platform_grants, late_extra_refusal_is_not_taken_for_that_of_a_newer_grant)
+{
+    test::scripted_server target([](auto& socket, int number) {
+        readCall(socket);
+        test::write(socket, accepted);
+        if (number > 0 || !readCall(socket))
+            return;
+        test::write(socket, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+        test::write(socket, accepted);
+    });
+    platform::detail::target_calls calls(platform::options {});
+    const serve::range_recipient to { service_id { "s" }, target.address(), "i-1" };
+    const ranges::grant_range wanted { keys, fence, {} };
+    cr_assert(std::holds_alternative<ranges::accepted>(calls.grant(to, wanted, 1500ms)));
+    cr_assert(std::holds_alternative<ranges::accepted>(calls.grant(to, wanted, 1500ms)));
+}
+
+Test(platform_grants, late_extra_answer_does_not_end_a_release)
+{
+    test::scripted_server target([](auto& socket, int number) {
+        const auto answer = "HTTP/1.1 200 OK\r\nX-Handover: work-" + std::to_string(number)
+            + "\r\nContent-Length: 0\r\n\r\n";
+        while (readCall(socket))
+            test::write(socket, answer);
+    });
+    platform::detail::target_calls calls(platform::options {});
+    const serve::range_recipient to { service_id { "s" }, target.address(), "i-1" };
+    for (const auto* state : { "work-0", "work-1" }) {
+        const auto outcome = calls.release(to, { keys, fence });
+        cr_assert(std::get<ranges::accepted>(outcome).state == ranges::handover { state });
+    }
+}
