Refuse an abandoned request whose body was not kept

What callers saw: a success for a request that had run with an empty body. A repeatable upload in chunks of more than maxReplayBytes (64 KiB) whose attempt was abandoned was sent to the next target as an empty body; one with a length was sent as a head alone, and the target waited for the body (by reading).

Cause: the dispatcher ends such requests when it is told that an attempt has ended with a body that can't be sent again. Of an abandoned attempt it is told nothing, so it decided on another attempt, and the proxy made it. Class: two parts each rely on the other to hold a promise.

Ruled out: attempts that end by themselves (the dispatcher's own check and its tests), attempts that are abandoned before they have a connection (the body has not been read).

Change: the proxy itself refuses to make an attempt without the body that was read: 502, outcome unknown, body-not-replayable.

Conclusion: no attempt is made without the bytes that an earlier one consumed.

--- a/src/proxy/server-dispatch.cc
+++ b/src/proxy/server-dispatch.cc
@@ -56,7 +56,10 @@
 {
     (void)pollerOf(*request->caller).unwatch(request->caller);
     request->waited += monotonic_clock::now() - request->submitted;
-    if (const auto* to = std::get_if<destination>(&what))
+    const auto* to = std::get_if<destination>(&what);
+    if (to != nullptr && !request->replayable)
+        refuseUnreplayable(*request, *to);
+    else if (to != nullptr)
         startAttempt(std::move(request), *to);
     else
         sendRefusal(*request, std::get<refusal>(what));
@@ -68,6 +71,24 @@
     m_workers->push(forward_job { std::move(request), to });
 }
 
+// The dispatcher isn't told how an abandoned attempt ended, so it can't know that the body is gone.
+void server_impl::refuseUnreplayable(const exchange& request, const destination& to)
+{
+    attempt unsent;
+    unsent.id = request.facts.id;
+    unsent.target = to.target;
+    unsent.number = to.attempt;
+    unsent.result = attempt_cancelled {};
+    (void)m_registry.finish(unsent.id);
+    m_dispatcher.ended(unsent, *this);
+    refusal details;
+    details.outcome = request_outcome::Unknown;
+    details.status = 502;
+    details.reason = name(reason::BodyNotReplayable);
+    details.peer = to.target.value();
+    sendRefusal(request, details);
+}
+
 void server_impl::sendRefusal(const exchange& request, const refusal& details)
 {
     if (request.responseStarted) {
--- a/src/proxy/server-impl.h
+++ b/src/proxy/server-impl.h
@@ -85,6 +85,7 @@
 
     void execute(std::unique_ptr<exchange> request, const decision& what);
     void startAttempt(std::unique_ptr<exchange> request, const destination& to);
+    void refuseUnreplayable(const exchange& request, const destination& to);
     void sendRefusal(const exchange& request, const refusal& details);
     void run(job work);
     void runForward(forward_job& work);
--- a/test/proxy-decisions-test.cc
+++ b/test/proxy-decisions-test.cc
@@ -61,3 +61,23 @@
     host.server->sink().abandon(id, 1);
     cr_assert(contains(caller.readAll(), "\"reason\":\"too-late\""));
 }
+
+Test(proxy_decisions, abandoned_request_whose_body_was_not_kept_is_not_sent_without_it)
+{
+    target_process slow("t1", { "--no-token-checks", "--service-ms", "60000" });
+    target_process quick("t2", { "--no-token-checks" });
+    proxy_fixture host({ slow.destination() });
+    raw_connection caller(host.address());
+    caller.send("PUT /weights/g1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\nTransfer-Encoding: "
+                "chunked\r\n\r\n"
+                "20000\r\n"
+        + std::string(0x20000, 'g') + "\r\n0\r\n\r\n");
+    const auto id = runningRequest(host, slow);
+    host.server->sink().abandon(id, 1);
+    cr_assert(host.server->sink().forward(id, secondAttempt(quick)));
+    const auto response = caller.readAll();
+    cr_expect(contains(response, "\"reason\":\"body-not-replayable\""), "%s", response.c_str());
+    cr_expect(contains(response, "Pimentomast-Outcome: unknown"));
+    cr_expect_eq(quick.runs("/weights/g1"), 0);
+    cr_expect(waitUntil([&] { return host.dispatcher.waiting().empty(); }));
+}
