Look at a connection's phase again after it was unwatched

Callers: of two pipelined requests the second got neither an answer nor a refusal, its connection stayed open without a timeout, and a drain waited for it until the host was killed.

Cause: the poller read the phase Waiting, then unwatched. If the request's worker ended the exchange in between, the connection had been watched again as idle, and that watch was the one taken off. With an end of the stream instead of bytes the connection was never counted as closed.

Change: after unwatch() the phase is read again; a connection that no longer waits is watched again.

Evidence: connection_that_turns_idle_while_its_event_is_handled_is_read failed 6 of 6 times before and passed 6 of 6 now.

--- a/src/proxy/poller.cc
+++ b/src/proxy/poller.cc
@@ -162,6 +162,9 @@
     const io_state state = peekState(connection->socket);
     if (state == io_state::WouldBlock || !unwatch(connection))
         return;
+    // The request may have ended meanwhile, and its connection have been watched again as idle.
+    if (connection->state != phase::Waiting)
+        return watch(connection);
     if (state != io_state::Ready)
         m_events.disconnected(connection);
 }
