Leave a request that crosses the end of an idle connection unread

Seen by callers: suspected only.

Cause, by reading: an idle connection was ended by closing the sending side; for 2 s after that the host read and threw away what still came. A request that crossed the end was thus read whole and never answered, and its caller could not know that it had not run. A stop ends all idle connections so; idle_timeout_ms does it at any time.

Ruled out: answering it. Nothing can be sent after the end.

Change: what comes after that end stays unread and the connection is closed at once, which resets it. A caller may then send again even what may not be repeated. No answer is on its way on an idle connection, so the reset overtakes none; connections that end with an answer still discard what comes.

Evidence: request_that_crosses_the_end_of_an_idle_connection_is_left_unread.

Conclusion: the host no longer takes such a request.

--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -34,6 +34,8 @@
     /// Start of the current phase.
     instant phaseStarted;
     request_id waitingRequest;
+    /// Shut down while idle: no answer is on its way, and nothing more is read.
+    bool closedIdle = false;
     /// The input holds bytes of a next request that have not been parsed.
     bool hasUnparsedInput = false;
     /// A complete head that is waiting for the first bytes of its body.
--- a/src/proxy/poller.cc
+++ b/src/proxy/poller.cc
@@ -149,6 +149,11 @@
 
 void poller::handleLingering(const caller_pointer& connection)
 {
+    if (connection->closedIdle) {
+        if (unwatch(connection))
+            drop(connection);
+        return;
+    }
     std::string ignored;
     const auto got = receiveInto(connection->socket, ignored, receiveBytes);
     connection->discardedBytes += got.bytes;
@@ -241,10 +246,12 @@
     if (peekState(connection->socket) == io_state::Ready)
         return watch(connection);
     shutdownSend(connection->socket);
+    connection->closedIdle = true;
     linger(connection);
 }
 
-// Lingering avoids a reset if a request arrives just after the connection was shut down.
+// A request that arrives after this is left unread: its caller may send it again, even one that may
+// not be repeated.
 void poller::linger(const caller_pointer& connection)
 {
     connection->state = phase::Lingering;
--- a/test/proxy-drain-test.cc
+++ b/test/proxy-drain-test.cc
@@ -2,6 +2,7 @@
 #include "proxy/drain-schedule.h"
 #include "stand-ins/pattern.h"
 
+#include <cerrno>
 #include <criterion/criterion.h>
 #include <future>
 #include <thread>
@@ -242,3 +243,19 @@
     cr_assert_eq(unbounded.acceptUntil, begun + seconds(30));
     cr_assert(unbounded.deadlineFor(at(3600000), at(9000000)) == at(9000000));
 }
+
+Test(proxy_drain, request_that_crosses_the_end_of_an_idle_connection_is_left_unread)
+{
+    proxy::options settings;
+    settings.drainIdleTimeout = milliseconds(0);
+    proxy_fixture host({}, 1, settings);
+    raw_connection caller(host.address());
+    cr_assert(waitUntil([&] { return host.server->state().connections == 1; }));
+    host.server->drain(milliseconds(0), monotonic_clock::now() + milliseconds(1));
+    cr_assert(caller.readAll().empty());
+    cr_assert_not(caller.wasReset());
+    caller.send("POST /ledger/k1 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
+    cr_assert(waitUntil([&] { return host.server->state().connections == 0; }));
+    // A kernel resets a connection that is closed with unread bytes; after the end, this is EPIPE.
+    cr_assert(waitUntil([&] { return caller.socket().impl()->socketError() == EPIPE; }));
+}
