Take no cut or endless answer to a health probe for health

What was seen (in the test): a probe whose answer was cut anywhere after its status line found the target healthy if the table states the target's process. A body without end held the probe's worker for as long as bytes arrived.

Cause: as for the store's client, POCO's readers; and a limit of time for each receive only, none of bytes.

Change: probes use http::client: Beast's parser, 64 KiB, and one limit of time from connecting to the end. probeTimeout (1 s) was the limit of each step; it is now that of the whole probe.

--- a/include/pimentomast/proxy.h
+++ b/include/pimentomast/proxy.h
@@ -147,7 +147,7 @@
     /// Maximum number of range requests by which an interrupted repeatable download continues.
     unsigned maxContinuations = 4;
     std::chrono::milliseconds connectTimeout { 500 };
-    /// Timeout of each step of a health probe: connecting, sending and receiving.
+    /// Timeout of a health probe, from connecting to the end of the answer.
     std::chrono::milliseconds probeTimeout { 1000 };
     /// Body bytes that must arrive before a request with a Content-Length is submitted, or the
     /// whole body if it is shorter. Keeps a slow sender of a short body from occupying a target.
--- a/src/proxy/probe.cc
+++ b/src/proxy/probe.cc
@@ -1,17 +1,18 @@
 #include "probe.h"
 
+#include "pimentomast/http.h"
+
 #include <Poco/Exception.h>
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
-#include <Poco/Net/HTTPClientSession.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/NetException.h>
 
 namespace pimentomast::proxy::detail {
 namespace {
 
-routing::load_report readLoad(std::istream& body)
+/// Targets report their health in a few fields.
+constexpr std::size_t maxAnswerBytes = 65536;
+
+routing::load_report readLoad(const std::string& body)
 {
     const auto root = Poco::JSON::Parser().parse(body).extract<Poco::JSON::Object::Ptr>();
     routing::load_report report;
@@ -24,21 +25,9 @@
     return report;
 }
 
-std::optional<routing::load_report> fetchLoad(
-    const probe_address& at, std::chrono::milliseconds timeout)
+routing::load_report readHealth(const probe_address& at, const std::string& body)
 {
-    Poco::Net::HTTPClientSession session(at.address.ip, at.address.port);
-    session.setTimeout(Poco::Timespan(duration(timeout).count()));
-    session.setKeepAlive(false);
-    Poco::Net::HTTPRequest request("GET", at.path, "HTTP/1.1");
-    session.sendRequest(request);
-    Poco::Net::HTTPResponse response;
-    std::istream& body = session.receiveResponse(response);
-    if (response.getStatus() != Poco::Net::HTTPResponse::HTTP_OK)
-        return std::nullopt;
-    if (at.run != incarnation {})
-        return routing::load_report { at.run };
-    return readLoad(body);
+    return at.run == incarnation {} ? readLoad(body) : routing::load_report { at.run };
 }
 
 } // namespace
@@ -49,12 +38,18 @@
     const instant started = monotonic_clock::now();
     probe_report report;
     report.target = target;
-    try {
-        report.load = fetchLoad(at, timeout);
-    } catch (const Poco::Net::ConnectionRefusedException&) {
-        report.refused = true;
-    } catch (const Poco::Exception&) {
-        report.refused = false;
+    http::client connection({ at.address, timeout, maxAnswerBytes });
+    const auto outcome
+        = connection.sendOnce({ "GET", at.path, "", "", {}, {}, { { "Connection", "close" } } });
+    if (const auto* notSent = std::get_if<http::not_sent>(&outcome))
+        report.refused = notSent->refused;
+    const auto* answer = std::get_if<http::answer>(&outcome);
+    if (answer != nullptr && answer->status == Poco::Net::HTTPResponse::HTTP_OK) {
+        try {
+            report.load = readHealth(at, answer->body);
+        } catch (const Poco::Exception&) {
+            report.load.reset();
+        }
     }
     report.latency = monotonic_clock::now() - started;
     return report;
--- a/src/proxy/probe.h
+++ b/src/proxy/probe.h
@@ -4,8 +4,8 @@
 
 namespace pimentomast::proxy::detail {
 
-/// Requests a target's health over a new connection. Blocks up to the timeout for each of
-/// connecting, sending and receiving.
+/// Requests a target's health over a new connection. Blocks up to the timeout. An answer
+/// that is not whole within it, or longer than 64 KiB, is no sign of health.
 [[nodiscard]] probe_report probeHealth(
     const target_id& target, const probe_address& at, std::chrono::milliseconds timeout);
 
--- a/test/proxy-endless-test.cc
+++ b/test/proxy-endless-test.cc
@@ -119,10 +119,10 @@
 
 constexpr std::size_t callers = 16;
 /// Each of the relay's buffers holds at most what was left and one receive.
-constexpr std::size_t bufferBytes = 2 * 65536;
+constexpr std::size_t bufferBytes = 2UL * 65536;
 /// Target input, download, decoded piece and receive buffer, while strings may double as they grow;
 /// and as much again for the test's own sockets, strings and stacks.
-constexpr std::size_t connectionBytes = 2 * 2 * 4 * bufferBytes;
+constexpr std::size_t connectionBytes = 2UL * 2 * 4 * bufferBytes;
 
 /// Reads until so many bytes have come or the connection has ended, and keeps none.
 void readAndDiscard(raw_connection& caller, std::size_t most)
