Bound the answer that a host reads from a target to a grant

What was seen (in the test): grant_client read an answer without end to its end: all 256 MiB that the test's target sent, at a status of 200 or 409, in memory; without the test's end it would not have stopped.

Cause: POCO's stream copied to a string, with a limit of time for each receive only.

Change: grants go through http::client, as those of the platform do: 64 KiB and one limit of time.

Before: serve-grants-test failed. After: passes.

--- a/src/serve/grant_client.h
+++ b/src/serve/grant_client.h
@@ -1,12 +1,11 @@
 #pragma once
 
 #include "grant_sender.h"
+#include "pimentomast/http.h"
 
-#include <Poco/Net/HTTPClientSession.h>
 #include <map>
 #include <memory>
 #include <mutex>
-#include <vector>
 
 namespace pimentomast::serve::detail {
 
@@ -21,20 +20,11 @@
     [[nodiscard]] ownership::event send(const ownership::send_grant& action) override;
 
 private:
-    using session = std::unique_ptr<Poco::Net::HTTPClientSession>;
-
-    struct answer {
-        int status = 0;
-        std::string body;
-    };
-
-    [[nodiscard]] answer exchange(const endpoint& address, const std::string& body);
-    [[nodiscard]] session acquireSession(const endpoint& address);
-    void releaseSession(const endpoint& address, session idle);
+    [[nodiscard]] std::shared_ptr<http::client> clientFor(const endpoint& address);
 
     std::chrono::milliseconds m_timeout;
     std::mutex m_lock;
-    std::map<endpoint, std::vector<session>> m_idle;
+    std::map<endpoint, std::shared_ptr<http::client>> m_clients;
 };
 
 } // namespace pimentomast::serve::detail
