Let no bytes before the answer extend the time for an upload

What callers saw (in the test): while a request's body was still coming, a target that sent a stale answer or interim answers without end kept the request open for as long as it sent; the limit of pauses never acted.

Cause: every byte from the target, and every interim byte to the caller, counted as progress of the transfer.

Change: bytes from the target count once the answer itself has begun.

--- a/src/proxy/relay-response.cc
+++ b/src/proxy/relay-response.cc
@@ -25,14 +25,14 @@
     const auto got = receiveInto(m_target.socket, m_targetInput, bufferBytes);
     if (got.state == io_state::EndOfStream || got.state == io_state::Failed)
         m_targetEnded = true;
-    if (got.bytes > 0)
-        m_lastProgress = monotonic_clock::now();
     if (const auto result = skipStaleResponse())
         return result;
     if (m_responseState == response_state::Awaited) {
         if (const auto result = readResponseHead())
             return result;
     }
+    if (got.bytes > 0 && responseBegun())
+        m_lastProgress = monotonic_clock::now();
     if (m_responseState == response_state::Body) {
         if (const auto result = decodeResponseBody())
             return result;
@@ -48,7 +48,7 @@
 {
     if (m_firstByte != duration::zero())
         return;
-    m_firstByte = std::max(m_lastProgress - m_started, duration(1));
+    m_firstByte = std::max(monotonic_clock::now() - m_started, duration(1));
     m_context.responded();
 }
 
@@ -225,7 +225,8 @@
         if (sent.state == io_state::Failed)
             return attempt_cancelled {};
         if (sent.bytes > 0) {
-            m_lastProgress = monotonic_clock::now();
+            if (responseBegun())
+                m_lastProgress = monotonic_clock::now();
             m_request.responseStarted
                 = m_request.responseStarted || m_responseState != response_state::Awaited;
         }
--- a/test/proxy-endless-test.cc
+++ b/test/proxy-endless-test.cc
@@ -203,3 +203,22 @@
 {
     expectBoundedMemory("interim answers", "", interim);
 }
+
+Test(proxy_endless, bytes_before_the_answer_do_not_extend_the_time_for_an_upload)
+{
+    proxy::options settings = callersChooseIds();
+    settings.bodyTimeout = milliseconds(deadlineMs);
+    for (const auto& [start, more] : std::vector<std::pair<std::string, std::string>> {
+             { stale + "Transfer-Encoding: chunked\r\n\r\n", "3\r\nold\r\n" }, { "", interim } }) {
+        endless_target target(start, more);
+        proxy_fixture host({ target.destination() }, 1, settings);
+        raw_connection caller(host.address());
+        caller.socket().setReceiveTimeout(Poco::Timespan(10, 0));
+        caller.send(
+            "POST /ledger/k HTTP/1.1\r\nHost: h\r\nX-Id: new\r\nContent-Length: 99999999\r\n"
+            "\r\n"
+            + std::string(100000, 's'));
+        const auto answers = parseAnswers(caller.readAll());
+        cr_expect_eq(answers.size(), 1, "%s: no answer", start.c_str());
+    }
+}
