Reject answers whose encoding or status the relay cannot pass on

What callers saw (in the test): an answer with Transfer-Encoding: gzip came as a 200 with the encoded bytes as its body, and with "gzip, chunked" as well, the field being dropped.

Cause: only the number of these fields was checked; Beast takes any list that ends with chunked, and anything else as a body without a length. A status below 100 was treated as interim, so that its body was read as the next head.

Before: responses_with_invalid_framing_are_rejected failed for both encodings (the status was not looked at separately).

--- a/src/proxy/relay-response.cc
+++ b/src/proxy/relay-response.cc
@@ -7,6 +7,7 @@
 
 constexpr std::size_t bufferBytes = 65536;
 constexpr std::size_t maxResponseHeadBytes = 65536;
+constexpr unsigned firstStatus = 100;
 
 } // namespace
 
@@ -87,7 +88,10 @@
     const auto& fields = m_response->get();
     const auto lengths = fields.count(http::field::content_length);
     const auto encodings = fields.count(http::field::transfer_encoding);
-    if (lengths > 1 || encodings > 1 || (lengths == 1 && encodings == 1))
+    const auto encoding = fields[http::field::transfer_encoding];
+    const bool otherEncoding
+        = encodings == 1 && !equalNames({ encoding.data(), encoding.size() }, "chunked");
+    if (lengths + encodings > 1 || otherEncoding)
         return failed(reason::TargetAnswerMalformed);
     if (m_response->need_eof() && m_targetInput.size() > maxResponseHeadBytes)
         return failed(reason::TargetAnswerMalformed);
@@ -127,7 +131,7 @@
 std::optional<attempt_result> relay::beginResponse()
 {
     const unsigned status = m_response->get().result_int();
-    if (status == 101)
+    if (status < firstStatus || status == 101)
         return failed(reason::TargetAnswerMalformed);
     if (status < 200) {
         sendInterim();
--- a/test/proxy-failure-test.cc
+++ b/test/proxy-failure-test.cc
@@ -139,7 +139,10 @@
         { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
             "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\ngoats",
             "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\ngoats", "nonsense\r\n\r\n",
-            "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" }) {
+            "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
+            "HTTP/1.1 099 Early\r\nContent-Length: 5\r\n\r\ngoats",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\ngoats",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n" }) {
         scripted_target target({ { head, ending::Close } });
         proxy_fixture host({ target.destination() });
         const std::string response = sendRequest(host, closingGet);
