Ask for a 100 again if it was dropped with the attempt that brought it

What callers saw (in the test): a target sent 100 Continue and a refusal together. The relay dropped the 100 with the attempt, but counted it as sent, took Expect out of the next attempt, and caller and target waited for each other.

Cause: continueSent was set when the 100 was put in the buffer.

Change: it is set when the buffer has gone to the caller.

Before: continue_that_is_dropped_with_a_refusal_is_asked_for_again, no answer in 5 s.

--- a/src/proxy/relay-response.cc
+++ b/src/proxy/relay-response.cc
@@ -172,9 +172,11 @@
     if (m_request.head.http10 || m_request.pendingContinuation)
         return;
     const bool isContinue = m_response->get().result_int() == 100;
-    if (isContinue && (m_request.continueSent || !m_request.head.expectsContinue))
+    const bool isUnwanted
+        = m_request.continueSent || m_continueUnsent || !m_request.head.expectsContinue;
+    if (isContinue && isUnwanted)
         return;
-    m_request.continueSent = m_request.continueSent || isContinue;
+    m_continueUnsent = m_continueUnsent || isContinue;
     m_download += interimHead(*m_response);
 }
 
@@ -236,6 +238,10 @@
         }
         m_download.erase(0, sent.bytes);
     }
+    if (m_download.empty() && m_continueUnsent) {
+        m_request.continueSent = true;
+        m_continueUnsent = false;
+    }
     if (m_responseState == response_state::Done && m_download.empty())
         return attempt_answered { static_cast<int>(m_response->get().result_int()) };
     return std::nullopt;
--- a/src/proxy/relay.h
+++ b/src/proxy/relay.h
@@ -117,6 +117,8 @@
     bool m_notRun = false;
     framing m_framing = framing::None;
     bool m_closesCaller = false;
+    /// m_download holds a 100 for the caller.
+    bool m_continueUnsent = false;
     /// Body bytes appended to m_download, including those of earlier attempts that this one
     /// continues.
     std::uint64_t m_delivered = 0;
