--- a/src/proxy/relay-response.cc
+++ b/src/proxy/relay-response.cc
@@ -7,6 +7,7 @@
 
 constexpr std::size_t bufferBytes = 65536;
 constexpr std::size_t maxResponseHeadBytes = 65536;
+constexpr unsigned firstStatus = 100;
 
 } // namespace
 
@@ -25,14 +26,14 @@
     const auto got = receiveInto(m_target.socket, m_targetInput, bufferBytes);
     if (got.state == io_state::EndOfStream || got.state == io_state::Failed)
         m_targetEnded = true;
-    if (got.bytes > 0)
-        m_lastProgress = monotonic_clock::now();
     if (const auto result = skipStaleResponse())
         return result;
     if (m_responseState == response_state::Awaited) {
         if (const auto result = readResponseHead())
             return result;
     }
+    if (got.bytes > 0 && responseBegun())
+        m_lastProgress = monotonic_clock::now();
     if (m_responseState == response_state::Body) {
         if (const auto result = decodeResponseBody())
             return result;
@@ -48,7 +49,7 @@
 {
     if (m_firstByte != duration::zero())
         return;
-    m_firstByte = std::max(m_lastProgress - m_started, duration(1));
+    m_firstByte = std::max(monotonic_clock::now() - m_started, duration(1));
     m_context.responded();
 }
 
@@ -87,7 +88,10 @@
     const auto& fields = m_response->get();
     const auto lengths = fields.count(http::field::content_length);
     const auto encodings = fields.count(http::field::transfer_encoding);
-    if (lengths > 1 || encodings > 1 || (lengths == 1 && encodings == 1))
+    const auto encoding = fields[http::field::transfer_encoding];
+    const bool otherEncoding
+        = encodings == 1 && !equalNames({ encoding.data(), encoding.size() }, "chunked");
+    if (lengths + encodings > 1 || otherEncoding)
         return failed(reason::TargetAnswerMalformed);
     if (m_response->need_eof() && m_targetInput.size() > maxResponseHeadBytes)
         return failed(reason::TargetAnswerMalformed);
@@ -127,7 +131,7 @@
 std::optional<attempt_result> relay::beginResponse()
 {
     const unsigned status = m_response->get().result_int();
-    if (status == 101)
+    if (status < firstStatus || status == 101)
         return failed(reason::TargetAnswerMalformed);
     if (status < 200) {
         sendInterim();
@@ -168,9 +172,11 @@
     if (m_request.head.http10 || m_request.pendingContinuation)
         return;
     const bool isContinue = m_response->get().result_int() == 100;
-    if (isContinue && (m_request.continueSent || !m_request.head.expectsContinue))
+    const bool isUnwanted
+        = m_request.continueSent || m_continueUnsent || !m_request.head.expectsContinue;
+    if (isContinue && isUnwanted)
         return;
-    m_request.continueSent = m_request.continueSent || isContinue;
+    m_continueUnsent = m_continueUnsent || isContinue;
     m_download += interimHead(*m_response);
 }
 
@@ -225,12 +231,17 @@
         if (sent.state == io_state::Failed)
             return attempt_cancelled {};
         if (sent.bytes > 0) {
-            m_lastProgress = monotonic_clock::now();
+            if (responseBegun())
+                m_lastProgress = monotonic_clock::now();
             m_request.responseStarted
                 = m_request.responseStarted || m_responseState != response_state::Awaited;
         }
         m_download.erase(0, sent.bytes);
     }
+    if (m_download.empty() && m_continueUnsent) {
+        m_request.continueSent = true;
+        m_continueUnsent = false;
+    }
     if (m_responseState == response_state::Done && m_download.empty())
         return attempt_answered { static_cast<int>(m_response->get().result_int()) };
     return std::nullopt;
