Log a round of the control timer while it has not ended

What was missing: control-slow is logged when a round ends. Change: the round tells its start and its stage through atomics, and the main thread, which waits for signals, looks at them every 0.5 s and logs control-stuck after 1 s and each time the time has doubled. No new thread. During the drain of a stopping host the main thread does not look.

No run of a host with a stuck round was made.

--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -19,6 +19,8 @@
 constexpr double minLoggedImbalance = 1.3;
 /// A round of the control timer, a new table or a plan that takes longer is logged.
 constexpr std::chrono::milliseconds slowWorkMs { 250 };
+/// A round of the control timer that is still running after this time is logged.
+constexpr std::chrono::milliseconds stuckRoundMs { 1000 };
 
 std::string milliseconds(duration span)
 {
@@ -106,9 +108,11 @@
     , m_environment(env)
     , m_store(env.storeServices())
     , m_directory(m_incarnation, values.ownership.targetLeaseMs)
-    , m_announcingStore(m_store, [this](config_version version, const std::string& value) {
-        m_gossip->announce(version, value);
-    })
+    , m_announcingStore(m_store,
+          [this](config_version version, const std::string& value) {
+              m_gossip->announce(version, value);
+          })
+    , m_roundWatch(stuckRoundMs)
 {
     createComponents();
     startListening();
@@ -248,25 +252,37 @@
     while (!m_stopTimers) {
         const auto now = monotonic_clock::now();
         stage_timer timer(now);
+        m_roundWatch.begin("gossip", now);
         m_peerRegistry->setLeaving(markedLeaving());
         m_gossip->setLeaving(markedLeaving());
         m_gossip->tick(now);
         timer.endStage("gossip", monotonic_clock::now());
+        m_roundWatch.enter("coordinators");
         m_coordinators->applyMembership(m_peerRegistry->live(now), m_peerRegistry->complete(now));
         m_coordinators->tick();
         timer.endStage("coordinators", monotonic_clock::now());
+        m_roundWatch.enter("routing");
         m_dispatch->applyConfirmed(tableConfirmed(now));
         m_dispatch->applyLiveHosts(m_peerRegistry->connectionSharers(now));
         m_proxy->setHealthy(currentHealth().accepting);
         timer.endStage("routing", monotonic_clock::now());
+        m_roundWatch.enter("load");
         if (now >= nextLoad)
             nextLoad = now + reportInterval(reportLoads(now), m_values.placement.reportMs);
         timer.endStage("load", monotonic_clock::now());
+        m_roundWatch.end();
         logIfSlow("round", timer);
         std::this_thread::sleep_for(controlTickMs);
     }
 }
 
+void node::logStuckRound(instant now)
+{
+    if (const auto round = m_roundWatch.overdue(now))
+        telemetry::log(telemetry::severity::Warning, "control-stuck",
+            { { "stage", round->stage }, { "running_ms", milliseconds(round->running) } });
+}
+
 std::size_t node::reportLoads(instant now)
 {
     std::map<host_id, wire::LoadReport> reports;
--- a/src/serve/node.h
+++ b/src/serve/node.h
@@ -14,6 +14,7 @@
 #include "pimentomast/telemetry.h"
 #include "placement_rounds.h"
 #include "request_log.h"
+#include "round_watch.h"
 
 #include <atomic>
 #include <memory>
@@ -34,6 +35,8 @@
 
     /// Drains the host; returns once every request has ended.
     void drain();
+    /// Logs a round of the control timer that has not ended for long. Called by one thread.
+    void logStuckRound(instant now);
 
     // admin::node
     [[nodiscard]] admin::health currentHealth() const override;
@@ -90,6 +93,7 @@
     std::unique_ptr<admin::server> m_admin;
     std::atomic<bool> m_draining { false };
     std::atomic<bool> m_stopTimers { false };
+    round_watch m_roundWatch;
     std::thread m_controlTimer;
 };
 
--- a/src/serve/serve.cc
+++ b/src/serve/serve.cc
@@ -18,13 +18,21 @@
     return signals;
 }
 
+constexpr timespec watchInterval { 0, 500'000'000 };
+
 /// Returns on SIGTERM or SIGINT. SIGHUP only logs that settings take effect at the next start.
-void waitForTermination(const sigset_t& signals)
+/// Meanwhile looks at the rounds of the host, whose own thread cannot tell that one never ends.
+void waitForTermination(const sigset_t& signals, detail::node& host)
 {
-    int received = 0;
-    while (sigwait(&signals, &received) == 0 && received == SIGHUP)
-        telemetry::log(telemetry::severity::Info, "settings-kept",
-            { { "reason", "settings take effect at the next start" } });
+    while (true) {
+        const int received = sigtimedwait(&signals, nullptr, &watchInterval);
+        if (received == SIGTERM || received == SIGINT)
+            return;
+        if (received == SIGHUP)
+            telemetry::log(telemetry::severity::Info, "settings-kept",
+                { { "reason", "settings take effect at the next start" } });
+        host.logStuckRound(monotonic_clock::now());
+    }
 }
 
 /// Environment with this project's own store and target protocols.
@@ -79,7 +87,7 @@
     detail::node host(values, *env);
     telemetry::log(telemetry::severity::Info, "started",
         { { "host", values.host.id.value() }, { "callers", values.host.callers.text() } });
-    waitForTermination(signals);
+    waitForTermination(signals, host);
     host.drain();
     env->withdraw(values.host.id);
     telemetry::log(telemetry::severity::Info, "stopped", {});
--- a/test/serve-stage-timer-test.cc
+++ b/test/serve-stage-timer-test.cc
@@ -1,9 +1,11 @@
+#include "serve/round_watch.h"
 #include "serve/stage_timer.h"
 
 #include <criterion/criterion.h>
 
 using namespace pimentomast;
 using namespace std::chrono_literals;
+using serve::detail::round_watch;
 using serve::detail::stage_timer;
 
 namespace {
@@ -29,3 +31,27 @@
     timer.endStage("first", start + 250ms);
     cr_assert(!timer.slowerThan(250ms).has_value());
 }
+
+Test(round_watch, round_that_never_ends_is_told_while_it_runs)
+{
+    round_watch watch(1s);
+    watch.begin("first", start);
+    watch.enter("second");
+    cr_assert(!watch.overdue(start + 999ms));
+    const auto round = watch.overdue(start + 1500ms);
+    cr_assert(round && std::string_view(round->stage) == "second" && round->running == 1500ms);
+    cr_assert(!watch.overdue(start + 2999ms));
+    cr_assert(watch.overdue(start + 3000ms));
+}
+
+Test(round_watch, round_that_has_ended_is_not_told)
+{
+    round_watch watch(1s);
+    cr_assert(!watch.overdue(start));
+    watch.begin("first", start);
+    watch.end();
+    cr_assert(!watch.overdue(start + 9s));
+    watch.begin("first", start + 10s);
+    cr_assert(!watch.overdue(start + 10s + 999ms));
+    cr_assert(watch.overdue(start + 11s));
+}
