--- a/test/admin-test.cc
+++ b/test/admin-test.cc
@@ -204,6 +204,13 @@
     fixture f;
     for (const auto* body : { "", "{", "[]", "7", "{}", R"({"editor":"a","base":"x","csv":""})" })
         cr_expect(f.call("PUT", "/table", body).status == 400, "%s", body);
+    for (const std::size_t depth : { 1000, 1'000'000 }) {
+        const auto nested = std::string(depth, '[') + std::string(depth, ']');
+        for (const auto* path : { "/table", "/marks", "/pardons" }) {
+            const auto* method = std::string_view(path) == "/table" ? "PUT" : "POST";
+            cr_expect(f.call(method, path, R"({"x":)" + nested + "}").status == 400, "%s", path);
+        }
+    }
     cr_assert(f.call("POST", "/pardons", R"({"fingerprint":"abc"})").status == 200);
     cr_assert(f.call("POST", "/pardons", R"({"fingerprint":"abd"})").status == 404);
     cr_assert(f.call("POST", "/pardons", R"({"fingerprint":"xyz"})").status == 400);
--- a/test/platform-documents-test.cc
+++ b/test/platform-documents-test.cc
@@ -97,6 +97,15 @@
         cr_expect(readConfiguration(invalid).has_error(), "%s", invalid.c_str());
 }
 
+Test(platform_documents, deeply_nested_configurations_are_rejected)
+{
+    for (const std::size_t depth : { 1000, 1'000'000 }) {
+        const auto nested = std::string(depth, '[') + std::string(depth, ']');
+        const auto odd = R"({"x":)" + nested + "," + validConfiguration.substr(1);
+        cr_expect(readConfiguration(odd).has_error(), "%zu", depth);
+    }
+}
+
 Test(platform_documents, registrations_are_decoded_and_invalid_ones_rejected)
 {
     const auto read = readRegistration("i-1", validRegistration).value();
