Count a hot key in full on a target of more weight than the mean

By the test, keys are moved beside a hot key that already fills its target, if that target is stronger than the others.

Cause: limits a single key to the mean load of a target, whatever the weights are. A key of four mean loads on a target of weight 4 counted as 1.15 of them, so the target seemed nearly idle and was the first to be given other keys.

Change: the limit is the share of the strongest target. With equal weights nothing changes.

Conclusion: the limit follows the weights.

--- a/src/balancing/planning.cc
+++ b/src/balancing/planning.cc
@@ -44,17 +44,15 @@
 
 void planning_round::limitSingleKeys()
 {
-    const auto ready = std::count_if(
-        m_targets.begin(), m_targets.end(), [](const auto& each) { return each.weight > 0; });
-    if (ready == 0)
+    if (m_totalWeight <= 0)
         return;
-    // Each share is the mean load if single keys count as the one before it.
+    // Each share is that of the strongest target if single keys count as the one before it.
     double share = std::numeric_limits<double>::infinity();
     for (unsigned i = 0; i < shareSteps; ++i) {
         double total = 0;
         for (const placed_slice& each : m_slices)
             total += isSingleKey(each) ? std::min(each.load, share) : each.load;
-        share = total / static_cast<double>(ready);
+        share = total * m_highestWeight / m_totalWeight;
     }
     for (placed_slice& each : m_slices) {
         if (isSingleKey(each))
--- a/src/balancing/planning.h
+++ b/src/balancing/planning.h
@@ -63,8 +63,8 @@
     };
 
     void addTargets();
-    /// Limits the loads of single keys to what a target may have, so that a hot key, which cannot
-    /// be divided, fills its target but does not make the others look idle.
+    /// Limits the loads of single keys to what the strongest target may have, so that a hot key,
+    /// which cannot be divided, fills its target but does not make the others look idle.
     void limitSingleKeys();
     void addSlices();
     [[nodiscard]] double effectiveWeight(const placement_target& target) const;
--- a/test/balancing-planner-test.cc
+++ b/test/balancing-planner-test.cc
@@ -213,6 +213,20 @@
         cr_assert_gt(ownedBy(input, "t" + std::to_string(i)), 1);
 }
 
+Test(balancing_planner, hot_key_fills_a_target_of_more_weight_than_the_mean)
+{
+    plan_input input = makeInput(20);
+    input.targets[0].weight = 4;
+    const auto first = input.slices.front().keys.first;
+    const split_slice isolate { input.slices.front().keys, key_hash { first.value() + 1 } };
+    apply(now, input.slices, isolate).value();
+    for (placed_slice& each : input.slices)
+        each.load = each.owner == target_id { "t1" } ? 16 : 10;
+    input.slices[0].load = 400;
+    for (const auto& each : only<move_slice>(makeFrequentPlanner().plan(input)))
+        cr_assert_neq(each.to, target_id { "t0" });
+}
+
 Test(balancing_planner, key_that_is_no_longer_hot_is_merged_back)
 {
     plan_input input = makeInput(2);
