Rank hosts whose processor time is unknown beside this one

By the test, a host whose list does not say how strong the others are ranks itself before all of them. So does each of the others: all wait zero before they challenge for a service, and all poll the store.

Cause: since a host knows its own processor time from its settings (1 core unless set) and takes 0 for what the list does not say. That is the case for the product's own list (nobody writes it there), beside hosts of an older version, and for hosts that were heard of before they are listed, as after a start in an outage of the store.

Change: an unknown processor time counts as this host's own, so that the hash decides as before. Hosts that are known to be stronger stay first.

Conclusion: without figures the ranking is the hash again, the same on all hosts.

--- a/include/pimentomast/membership.h
+++ b/include/pimentomast/membership.h
@@ -52,7 +52,8 @@
     host_id id;
     incarnation run;
     endpoint peers;
-    /// Processor time that the host may use, in thousandths of a core; 0 if it is not known.
+    /// Processor time that the host may use, in thousandths of a core; this host's own if the list
+    /// does not say.
     unsigned millicores = 0;
 
     auto operator<=>(const member&) const = default;
--- a/src/membership/host_view.cc
+++ b/src/membership/host_view.cc
@@ -116,8 +116,11 @@
     if (!m_leaving)
         members.push_back({ m_options.self, m_options.run, {}, m_options.millicores });
     for (const auto& [id, known] : m_hosts) {
-        if (heardRecently(known, now) && !known.leaving)
-            members.push_back({ id, known.run, known.peers, known.millicores });
+        if (!heardRecently(known, now) || known.leaving)
+            continue;
+        // Ranked by what is known alone, each host would be the first by its own view.
+        const auto millicores = known.millicores != 0 ? known.millicores : m_options.millicores;
+        members.push_back({ id, known.run, known.peers, millicores });
     }
     std::sort(members.begin(), members.end());
     return members;
--- a/test/membership-test.cc
+++ b/test/membership-test.cc
@@ -52,6 +52,20 @@
     cr_assert_eq(view.live(start).back().millicores, 500);
 }
 
+Test(membership, hosts_whose_processor_time_is_unknown_do_not_rank_behind_this_one)
+{
+    view_options options;
+    options.self = host_id { "a" };
+    options.run = incarnation { 1 };
+    options.millicores = 1000;
+    auto view = host_view::create(options).value();
+    view.replaceList(start, { listed("a", 1), listed("b", 2) });
+    view.recordContact(start, contact("b", 1));
+    view.recordContact(start, contact("c", 1));
+    for (const auto& each : view.live(start))
+        cr_assert_eq(each.millicores, options.millicores);
+}
+
 Test(membership, view_is_complete_once_all_listed_hosts_that_stay_are_heard)
 {
     auto view = makeView("a");
