Show that the first target back gets the keys of all lost ones (known red)

In the simulation 20 owners are lost at once and 20 targets with new ids register 100 ms apart, as after a loss of power: the first one gets all 20 slices and still has them 5 s later.

Cause: that of the first deal. Slices of lost owners are given away as soon as one target can own them (decideOwner, chooseNewOwner); firstDealAt() waits only where no assignment row exists.

Without a planner in the simulation, later moves for balance are not shown.

--- a/test/ownership-first-deal-test.cc
+++ b/test/ownership-first-deal-test.cc
@@ -1,6 +1,7 @@
 #include "ownership-simulation.h"
 
 #include <criterion/criterion.h>
+#include <limits>
 
 using namespace ownership_simulation;
 
@@ -59,3 +60,17 @@
     for (int i = 0; i < sampledHashes; ++i)
         cr_assert(system.served(simulation::sample(i)));
 }
+
+Test(ownership_first_deal, keys_of_targets_lost_together_do_not_all_go_to_the_first_that_returns)
+{
+    simulation system(registeringTargets(40));
+    registerTargets(system, milliseconds { 20 }, milliseconds { 380 });
+    system.runFor(4 * timings {}.targetsSettling);
+    cr_assert_eq(assignedTargets(system).size(), 20);
+    for (std::size_t i = 0; i < 20; ++i)
+        system.targets[i].frozenUntil = std::numeric_limits<std::int64_t>::max();
+    system.runFor(3 * timings {}.targetLease);
+    registerTargets(system, milliseconds { 100 }, milliseconds { 2000 });
+    system.runFor(5 * timings {}.targetsSettling);
+    cr_assert_eq(assignedTargets(system).size(), 20);
+}
