Count a silent target as full after the service's usual first-byte time

Change: the bound is the mean first-byte time of the service and four deviations; nothing counts before it is known.

--- a/src/routing/attempts.cc
+++ b/src/routing/attempts.cc
@@ -105,7 +105,7 @@
     // A full target may not answer at all; its silence is the only sign.
     void shrinkIfSilent() const
     {
-        const bool isSilent = ended.wasSent && !ended.responded && self.m_now >= self.lateAt(ended);
+        const bool isSilent = ended.wasSent && !ended.responded && self.isOverdue(ended);
         if (target != nullptr && isSilent && !self.m_settings.targetsReportLoad)
             target->window.onShed(false);
     }
--- a/src/routing/engine.h
+++ b/src/routing/engine.h
@@ -265,6 +265,8 @@
     void startDueProbes();
     void probeIfLate(target_state& target);
     [[nodiscard]] instant lateAt(const pending_request& inFlight) const;
+    /// Whether the first byte is later than nearly all of the service's.
+    [[nodiscard]] bool isOverdue(const pending_request& inFlight) const;
     void endSilentAttempts(target_state& target, instant probeStarted, bool targetIsIdle);
     [[nodiscard]] static bool isSilent(pending_request& suspect, instant probeStarted);
     void endLateAttempts(target_state& target);
--- a/src/routing/health.cc
+++ b/src/routing/health.cc
@@ -254,6 +254,14 @@
     }
 }
 
+bool engine::isOverdue(const pending_request& inFlight) const
+{
+    const auto found = m_services.find(inFlight.submitted.service);
+    const duration bound
+        = found == m_services.end() ? duration {} : found->second.firstByte.upperBound();
+    return bound > duration {} && m_now - inFlight.sent >= bound;
+}
+
 instant engine::lateAt(const pending_request& inFlight) const
 {
     const auto found = m_services.find(inFlight.submitted.service);
--- a/test/routing-overload-test.cc
+++ b/test/routing-overload-test.cc
@@ -90,7 +90,7 @@
     test.run(4s);
     const auto attempt = test.lastDispatch(number);
     test.sent(attempt, test.now);
-    test.run(2s);
+    test.run(450ms);
     (void)test.host->cancel(test.now, number);
     test.finish(attempt, cancelled {});
 }
