--- a/src/ownership/commit.cc
+++ b/src/ownership/commit.cc
@@ -71,7 +71,7 @@
         return;
     const bool behind = !m_unwrittenMoves.empty() || m_rowStale;
     withdrawStandbys();
-    propose(joins);
+    propose(now, joins);
     if (!behind && m_proposed.slices == m_assignment->slices)
         return;
     m_lastNumber = m_proposed.number;
@@ -81,14 +81,16 @@
     m_assignmentWriter.start(now, m_assignmentVersion, format(m_proposed), m_ids, m_actions);
 }
 
-void coordinator::impl::propose(const std::vector<slice>& joins)
+void coordinator::impl::propose(instant now, const std::vector<slice>& joins)
 {
     auto shares = sharesPerWeight();
+    const bool lostWait = waitsForTargets(now);
     std::vector<move> lost;
     std::vector<move> planned;
     for (auto& each : m_moves) {
         const bool cleared = each.phase == move_phase::Cleared && !each.announced;
-        if (!cleared || !decideOwner(each, shares))
+        const bool waits = each.ownerLost && lostWait;
+        if (!cleared || waits || !decideOwner(each, shares))
             continue;
         each.phase = each.ownerLost ? move_phase::Committing : move_phase::Announcing;
         (each.ownerLost ? lost : planned).push_back(each);
--- a/src/ownership/coordinator.cc
+++ b/src/ownership/coordinator.cc
@@ -164,8 +164,11 @@
 
 void coordinator::impl::on(instant now, const table_changed& received)
 {
-    if (hasNewTarget(received.targets))
+    if (hasNewTarget(received.targets)) {
+        if (now >= m_targetsGrew + m_options.times.targetsSettling)
+            m_growthBegan = now;
         m_targetsGrew = now;
+    }
     m_tableRows = received.targets;
     if (m_role == role::Holder)
         refreshTargets(now);
--- a/src/ownership/coordinator_impl.h
+++ b/src/ownership/coordinator_impl.h
@@ -294,7 +294,10 @@
     // Commit (commit.cc).
     void commit(instant now);
     bool needsCommit(const std::vector<slice>& joins) const;
-    void propose(const std::vector<slice>& joins);
+    void propose(instant now, const std::vector<slice>& joins);
+    /// Whether most keys have lost their owners while targets are still joining, as after a restart
+    /// of all targets: the first to return must not get them all.
+    bool waitsForTargets(instant now) const;
     bool ownersChange() const;
     void onAssignmentWritten(instant now);
     void install(std::vector<owned_slice> slices);
@@ -323,6 +326,8 @@
     std::vector<table::target_row> m_tableRows;
     /// When a target was last added to the table.
     instant m_targetsGrew {};
+    /// When the first of the targets was added that followed each other without a pause.
+    instant m_growthBegan {};
     std::vector<host_run> m_live;
     host_millicores m_millicores;
     /// Whether m_live contains every host that the platform lists.
--- a/src/ownership/moves.cc
+++ b/src/ownership/moves.cc
@@ -123,6 +123,20 @@
     planLostSlices(now);
 }
 
+bool coordinator::impl::waitsForTargets(instant now) const
+{
+    constexpr double mostHashes = 0x1p63;
+    const auto& times = m_options.times;
+    const auto until
+        = std::min(m_targetsGrew + times.targetsSettling, m_growthBegan + times.firstDealDelay);
+    if (now >= until)
+        return false;
+    double lost = 0;
+    for (const auto& each : m_moves)
+        lost += each.ownerLost ? hashCount(each.range) : 0;
+    return lost > mostHashes;
+}
+
 void coordinator::impl::planLostSlices(instant now)
 {
     for (const auto& [id, owned] : m_ownedBy) {
