--- a/include/pimentomast/settings.h
+++ b/include/pimentomast/settings.h
@@ -116,6 +116,8 @@
     unsigned movesPerRound = 2;
     /// Minimum time between balancing moves of the same keys.
     milliseconds minimumStayMs { 10000 };
+    /// Time in which a target that has just joined grows into its full share.
+    milliseconds slowStartMs { 30000 };
     /// Load above a target's even share that triggers no move, in percent of that share.
     unsigned tolerancePercent = 15;
     /// Interval between load reports of a host.
--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -202,6 +202,7 @@
     options.planner.seed = m_incarnation.value();
     options.planner.movesPerRound = m_values.placement.movesPerRound;
     options.planner.minimumStay = m_values.placement.minimumStayMs;
+    options.planner.slowStart = m_values.placement.slowStartMs;
     options.planner.tolerance = m_values.placement.tolerancePercent / 100.0;
     m_placement
         = std::make_unique<placement_rounds>(options, *m_coordinators, m_directory, &logPlan);
--- a/src/settings/keys.cc
+++ b/src/settings/keys.cc
@@ -311,6 +311,8 @@
             member { &s::placement, &placement_settings::movesPerRound }),
         timeRule("placement", "minimum_stay_ms", { 0, 3600000 },
             member { &s::placement, &placement_settings::minimumStayMs }),
+        timeRule("placement", "slow_start_ms", { 0, 3600000 },
+            member { &s::placement, &placement_settings::slowStartMs }),
         countRule("placement", "tolerance_percent", { 0, 1000 },
             member { &s::placement, &placement_settings::tolerancePercent }),
         timeRule("placement", "report_ms", { 50, 10000 },
