--- a/test/platform-documents-test.cc
+++ b/test/platform-documents-test.cc
@@ -163,6 +163,9 @@
 {
     cr_assert(stopGrace("seedLag=3s,drain=2000ms,grace=6s,thaw=300ms") == std::chrono::seconds(6));
     cr_assert(stopGrace("grace=2500ms") == std::chrono::milliseconds(2500));
-    for (const auto* terms : { "", "seedLag=3s", "grace=", "grace=6", "grace=-1s", "grace=inf s" })
+    cr_assert(stopGrace(R"({"drain":"2500ms","grace":"6s","budgetRatio":0.2})")
+        == std::chrono::seconds(6));
+    for (const auto* terms : { "", "seedLag=3s", "grace=", "grace=6", "grace=-1s", "grace=inf s",
+             R"({"drain":"2s"})", R"({"grace":6})", R"({"grace":)", R"({"grace":"-1s"})" })
         cr_assert(stopGrace(terms) == duration::zero(), "%s", terms);
 }
