Read a caller's next requests while earlier ones run, and measure how long they wait

A connection's poller now reads on while requests run, notes when bytes arrive, and keeps the next head until its turn. Only a request whose body has not been read takes the input over, until the body is read; a short body is taken out of the input when the request is submitted. The turns are kept by response_order. Poller, workers and drain no longer pass the connection from hand to hand for each request: only its poller watches and closes it.

New: read_delay_ms in the lines of requests, pimentomast_read_delay_seconds. An HTTP/1.0 response that breaks off is still reset, now when its poller closes the connection. A refused request whose body was read whole no longer ends its connection.

--- a/include/pimentomast/proxy.h
+++ b/include/pimentomast/proxy.h
@@ -74,8 +74,12 @@
     std::vector<attempt_summary> history {};
     /// The response came after the route's objective.
     bool late = false;
-    /// Time from the complete request head until the last response byte was passed to the kernel.
+    /// Time from the arrival of the request head until the last response byte was passed to the
+    /// kernel, or until the response was whole and waited for those to earlier requests.
     duration total { 0 };
+    /// Part of total that passed before the request was submitted for dispatch: time behind earlier
+    /// requests of its connection, or until the first bytes of its body arrived.
+    duration readDelay { 0 };
     /// Part of total that was spent waiting for dispatch.
     duration waited { 0 };
 };
--- a/include/pimentomast/telemetry.h
+++ b/include/pimentomast/telemetry.h
@@ -29,6 +29,7 @@
     Retries,
     ResponseTime,
     WaitTime,
+    ReadDelay,
     Running,
     Queued,
     Connections,
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "arrival-times.h"
 #include "head.h"
 #include "io.h"
 #include "pimentomast/proxy.h"
+#include "response-order.h"
 
 #include <atomic>
 #include <functional>
@@ -12,14 +14,16 @@
 
 namespace pimentomast::proxy::detail {
 
-/// A caller's connection. Has one owner at a time: a poller, a waiting exchange or a worker.
+/// A caller's connection. Its poller reads requests, also while earlier ones run. Only a request
+/// whose body has not been read takes the input over, until the body is read. Responses are sent
+/// by whoever has the turn in `responses`.
 struct caller_connection {
     enum class phase {
         /// No byte of a next request has arrived.
         Idle,
         /// Part of a request head has arrived.
         Head,
-        /// A request is waiting for dispatch.
+        /// A request that owns the input is waiting for dispatch.
         Waiting,
         /// The last response was sent; further input is discarded until the caller closes.
         Lingering,
@@ -27,19 +31,27 @@
 
     Poco::Net::StreamSocket socket;
     std::string peerIp;
+    /// Index of its poller.
+    std::size_t poller = 0;
     std::string input;
+    arrival_times arrivals;
     std::size_t scanned = 0;
     std::size_t discardedBytes = 0;
     std::atomic<phase> state = phase::Idle;
     /// Start of the current phase.
     instant phaseStarted;
-    request_id waitingRequest;
+    response_order responses;
+    /// A request whose body has not been read owns the input.
+    std::atomic<bool> inputTaken = false;
+    std::atomic<bool> isClosed = false;
     /// Shut down while idle: no answer is on its way, and nothing more is read.
     bool closedIdle = false;
     /// The input holds bytes of a next request that have not been parsed.
     bool hasUnparsedInput = false;
-    /// A complete head that is waiting for the first bytes of its body.
+    /// A complete head that is waiting for the first bytes of its body, or for earlier requests of
+    /// the connection to end.
     std::optional<checked_head> pendingHead;
+    instant pendingArrived;
 };
 
 /// Framing of the response body towards the caller.
@@ -69,6 +81,9 @@
 struct exchange {
     request_facts facts;
     std::shared_ptr<caller_connection> caller;
+    turn position;
+    /// The body has not been read from the caller's connection yet.
+    bool ownsInput = false;
     checked_head head;
     unsigned attempts = 0;
     /// Body bytes received so far; empty once they exceed maxReplayBytes.
@@ -82,6 +97,8 @@
     bool responseStarted = false;
     /// An earlier attempt may have been executed.
     bool mayHaveRun = false;
+    /// From the arrival of the head until the request was submitted.
+    duration readDelay { 0 };
     duration waited { 0 };
     instant submitted;
     std::vector<attempt_summary> history {};
--- a/src/proxy/io.cc
+++ b/src/proxy/io.cc
@@ -91,15 +91,10 @@
     ::shutdown(descriptor(socket), SHUT_RDWR);
 }
 
-void resetConnection(Poco::Net::StreamSocket& socket) noexcept
+void resetOnClose(Poco::Net::StreamSocket& socket) noexcept
 {
-    try {
-        socket.setLinger(true, 0);
-    } catch (const Poco::Exception&) {
-        closeConnection(socket);
-        return;
-    }
-    closeConnection(socket);
+    const linger immediate { 1, 0 };
+    ::setsockopt(descriptor(socket), SOL_SOCKET, SO_LINGER, &immediate, sizeof immediate);
 }
 
 void closeConnection(Poco::Net::StreamSocket& socket) noexcept
--- a/src/proxy/io.h
+++ b/src/proxy/io.h
@@ -45,8 +45,9 @@
 /// Shuts down both directions, which wakes a thread that waits on the socket. Never throws.
 void shutdownBoth(Poco::Net::StreamSocket& socket) noexcept;
 
-/// Closes the connection with a TCP reset, so that the peer detects a truncated message.
-void resetConnection(Poco::Net::StreamSocket& socket) noexcept;
+/// Makes the connection end with a TCP reset when it is closed, so that the peer detects a
+/// truncated message.
+void resetOnClose(Poco::Net::StreamSocket& socket) noexcept;
 
 /// Closes the connection. Never throws.
 void closeConnection(Poco::Net::StreamSocket& socket) noexcept;
--- a/src/proxy/poller.cc
+++ b/src/proxy/poller.cc
@@ -59,6 +59,16 @@
     m_set.add(socket, Poco::Net::PollSet::POLL_READ);
 }
 
+void poller::resume(const caller_pointer& connection)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_resumed.push_back(connection);
+    }
+    if (currentPoller != this)
+        wake();
+}
+
 bool poller::unwatch(const caller_pointer& connection)
 {
     const std::lock_guard lock(m_mutex);
@@ -103,6 +113,7 @@
                 handle(connection);
         }
         processReady();
+        processResumed();
         const instant now = monotonic_clock::now();
         if (now - m_lastSweep < pollInterval)
             continue;
@@ -182,7 +193,8 @@
     if (got.state == io_state::WouldBlock)
         return watch(connection);
     if (got.state != io_state::Ready)
-        return drop(connection);
+        return m_events.disconnected(connection);
+    connection->arrivals.received(got.bytes, monotonic_clock::now());
     m_events.input(connection);
 }
 
@@ -197,16 +209,34 @@
         m_events.input(connection);
 }
 
+void poller::processResumed()
+{
+    std::vector<caller_pointer> resumed;
+    {
+        const std::lock_guard lock(m_mutex);
+        resumed.swap(m_resumed);
+    }
+    for (const caller_pointer& connection : resumed) {
+        if (connection->isClosed || connection->inputTaken)
+            continue;
+        (void)unwatch(connection);
+        m_events.input(connection);
+    }
+}
+
 bool poller::expired(const caller_connection& connection, instant now) const
 {
+    const bool reads = connection.state == phase::Idle || connection.state == phase::Head;
+    if (reads && !connection.responses.isEmpty())
+        return false;
     const bool mustEnd = now >= m_latestIdle.load();
+    const instant started = std::max(connection.phaseStarted, connection.responses.lastEnded());
     switch (connection.state) {
     case phase::Idle:
         return mustEnd
-            || now >= connection.phaseStarted
-                + (m_closesIdle ? m_timeouts.idleWhileDraining : m_timeouts.idle);
+            || now >= started + (m_closesIdle ? m_timeouts.idleWhileDraining : m_timeouts.idle);
     case phase::Head:
-        return mustEnd || now >= connection.phaseStarted + m_timeouts.head;
+        return mustEnd || now >= started + m_timeouts.head;
     case phase::Lingering:
         return now >= connection.phaseStarted + m_timeouts.linger;
     case phase::Waiting:
@@ -264,6 +294,7 @@
 
 void poller::drop(const caller_pointer& connection)
 {
+    connection->isClosed = true;
     closeConnection(connection->socket);
     m_events.closed();
 }
--- a/src/proxy/poller.h
+++ b/src/proxy/poller.h
@@ -20,10 +20,10 @@
 
 /// Callbacks of a poller; called on its thread without a lock held.
 struct poller_events {
-    /// Bytes of a request arrived or were left over in the input. The callee takes ownership of the
-    /// connection and calls watch() if it needs more bytes.
+    /// Bytes of a request arrived or were left over in the input, or resume() was called. The
+    /// callee takes ownership of the connection and calls watch() if it needs more bytes.
     std::function<void(const caller_pointer&)> input;
-    /// The caller of a waiting request closed its connection.
+    /// The caller closed its connection. The callee takes ownership of it.
     std::function<void(const caller_pointer&)> disconnected;
     /// A request head, or the first bytes of its body, did not arrive before the timeout.
     std::function<void(const caller_pointer&)> headTimedOut;
@@ -54,6 +54,9 @@
     void watch(const caller_pointer& connection);
     /// Stops watching the connection. Returns false if it was not being watched.
     bool unwatch(const caller_pointer& connection);
+    /// Calls the input event soon, whether the connection is watched or not. No effect on one that
+    /// is closed or has a request that owns the input.
+    void resume(const caller_pointer& connection);
     /// Makes this poller call sweepDue periodically.
     void enableSweepEvents() { m_sweepEventsEnabled = true; }
     /// Applies the idle timeout of a drain from now on. From `latest` on, connections without a
@@ -72,6 +75,7 @@
     void handleWaiting(const caller_pointer& connection);
     void handleInput(const caller_pointer& connection);
     void processReady();
+    void processResumed();
     void sweep(instant now);
     void expire(const caller_pointer& connection);
     void shutdownIdle(const caller_pointer& connection);
@@ -88,6 +92,7 @@
     std::mutex m_mutex;
     std::unordered_map<int, caller_pointer> m_watched;
     std::vector<caller_pointer> m_ready;
+    std::vector<caller_pointer> m_resumed;
     std::unique_ptr<Poco::Net::ServerSocket> m_listener;
     std::function<void()> m_accept;
     std::atomic<instant> m_latestIdle { instant::max() };
--- a/src/proxy/relay-response.cc
+++ b/src/proxy/relay-response.cc
@@ -224,25 +224,41 @@
         m_download += piece;
 }
 
+bool relay::maySend() const
+{
+    const bool isWhole = m_responseState == response_state::Done;
+    const bool isFull = m_download.size() >= bufferBytes;
+    return m_request.caller->responses.maySend(m_request.position, isWhole || isFull);
+}
+
+io_state relay::sendToCaller()
+{
+    const auto sent = sendSome(m_request.caller->socket, m_download);
+    if (sent.bytes > 0) {
+        if (responseBegun())
+            m_lastProgress = monotonic_clock::now();
+        m_request.responseStarted
+            = m_request.responseStarted || m_responseState != response_state::Awaited;
+    }
+    m_download.erase(0, sent.bytes);
+    return sent.state;
+}
+
 std::optional<attempt_result> relay::flushToCaller()
 {
-    if (!m_download.empty()) {
-        const auto sent = sendSome(m_request.caller->socket, m_download);
-        if (sent.state == io_state::Failed)
-            return attempt_cancelled {};
-        if (sent.bytes > 0) {
-            if (responseBegun())
-                m_lastProgress = monotonic_clock::now();
-            m_request.responseStarted
-                = m_request.responseStarted || m_responseState != response_state::Awaited;
-        }
-        m_download.erase(0, sent.bytes);
+    const bool isWhole = m_responseState == response_state::Done;
+    response_order& order = m_request.caller->responses;
+    if (isWhole && !m_download.empty() && order.hold(m_request.position, m_download)) {
+        m_isHeld = true;
+        m_download.clear();
     }
+    if (!m_download.empty() && maySend() && sendToCaller() == io_state::Failed)
+        return attempt_cancelled {};
     if (m_download.empty() && m_continueUnsent) {
         m_request.continueSent = true;
         m_continueUnsent = false;
     }
-    if (m_responseState == response_state::Done && m_download.empty())
+    if (isWhole && m_download.empty())
         return attempt_answered { static_cast<int>(m_response->get().result_int()) };
     return std::nullopt;
 }
--- a/src/proxy/relay.cc
+++ b/src/proxy/relay.cc
@@ -9,6 +9,8 @@
 
 constexpr std::size_t bufferBytes = 65536;
 constexpr long pollLimitMs = 1000;
+/// Interval at which a response that fills its buffer looks whether its turn has come.
+constexpr long turnIntervalMs = 20;
 /// Events that show that the caller no longer waits.
 constexpr short callerLeaves = POLLRDHUP | POLLHUP | POLLERR;
 
@@ -130,6 +132,8 @@
     m_request.bodyDone = state == body_state::Done;
     if (m_request.bodyDone && m_request.head.parser->chunked())
         appendLastChunk(m_upload);
+    if (m_request.bodyDone)
+        m_context.bodyRead();
     return std::nullopt;
 }
 
@@ -176,7 +180,8 @@
     } };
     if (wantsCaller)
         watched[0].events |= POLLIN;
-    if (!m_download.empty())
+    const bool awaitsTurn = !m_download.empty() && !maySend();
+    if (!m_download.empty() && !awaitsTurn)
         watched[0].events |= POLLOUT;
     if (wantsTarget)
         watched[1].events |= POLLIN;
@@ -187,8 +192,8 @@
     const instant before = monotonic_clock::now();
     const auto left = nextTimeout() - before;
     const auto leftMs = std::chrono::ceil<std::chrono::milliseconds>(left).count();
-    ::poll(
-        watched.data(), watched.size(), static_cast<int>(std::clamp<long>(leftMs, 0, pollLimitMs)));
+    const long limitMs = awaitsTurn && !wantsTarget ? turnIntervalMs : pollLimitMs;
+    ::poll(watched.data(), watched.size(), static_cast<int>(std::clamp<long>(leftMs, 0, limitMs)));
     m_targetReady = (watched[1].revents & ~POLLOUT) != 0;
     if ((watched[0].revents & callerLeaves) != 0)
         return attempt_cancelled {};
@@ -281,6 +286,7 @@
         m_request.pendingContinuation->unsent = std::move(m_download);
     const bool answered = std::holds_alternative<attempt_answered>(result);
     ended.callerReusable = answered && m_request.bodyDone && !m_closesCaller;
+    ended.isHeld = m_isHeld;
     return ended;
 }
 
--- a/src/proxy/relay.h
+++ b/src/proxy/relay.h
@@ -16,8 +16,10 @@
     std::string requestIdPrefix;
     /// Called once, after the first response head has been parsed.
     std::function<void()> responded;
-    /// Returns whether responses should close the caller's connection.
+    /// Returns whether the response should close the caller's connection.
     std::function<bool()> shouldClose;
+    /// Called once the request's body has been read from the caller.
+    std::function<void()> bodyRead;
     /// Returns the time at which the attempt must have ended.
     std::function<instant()> end;
     /// Set when the server is destroyed.
@@ -34,6 +36,8 @@
     duration firstByte { 0 };
     /// The response was interrupted, and the request holds the state needed to continue it.
     bool continues = false;
+    /// The whole response waits for its turn on the caller's connection.
+    bool isHeld = false;
 };
 
 /// Streams the request and response bodies until the response is complete or the attempt has
@@ -81,6 +85,9 @@
     /// is known.
     [[nodiscard]] bool hasWholeLength() const;
     [[nodiscard]] std::optional<attempt_result> flushToCaller();
+    /// Returns whether received bytes of the response may be sent to the caller now.
+    [[nodiscard]] bool maySend() const;
+    [[nodiscard]] io_state sendToCaller();
     [[nodiscard]] std::optional<attempt_result> wait();
     [[nodiscard]] std::optional<attempt_result> checkTimeouts(instant now);
     [[nodiscard]] attempt_result failed(reason why);
@@ -128,6 +135,7 @@
     std::string m_etag;
     bool m_targetFailed = false;
     std::string m_download;
+    bool m_isHeld = false;
 
     std::uint64_t m_bodyBytesReceived = 0;
     duration m_callerWait { 0 };
--- a/src/proxy/server-dispatch.cc
+++ b/src/proxy/server-dispatch.cc
@@ -7,6 +7,9 @@
 namespace pimentomast::proxy::detail {
 namespace {
 
+/// Interval at which a worker that sends a held response looks whether the server ends.
+constexpr std::chrono::milliseconds sendCheckInterval { 100 };
+
 std::string outcomeOf(const attempt_result& ended)
 {
     const overloaded names {
@@ -54,7 +57,8 @@
 
 void server_impl::execute(std::unique_ptr<exchange> request, const decision& what)
 {
-    (void)pollerOf(*request->caller).unwatch(request->caller);
+    if (request->ownsInput)
+        (void)pollerOf(*request->caller).unwatch(request->caller);
     request->waited += monotonic_clock::now() - request->submitted;
     const auto* to = std::get_if<destination>(&what);
     if (to != nullptr && !request->replayable)
@@ -104,15 +108,17 @@
     response.retryAfter = details.retryAfter;
     response.fractionalRetryAfter = m_options.contract.fractionalRetryAfter;
     response.withBody = !isHead(request);
-    response.closes = !request.head.keepAlive || request.head.hasBody || m_draining;
+    response.closes = !request.head.keepAlive || request.ownsInput
+        || (m_draining && request.caller->responses.closeAfter(request.position));
     complete(request,
         { details.status, details.reason, details.peer, details.retryAfter, details.expectedWait });
-    send(request.caller, formatLocalResponse(response), response.closes);
+    respond(request, formatLocalResponse(response), response.closes);
 }
 
 relay_context server_impl::context(const forward_job& work)
 {
-    const request_id id = work.request->facts.id;
+    exchange& request = *work.request;
+    const request_id id = request.facts.id;
     const unsigned number = work.to.attempt;
     return {
         m_options,
@@ -121,7 +127,13 @@
             m_registry.markResponseStarted(id);
             m_dispatcher.responded(id, number, *this);
         },
-        [this] { return m_draining.load(); },
+        [this, &request] {
+            return m_draining && request.caller->responses.closeAfter(request.position);
+        },
+        [this, &request] {
+            request.ownsInput = false;
+            returnInput(request.caller);
+        },
         [this] { return schedule().end; },
         m_aborting,
     };
@@ -131,10 +143,27 @@
 {
     if (auto* forwarded = std::get_if<forward_job>(&work))
         return runForward(*forwarded);
+    if (const auto* held = std::get_if<send_job>(&work))
+        return runSend(*held);
     const probe_job& requested = std::get<probe_job>(work);
     m_dispatcher.probed(probeHealth(requested.target, requested.at, m_options.probeTimeout), *this);
 }
 
+void server_impl::runSend(const send_job& work)
+{
+    const instant end = monotonic_clock::now() + m_options.bodyTimeout;
+    auto now = work.caller->responses.sendHeld(work.position, work.caller->socket);
+    while (!now && monotonic_clock::now() < end && !m_aborting) {
+        (void)work.caller->socket.poll(
+            Poco::Timespan(duration(sendCheckInterval).count()), Poco::Net::Socket::SELECT_WRITE);
+        now = work.caller->responses.sendHeld(work.position, work.caller->socket);
+    }
+    if (!now)
+        now = work.caller->responses.end(
+            work.position, connection_fate::Broken, work.caller->socket);
+    proceed(work.caller, *now);
+}
+
 void server_impl::runForward(forward_job& work)
 {
     attempt finished;
@@ -189,7 +218,10 @@
         [&](const attempt_answered& answered) {
             complete(*work.request, { answered.status });
             finishRequest(work, finished);
-            releaseCaller(work.request->caller, ended.callerReusable, false);
+            if (ended.isHeld)
+                return;
+            endResponse(*work.request,
+                ended.callerReusable ? connection_fate::KeptOpen : connection_fate::Closes);
         },
         [&](const attempt_not_run& refused) {
             m_counts.add(refused.why);
@@ -230,13 +262,16 @@
 {
     const caller_pointer caller = request->caller;
     const request_id id = request->facts.id;
+    const bool ownsInput = request->ownsInput;
     request->submitted = monotonic_clock::now();
-    caller->state = caller_connection::phase::Waiting;
+    if (ownsInput)
+        caller->state = caller_connection::phase::Waiting;
     if (auto decided = m_registry.requeue(std::move(request)))
         return execute(std::move(decided->request), decided->what);
     if (!abandoned)
         m_dispatcher.ended(finished, *this);
-    watchWhileWaiting(caller, id);
+    if (ownsInput)
+        watchWhileWaiting(caller, id);
 }
 
 void server_impl::continueResponse(std::unique_ptr<exchange> request)
@@ -245,6 +280,7 @@
     request_facts& facts = request->facts;
     const duration allowed = facts.deadline - facts.arrived;
     facts.id = request_id { m_nextId.fetch_add(1, std::memory_order_relaxed) };
+    request->caller->responses.rename(request->position, facts.id);
     facts.arrived = monotonic_clock::now();
     facts.deadline = facts.arrived + allowed;
     enqueue(std::move(request));
@@ -253,15 +289,15 @@
 void server_impl::abortResponse(const exchange& request)
 {
     if (request.head.http10)
-        resetConnection(request.caller->socket);
-    releaseCaller(request.caller, false, true);
+        resetOnClose(request.caller->socket);
+    endResponse(request, connection_fate::Broken);
 }
 
 void server_impl::sendFault(const exchange& request, std::optional<reason> fault)
 {
     if (!fault || request.responseStarted) {
         complete(request, { 0, std::string(name(fault.value_or(reason::CallerGone))) });
-        return releaseCaller(request.caller, false, true);
+        return endResponse(request, connection_fate::Broken);
     }
     if (*fault == reason::HostStopping || *fault == reason::HostStopped)
         return endStopped(request, *fault);
@@ -272,7 +308,7 @@
     response.step = "read request body";
     response.peer = request.caller->peerIp;
     complete(request, { response.status, response.reason });
-    send(request.caller, formatLocalResponse(response), true);
+    respond(request, formatLocalResponse(response), true);
 }
 
 void server_impl::complete(const exchange& request, const request_result& end)
@@ -293,6 +329,7 @@
     finished.late = now > request.facts.objective;
     finished.total = now - request.facts.arrived;
     finished.waited = request.waited;
+    finished.readDelay = request.readDelay;
     m_observer.completed(finished);
 }
 
--- a/src/proxy/server-drain.cc
+++ b/src/proxy/server-drain.cc
@@ -67,7 +67,8 @@
         return !m_schedule.deadlineFor(now, request.facts.deadline);
     });
     for (const auto& request : ended) {
-        (void)pollerOf(*request->caller).unwatch(request->caller);
+        if (request->ownsInput)
+            (void)pollerOf(*request->caller).unwatch(request->caller);
         request->waited += now - request->submitted;
         const reason why = request->mayHaveRun ? reason::HostStopped : reason::HostStopping;
         m_counts.add(why);
--- a/src/proxy/server-impl.cc
+++ b/src/proxy/server-impl.cc
@@ -7,7 +7,6 @@
 
 using phase = caller_connection::phase;
 
-constexpr std::string_view healthPath = "/pimentomast/health";
 constexpr std::chrono::seconds lingerTime { 2 };
 constexpr std::chrono::seconds poolSweepInterval { 1 };
 /// Delay after a failed accept (no descriptors left), so that the poller does not spin.
@@ -92,10 +91,7 @@
     return now;
 }
 
-poller& server_impl::pollerOf(const caller_connection& caller)
-{
-    return *m_pollers[static_cast<std::size_t>(descriptor(caller.socket)) % m_pollers.size()];
-}
+poller& server_impl::pollerOf(const caller_connection& caller) { return *m_pollers[caller.poller]; }
 
 head_limits server_impl::limits() const
 {
@@ -122,6 +118,7 @@
     caller->socket.setNoDelay(true);
     caller->peerIp = socket.peerAddress().host().toString();
     caller->phaseStarted = monotonic_clock::now();
+    caller->poller = static_cast<std::size_t>(descriptor(caller->socket)) % m_pollers.size();
     if (addConnection() <= m_options.maxCallerConnections)
         return pollerOf(*caller).watch(caller);
     refuseHead(caller, reason::TooManyConnections);
@@ -149,58 +146,27 @@
         m_allClosed.notify_all();
 }
 
-void server_impl::onInput(const caller_pointer& caller)
+void server_impl::onCallerDisconnected(const caller_pointer& caller)
 {
-    caller->hasUnparsedInput = false;
-    if (caller->pendingHead) {
-        checked_head head = std::move(*caller->pendingHead);
-        caller->pendingHead.reset();
-        return begin(caller, std::move(head));
+    if (!caller->inputTaken) {
+        caller->responses.abandon();
+        cancelWaiting(caller);
+        return endConnection(caller);
     }
-    const auto extent = findHead(caller->input, caller->scanned, limits());
-    if (const auto* why = std::get_if<reason>(&extent))
-        return refuseHead(caller, *why);
-    if (const auto* complete = std::get_if<head_complete>(&extent))
-        return onHead(caller, complete->bytes);
-    caller->scanned = std::get<head_partial>(extent).scanned;
-    if (caller->state == phase::Idle) {
-        caller->state = phase::Head;
-        caller->phaseStarted = monotonic_clock::now();
-    }
-    pollerOf(*caller).watch(caller);
+    cancelWaiting(caller);
 }
 
-void server_impl::onHead(const caller_pointer& caller, std::size_t bytes)
+void server_impl::cancelWaiting(const caller_pointer& caller)
 {
-    auto checked = checkHead(std::string_view(caller->input).substr(0, bytes), limits());
-    caller->input.erase(0, bytes);
-    caller->scanned = 0;
-    if (const auto* why = std::get_if<reason>(&checked))
-        return refuseHead(caller, *why);
-    if (caller->state == phase::Idle) {
-        caller->state = phase::Head;
-        caller->phaseStarted = monotonic_clock::now();
+    for (const request_id id : caller->responses.requests()) {
+        const auto request = m_registry.cancel(id);
+        if (!request)
+            continue;
+        m_counts.add(reason::CallerGone);
+        complete(*request, { 0, std::string(name(reason::CallerGone)) });
+        m_dispatcher.cancelled(id, *this);
+        endResponse(*request, connection_fate::Closes);
     }
-    begin(caller, std::move(std::get<checked_head>(checked)));
-}
-
-bool server_impl::needsBodyPrefetch(const caller_connection& caller, const checked_head& head) const
-{
-    if (!head.hasBody || head.expectsContinue || head.parser->chunked())
-        return false;
-    const std::uint64_t length = head.parser->content_length().value_or(0);
-    return caller.input.size() < std::min<std::uint64_t>(length, m_options.bodyPrefetchBytes);
-}
-
-void server_impl::onCallerDisconnected(const caller_pointer& caller)
-{
-    const auto request = m_registry.cancel(caller->waitingRequest);
-    if (!request)
-        return;
-    m_counts.add(reason::CallerGone);
-    complete(*request, { 0, std::string(name(reason::CallerGone)) });
-    m_dispatcher.cancelled(request->facts.id, *this);
-    releaseCaller(caller, false, false);
 }
 
 void server_impl::onHeadTimeout(const caller_pointer& caller)
@@ -210,97 +176,15 @@
     refuseHead(caller, caller->pendingHead ? reason::BodyTimeout : reason::HeadTimeout);
 }
 
-void server_impl::begin(const caller_pointer& caller, checked_head head)
-{
-    const http::verb method = head.parser->get().method();
-    const bool isRead = method == http::verb::get || method == http::verb::head;
-    if (isRead && head.target == healthPath)
-        return sendHealth(caller, head);
-    if (isReservedPath(head.target))
-        return refuseRequest(caller, head, reason::ReservedPath);
-    const auto current = currentTable();
-    if (!current)
-        return refuseRequest(caller, head, reason::NoTable);
-    const auto found = classify(*current, head);
-    if (const auto* why = std::get_if<reason>(&found))
-        return refuseRequest(caller, head, *why);
-    if (needsBodyPrefetch(*caller, head)) {
-        caller->pendingHead = std::move(head);
-        return pollerOf(*caller).watch(caller);
-    }
-    const auto& classification = std::get<table::classified_request>(found);
-    if (!classification.route || classification.route->parts.size() < 2)
-        return submit(caller, std::move(head), classification);
-    const auto chosen = classify(
-        *current, head, [this](const table::route_row& route) -> const table::route_part& {
-            return m_splitter.choose(route);
-        });
-    if (const auto* why = std::get_if<reason>(&chosen))
-        return refuseRequest(caller, head, *why);
-    submit(caller, std::move(head), std::get<table::classified_request>(chosen));
-}
-
-duration server_impl::requestTimeout(
-    const checked_head& head, const table::classified_request& found) const
-{
-    const duration allowed = found.route ? found.route->timeout : found.service->deadline;
-    if (!m_options.contract.callersStateDeadline)
-        return allowed;
-    return std::min(allowed, callerTimeout(head, m_options.contract.deadline).value_or(allowed));
-}
-
-void server_impl::submit(
-    const caller_pointer& caller, checked_head head, const table::classified_request& found)
-{
-    const instant arrived = monotonic_clock::now();
-    const auto deadline = schedule().deadlineFor(arrived, arrived + requestTimeout(head, found));
-    if (!deadline)
-        return refuseRequest(caller, head, reason::HostStopping);
-    auto request = std::make_unique<exchange>();
-    request_facts& facts = request->facts;
-    facts.id = request_id { m_nextId.fetch_add(1, std::memory_order_relaxed) };
-    facts.service = found.service->id;
-    facts.key = found.hash;
-    if (found.route) {
-        facts.attempts = found.route->maxAttempts;
-        facts.priority = found.route->priority;
-    }
-    facts.caller = found.caller;
-    facts.repeatable = found.repeatable;
-    const bool bodyPrefetched = head.hasBody && !head.expectsContinue && !head.parser->chunked();
-    const std::size_t fingerprintBytes = bodyPrefetched
-        ? std::min<std::uint64_t>(*head.parser->content_length(), m_options.bodyPrefetchBytes)
-        : 0;
-    facts.fingerprint
-        = fingerprint(head, std::string_view(caller->input).substr(0, fingerprintBytes));
-    facts.arrived = arrived;
-    facts.deadline = *deadline;
-    if (found.route)
-        facts.objective = facts.arrived + found.route->objective;
-    request->caller = caller;
-    request->head = std::move(head);
-    enqueue(std::move(request));
-}
-
-void server_impl::enqueue(std::unique_ptr<exchange> request)
-{
-    const request_facts facts = request->facts;
-    const caller_pointer caller = request->caller;
-    request->submitted = facts.arrived;
-    caller->state = phase::Waiting;
-    caller->waitingRequest = facts.id;
-    m_registry.add(std::move(request));
-    m_dispatcher.submit(facts, *this);
-    watchWhileWaiting(caller, facts.id);
-}
-
 void server_impl::watchWhileWaiting(const caller_pointer& caller, request_id id)
 {
     m_registry.ifWaiting(id, [&] { pollerOf(*caller).watch(caller); });
 }
 
-void server_impl::sendHealth(const caller_pointer& caller, const checked_head& head)
+input_step server_impl::sendHealth(const caller_pointer& caller, checked_head head, instant arrived)
 {
+    if (!caller->responses.admits(false))
+        return keepHead(caller, std::move(head), arrived);
     const bool healthy = m_healthy && !m_draining;
     const std::string body = healthy ? "healthy\n" : "unhealthy\n";
     std::string text = healthy ? "HTTP/1.1 200 OK\r\n" : "HTTP/1.1 503 Service Unavailable\r\n";
@@ -310,6 +194,7 @@
     if (head.parser->get().method() != http::verb::head)
         text += body;
     send(caller, text, closes);
+    return input_step::HandedOver;
 }
 
 void server_impl::refuseHead(const caller_pointer& caller, reason why)
@@ -331,24 +216,72 @@
 void server_impl::send(const caller_pointer& caller, const std::string& text, bool closes)
 {
     const bool fullySent = sendSome(caller->socket, text).bytes == text.size();
-    releaseCaller(caller, fullySent && !closes, !fullySent);
+    if (!fullySent)
+        return releaseCaller(caller, connection_fate::Broken);
+    releaseCaller(caller, closes ? connection_fate::Closes : connection_fate::KeptOpen);
+}
+
+void server_impl::respond(const exchange& request, const std::string& text, bool closes)
+{
+    response_order& order = request.caller->responses;
+    if (closes)
+        (void)order.closeAfter(request.position);
+    if (order.hold(request.position, text))
+        return;
+    const bool fullySent = sendSome(request.caller->socket, text).bytes == text.size();
+    endResponse(request, fullySent ? order.fate() : connection_fate::Broken);
+}
+
+void server_impl::endResponse(const exchange& request, connection_fate fate)
+{
+    const caller_pointer caller = request.caller;
+    const bool ownsInput = request.ownsInput;
+    if (m_aborting)
+        fate = connection_fate::Broken;
+    if (ownsInput)
+        returnInput(caller);
+    proceed(caller, caller->responses.end(request.position, fate, caller->socket));
+}
+
+void server_impl::proceed(const caller_pointer& caller, const response_order::progress& now)
+{
+    if (now.unsent)
+        m_workers->push(send_job { caller, *now.unsent });
+    if (now.fate == connection_fate::Broken && !now.isEmpty)
+        cancelWaiting(caller);
+    const bool ends = now.isEmpty && now.fate != connection_fate::KeptOpen;
+    if (ends || now.readerWaits)
+        pollerOf(*caller).resume(caller);
+}
+
+void server_impl::returnInput(const caller_pointer& caller)
+{
+    const instant now = monotonic_clock::now();
+    caller->arrivals.reset(caller->input.size(), now);
+    caller->scanned = 0;
+    caller->phaseStarted = now;
+    caller->state = phase::Idle;
+    caller->inputTaken = false;
+    pollerOf(*caller).resume(caller);
 }
 
-void server_impl::releaseCaller(const caller_pointer& caller, bool reusable, bool broken)
+void server_impl::releaseCaller(const caller_pointer& caller, connection_fate fate)
 {
-    if (broken || m_aborting) {
+    if (fate == connection_fate::Broken || m_aborting) {
+        caller->isClosed = true;
         closeConnection(caller->socket);
         return onClosed();
     }
+    const bool reusable = fate == connection_fate::KeptOpen;
     caller->phaseStarted = monotonic_clock::now();
     caller->scanned = 0;
-    caller->waitingRequest = {};
     caller->pendingHead.reset();
     caller->state = reusable ? phase::Idle : phase::Lingering;
     if (!reusable) {
         caller->input.clear();
         shutdownSend(caller->socket);
     }
+    caller->arrivals.reset(caller->input.size(), caller->phaseStarted);
     caller->hasUnparsedInput = !caller->input.empty();
     pollerOf(*caller).watch(caller);
 }
--- a/src/proxy/server-impl.h
+++ b/src/proxy/server-impl.h
@@ -22,7 +22,12 @@
     target_id target;
     probe_address at;
 };
-using job = std::variant<forward_job, probe_job>;
+/// A held response that the caller's socket did not take at once.
+struct send_job {
+    caller_pointer caller;
+    turn position;
+};
+using job = std::variant<forward_job, probe_job, send_job>;
 
 /// Retry-After of requests that a stopping host refuses: other hosts take them at once.
 constexpr std::chrono::milliseconds stopRetryAfter { 100 };
@@ -38,6 +43,16 @@
     duration expectedWait {};
 };
 
+/// What became of the input of a connection.
+enum class input_step {
+    /// A request was taken from it; there may be more.
+    Taken,
+    /// More bytes are needed, or earlier requests have to end first.
+    Waits,
+    /// The connection belongs to an answer or to a request now.
+    HandedOver,
+};
+
 /// Implementation of the server: accepts, checks, classifies, submits and runs requests.
 class server_impl final : public server, public dispatch_sink {
 public:
@@ -75,26 +90,47 @@
     [[nodiscard]] drain_schedule schedule() const;
     void addCaller(const Poco::Net::StreamSocket& socket);
     void onInput(const caller_pointer& caller);
+    [[nodiscard]] input_step takeNext(const caller_pointer& caller);
+    /// Watches the connection for more input, unless enough is stored already.
+    void readOn(const caller_pointer& caller);
+    /// Ends a connection that is broken or announced to close, once nothing is left to be sent.
+    void endConnection(const caller_pointer& caller);
     void onCallerDisconnected(const caller_pointer& caller);
     void onHeadTimeout(const caller_pointer& caller);
     void onClosed();
     void onSweep(instant now);
     [[nodiscard]] std::size_t addConnection();
 
-    void onHead(const caller_pointer& caller, std::size_t bytes);
-    void begin(const caller_pointer& caller, checked_head head);
+    [[nodiscard]] input_step onHead(const caller_pointer& caller, std::size_t bytes);
+    [[nodiscard]] input_step begin(
+        const caller_pointer& caller, checked_head head, instant arrived);
+    [[nodiscard]] input_step refuseInTurn(
+        const caller_pointer& caller, checked_head head, instant arrived, reason why);
+    [[nodiscard]] static input_step keepHead(
+        const caller_pointer& caller, checked_head head, instant arrived);
     [[nodiscard]] bool needsBodyPrefetch(
         const caller_connection& caller, const checked_head& head) const;
-    void submit(
-        const caller_pointer& caller, checked_head head, const table::classified_request& found);
+    [[nodiscard]] input_step submit(const caller_pointer& caller, checked_head head,
+        instant arrived, const table::classified_request& found);
+    [[nodiscard]] static bool runsConcurrently(const caller_connection& caller,
+        const checked_head& head, const table::classified_request& found);
+    /// Returns whether nothing of the request is left to be read from the connection.
+    [[nodiscard]] static bool hasWholeBody(
+        const caller_connection& caller, const checked_head& head);
+    static void takeBody(exchange& request);
     [[nodiscard]] duration requestTimeout(
         const checked_head& head, const table::classified_request& found) const;
     void enqueue(std::unique_ptr<exchange> request);
-    void sendHealth(const caller_pointer& caller, const checked_head& head);
+    [[nodiscard]] input_step sendHealth(
+        const caller_pointer& caller, checked_head head, instant arrived);
     void refuseHead(const caller_pointer& caller, reason why);
     void refuseRequest(const caller_pointer& caller, const checked_head& head, reason why);
     void send(const caller_pointer& caller, const std::string& text, bool closes);
+    /// Sends the response of a request, or holds it until its turn comes.
+    void respond(const exchange& request, const std::string& text, bool closes);
     void watchWhileWaiting(const caller_pointer& caller, request_id id);
+    /// Returns the input of a connection, which a request owned, to its poller.
+    void returnInput(const caller_pointer& caller);
 
     void execute(std::unique_ptr<exchange> request, const decision& what);
     void startAttempt(std::unique_ptr<exchange> request, const destination& to);
@@ -102,6 +138,7 @@
     void sendRefusal(const exchange& request, const refusal& details);
     void run(job work);
     void runForward(forward_job& work);
+    void runSend(const send_job& work);
     [[nodiscard]] relay_result runAttempt(forward_job& work, target_connection& connection);
     void handleAttemptResult(forward_job& work, const relay_result& ended, attempt finished);
     void finishRequest(const forward_job& work, attempt finished);
@@ -115,7 +152,13 @@
     [[nodiscard]] static std::optional<reason> checkStop(
         exchange& request, const drain_schedule& times);
     void complete(const exchange& request, const request_result& end);
-    void releaseCaller(const caller_pointer& caller, bool reusable, bool broken);
+    /// Ends the turn of a request whose response was sent or will not be.
+    void endResponse(const exchange& request, connection_fate fate);
+    void proceed(const caller_pointer& caller, const response_order::progress& now);
+    /// Cancels the requests of a connection that wait for dispatch.
+    void cancelWaiting(const caller_pointer& caller);
+    /// Precondition: no response is left, and this is the thread of the connection's poller.
+    void releaseCaller(const caller_pointer& caller, connection_fate fate);
     [[nodiscard]] relay_context context(const forward_job& work);
 
     [[nodiscard]] poller& pollerOf(const caller_connection& caller);
--- a/src/serve/metrics.cc
+++ b/src/serve/metrics.cc
@@ -96,6 +96,7 @@
     m_metrics.counterFor(metric::Requests, service).add();
     m_metrics.latencyFor(metric::ResponseTime, service).observe(finished.total);
     m_metrics.latencyFor(metric::WaitTime, service).observe(finished.waited);
+    m_metrics.latencyFor(metric::ReadDelay, service).observe(finished.readDelay);
 }
 
 void node::rejected(const proxy::rejection& refused) { m_requestLog.write(refused); }
--- a/src/serve/request_log.cc
+++ b/src/serve/request_log.cc
@@ -128,6 +128,7 @@
     line.add("reason", finished.reason);
     line.add("target", finished.target);
     line.add("attempts", historyText(finished.history));
+    line.add("read_delay_ms", finished.readDelay);
     line.add("waited_ms", millisecondsText(finished.waited));
     line.add("total_ms", millisecondsText(finished.total));
     line.add("late", finished.late ? "yes" : "");
--- a/src/telemetry/telemetry.cc
+++ b/src/telemetry/telemetry.cc
@@ -16,6 +16,8 @@
         "Time from the request's head to the end of the answer." },
     family { metric::WaitTime, kind::Latency, "pimentomast_wait_seconds", "service",
         "Part of the response time that was spent waiting on this host for dispatch." },
+    family { metric::ReadDelay, kind::Latency, "pimentomast_read_delay_seconds", "service",
+        "Time from the arrival of a request until this host submitted it for dispatch." },
     family { metric::Running, kind::Gauge, "pimentomast_requests_running", "",
         "Requests that are at a target." },
     family { metric::Queued, kind::Gauge, "pimentomast_requests_queued", "",
