Send crash records once, know a clearing again, and keep no cleared crash

What callers saw: after targets ended, hosts were late with everything for seconds, more so with each end: requests, tables, store reads and renewals.

Cause: each crash made one message with all records of ten minutes to every host, for each request that had been in flight, each exchange carried all records both ways, and each record that looked new computed all verdicts under the router's lock. Clearings always looked new: an age that is dated from its arrival grows younger with each hop. Ruled out: requests themselves (the same load takes 4 to 9% of a core after a restart of all hosts, 17 to 20% before) and tables (no configuration came in that time).

Change: a clearing has a number, by which it is known again. Cleared crashes are dropped. Records are applied as a batch, with one computation, which looks only at suspects that a crash can have made culprits. Verdicts stay as they were defined.

--- a/include/pimentomast/routing.h
+++ b/include/pimentomast/routing.h
@@ -167,6 +167,9 @@
 };
 using probe_result = std::variant<probe_answered, probe_failed>;
 
+/// Number of a clearing, by which it is known again however old its age makes it look.
+using clearing_id = strong<struct clearing_id_tag, std::uint64_t>;
+
 /// Record that a request was in flight when a run of a target ended or, if forgiven is set, that
 /// the request is cleared of all crashes up to this time.
 struct crash {
@@ -175,6 +178,8 @@
     incarnation run;
     instant at;
     bool forgiven = false;
+    /// Set if and only if forgiven is.
+    clearing_id clearing {};
 };
 
 /// A fingerprint suspected of crashing targets, and the crashes at which it was in flight.
@@ -230,7 +235,7 @@
     target_id target;
     unsigned count = 1;
 };
-/// Send the record to the other hosts, which pass it to applyCrash().
+/// Send the record to the other hosts, which pass it to applyCrashes().
 struct broadcast_crash {
     crash record;
 };
@@ -369,8 +374,8 @@
     virtual actions report(instant now, const target_id& target, const load_report& load) = 0;
     /// Applies the result of a probe.
     virtual actions probed(instant now, const target_id& target, const probe_result& ended) = 0;
-    /// Applies a crash record from another host. A record that is already known changes nothing.
-    virtual actions applyCrash(instant now, const crash& record) = 0;
+    /// Applies crash records from another host. Records that are already known change nothing.
+    virtual actions applyCrashes(instant now, const std::vector<crash>& records) = 0;
     /// Clears a fingerprint on behalf of an operator, on this host and on the others.
     virtual actions pardon(instant now, fingerprint requestFingerprint) = 0;
     /// Sets whether the current table is known to be the newest. While it is not, new requests of
@@ -387,6 +392,8 @@
 
     /// All crash records that have not expired, for the exchange between hosts.
     [[nodiscard]] virtual std::vector<crash> crashes() const = 0;
+    /// A hash of what crashes() returns, without the times; 0 if it returns nothing.
+    [[nodiscard]] virtual std::uint64_t crashesHash() const = 0;
     /// All fingerprints that are currently suspected or refused, sorted.
     [[nodiscard]] virtual std::vector<suspect> suspects() const = 0;
     [[nodiscard]] virtual const counters& counts() const noexcept = 0;
--- a/src/routing/attempts.cc
+++ b/src/routing/attempts.cc
@@ -232,11 +232,8 @@
 void engine::clearSuspect(const pending_request& ended)
 {
     const fingerprint requestFingerprint = ended.submitted.requestFingerprint;
-    if (m_quarantine.verdictOf(requestFingerprint) != quarantine::verdict::Suspected)
-        return;
-    const crash cleared { requestFingerprint, {}, {}, m_now, true };
-    m_quarantine.add(cleared);
-    m_actions.emplace_back(broadcast_crash { cleared });
+    if (m_quarantine.verdictOf(requestFingerprint) == quarantine::verdict::Suspected)
+        clear(requestFingerprint);
 }
 
 } // namespace pimentomast::routing
--- a/src/routing/engine.cc
+++ b/src/routing/engine.cc
@@ -233,6 +233,8 @@
 
 std::vector<crash> engine::crashes() const { return m_quarantine.all(); }
 
+std::uint64_t engine::crashesHash() const { return m_quarantine.hash(); }
+
 std::vector<suspect> engine::suspects() const { return m_quarantine.suspects(); }
 
 std::vector<target_view> engine::targets() const
--- a/src/routing/engine.h
+++ b/src/routing/engine.h
@@ -168,13 +168,14 @@
         const attempt_result& ended) override;
     actions report(instant now, const target_id& target, const load_report& load) override;
     actions probed(instant now, const target_id& target, const probe_result& ended) override;
-    actions applyCrash(instant now, const crash& record) override;
+    actions applyCrashes(instant now, const std::vector<crash>& records) override;
     actions pardon(instant now, fingerprint requestFingerprint) override;
     actions applyTableConfirmed(instant now, bool confirmed) override;
     actions stop(instant now) override;
     actions tick(instant now) override;
     [[nodiscard]] instant nextDue() const override;
     [[nodiscard]] std::vector<crash> crashes() const override;
+    [[nodiscard]] std::uint64_t crashesHash() const override;
     [[nodiscard]] std::vector<suspect> suspects() const override;
     [[nodiscard]] const counters& counts() const noexcept override { return m_counts; }
     [[nodiscard]] std::vector<target_view> targets() const override;
@@ -257,7 +258,7 @@
     // health.cc: probes, ejection, crashes, silent connections
     void updateRun(target_state& target, incarnation run);
     void attributeCrash(target_state& target, incarnation run);
-    void addCrash(const crash& record);
+    void clear(fingerprint requestFingerprint);
     void ejectIfFailing(target_state& target);
     void ejectErrorOutlier(target_state& target);
     void eject(target_state& target);
--- a/src/routing/health.cc
+++ b/src/routing/health.cc
@@ -136,22 +136,18 @@
             suspects.insert(inFlight.submitted.requestFingerprint);
     }
     m_quarantine.addUnattributed(m_now, target.row.id, run);
+    std::vector<crash> records;
     for (const fingerprint requestFingerprint : suspects)
-        addCrash({ requestFingerprint, target.row.id, run, m_now, false });
-}
-
-void engine::addCrash(const crash& record)
-{
-    if (!m_quarantine.add(record))
-        return;
-    m_actions.emplace_back(broadcast_crash { record });
+        records.push_back({ requestFingerprint, target.row.id, run, m_now, false });
+    for (const crash& record : m_quarantine.add(records))
+        m_actions.emplace_back(broadcast_crash { record });
     refuseQuarantined();
 }
 
-actions engine::applyCrash(instant now, const crash& record)
+actions engine::applyCrashes(instant now, const std::vector<crash>& records)
 {
     m_now = now;
-    if (m_quarantine.add(record))
+    if (!m_quarantine.add(records).empty())
         refuseQuarantined();
     return takeActions();
 }
@@ -159,12 +155,16 @@
 actions engine::pardon(instant now, fingerprint requestFingerprint)
 {
     m_now = now;
-    const crash cleared { requestFingerprint, {}, {}, now, true };
-    if (m_quarantine.add(cleared))
-        m_actions.emplace_back(broadcast_crash { cleared });
+    clear(requestFingerprint);
     return takeActions();
 }
 
+void engine::clear(fingerprint requestFingerprint)
+{
+    const crash cleared = m_quarantine.clear(m_now, requestFingerprint, clearing_id { m_random() });
+    m_actions.emplace_back(broadcast_crash { cleared });
+}
+
 void engine::refuseQuarantined()
 {
     std::vector<request_number> refused;
--- a/src/routing/quarantine.cc
+++ b/src/routing/quarantine.cc
@@ -6,10 +6,25 @@
 
 namespace {
 
-template <class Set>
-bool overlap(const Set& a, const Set& b)
+/// Two clearings within this time are ordered by their numbers: their times are known only up to
+/// the transit times of the messages that brought them.
+constexpr std::chrono::seconds clearingTolerance { 1 };
+
+/// Spreads the bits of a value over the whole word (the finalizer of MurmurHash3).
+std::uint64_t mixed(std::uint64_t value)
 {
-    return std::any_of(a.begin(), a.end(), [&](const auto& each) { return b.contains(each); });
+    value ^= value >> 33;
+    value *= 0xff51afd7ed558ccdULL;
+    value ^= value >> 33;
+    value *= 0xc4ceb9fe1a85ec53ULL;
+    return value ^ (value >> 33);
+}
+
+std::uint64_t hashOf(const crash& record)
+{
+    const auto target = hashKey(record.target.value()).value();
+    const auto where = mixed(record.forgiven ? record.clearing.value() : target);
+    return mixed(record.requestFingerprint.value() ^ where ^ mixed(record.run.value() + 1));
 }
 
 } // namespace
@@ -19,22 +34,66 @@
 {
 }
 
-bool quarantine::add(const crash& record)
+std::vector<crash> quarantine::add(const std::vector<crash>& records)
+{
+    std::vector<crash> added;
+    std::copy_if(
+        records.begin(), records.end(), std::back_inserter(added), [this](const crash& record) {
+            return record.forgiven ? addClearing(record) : addCrash(record);
+        });
+    if (!added.empty())
+        recomputeVerdicts();
+    return added;
+}
+
+bool quarantine::addCrash(const crash& record)
 {
     if (forgiven(record.requestFingerprint, record.at))
         return false;
-    if (record.forgiven) {
-        m_forgiven[record.requestFingerprint] = record.at;
-        recomputeVerdicts();
+    auto [found, isFirst] = m_runs.try_emplace(run_id { record.target, record.run });
+    ended_run& ended = found->second;
+    ended.at = isFirst ? record.at : std::min(ended.at, record.at);
+    return ended.suspects.insert(record.requestFingerprint).second;
+}
+
+bool quarantine::addClearing(const crash& record)
+{
+    if (!isNewer(record))
+        return false;
+    setCleared(record.requestFingerprint, { record.at, record.clearing });
+    return true;
+}
+
+bool quarantine::isNewer(const crash& clearing) const
+{
+    const auto found = m_cleared.find(clearing.requestFingerprint);
+    if (found == m_cleared.end())
+        return true;
+    const cleared& known = found->second;
+    if (known.number == clearing.clearing)
+        return false;
+    if (clearing.at > known.at + clearingTolerance)
         return true;
+    return clearing.at + clearingTolerance >= known.at && clearing.clearing > known.number;
+}
+
+crash quarantine::clear(instant now, fingerprint requestFingerprint, clearing_id number)
+{
+    const auto known = m_cleared.find(requestFingerprint);
+    if (known != m_cleared.end() && number <= known->second.number)
+        number = clearing_id { known->second.number.value() + 1 };
+    setCleared(requestFingerprint, { now, number });
+    recomputeVerdicts();
+    return { requestFingerprint, {}, {}, now, true, number };
+}
+
+void quarantine::setCleared(fingerprint requestFingerprint, const cleared& by)
+{
+    m_cleared[requestFingerprint] = by;
+    for (auto& [id, ended] : m_runs) {
+        if (ended.at <= by.at)
+            ended.suspects.erase(requestFingerprint);
     }
-    auto [found, added] = m_runs.try_emplace(run_id { record.target, record.run });
-    ended_run& ended = found->second;
-    ended.at = added ? record.at : std::min(ended.at, record.at);
-    const bool isNew = ended.suspects.insert(record.requestFingerprint).second;
-    if (isNew)
-        recomputeVerdicts();
-    return isNew;
 }
 
 void quarantine::addUnattributed(instant now, const target_id& target, incarnation run)
@@ -47,10 +106,10 @@
 void quarantine::expire(instant now)
 {
     const auto isOld = [&](instant at) { return at + m_limits.expiry <= now; };
-    const auto before = m_runs.size() + m_forgiven.size();
+    const auto before = m_runs.size() + m_cleared.size();
     std::erase_if(m_runs, [&](const auto& each) { return isOld(each.second.at); });
-    std::erase_if(m_forgiven, [&](const auto& each) { return isOld(each.second); });
-    if (m_runs.size() + m_forgiven.size() != before)
+    std::erase_if(m_cleared, [&](const auto& each) { return isOld(each.second.at); });
+    if (m_runs.size() + m_cleared.size() != before)
         recomputeVerdicts();
 }
 
@@ -66,8 +125,9 @@
     for (const auto& [id, ended] : m_runs)
         for (const fingerprint requestFingerprint : ended.suspects)
             known.push_back({ requestFingerprint, id.target, id.run, ended.at, false });
-    for (const auto& [requestFingerprint, at] : m_forgiven)
-        known.push_back({ requestFingerprint, target_id {}, incarnation {}, at, true });
+    for (const auto& [requestFingerprint, by] : m_cleared)
+        known.push_back(
+            { requestFingerprint, target_id {}, incarnation {}, by.at, true, by.number });
     return known;
 }
 
@@ -89,8 +149,8 @@
 
 bool quarantine::forgiven(fingerprint requestFingerprint, instant at) const
 {
-    const auto found = m_forgiven.find(requestFingerprint);
-    return found != m_forgiven.end() && at <= found->second;
+    const auto found = m_cleared.find(requestFingerprint);
+    return found != m_cleared.end() && at <= found->second.at;
 }
 
 std::vector<quarantine::run_id> quarantine::runsInOrder() const
@@ -127,25 +187,49 @@
 }
 
 bool quarantine::hasEqualSuspect(
-    const suspicion_map& unattributed, fingerprint requestFingerprint, const run_set& own)
+    const suspicion_map& unattributed, fingerprint requestFingerprint, const run_set& own) const
 {
-    return std::any_of(unattributed.begin(), unattributed.end(), [&](const auto& other) {
-        const auto& [otherFingerprint, runs] = other;
-        return otherFingerprint != requestFingerprint && runs.size() >= own.size()
-            && overlap(runs, own);
+    const auto isEqual = [&](const run_id& id, fingerprint other) {
+        const auto found = unattributed.find(other);
+        return other != requestFingerprint && found != unattributed.end()
+            && found->second.size() >= own.size() && found->second.contains(id);
+    };
+    return std::any_of(own.begin(), own.end(), [&](const run_id& id) {
+        const auto& suspects = m_runs.at(id).suspects;
+        return std::any_of(suspects.begin(), suspects.end(),
+            [&](fingerprint other) { return isEqual(id, other); });
     });
 }
 
+bool quarantine::isFoundCulprit(const suspicion_map& unattributed, const run_set& attributed,
+    fingerprint requestFingerprint) const
+{
+    const auto found = unattributed.find(requestFingerprint);
+    return found != unattributed.end() && isCulprit(found->second, attributed)
+        && !hasEqualSuspect(unattributed, requestFingerprint, found->second);
+}
+
 std::optional<fingerprint> quarantine::findCulprit(
     const suspicion_map& unattributed, const run_set& attributed) const
 {
     for (const auto& [requestFingerprint, own] : unattributed)
-        if (isCulprit(own, attributed) && !hasEqualSuspect(unattributed, requestFingerprint, own))
+        if (isFoundCulprit(unattributed, attributed, requestFingerprint))
             return requestFingerprint;
     return std::nullopt;
 }
 
-// Evaluates the crashes in order of time, so that later crashes do not revoke a refusal.
+std::optional<fingerprint> quarantine::findCulpritOf(
+    const run_id& id, const suspicion_map& unattributed, const run_set& attributed) const
+{
+    for (const fingerprint each : m_runs.at(id).suspects)
+        if (isFoundCulprit(unattributed, attributed, each))
+            return each;
+    return std::nullopt;
+}
+
+// Evaluates the crashes in order of time, so that later crashes do not revoke a refusal. Before a
+// run is added there is no culprit, so one that it makes is among its own suspects; a run that is
+// attributed, or a culprit that is found, can make one of any.
 void quarantine::recomputeVerdicts()
 {
     m_verdicts.clear();
@@ -153,12 +237,24 @@
     run_set attributed;
     for (const run_id& id : runsInOrder()) {
         addSuspects(id, unattributed, attributed);
-        while (const auto culprit = findCulprit(unattributed, attributed))
+        auto culprit = attributed.contains(id) ? findCulprit(unattributed, attributed)
+                                               : findCulpritOf(id, unattributed, attributed);
+        while (culprit) {
             markCulprit(*culprit, unattributed, attributed);
+            culprit = findCulprit(unattributed, attributed);
+        }
     }
     for (const auto& [requestFingerprint, runs] : unattributed)
         if (!runs.empty())
             m_verdicts[requestFingerprint] = verdict::Suspected;
+    recomputeHash();
+}
+
+void quarantine::recomputeHash()
+{
+    m_hash = 0;
+    for (const crash& record : all())
+        m_hash ^= hashOf(record);
 }
 
 // A crash with a known culprit in flight says nothing about the other requests.
--- a/src/routing/quarantine.h
+++ b/src/routing/quarantine.h
@@ -34,16 +34,21 @@
 
     explicit quarantine(const limits& bounds);
 
-    /// Adds a crash or a forgiveness; returns false if it was known or is outdated.
-    bool add(const crash& record);
+    /// Adds crashes and clearings; returns those that were neither known nor outdated.
+    std::vector<crash> add(const std::vector<crash>& records);
+    /// Clears a fingerprint of all crashes up to now. Returns the record of it, whose number is the
+    /// given one or, so that other hosts prefer it to the last clearing, a higher one.
+    crash clear(instant now, fingerprint requestFingerprint, clearing_id number);
     /// Adds the end of a run without naming a suspect.
     void addUnattributed(instant now, const target_id& target, incarnation run);
     /// Removes expired crashes and forgivenesses.
     void expire(instant now);
     [[nodiscard]] verdict verdictOf(fingerprint requestFingerprint) const;
     [[nodiscard]] bool empty() const noexcept { return m_verdicts.empty(); }
-    /// All crashes and forgivenesses that have not expired.
+    /// All crashes and clearings that have not expired, without crashes that a clearing covers.
     [[nodiscard]] std::vector<crash> all() const;
+    /// A hash of all(), without the times; 0 if there is nothing.
+    [[nodiscard]] std::uint64_t hash() const noexcept { return m_hash; }
     /// All fingerprints with a verdict other than Clear, sorted.
     [[nodiscard]] std::vector<suspect> suspects() const;
 
@@ -57,25 +62,40 @@
         instant at;
         std::set<fingerprint> suspects;
     };
+    struct cleared {
+        instant at;
+        clearing_id number;
+    };
     using run_set = std::set<run_id>;
     using suspicion_map = std::map<fingerprint, run_set>;
 
+    bool addCrash(const crash& record);
+    bool addClearing(const crash& record);
+    void setCleared(fingerprint requestFingerprint, const cleared& by);
+    /// Whether the clearing takes the place of the one that is known, if any.
+    [[nodiscard]] bool isNewer(const crash& clearing) const;
     [[nodiscard]] bool forgiven(fingerprint requestFingerprint, instant at) const;
     [[nodiscard]] std::vector<run_id> runsInOrder() const;
     void addSuspects(const run_id& id, suspicion_map& unattributed, run_set& attributed) const;
     void markCulprit(fingerprint culprit, suspicion_map& unattributed, run_set& attributed);
     [[nodiscard]] std::size_t backgroundOf(const run_set& own, const run_set& attributed) const;
     [[nodiscard]] bool isCulprit(const run_set& own, const run_set& attributed) const;
-    [[nodiscard]] static bool hasEqualSuspect(
-        const suspicion_map& unattributed, fingerprint requestFingerprint, const run_set& own);
+    [[nodiscard]] bool hasEqualSuspect(const suspicion_map& unattributed,
+        fingerprint requestFingerprint, const run_set& own) const;
+    [[nodiscard]] bool isFoundCulprit(const suspicion_map& unattributed, const run_set& attributed,
+        fingerprint requestFingerprint) const;
     [[nodiscard]] std::optional<fingerprint> findCulprit(
         const suspicion_map& unattributed, const run_set& attributed) const;
+    [[nodiscard]] std::optional<fingerprint> findCulpritOf(
+        const run_id& id, const suspicion_map& unattributed, const run_set& attributed) const;
     void recomputeVerdicts();
+    void recomputeHash();
 
     limits m_limits;
     std::map<run_id, ended_run> m_runs;
-    std::map<fingerprint, instant> m_forgiven;
+    std::map<fingerprint, cleared> m_cleared;
     std::map<fingerprint, verdict> m_verdicts;
+    std::uint64_t m_hash = 0;
 };
 
 } // namespace pimentomast::routing
--- a/src/serve/dispatch.cc
+++ b/src/serve/dispatch.cc
@@ -105,10 +105,10 @@
         [&](instant now, routing::router& router) { return router.report(now, target, load); });
 }
 
-void dispatch::applyPeerCrash(const routing::crash& crash)
+void dispatch::applyPeerCrashes(const std::vector<routing::crash>& records)
 {
     m_routedDispatcher->call(
-        [&](instant now, routing::router& router) { return router.applyCrash(now, crash); });
+        [&](instant now, routing::router& router) { return router.applyCrashes(now, records); });
 }
 
 void dispatch::pardon(routing::fingerprint print)
@@ -124,6 +124,14 @@
     return known;
 }
 
+std::uint64_t dispatch::crashesHash() const
+{
+    std::uint64_t hash = 0;
+    m_routedDispatcher->inspect(
+        [&](const routing::router& router) { hash = router.crashesHash(); });
+    return hash;
+}
+
 std::vector<routing::suspect> dispatch::suspects() const
 {
     std::vector<routing::suspect> known;
--- a/src/serve/dispatch.h
+++ b/src/serve/dispatch.h
@@ -42,10 +42,11 @@
     void applyLiveHosts(std::optional<unsigned> count);
     void ownersChanged(const service_id& service);
     void report(const target_id& target, const routing::load_report& load);
-    void applyPeerCrash(const routing::crash& crash);
+    void applyPeerCrashes(const std::vector<routing::crash>& records);
     void pardon(routing::fingerprint print);
 
     [[nodiscard]] std::vector<routing::crash> crashes() const;
+    [[nodiscard]] std::uint64_t crashesHash() const;
     [[nodiscard]] std::vector<routing::suspect> suspects() const;
     [[nodiscard]] routing::counters counts() const;
     [[nodiscard]] std::vector<routing::target_view> targets() const;
--- a/src/serve/gossip.cc
+++ b/src/serve/gossip.cc
@@ -115,6 +115,7 @@
         = due(m_nextHosts, now, hostsInterval(now)) && !m_readingHosts.exchange(true);
     if (readHostsNow)
         boost::asio::post(m_pool, [this] { readHosts(); });
+    sendNewCrashes(now);
     if (!due(m_nextExchange, now, exchangeInterval(now)))
         return;
     electStorePoller(now);
@@ -214,7 +215,7 @@
     m_callbacks.putTable(std::make_shared<const table::table>(std::move(decoded).value()));
 }
 
-wire::Digest gossip::digest(instant now) const
+wire::Digest gossip::digest(instant now)
 {
     wire::Digest digest;
     digest.set_host(m_options.self.value());
@@ -225,13 +226,27 @@
     digest.set_table_version(version().value());
     m_routes.describe(*digest.mutable_assignments());
     addHeard(m_peerRegistry.heardHosts(now), digest);
-    for (const auto& crash : m_callbacks.crashes())
-        *digest.add_crashes() = toWire(crash, now);
+    {
+        const std::uint64_t own = m_callbacks.crashesHash();
+        const std::lock_guard guard(m_crashLock);
+        digest.set_crashes_hash(m_crashes.settledHash(now, own));
+    }
     if (m_options.tableSource)
         *digest.mutable_standing() = toWire(m_options.tableSource->standing(), now);
     return digest;
 }
 
+template <class Message>
+void gossip::applyCrashes(const Message& message, instant now)
+{
+    if (message.crashes().empty())
+        return;
+    std::vector<routing::crash> records;
+    for (const auto& crash : message.crashes())
+        records.push_back(fromWire(crash, now));
+    m_callbacks.applyCrashes(records);
+}
+
 void gossip::exchangeWith(const peer_registry::client_pointer& peer)
 {
     const auto sentAt = monotonic_clock::now();
@@ -260,8 +275,7 @@
             sentAt, host_id { update.host() }, config_version { update.table_version() });
     }
     const auto now = monotonic_clock::now();
-    for (const auto& crash : update.crashes())
-        m_callbacks.applyCrash(fromWire(crash, now));
+    applyCrashes(update, now);
     try {
         for (const auto& message : update.assignments())
             applyAssignment(message);
@@ -289,15 +303,16 @@
         { host_id { digest.host() }, incarnation { digest.incarnation() }, peers,
             digest.leaving() });
     m_peerRegistry.recordRelayed(now, heardIn(digest));
-    for (const auto& crash : digest.crashes())
-        m_callbacks.applyCrash(fromWire(crash, now));
+    applyCrashes(digest, now);
     noteStanding(digest, now);
     wire::Update update;
     update.set_host(m_options.self.value());
     update.set_incarnation(m_options.run.value());
     update.set_leaving(m_leaving);
-    for (const auto& crash : m_callbacks.crashes())
-        *update.add_crashes() = toWire(crash, now);
+    if (sendsAllCrashes(now, digest.crashes_hash())) {
+        for (const auto& crash : m_callbacks.crashes())
+            *update.add_crashes() = toWire(crash, now);
+    }
     addHeard(m_peerRegistry.heardHosts(now), update);
     if (m_options.tableSource)
         *update.mutable_standing() = toWire(m_options.tableSource->standing(), now);
@@ -338,12 +353,33 @@
 
 void gossip::broadcastCrash(const routing::crash& crash)
 {
-    wire::Digest message = digest(monotonic_clock::now());
-    *message.add_crashes() = toWire(crash, monotonic_clock::now());
-    for (const auto& peer : m_peerRegistry.allPeers(monotonic_clock::now()))
+    const std::lock_guard guard(m_crashLock);
+    m_crashes.add(crash);
+}
+
+void gossip::sendNewCrashes(instant now)
+{
+    std::vector<routing::crash> batch;
+    {
+        const std::lock_guard guard(m_crashLock);
+        batch = m_crashes.takeBatch(now);
+    }
+    if (batch.empty())
+        return;
+    wire::Digest message = digest(now);
+    for (const auto& crash : batch)
+        *message.add_crashes() = toWire(crash, now);
+    for (const auto& peer : m_peerRegistry.allPeers(now))
         peer->exchange(message, gossipTimeoutMs, [](const auto&) {});
 }
 
+bool gossip::sendsAllCrashes(instant now, std::uint64_t ofPeer)
+{
+    const std::uint64_t own = m_callbacks.crashesHash();
+    const std::lock_guard guard(m_crashLock);
+    return m_crashes.sendsAll(now, own, ofPeer);
+}
+
 void gossip::notifyAll(const wire::Notice& notice)
 {
     for (const auto& peer : m_peerRegistry.allPeers(monotonic_clock::now()))
--- a/src/serve/gossip.h
+++ b/src/serve/gossip.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "crash_spread.h"
 #include "directory.h"
 #include "peer_registry.h"
 #include "pimentomast/membership.h"
@@ -32,7 +33,8 @@
 /// Exchanges tables, assignments and crashes with the other hosts, and reads the table's row and
 /// the list of hosts from the store.
 ///
-/// Thread-safe. Lock order: apply lock, then the lock of freshness and raw table. The apply lock is
+/// Thread-safe. Lock order: apply lock, then the lock of freshness and raw table; that of the
+/// crashes is innermost. The apply lock is
 /// held while a table is put in force; the other one is never held while another object is called.
 class gossip {
 public:
@@ -42,7 +44,8 @@
         /// Puts a newer assignment in force.
         std::function<void(const ownership::assignment&, const host_id&)> putAssignment;
         std::function<std::vector<routing::crash>()> crashes;
-        std::function<void(const routing::crash&)> applyCrash;
+        std::function<std::uint64_t()> crashesHash;
+        std::function<void(const std::vector<routing::crash>&)> applyCrashes;
     };
 
     /// Fails if a time is not positive. store, peerRegistry and routes must outlive the object.
@@ -63,7 +66,7 @@
     /// If this host polls the store on behalf of all hosts, starts an exchange with each of them,
     /// so that they learn at once which tables it has.
     void exchangeWithAll();
-    /// Reports a crash to every other host.
+    /// Reports a crash to every other host soon.
     void broadcastCrash(const routing::crash& crash);
 
     /// Puts a table in force that was read from or written to the store, and sends it to every
@@ -95,7 +98,11 @@
     void catchUp(const peer_registry::client_pointer& peer, const service_id& service, token known);
     /// Records what is published; returns what was published before for that service, if anything.
     std::optional<ownership::assignment> exchangePublished(const ownership::assignment& value);
-    [[nodiscard]] wire::Digest digest(instant now) const;
+    [[nodiscard]] wire::Digest digest(instant now);
+    void sendNewCrashes(instant now);
+    [[nodiscard]] bool sendsAllCrashes(instant now, std::uint64_t ofPeer);
+    template <class Message>
+    void applyCrashes(const Message& message, instant now);
     [[nodiscard]] duration exchangeInterval(instant now) const;
     [[nodiscard]] duration hostsInterval(instant now) const;
     void electStorePoller(instant now);
@@ -118,6 +125,8 @@
     /// Host that polls the store on behalf of all hosts; empty if no host is live.
     host_id m_storePoller;
     std::mutex m_applyLock;
+    std::mutex m_crashLock;
+    crash_spread m_crashes;
     mutable std::mutex m_lock;
     membership::freshness m_freshness;
     wire::Table m_table;
--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -174,9 +174,9 @@
     m_gossip = gossip::create(gossipOptions, m_store, *m_peerRegistry, m_directory,
         { [this](auto table) { putTable(std::move(table)); },
             [this](const auto& newer, const auto& host) { putAssignment(newer, host); },
-            [this] { return m_dispatch->crashes(); },
-            [this](const auto& crash) {
-                m_dispatch->applyPeerCrash(crash);
+            [this] { return m_dispatch->crashes(); }, [this] { return m_dispatch->crashesHash(); },
+            [this](const auto& records) {
+                m_dispatch->applyPeerCrashes(records);
             } }).value();
 
     coordinator_driver_options driverOptions;
--- a/src/serve/wire.cc
+++ b/src/serve/wire.cc
@@ -100,6 +100,7 @@
     message.set_target_incarnation(crash.run.value());
     message.set_age_ms(static_cast<std::uint64_t>(std::max<std::int64_t>(age.count(), 0)));
     message.set_forgiven(crash.forgiven);
+    message.set_clearing(crash.clearing.value());
     return message;
 }
 
@@ -111,6 +112,7 @@
     crash.run = incarnation { message.target_incarnation() };
     crash.at = now - std::chrono::milliseconds(message.age_ms());
     crash.forgiven = message.forgiven();
+    crash.clearing = routing::clearing_id { message.clearing() };
     return crash;
 }
 
--- a/test/routing-health-test.cc
+++ b/test/routing-health-test.cc
@@ -96,10 +96,10 @@
     driver test = makeDriver(4);
     const crash record { fingerprint { 5 }, target_id { "t1" }, firstRun, test.now, false };
     for (int i = 0; i < 3; ++i)
-        (void)test.host->applyCrash(test.now, record);
+        (void)test.host->applyCrashes(test.now, { record });
     cr_assert_not(refusedAsQuarantined(test, 5));
     const crash other { fingerprint { 5 }, target_id { "t2" }, firstRun, test.now, false };
-    (void)test.host->applyCrash(test.now, other);
+    (void)test.host->applyCrashes(test.now, { other });
     cr_assert(refusedAsQuarantined(test, 5));
     const auto listed = test.host->suspects();
     cr_assert(listed.size() == 1 && listed.front().refused && listed.front().crashes.size() == 2);
@@ -112,9 +112,9 @@
 {
     driver test = makeDriver(4);
     const auto reportCrash = [&](std::uint64_t requestFingerprint, const char* target) {
-        (void)test.host->applyCrash(test.now,
-            { fingerprint { requestFingerprint }, target_id { target }, firstRun, test.now,
-                false });
+        (void)test.host->applyCrashes(test.now,
+            { { fingerprint { requestFingerprint }, target_id { target }, firstRun, test.now,
+                false } });
     };
     reportCrash(5, "t1");
     reportCrash(6, "t1");
@@ -131,9 +131,9 @@
 {
     driver test = makeDriver(4);
     const auto reportCrash = [&](std::uint64_t requestFingerprint, const char* target) {
-        (void)test.host->applyCrash(test.now,
-            { fingerprint { requestFingerprint }, target_id { target }, firstRun, test.now,
-                false });
+        (void)test.host->applyCrashes(test.now,
+            { { fingerprint { requestFingerprint }, target_id { target }, firstRun, test.now,
+                false } });
     };
     for (const char* target : { "t1", "t2" }) {
         reportCrash(6, target);
@@ -149,23 +149,23 @@
 Test(routing_health, answer_clears_a_suspect_everywhere)
 {
     driver test = makeDriver(4);
-    (void)test.host->applyCrash(
-        test.now, { fingerprint { 5 }, target_id { "t1" }, firstRun, test.now, false });
+    (void)test.host->applyCrashes(
+        test.now, { { fingerprint { 5 }, target_id { "t1" }, firstRun, test.now, false } });
     test.now += 1ms;
     const auto number = test.arrive(test.make("c", 5));
     test.finish(test.lastDispatch(number), answered { 200, 1ms, 1ms });
     cr_assert(test.all<broadcast_crash>().back().record.forgiven);
     test.now += 1ms;
-    (void)test.host->applyCrash(
-        test.now, { fingerprint { 5 }, target_id { "t2" }, firstRun, test.now, false });
+    (void)test.host->applyCrashes(
+        test.now, { { fingerprint { 5 }, target_id { "t2" }, firstRun, test.now, false } });
     cr_assert_not(refusedAsQuarantined(test, 5));
 }
 
 Test(routing_health, clearing_that_comes_back_from_another_host_changes_nothing)
 {
     driver test = makeDriver(4);
-    (void)test.host->applyCrash(
-        test.now, { fingerprint { 5 }, target_id { "t1" }, firstRun, test.now, false });
+    (void)test.host->applyCrashes(
+        test.now, { { fingerprint { 5 }, target_id { "t1" }, firstRun, test.now, false } });
     test.now += 1ms;
     const actions sent = test.host->pardon(test.now, fingerprint { 5 });
     crash relayed = std::get<broadcast_crash>(sent.back()).record;
@@ -173,7 +173,7 @@
     // Each hop tells an age, so the transit time of the message is lost.
     relayed.at += 5ms;
     test.now += 10ms;
-    (void)test.host->applyCrash(test.now, relayed);
+    (void)test.host->applyCrashes(test.now, { relayed });
     cr_assert(test.host->crashes().back().at == cleared);
 }
 
@@ -181,8 +181,8 @@
 {
     driver test = makeDriver(4);
     for (std::uint64_t i = 1; i <= 50; ++i)
-        (void)test.host->applyCrash(
-            test.now, { fingerprint { i }, target_id { "t1" }, firstRun, test.now, false });
+        (void)test.host->applyCrashes(
+            test.now, { { fingerprint { i }, target_id { "t1" }, firstRun, test.now, false } });
     test.now += 1ms;
     for (std::uint64_t i = 1; i <= 50; ++i)
         (void)test.host->pardon(test.now, fingerprint { i });
@@ -192,8 +192,8 @@
 Test(routing_health, suspect_runs_alone_on_its_target)
 {
     driver test = makeDriver(1);
-    (void)test.host->applyCrash(
-        test.now, { fingerprint { 5 }, target_id { "t0" }, firstRun, test.now, false });
+    (void)test.host->applyCrashes(
+        test.now, { { fingerprint { 5 }, target_id { "t0" }, firstRun, test.now, false } });
     const auto suspect = test.arrive(test.make("c", 5));
     const auto other = test.arrive(test.make("c", 6));
     cr_assert(test.lastDispatch(suspect).number == suspect);
@@ -206,9 +206,9 @@
 {
     driver test = makeDriver(6);
     const auto reportCrash = [&](std::uint64_t requestFingerprint, const char* target) {
-        (void)test.host->applyCrash(test.now,
-            { fingerprint { requestFingerprint }, target_id { target }, firstRun, test.now,
-                false });
+        (void)test.host->applyCrashes(test.now,
+            { { fingerprint { requestFingerprint }, target_id { target }, firstRun, test.now,
+                false } });
     };
     reportCrash(11, "t3");
     reportCrash(12, "t4");
@@ -224,8 +224,8 @@
     for (const bool byPardon : { true, false }) {
         driver test = makeDriver(4);
         for (const char* target : { "t1", "t2" })
-            (void)test.host->applyCrash(
-                test.now, { fingerprint { 5 }, target_id { target }, firstRun, test.now, false });
+            (void)test.host->applyCrashes(test.now,
+                { { fingerprint { 5 }, target_id { target }, firstRun, test.now, false } });
         cr_assert(refusedAsQuarantined(test, 5));
         if (byPardon)
             (void)test.host->pardon(test.now, fingerprint { 5 });
