Let a continued download keep its deadline

What a target saw: the rest of an interrupted download was asked for with the request's whole time, although a part of it was over; the request's line in the log began anew too.

Cause: continueResponse() counted arrival and deadline from the moment of the interruption, the class of the incident: a time that starts where a thread takes the work up. The test was told 8999 of 9000 ms after 1000 ms before; it passes now.

--- a/src/proxy/server-dispatch.cc
+++ b/src/proxy/server-dispatch.cc
@@ -278,11 +278,8 @@
 {
     m_counts.add(reason::AnswerContinued);
     request_facts& facts = request->facts;
-    const duration allowed = facts.deadline - facts.arrived;
     facts.id = request_id { m_nextId.fetch_add(1, std::memory_order_relaxed) };
     request->caller->responses.rename(request->position, facts.id);
-    facts.arrived = monotonic_clock::now();
-    facts.deadline = facts.arrived + allowed;
     enqueue(std::move(request));
 }
 
--- a/test/proxy-continuation-test.cc
+++ b/test/proxy-continuation-test.cc
@@ -92,6 +92,33 @@
     }
 }
 
+Test(proxy_continuation, rest_is_asked_for_within_the_time_that_the_request_has_left)
+{
+    constexpr std::chrono::milliseconds allowed { 9000 };
+    constexpr std::chrono::milliseconds pause { 1000 };
+    std::string secondHead;
+    scripted_server server([&](auto& socket, int number) {
+        const std::string head = readRequest(socket);
+        if (number == 0) {
+            write(socket, first);
+            std::this_thread::sleep_for(pause);
+        } else {
+            secondHead = head;
+            write(socket, rangeHead + "Content-Length: 5\r\n\r\n56789");
+        }
+        socket.close();
+    });
+    proxy_fixture host({ destinationOf(server) }, 1, callersChooseIds());
+    raw_connection caller(host.address());
+    caller.send("GET /export/a HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nX-Left: "
+        + std::to_string(allowed.count()) + "\r\nConnection: close\r\n\r\n");
+    (void)caller.readAll();
+    const std::size_t at = secondHead.find("X-Left: ");
+    cr_assert_neq(at, std::string::npos, "%s", secondHead.c_str());
+    const long left = std::stol(secondHead.substr(at + std::string("X-Left: ").size()));
+    cr_assert_leq(left, (allowed - pause).count(), "told %ld ms", left);
+}
+
 namespace {
 
 /// Answers GET /export/SIZE by the first SIZE bytes of a body twice as long, then refuses to
