--- a/src/routing/health.cc
+++ b/src/routing/health.cc
@@ -137,6 +137,7 @@
     }
     m_quarantine.addUnattributed(m_now, target.row.id, run);
     std::vector<crash> records;
+    records.reserve(suspects.size());
     for (const fingerprint requestFingerprint : suspects)
         records.push_back({ requestFingerprint, target.row.id, run, m_now, false });
     for (const crash& record : m_quarantine.add(records))
--- a/src/serve/request_log.cc
+++ b/src/serve/request_log.cc
@@ -37,7 +37,7 @@
         + std::to_string(version.assignment.value());
 }
 
-/// The fields of a line; empty texts and zero durations are omitted.
+/// The fields of a line; empty texts and durations below a millisecond are omitted.
 class line_fields {
 public:
     void add(std::string_view key, std::string value)
@@ -47,7 +47,7 @@
     }
     void add(std::string_view key, duration span)
     {
-        if (span > duration::zero())
+        if (span >= std::chrono::milliseconds(1))
             add(key, millisecondsText(span));
     }
 
