Date bytes that waited for their poller from its last wake-up

What callers saw: a request that came while the poller was busy got its whole time anew (told 8999 of 9000 ms after 3000). Cause: bytes were dated when they were received. A poll that returns at once tells that they may have come since the last wake-up, so that time is taken. A connection that is closed or whose input a request owns is no longer given to the input event from the list of ready ones.

--- a/src/proxy/poller.cc
+++ b/src/proxy/poller.cc
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds pollInterval { 100 };
+/// A poll that returns within this time did not wait.
+constexpr std::chrono::milliseconds atOnce { 1 };
 constexpr std::size_t receiveBytes = 16384;
 constexpr std::size_t maxLingerBytes = 4194304;
 
@@ -107,7 +109,9 @@
 {
     currentPoller = this;
     while (!m_stopped) {
+        const instant asked = monotonic_clock::now();
         const auto events = m_set.poll(Poco::Timespan(duration(pollInterval).count()));
+        noteWakeUp(asked);
         for (const auto& [socket, mode] : events) {
             if (const auto connection = find(socket))
                 handle(connection);
@@ -123,6 +127,14 @@
     }
 }
 
+// Bytes that were there at once may have come at any time since the last call.
+void poller::noteWakeUp(instant asked)
+{
+    const instant now = monotonic_clock::now();
+    m_earliestArrival = now - asked < atOnce ? m_lastWakeUp : now;
+    m_lastWakeUp = now;
+}
+
 caller_pointer poller::find(const Poco::Net::Socket& socket)
 {
     if (socket == m_wakeSocket) {
@@ -194,7 +206,7 @@
         return watch(connection);
     if (got.state != io_state::Ready)
         return m_events.disconnected(connection);
-    connection->arrivals.received(got.bytes, monotonic_clock::now());
+    connection->arrivals.received(got.bytes, std::max(m_earliestArrival, connection->phaseStarted));
     m_events.input(connection);
 }
 
@@ -205,8 +217,10 @@
         const std::lock_guard lock(m_mutex);
         ready.swap(m_ready);
     }
-    for (const caller_pointer& connection : ready)
-        m_events.input(connection);
+    for (const caller_pointer& connection : ready) {
+        if (!connection->isClosed && !connection->inputTaken)
+            m_events.input(connection);
+    }
 }
 
 void poller::processResumed()
--- a/src/proxy/poller.h
+++ b/src/proxy/poller.h
@@ -70,6 +70,7 @@
 
 private:
     void run();
+    void noteWakeUp(instant asked);
     void handle(const caller_pointer& connection);
     void handleLingering(const caller_pointer& connection);
     void handleWaiting(const caller_pointer& connection);
@@ -100,6 +101,9 @@
     std::atomic<bool> m_stopped { false };
     std::atomic<bool> m_sweepEventsEnabled { false };
     instant m_lastSweep {};
+    instant m_lastWakeUp {};
+    /// Earliest time at which the bytes that are read now may have come.
+    instant m_earliestArrival {};
     std::thread m_thread;
 };
 
