--- a/src/proxy/server-input.cc
+++ b/src/proxy/server-input.cc
@@ -6,7 +6,8 @@
 using phase = caller_connection::phase;
 
 constexpr std::string_view healthPath = "/pimentomast/health";
-/// Bytes that are read ahead of a connection's requests in progress.
+/// Bytes that are read ahead of a connection's requests in progress, beside a head and the start of
+/// its body.
 constexpr std::size_t readAheadBytes = 32768;
 
 } // namespace
@@ -27,7 +28,8 @@
 
 void server_impl::readOn(const caller_pointer& caller)
 {
-    if (caller->input.size() < readAheadBytes || caller->responses.isEmpty())
+    const std::size_t limit = readAheadBytes + m_options.headBytes + m_options.bodyPrefetchBytes;
+    if (caller->input.size() < limit || caller->responses.isEmpty())
         pollerOf(*caller).watch(caller);
 }
 
@@ -93,7 +95,10 @@
 bool server_impl::runsConcurrently(const caller_connection& caller, const checked_head& head,
     const table::classified_request& found)
 {
-    return found.repeatable && head.keepAlive && !head.http10 && hasWholeBody(caller, head);
+    const http::verb method = head.parser->get().method();
+    const bool isSafe = method == http::verb::get || method == http::verb::head;
+    return isSafe && found.repeatable && head.keepAlive && !head.http10
+        && hasWholeBody(caller, head);
 }
 
 bool server_impl::hasWholeBody(const caller_connection& caller, const checked_head& head)
@@ -147,7 +152,8 @@
     if (needsBodyPrefetch(*caller, head))
         return keepHead(caller, std::move(head), arrived);
     const auto& classification = std::get<table::classified_request>(found);
-    if (!caller->responses.admits(runsConcurrently(*caller, head, classification)))
+    const bool joins = !m_draining && runsConcurrently(*caller, head, classification);
+    if (!caller->responses.admits(joins))
         return keepHead(caller, std::move(head), arrived);
     if (!classification.route || classification.route->parts.size() < 2)
         return submit(caller, std::move(head), arrived, classification);
