Keep the arrival of what follows a chunked body, and announce a close only last

A 504 whose deadline passed in the worker queue said Connection: close with two answers behind it. A worker that sends a held answer polls without an exception.

--- a/src/proxy/server-dispatch.cc
+++ b/src/proxy/server-dispatch.cc
@@ -3,6 +3,7 @@
 #include "probe.h"
 
 #include <algorithm>
+#include <poll.h>
 
 namespace pimentomast::proxy::detail {
 namespace {
@@ -108,8 +109,7 @@
     response.retryAfter = details.retryAfter;
     response.fractionalRetryAfter = m_options.contract.fractionalRetryAfter;
     response.withBody = !isHead(request);
-    response.closes = !request.head.keepAlive || request.ownsInput
-        || (m_draining && request.caller->responses.closeAfter(request.position));
+    response.closes = closesAfter(request);
     complete(request,
         { details.status, details.reason, details.peer, details.retryAfter, details.expectedWait });
     respond(request, formatLocalResponse(response), response.closes);
@@ -132,7 +132,7 @@
         },
         [this, &request] {
             request.ownsInput = false;
-            returnInput(request.caller);
+            returnInput(request);
         },
         [this] { return schedule().end; },
         m_aborting,
@@ -154,8 +154,8 @@
     const instant end = monotonic_clock::now() + m_options.bodyTimeout;
     auto now = work.caller->responses.sendHeld(work.position, work.caller->socket);
     while (!now && monotonic_clock::now() < end && !m_aborting) {
-        (void)work.caller->socket.poll(
-            Poco::Timespan(duration(sendCheckInterval).count()), Poco::Net::Socket::SELECT_WRITE);
+        pollfd writable { descriptor(work.caller->socket), POLLOUT, 0 };
+        ::poll(&writable, 1, static_cast<int>(sendCheckInterval.count()));
         now = work.caller->responses.sendHeld(work.position, work.caller->socket);
     }
     if (!now)
@@ -304,8 +304,15 @@
     response.reason = name(*fault);
     response.step = "read request body";
     response.peer = request.caller->peerIp;
+    response.closes = closesAfter(request);
     complete(request, { response.status, response.reason });
-    respond(request, formatLocalResponse(response), true);
+    respond(request, formatLocalResponse(response), response.closes);
+}
+
+bool server_impl::closesAfter(const exchange& request) const
+{
+    return !request.head.keepAlive || request.ownsInput
+        || (m_draining && request.caller->responses.closeAfter(request.position));
 }
 
 void server_impl::complete(const exchange& request, const request_result& end)
--- a/src/proxy/server-impl.cc
+++ b/src/proxy/server-impl.cc
@@ -239,7 +239,7 @@
     if (m_aborting)
         fate = connection_fate::Broken;
     if (ownsInput)
-        returnInput(caller);
+        returnInput(request);
     proceed(caller, caller->responses.end(request.position, fate, caller->socket));
 }
 
@@ -254,12 +254,13 @@
         pollerOf(*caller).resume(caller);
 }
 
-void server_impl::returnInput(const caller_pointer& caller)
+// What is left of the input came at an unknown time after the request's own head.
+void server_impl::returnInput(const exchange& request)
 {
-    const instant now = monotonic_clock::now();
-    caller->arrivals.reset(caller->input.size(), now);
+    const caller_pointer& caller = request.caller;
+    caller->arrivals.reset(caller->input.size(), request.facts.arrived);
     caller->scanned = 0;
-    caller->phaseStarted = now;
+    caller->phaseStarted = monotonic_clock::now();
     caller->state = phase::Idle;
     caller->inputTaken = false;
     pollerOf(*caller).resume(caller);
--- a/src/proxy/server-impl.h
+++ b/src/proxy/server-impl.h
@@ -129,8 +129,8 @@
     /// Sends the response of a request, or holds it until its turn comes.
     void respond(const exchange& request, const std::string& text, bool closes);
     void watchWhileWaiting(const caller_pointer& caller, request_id id);
-    /// Returns the input of a connection, which a request owned, to its poller.
-    void returnInput(const caller_pointer& caller);
+    /// Returns the input of the request's connection, which it owned, to its poller.
+    void returnInput(const exchange& request);
 
     void execute(std::unique_ptr<exchange> request, const decision& what);
     void startAttempt(std::unique_ptr<exchange> request, const destination& to);
@@ -147,6 +147,8 @@
     void continueResponse(std::unique_ptr<exchange> request);
     void abortResponse(const exchange& request);
     void sendFault(const exchange& request, std::optional<reason> fault);
+    /// Whether the connection closes after a response that this host generates for the request.
+    [[nodiscard]] bool closesAfter(const exchange& request) const;
     /// Returns why the request must not be passed on any more, if the host stops. Otherwise
     /// shortens its deadline where needed.
     [[nodiscard]] static std::optional<reason> checkStop(
