Hold answers up to 1 MiB before their turn, and apply the deadline to uploads

Up to 1 MiB of an answer are kept while it may not be sent; beyond that the same can still happen (docs/PROXY.md). A request whose target stopped reading its body had no answer at its deadline, since the time of an upload was added to it: now only the time spent waiting for the caller's bytes is.

--- a/src/proxy/relay-response.cc
+++ b/src/proxy/relay-response.cc
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr std::size_t bufferBytes = 65536;
+/// Bytes of a response that are kept while it may not be sent yet.
+constexpr std::size_t heldBytes = 1048576;
 constexpr std::size_t maxResponseHeadBytes = 65536;
 constexpr unsigned firstStatus = 100;
 
@@ -13,8 +15,7 @@
 
 std::optional<attempt_result> relay::pumpDownload()
 {
-    const bool hasRoom = m_download.size() < bufferBytes;
-    if (m_responseState != response_state::Done && hasRoom && (m_targetReady || m_uploadFailed)) {
+    if (m_responseState != response_state::Done && hasRoom() && (m_targetReady || m_uploadFailed)) {
         if (const auto result = readTarget())
             return result;
     }
@@ -227,10 +228,15 @@
 bool relay::maySend() const
 {
     const bool isWhole = m_responseState == response_state::Done;
-    const bool isFull = m_download.size() >= bufferBytes;
+    const bool isFull = m_download.size() >= heldBytes;
     return m_request.caller->responses.maySend(m_request.position, isWhole || isFull);
 }
 
+bool relay::hasRoom() const
+{
+    return m_download.size() < bufferBytes || (awaitsTurn() && m_download.size() < heldBytes);
+}
+
 io_state relay::sendToCaller()
 {
     const auto sent = sendSome(m_request.caller->socket, m_download);
--- a/src/proxy/relay.cc
+++ b/src/proxy/relay.cc
@@ -9,7 +9,7 @@
 
 constexpr std::size_t bufferBytes = 65536;
 constexpr long pollLimitMs = 1000;
-/// Interval at which a response that fills its buffer looks whether its turn has come.
+/// Interval at which a response that is held back looks whether its turn has come.
 constexpr long turnIntervalMs = 20;
 /// Events that show that the caller no longer waits.
 constexpr short callerLeaves = POLLRDHUP | POLLHUP | POLLERR;
@@ -24,7 +24,6 @@
     , m_context(context)
     , m_started(monotonic_clock::now())
     , m_lastProgress(m_started)
-    , m_responseDeadline(std::min(request.facts.deadline, to.deadline))
 {
 }
 
@@ -154,9 +153,6 @@
         m_upload.clear();
         m_uploadOffset = 0;
     }
-    if (uploadComplete())
-        m_responseDeadline
-            = std::min(m_request.facts.deadline, m_to.deadline) + (m_lastProgress - m_started);
     return std::nullopt;
 }
 
@@ -172,16 +168,15 @@
 {
     const bool wantsCaller
         = !m_request.bodyDone && !m_uploadFailed && m_upload.size() - m_uploadOffset < bufferBytes;
-    const bool wantsTarget = m_responseState != response_state::Done
-        && m_download.size() < bufferBytes && !m_targetEnded;
+    const bool wantsTarget = m_responseState != response_state::Done && hasRoom() && !m_targetEnded;
     std::array<pollfd, 2> watched { {
         { descriptor(m_request.caller->socket), POLLRDHUP, 0 },
         { descriptor(m_target.socket), 0, 0 },
     } };
     if (wantsCaller)
         watched[0].events |= POLLIN;
-    const bool awaitsTurn = !m_download.empty() && !maySend();
-    if (!m_download.empty() && !awaitsTurn)
+    const bool isHeldBack = awaitsTurn();
+    if (!m_download.empty() && !isHeldBack)
         watched[0].events |= POLLOUT;
     if (wantsTarget)
         watched[1].events |= POLLIN;
@@ -192,7 +187,7 @@
     const instant before = monotonic_clock::now();
     const auto left = nextTimeout() - before;
     const auto leftMs = std::chrono::ceil<std::chrono::milliseconds>(left).count();
-    const long limitMs = awaitsTurn && !wantsTarget ? turnIntervalMs : pollLimitMs;
+    const long limitMs = isHeldBack ? turnIntervalMs : pollLimitMs;
     ::poll(watched.data(), watched.size(), static_cast<int>(std::clamp<long>(leftMs, 0, limitMs)));
     m_targetReady = (watched[1].revents & ~POLLOUT) != 0;
     if ((watched[0].revents & callerLeaves) != 0)
@@ -217,10 +212,19 @@
 
 bool relay::transferActive() const { return responseBegun() || !uploadComplete(); }
 
+instant relay::answerDeadline() const
+{
+    return std::min(m_request.facts.deadline, m_to.deadline) + m_callerWait;
+}
+
 instant relay::nextTimeout() const
 {
-    const instant stallDeadline = m_lastProgress + m_context.settings.bodyTimeout;
-    return std::min(transferActive() ? stallDeadline : m_responseDeadline, m_context.end());
+    instant next = m_context.end();
+    if (transferActive())
+        next = std::min(next, m_lastProgress + m_context.settings.bodyTimeout);
+    if (!responseBegun())
+        next = std::min(next, answerDeadline());
+    return next;
 }
 
 std::optional<attempt_result> relay::checkTimeouts(instant now)
@@ -238,9 +242,9 @@
             < waited.count() * double(m_context.settings.minBodyBytesPerSecond);
     if (!m_request.bodyDone && tooSlow)
         return requestFault(reason::BodyTimeout);
-    if (transferActive())
+    if (responseBegun() || now < answerDeadline())
         return std::nullopt;
-    return now >= m_responseDeadline ? std::optional(failed(reason::Deadline)) : std::nullopt;
+    return failed(reason::Deadline);
 }
 
 attempt_result relay::failed(reason why)
--- a/src/proxy/relay.h
+++ b/src/proxy/relay.h
@@ -87,6 +87,9 @@
     [[nodiscard]] std::optional<attempt_result> flushToCaller();
     /// Returns whether received bytes of the response may be sent to the caller now.
     [[nodiscard]] bool maySend() const;
+    [[nodiscard]] bool awaitsTurn() const { return !m_download.empty() && !maySend(); }
+    /// Returns whether more of the response may be read from the target.
+    [[nodiscard]] bool hasRoom() const;
     [[nodiscard]] io_state sendToCaller();
     [[nodiscard]] std::optional<attempt_result> wait();
     [[nodiscard]] std::optional<attempt_result> checkTimeouts(instant now);
@@ -100,6 +103,9 @@
     [[nodiscard]] bool responseBegun() const;
     /// Returns whether a body is being transferred, so that pauses are limited, not the deadline.
     [[nodiscard]] bool transferActive() const;
+    /// Time by which the response head must arrive: later by the time spent waiting for the
+    /// caller's body.
+    [[nodiscard]] instant answerDeadline() const;
     [[nodiscard]] instant nextTimeout() const;
     [[nodiscard]] relay_result finish(const attempt_result& result);
 
@@ -141,8 +147,6 @@
     duration m_callerWait { 0 };
     instant m_started;
     instant m_lastProgress;
-    /// Time by which the response head must arrive; extended by the time spent sending the body.
-    instant m_responseDeadline;
     duration m_firstByte { 0 };
 };
 
