Work out the divisor of connections once a round, from changes of the host count

Cause: host_count kept every confirmation of the last 30 s, about 1,200 at one each 25 ms, and divisor() went through all of them. updateConnections() asked it once for each target, in each round of the control timer and in each tick: at 204 targets about 245,000 steps each time, whatever the traffic.

Ruled out: that the walk depends on traffic.

Change: host_count keeps the changes of the count and the time of the last confirmation, and updateConnections() works out the divisor once.

The test equal_confirmations_are_not_searched_one_by_one failed on the old code, given the same accessor for what it goes through. Run on this commit: routing-host-count-test, routing-choice-test.

--- a/src/routing/engine.cc
+++ b/src/routing/engine.cc
@@ -160,11 +160,12 @@
 
 void engine::updateConnections()
 {
+    const unsigned hosts = m_hosts.lastKnown(m_settings.assumedHosts);
+    const unsigned divisor = m_hosts.divisor(m_now);
     for (auto& [id, target] : m_targets) {
-        const double evenWindow
-            = static_cast<double>(target.row.slots) / m_hosts.lastKnown(m_settings.assumedHosts);
+        const double evenWindow = static_cast<double>(target.row.slots) / hosts;
         target.window.setBounds(m_settings.windowMin * evenWindow, target.row.slots);
-        const unsigned share = m_hosts.share(m_now, target.row.connections);
+        const unsigned share = host_count::shareOf(target.row.connections, divisor);
         if (share == target.connections)
             continue;
         target.connections = share;
--- a/src/routing/host_count.cc
+++ b/src/routing/host_count.cc
@@ -14,32 +14,37 @@
 {
     if (!count)
         return;
-    m_recent.push_back({ now, *count });
-    while (m_recent.size() > 1 && m_recent[1].at + m_lag < now)
-        m_recent.pop_front();
+    m_lastConfirmed = now;
+    if (m_changes.empty() || m_changes.back().count != *count)
+        m_changes.push_back({ now, *count });
+    while (m_changes.size() > 1 && m_changes[1].at + m_lag < now)
+        m_changes.pop_front();
 }
 
 unsigned host_count::divisor(instant now) const
 {
     unsigned highest = 0;
-    bool confirmed = false;
-    for (const confirmation& each : m_recent) {
+    for (const change& each : m_changes)
         highest = std::max(highest, each.count);
-        confirmed = confirmed || each.at + m_lag >= now;
-    }
     const unsigned withHeadroom = highest + (highest + 3) / 4;
     const unsigned hosts = std::max(m_assumedHosts, withHeadroom);
+    const bool confirmed = m_lastConfirmed && *m_lastConfirmed + m_lag >= now;
     return confirmed ? hosts : 2 * hosts;
 }
 
 unsigned host_count::lastKnown(unsigned fallback) const
 {
-    return m_recent.empty() ? fallback : std::max(1U, m_recent.back().count);
+    return m_changes.empty() ? fallback : std::max(1U, m_changes.back().count);
 }
 
 unsigned host_count::share(instant now, unsigned connections) const
 {
-    return std::max(1U, connections / divisor(now));
+    return shareOf(connections, divisor(now));
+}
+
+unsigned host_count::shareOf(unsigned connections, unsigned divisor) noexcept
+{
+    return std::max(1U, connections / divisor);
 }
 
 } // namespace pimentomast::routing
--- a/src/routing/host_count.h
+++ b/src/routing/host_count.h
@@ -23,16 +23,22 @@
     [[nodiscard]] unsigned lastKnown(unsigned fallback) const;
     /// Returns this host's share of the connections, at least 1.
     [[nodiscard]] unsigned share(instant now, unsigned connections) const;
+    /// Returns the share for a divisor that divisor() returned, at least 1.
+    [[nodiscard]] static unsigned shareOf(unsigned connections, unsigned divisor) noexcept;
+    /// Number of changes of the count that divisor() goes through.
+    [[nodiscard]] std::size_t keptChanges() const noexcept { return m_changes.size(); }
 
 private:
-    struct confirmation {
+    /// The count from this time until the next change.
+    struct change {
         instant at;
         unsigned count = 0;
     };
 
     unsigned m_assumedHosts;
     duration m_lag;
-    std::deque<confirmation> m_recent;
+    std::deque<change> m_changes;
+    std::optional<instant> m_lastConfirmed;
 };
 
 } // namespace pimentomast::routing
