Keep the due times of the router in indexes, and visit only targets with something due

Cause: the dispatcher asks each 5 ms for the router's next due time, and nextDue() searched all targets and all requests in flight for it. A tick went over all targets four times: for late requests, due probes, shares of connections and queues. With hundreds of targets some probe is due in most of these 5 ms, so ticks were frequent too.

Ruled out: that the work follows the traffic. The test uses 500 targets and no request.

Change: probes are kept in an index by their due time, requests that were sent and not answered in one per service by the time of sending, so that a change of the service's first-byte time moves none of them, and targets with requests in their own queue by their position in the service. Shares of connections are set only if the host count or its divisor changed, or the table.

What is left grows with requests, not with the timer. A service without keys still goes over its targets for each request, and in nextDue() while requests wait in its queue.

The randomized test compares the indexes with a search in the test; six trials on a scratch copy, each with one update of an index left out, all failed it. Run on this commit: routing-*-test, proxy-routing-test, proxy-decisions-test, proxy-failure-test, failure-answers-test, failure-drain-test and failure-ownership-test, all passed.

--- a/src/routing/attempts.cc
+++ b/src/routing/attempts.cc
@@ -70,6 +70,7 @@
     {
         if (target != nullptr) {
             target->health.onFailure(self.m_now);
+            self.indexProbe(*target);
             if (result.refused)
                 self.onRunEnded(*target);
             self.ejectIfFailing(*target);
@@ -82,6 +83,7 @@
         ended.mayHaveRun = true;
         if (target != nullptr) {
             target->health.onFailure(self.m_now);
+            self.indexProbe(*target);
             self.recordLoss(ended, *target);
             if (self.m_settings.targetsReportLoad)
                 self.m_unresolvedLosses[ended.submitted.requestFingerprint]
@@ -115,6 +117,7 @@
         shrinkIfSilent();
         if (target != nullptr) {
             target->health.onFailure(self.m_now);
+            self.indexProbe(*target);
             self.recordLoss(ended, *target);
         }
         ended.mayHaveRun = true;
@@ -134,9 +137,11 @@
 {
     m_now = now;
     if (pending_request* known = currentAttempt(number, attempt)) {
+        endAwaitedAnswer(*known);
         known->wasSent = true;
         ++known->sends;
         known->sent = now;
+        awaitAnswer(*known);
         known->reusedConnection = connectionOpened < known->dispatched;
     }
     return takeActions();
@@ -149,6 +154,7 @@
     if (known == nullptr)
         return takeActions();
     known->responded = true;
+    endAwaitedAnswer(*known);
     target_state* target = findTarget(known->target);
     if (target != nullptr && target->isolated == number) {
         target->isolated.reset();
@@ -190,6 +196,7 @@
 {
     const request& submitted = ended.submitted;
     --m_inFlight;
+    endAwaitedAnswer(ended);
     decrement(m_inFlightFingerprints, submitted.requestFingerprint);
     if (service_state* service = findService(submitted.service)) {
         if (service->inFlight > 0)
--- a/src/routing/dispatching.cc
+++ b/src/routing/dispatching.cc
@@ -23,13 +23,23 @@
 void engine::dispatchService(service_state& service)
 {
     if (service.row.keyed()) {
-        for (const target_id& id : service.targets)
-            dispatchTarget(m_targets.at(id));
+        dispatchQueuedTargets(service);
         return;
     }
     while (!service.waiting.empty() && dispatchNextUnkeyed(service)) { }
 }
 
+// A dispatch may move requests between queues, so the next target is looked up anew.
+void engine::dispatchQueuedTargets(service_state& service)
+{
+    for (auto next = service.queued.begin(); next != service.queued.end();) {
+        const std::size_t position = next->first;
+        ++m_targetVisits;
+        dispatchTarget(*next->second);
+        next = service.queued.upper_bound(position);
+    }
+}
+
 void engine::dispatchTarget(target_state& target)
 {
     while (!target.waiting.empty() && dispatchNextKeyed(target)) { }
@@ -81,12 +91,14 @@
     const auto* owned = std::get_if<owned_by>(&answer);
     if (owned == nullptr || owned->target != target.row.id) {
         target.waiting.erase(waiting.submitted.number, waiting.submitted.caller);
+        indexQueue(target);
         enqueue(waiting);
         return true;
     }
     if (!workerFree(*findService(target.row.service)) || !eligible(target, waiting))
         return false;
     target.waiting.popOf(waiting.submitted.caller);
+    indexQueue(target);
     startAttempt(waiting, target, owned->grant);
     return true;
 }
--- a/src/routing/engine.cc
+++ b/src/routing/engine.cc
@@ -108,11 +108,15 @@
         end(m_requests.at(number), outcome::NotRun, refusal_reason::UnknownService);
     std::erase_if(
         m_services, [&](const auto& each) { return rows.service(each.first) == nullptr; });
+    std::erase_if(m_unanswered, [&](const auto& each) {
+        return each.second.empty() && rows.service(each.first) == nullptr;
+    });
     for (const table::service_row& row : rows.services) {
         const auto [found, added]
             = m_services.try_emplace(row.id, row, m_settings, callerQuantum, m_random());
         found->second.row = row;
         found->second.targets.clear();
+        found->second.queued.clear();
     }
 }
 
@@ -138,9 +142,16 @@
             target.leavingSince.reset();
         else if (!target.leavingSince)
             target.leavingSince = m_now;
-        if (service_state* service = findService(row.service))
+        indexProbe(target);
+        if (service_state* service = findService(row.service)) {
+            target.position = service->targets.size();
             service->targets.push_back(row.id);
+        }
     }
+    for (auto& [id, service] : m_services)
+        service.queued.clear();
+    for (auto& [id, target] : m_targets)
+        indexQueue(target);
 }
 
 void engine::dropTarget(const target_id& id)
@@ -153,16 +164,30 @@
     }
     for (const request_number number : moving)
         dequeue(m_requests.at(number));
+    target_state& dropped = m_targets.at(id);
+    for (const request_number number : dropped.inFlight)
+        endAwaitedAnswer(m_requests.at(number));
+    m_probes.erase({ dropped.indexedProbe, &dropped });
     m_targets.erase(id);
     for (const request_number number : moving)
         enqueue(m_requests.at(number));
 }
 
+void engine::updateConnectionsIfHostsChanged()
+{
+    const connection_divisors current { m_hosts.lastKnown(m_settings.assumedHosts),
+        m_hosts.divisor(m_now) };
+    if (current != m_appliedDivisors)
+        updateConnections();
+}
+
 void engine::updateConnections()
 {
     const unsigned hosts = m_hosts.lastKnown(m_settings.assumedHosts);
     const unsigned divisor = m_hosts.divisor(m_now);
+    m_appliedDivisors = { hosts, divisor };
     for (auto& [id, target] : m_targets) {
+        ++m_targetVisits;
         const double evenWindow = static_cast<double>(target.row.slots) / hosts;
         target.window.setBounds(m_settings.windowMin * evenWindow, target.row.slots);
         const unsigned share = host_count::shareOf(target.row.connections, divisor);
@@ -177,7 +202,7 @@
 {
     m_now = now;
     m_hosts.update(now, count);
-    updateConnections();
+    updateConnectionsIfHostsChanged();
     dispatchAll();
     return takeActions();
 }
--- a/src/routing/engine.h
+++ b/src/routing/engine.h
@@ -118,6 +118,10 @@
     /// Requests whose connection broke; retried once a probe has shown whether the target crashed.
     std::vector<request_number> awaitingProbe;
     bool runSeen = false;
+    /// Its index in service_state::targets.
+    std::size_t position = 0;
+    /// Its probeDue() in the engine's index of probes.
+    instant indexedProbe = instant::max();
 
     /// Reduces the trust in load reports if the target shed while it reported free slots.
     void reduceTrustIfSlotsFree();
@@ -130,6 +134,8 @@
 
     table::service_row row;
     std::vector<target_id> targets;
+    /// The targets whose own queue is not empty, by position.
+    std::map<std::size_t, target_state*> queued;
     /// Unkeyed services only.
     fair_queue waiting;
     weighted_choice choice;
@@ -179,8 +185,16 @@
     [[nodiscard]] const counters& counts() const noexcept override { return m_counts; }
     [[nodiscard]] std::vector<target_view> targets() const override;
 
+    /// Number of times that a target was looked at to find out what is due, since the engine was
+    /// created.
+    [[nodiscard]] std::uint64_t targetVisits() const noexcept { return m_targetVisits; }
+
 private:
     friend struct finish_visitor;
+    /// Defined by the tests, which compare the indexes with a search.
+    friend struct engine_search;
+    using sent_request = std::pair<instant, request_number>;
+    using connection_divisors = std::pair<unsigned, unsigned>;
 
     [[nodiscard]] actions takeActions() { return std::exchange(m_actions, {}); }
 
@@ -189,6 +203,7 @@
     void applyTargets(const table::table& rows);
     void dropTarget(const target_id& id);
     void updateConnections();
+    void updateConnectionsIfHostsChanged();
 
     // waiting.cc: requests that are not in flight
     [[nodiscard]] std::optional<refusal_reason> refusalAtArrival(const request& submitted);
@@ -213,6 +228,8 @@
     void refuseLateUnowned(service_state& service);
     void dequeue(pending_request& waiting);
     void retryUnowned(service_state& service);
+    /// Call after each change of the target's own queue.
+    void indexQueue(target_state& target);
     void countWaiting(const pending_request& waiting);
     void uncountWaiting(const pending_request& waiting);
     [[nodiscard]] double cost(const service_state& service, const caller_id& caller) const;
@@ -222,6 +239,7 @@
     // dispatching.cc: from waiting to in flight
     void dispatchAll();
     void dispatchService(service_state& service);
+    void dispatchQueuedTargets(service_state& service);
     void dispatchTarget(target_state& target);
     bool dispatchNextUnkeyed(service_state& service);
     bool dispatchNextKeyed(target_state& target);
@@ -262,9 +280,17 @@
     void ejectErrorOutlier(target_state& target);
     void eject(target_state& target);
     [[nodiscard]] bool mayEject(const target_state& target) const;
+    /// Call after each change of the target's health that may move its probeDue().
+    void indexProbe(target_state& target);
+    [[nodiscard]] std::vector<target_state*> targetsWithDueProbe() const;
     void startDueProbes();
-    void probeIfLate(target_state& target);
+    void startProbe(target_state& target);
+    void requestLateProbes();
+    /// Time from the first byte of a request of the service to when its answer is late.
+    [[nodiscard]] duration lateAfter(const service_id& service) const;
     [[nodiscard]] instant lateAt(const pending_request& inFlight) const;
+    void awaitAnswer(const pending_request& inFlight);
+    void endAwaitedAnswer(const pending_request& inFlight);
     /// Whether the first byte is later than nearly all of the service's.
     [[nodiscard]] bool isOverdue(const pending_request& inFlight) const;
     void endSilentAttempts(target_state& target, instant probeStarted, bool targetIsIdle);
@@ -288,8 +314,9 @@
     [[nodiscard]] retry_budget& callerBudget(const caller_id& caller);
     void expireDeadlines();
     [[nodiscard]] refusal_reason reasonAtDeadline(const pending_request& late);
-    [[nodiscard]] instant nextDue(const target_state& target) const;
-    [[nodiscard]] instant nextDue(const service_state& service) const;
+    [[nodiscard]] instant nextLate() const;
+    [[nodiscard]] instant nextUnowned(const service_state& service) const;
+    [[nodiscard]] instant nextOpening(const service_state& service) const;
     [[nodiscard]] instant opensAt(const target_state& target) const;
 
     [[nodiscard]] target_state* findTarget(const target_id& id);
@@ -311,8 +338,16 @@
     std::unordered_map<caller_id, retry_budget> m_callerBudgets;
     std::set<std::pair<instant, request_number>> m_backoffs;
     std::set<std::pair<instant, request_number>> m_deadlines;
+    /// All targets by their probeDue().
+    std::set<std::pair<instant, target_state*>> m_probes;
+    /// Requests in flight at a target of the table that were sent and not answered, by the time of
+    /// sending.
+    std::map<service_id, std::set<sent_request>> m_unanswered;
     std::map<fingerprint, unsigned> m_inFlightFingerprints;
     host_count m_hosts;
+    /// What the targets' connections and windows were last divided by.
+    connection_divisors m_appliedDivisors;
+    mutable std::uint64_t m_targetVisits = 0;
     quarantine m_quarantine;
     std::map<fingerprint, unresolved_loss> m_unresolvedLosses;
     std::mt19937_64 m_random;
--- a/src/routing/health.cc
+++ b/src/routing/health.cc
@@ -74,6 +74,7 @@
         known->health.onProbeFailed(now);
         ejectIfFailing(*known);
     }
+    indexProbe(*known);
     releaseAwaitingProbe(*known);
     if (service_state* service = findService(known->row.service))
         dispatchService(*service);
@@ -237,23 +238,50 @@
     return serving > 0 && (isFirst || out + target.row.weight <= m_settings.ejectedMax * all);
 }
 
+void engine::indexProbe(target_state& target)
+{
+    const instant due = target.health.probeDue();
+    if (due == target.indexedProbe)
+        return;
+    m_probes.erase({ target.indexedProbe, &target });
+    m_probes.emplace(due, &target);
+    target.indexedProbe = due;
+}
+
+// In the order of the ids, so that the random numbers that the probes use do not depend on
+// addresses.
+std::vector<target_state*> engine::targetsWithDueProbe() const
+{
+    std::vector<target_state*> due;
+    for (auto next = m_probes.begin(); next != m_probes.end() && next->first <= m_now; ++next)
+        due.push_back(next->second);
+    std::sort(
+        due.begin(), due.end(), [](const auto* a, const auto* b) { return a->row.id < b->row.id; });
+    return due;
+}
+
 void engine::startDueProbes()
 {
-    for (auto& [id, target] : m_targets) {
-        if (m_now < target.health.probeDue())
-            continue;
-        if (target.health.probing()) {
-            target.health.onProbeFailed(m_now);
-            ejectIfFailing(target);
-            releaseAwaitingProbe(target);
-            continue;
+    for (target_state* target : targetsWithDueProbe()) {
+        ++m_targetVisits;
+        if (target->health.probing()) {
+            target->health.onProbeFailed(m_now);
+            ejectIfFailing(*target);
+            releaseAwaitingProbe(*target);
+        } else {
+            startProbe(*target);
         }
-        std::uniform_real_distribution<double> jitter(0.8, 1.2);
-        target.health.onProbeStarted(m_now, jitter(m_random));
-        m_actions.emplace_back(probe { id });
+        indexProbe(*target);
     }
 }
 
+void engine::startProbe(target_state& target)
+{
+    std::uniform_real_distribution<double> jitter(0.8, 1.2);
+    target.health.onProbeStarted(m_now, jitter(m_random));
+    m_actions.emplace_back(probe { target.row.id });
+}
+
 bool engine::isOverdue(const pending_request& inFlight) const
 {
     const auto found = m_services.find(inFlight.submitted.service);
@@ -262,22 +290,48 @@
     return bound > duration {} && m_now - inFlight.sent >= bound;
 }
 
-instant engine::lateAt(const pending_request& inFlight) const
+duration engine::lateAfter(const service_id& service) const
 {
-    const auto found = m_services.find(inFlight.submitted.service);
+    const auto found = m_services.find(service);
     const duration firstByteBound
         = found == m_services.end() ? duration {} : found->second.firstByte.upperBound();
     const auto scaled
         = std::chrono::duration_cast<duration>(firstByteBound * m_settings.lateFactor);
-    return inFlight.sent + std::max<duration>(m_settings.lateMin, scaled);
+    return std::max<duration>(m_settings.lateMin, scaled);
 }
 
-void engine::probeIfLate(target_state& target)
+instant engine::lateAt(const pending_request& inFlight) const
 {
-    for (const request_number number : target.inFlight) {
-        const pending_request& inFlight = m_requests.at(number);
-        if (inFlight.wasSent && !inFlight.responded && m_now >= lateAt(inFlight))
+    return inFlight.sent + lateAfter(inFlight.submitted.service);
+}
+
+// A request whose target was dropped from the table, perhaps to return as another, is not awaited.
+void engine::awaitAnswer(const pending_request& inFlight)
+{
+    const request& submitted = inFlight.submitted;
+    const target_state* target = findTarget(inFlight.target);
+    if (target != nullptr && !inFlight.responded && target->inFlight.contains(submitted.number))
+        m_unanswered[submitted.service].emplace(inFlight.sent, submitted.number);
+}
+
+void engine::endAwaitedAnswer(const pending_request& inFlight)
+{
+    const auto found = m_unanswered.find(inFlight.submitted.service);
+    if (found != m_unanswered.end())
+        found->second.erase({ inFlight.sent, inFlight.submitted.number });
+}
+
+void engine::requestLateProbes()
+{
+    for (const auto& [service, requests] : m_unanswered) {
+        const instant sentBefore = m_now - lateAfter(service);
+        for (auto next = requests.begin(); next != requests.end() && next->first <= sentBefore;
+             ++next) {
+            ++m_targetVisits;
+            target_state& target = *findTarget(m_requests.at(next->second).target);
             target.health.requestProbe(m_now);
+            indexProbe(target);
+        }
     }
 }
 
--- a/src/routing/tick.cc
+++ b/src/routing/tick.cc
@@ -1,6 +1,7 @@
 #include "engine.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace pimentomast::routing {
 
@@ -10,15 +11,14 @@
     m_quarantine.expire(now);
     expireDeadlines();
     endBackoffs();
-    for (auto& [id, target] : m_targets)
-        probeIfLate(target);
+    requestLateProbes();
     startDueProbes();
     for (auto& [id, service] : m_services) {
         retryUnowned(service);
         refuseLateUnowned(service);
         resumeAwaitingBudget(service);
     }
-    updateConnections();
+    updateConnectionsIfHostsChanged();
     dispatchAll();
     return takeActions();
 }
@@ -59,28 +59,28 @@
         due = std::min(due, m_backoffs.begin()->first);
     if (!m_deadlines.empty())
         due = std::min(due, m_deadlines.begin()->first);
-    for (const auto& [id, target] : m_targets)
-        due = std::min(due, nextDue(target));
+    if (!m_probes.empty())
+        due = std::min(due, m_probes.begin()->first);
+    due = std::min(due, nextLate());
     for (const auto& [id, service] : m_services)
-        due = std::min(due, nextDue(service));
+        due = std::min({ due, nextUnowned(service), nextOpening(service) });
     return due;
 }
 
-instant engine::nextDue(const target_state& target) const
+instant engine::nextLate() const
 {
-    instant due = target.health.probeDue();
-    for (const request_number number : target.inFlight) {
-        const pending_request& inFlight = m_requests.at(number);
-        const instant late = lateAt(inFlight);
-        if (inFlight.wasSent && !inFlight.responded && late > m_now)
-            due = std::min(due, late);
+    constexpr request_number last { std::numeric_limits<std::uint64_t>::max() };
+    instant due = instant::max();
+    for (const auto& [service, requests] : m_unanswered) {
+        const duration after = lateAfter(service);
+        const auto next = requests.upper_bound({ m_now - after, last });
+        if (next != requests.end())
+            due = std::min(due, next->first + after);
     }
-    if (!target.waiting.empty())
-        due = std::min(due, opensAt(target));
     return due;
 }
 
-instant engine::nextDue(const service_state& service) const
+instant engine::nextUnowned(const service_state& service) const
 {
     instant due = instant::max();
     const duration latency = service.latency.smoothed(initialLatency);
@@ -90,10 +90,22 @@
         if (unowned.submitted.objective != instant::max())
             due = std::min(due, unowned.submitted.objective - latency);
     }
+    return due;
+}
+
+instant engine::nextOpening(const service_state& service) const
+{
+    instant due = instant::max();
+    for (const auto& [position, target] : service.queued) {
+        ++m_targetVisits;
+        due = std::min(due, opensAt(*target));
+    }
     if (service.waiting.empty())
         return due;
-    for (const target_id& id : service.targets)
+    for (const target_id& id : service.targets) {
+        ++m_targetVisits;
         due = std::min(due, opensAt(m_targets.at(id)));
+    }
     return due;
 }
 
--- a/src/routing/waiting.cc
+++ b/src/routing/waiting.cc
@@ -196,6 +196,7 @@
     }
     waiting.queuedTarget = owned->target;
     pushToQueue(waiting, target->waiting);
+    indexQueue(*target);
 }
 
 void engine::pushToQueue(pending_request& waiting, fair_queue& in)
@@ -252,13 +253,25 @@
         std::erase(service->awaitingBudget, submitted.number);
     if (waiting.currentPhase != phase::Queued)
         return;
-    fair_queue* in = &service->waiting;
-    if (service->row.keyed()) {
-        target_state* target = findTarget(waiting.queuedTarget);
-        in = target == nullptr ? nullptr : &target->waiting;
+    if (!service->row.keyed()) {
+        service->waiting.erase(submitted.number, submitted.caller);
+        return;
+    }
+    if (target_state* target = findTarget(waiting.queuedTarget)) {
+        target->waiting.erase(submitted.number, submitted.caller);
+        indexQueue(*target);
     }
-    if (in != nullptr)
-        in->erase(submitted.number, submitted.caller);
+}
+
+void engine::indexQueue(target_state& target)
+{
+    service_state* service = findService(target.row.service);
+    if (service == nullptr)
+        return;
+    if (target.waiting.empty())
+        service->queued.erase(target.position);
+    else
+        service->queued.insert_or_assign(target.position, &target);
 }
 
 void engine::retryUnowned(service_state& service)
