Decode only the resources that a new configuration changes

Cause shown by counts: the platform hands each version over in full, and each host decoded it in full.

Ruled out by reading the code: decoding runs under no lock; requests and the control timer wait for it only through the processor. The table is made under the feed's lock (3.9 million instructions).

The change: the text is divided into its resources without decoding them, and resources are kept by their text; a version decodes those whose text is new. Documents are as strictly checked as before, and a second list named resources is refused; a refused version leaves what is kept as it was, and resources of older versions are not kept.

Conclusion: the cost of an edit no longer grows with what it leaves unchanged, except for the splitting, the copies of the rows and the store's answer.

--- a/test/platform-documents-test.cc
+++ b/test/platform-documents-test.cc
@@ -40,6 +40,20 @@
     return text.replace(at, what.size(), replacement);
 }
 
+/// Routes of the largest configuration that is known from the platform.
+constexpr unsigned routeCount = 1640;
+
+/// Returns a configuration of many routes and two services; one route's host is the given name.
+std::string manyRoutes(const std::string& host)
+{
+    const auto plain = route(R"("kind":"idempotent","service":"weights")");
+    std::string list = service + "," + plainService;
+    for (unsigned i = 0; i < routeCount; ++i)
+        list += "," + replaced(plain, "/w/", "/w" + std::to_string(i) + "/");
+    auto whole = R"({"version":"0000000c","resources":[)" + list + "]}";
+    return host.empty() ? whole : replaced(whole, "a.example", host + ".example");
+}
+
 const std::string validRegistration
     = R"({"address":"10.128.0.9:8080","born":1790000000000,"info":{"service":)"
       R"("weights","version":"v1","zone":"k","capacity":4},"status":{"state":)"
@@ -106,6 +120,64 @@
     }
 }
 
+Test(platform_documents, edit_of_one_route_decodes_one_route)
+{
+    configuration_reader reader;
+    cr_assert(reader.read(manyRoutes("")).has_value());
+    cr_assert(reader.decoded() == routeCount + 2);
+    const auto edited = manyRoutes("edited");
+    const auto read = reader.read(edited);
+    cr_assert(read.has_value(), "%s", read.has_error() ? read.error().text().c_str() : "");
+    cr_assert(reader.decoded() == 1);
+    cr_assert(read.value().routes == readConfiguration(edited).value().routes);
+    cr_assert(read.value().services == readConfiguration(edited).value().services);
+}
+
+Test(platform_documents, refused_version_leaves_the_known_resources)
+{
+    configuration_reader reader;
+    cr_assert(reader.read(manyRoutes("")).has_value());
+    cr_assert(reader.read(replaced(manyRoutes(""), "weights", "")).has_error());
+    cr_assert(reader.read(manyRoutes("edited")).has_value());
+    cr_assert(reader.decoded() == 1);
+}
+
+Test(platform_documents, resources_of_older_versions_are_not_kept)
+{
+    configuration_reader reader;
+    cr_assert(reader.read(manyRoutes("")).has_value());
+    cr_assert(reader.read(manyRoutes("edited")).has_value());
+    cr_assert(reader.read(manyRoutes("")).has_value());
+    cr_assert(reader.decoded() == 1);
+}
+
+Test(platform_documents, space_and_signs_in_texts_do_not_divide_resources)
+{
+    const auto odd = R"({ "note" : ["\"resources\":[", {"resources":[1]}], "resources"  : [ )"
+        + service + " , \n" + route(R"("note":"]},{\"\\","kind":"download","service":"weights")")
+        + R"( ] , "version" : "0000000c" } )";
+    const auto read = readConfiguration(odd);
+    cr_assert(read.has_value(), "%s", read.has_error() ? read.error().text().c_str() : "");
+    cr_assert(read.value().routes.size() == 1 && read.value().services.size() == 1);
+    cr_assert(read.value().version == config_version { 12 });
+}
+
+Test(platform_documents, broken_lists_of_resources_are_rejected)
+{
+    const auto list = service + "," + route(R"("kind":"download","service":"weights")");
+    const auto with = [](const std::string& resources) {
+        return R"({"version":"0000000c","resources":)" + resources + "}";
+    };
+    cr_assert(readConfiguration(with("[" + list + "]")).has_value());
+    for (const auto& broken : { with("[" + list + ",]"), with("[" + list + " 1]"),
+             with("[" + list + "," + "null]"), with("[" + list + "}]"), with("[" + list + "]]"),
+             with("[" + list + "]") + "{}", with("[" + list + "],\"resources\":[]"),
+             with("[" + list.substr(0, list.size() - 1) + "]]"), with("{" + list + "}"),
+             with("[" + list + ",{\"type\":\"x]"), with("[" + list), with(""), with("3"),
+             with("[]"), "[" + with("[" + list + "]") + "]", with("[" + list + "\\u0000]") })
+        cr_expect(readConfiguration(broken).has_error(), "%s", broken.c_str());
+}
+
 Test(platform_documents, registrations_are_decoded_and_invalid_ones_rejected)
 {
     const auto read = readRegistration("i-1", validRegistration).value();
--- a/test/platform-tables-test.cc
+++ b/test/platform-tables-test.cc
@@ -3,9 +3,30 @@
 #include "helper/scripted-server.h"
 
 #include <Poco/Base64Encoder.h>
+#include <atomic>
 #include <criterion/criterion.h>
+#include <cstdlib>
+#include <new>
 #include <sstream>
 
+namespace {
+
+/// Allocations of the whole process, as a measure of work that does not depend on the machine.
+std::atomic<std::size_t> allocations { 0 };
+
+} // namespace
+
+void* operator new(std::size_t size)
+{
+    ++allocations;
+    if (void* memory = std::malloc(size))
+        return memory;
+    throw std::bad_alloc();
+}
+
+void operator delete(void* memory) noexcept { std::free(memory); }
+void operator delete(void* memory, std::size_t) noexcept { std::free(memory); }
+
 using namespace pimentomast;
 using namespace pimentomast::platform::detail;
 using namespace std::chrono_literals;
@@ -87,6 +108,38 @@
     return seen;
 }
 
+/// Routes of the largest configuration that is known from the platform.
+constexpr unsigned routeCount = 1640;
+
+/// Returns a version of a configuration of many routes; versions differ in one route.
+std::string manyRoutes(int version)
+{
+    std::string text = R"({"version":"000000)" + std::to_string(version) + R"(","resources":[)"
+        + R"({"type":"services","metadata":{"name":"weights"},"spec":)"
+          R"({"healthPath":"/healthz","maxConns":130}})";
+    for (unsigned i = 0; i < routeCount; ++i)
+        text += R"(,{"type":"routes","metadata":{"name":"r)" + std::to_string(i)
+            + R"("},"spec":{"host":"a.example","prefix":"/w)" + std::to_string(i)
+            + R"(/","timeout":"0.8s","slo":"300ms","priority":2,"attempts":)"
+            + std::to_string(i == 0 ? version : 2)
+            + R"(,"kind":"idempotent","service":"weights"}})";
+    return text + "]}";
+}
+
+/// Lists one version of a configuration; its feed has the next one.
+void serveVersions(
+    Poco::Net::StreamSocket& socket, const std::string& first, const std::string& second)
+{
+    for (auto request = test::readRequest(socket); !request.empty();
+         request = test::readRequest(socket)) {
+        const bool isFeed = request.starts_with("GET /rows-feed");
+        if (request.find("table=op&") != std::string::npos)
+            test::write(socket, isFeed ? second : first);
+        else
+            test::write(socket, answer(R"({"ver":2,"rows":[]})"));
+    }
+}
+
 } // namespace
 
 Test(platform_tables, leaving_target_is_seen_while_the_configuration_cannot_be_read)
@@ -106,3 +159,23 @@
         }
     }));
 }
+
+Test(platform_tables, edit_of_one_route_takes_little_of_the_work_of_the_first_reading)
+{
+    const auto first = answer(page(10, "config", manyRoutes(10)));
+    const auto second = answer(page(11, "config", manyRoutes(11)));
+    test::scripted_server store([&](auto& socket, int) { serveVersions(socket, first, second); });
+    row_client client(store.address(), test::waitTimeout);
+    table_feed feed(client, { 10ms, 20ms });
+    std::atomic<std::size_t> afterFirst { 0 };
+    std::atomic<std::size_t> afterSecond { 0 };
+    const auto before = allocations.load();
+    feed.start([&](const auto& table) {
+        (table->routes[0].maxAttempts == 10 ? afterFirst : afterSecond) = allocations.load();
+    });
+    cr_assert(test::waitUntil([&] { return afterSecond.load() > 0; }, test::waitTimeout));
+    feed.stop();
+    const auto firstWork = afterFirst - before;
+    const auto secondWork = afterSecond - afterFirst;
+    cr_assert(secondWork < firstWork / 4, "%zu allocations, then %zu", firstWork, secondWork);
+}
