--- a/bench/shared/baseline.cc
+++ b/bench/shared/baseline.cc
@@ -60,7 +60,7 @@
     }
     actions report(instant, const target_id&, const load_report&) override { return {}; }
     actions probed(instant, const target_id&, const probe_result&) override { return {}; }
-    actions applyCrash(instant, const crash&) override { return {}; }
+    actions applyCrashes(instant, const std::vector<crash>&) override { return {}; }
     actions pardon(instant, fingerprint) override { return {}; }
     actions stop(instant) override { return {}; }
     actions tick(instant now) override
@@ -77,6 +77,7 @@
         return m_retries.empty() ? instant::max() : m_retries.begin()->first;
     }
     [[nodiscard]] std::vector<crash> crashes() const override { return {}; }
+    [[nodiscard]] std::uint64_t crashesHash() const override { return 0; }
     [[nodiscard]] std::vector<suspect> suspects() const override { return {}; }
     [[nodiscard]] const counters& counts() const noexcept override { return m_counts; }
     [[nodiscard]] std::vector<target_view> targets() const override { return {}; }
--- a/bench/shared/simulation.cc
+++ b/bench/shared/simulation.cc
@@ -115,7 +115,8 @@
                 if (other != host)
                     events.after(
                         m_setup.crossDomainDelay, [this, other, crashRecord = broadcast->record] {
-                            handle(other, hosts[other]->applyCrash(events.now(), crashRecord));
+                            handle(
+                                other, hosts[other]->applyCrashes(events.now(), { crashRecord }));
                             schedule(other);
                         });
         }
