Give a peer a second to accept a connection, not 100 ms

What callers saw: nothing directly. A call to a peer failed at once with "connection attempt timed out before receiving SETTINGS frame" if the peer needed more than 100 ms to accept the connection and to send its first frame, however long the call itself might take. peers-test/call_is_answered failed so once (load average 38).

Cause: GRPC_ARG_MIN_RECONNECT_BACKOFF_MS is gRPC's least time for a connection attempt, not only a pause between attempts. It was set to 100 ms, the pause.

Ruled out: another process on the test's port.

Change: an attempt may take 1000 ms, which is what the longest pause between attempts already was. The first pause after a failed attempt stays 100 ms.

Conclusion: the fault was in the product.

--- a/src/peers/client.cc
+++ b/src/peers/client.cc
@@ -12,6 +12,8 @@
 
 constexpr int reconnectMinMs = 100;
 constexpr int reconnectMaxMs = 1000;
+/// Time that a peer has to accept a connection and to send its first frame.
+constexpr int connectTimeoutMs = 1000;
 
 /// Counts the calls whose handlers have not returned yet.
 class running_calls {
@@ -66,7 +68,8 @@
 {
     grpc::ChannelArguments arguments;
     arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, reconnectMinMs);
-    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, reconnectMinMs);
+    // gRPC bounds a connection attempt by this one, and waits for the initial one between attempts.
+    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, connectTimeoutMs);
     arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, reconnectMaxMs);
     arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
     arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
--- a/test/peers-test.cc
+++ b/test/peers-test.cc
@@ -1,5 +1,7 @@
 #include "pimentomast/peers.h"
 
+#include "helper/scripted-server.h"
+
 #include <criterion/criterion.h>
 #include <future>
 
@@ -9,6 +11,8 @@
 
 constexpr std::chrono::milliseconds replyTimeoutMs { 20000 };
 constexpr std::chrono::milliseconds shortTimeoutMs { 200 };
+/// The longest time that a host gives a call to a peer.
+constexpr std::chrono::milliseconds longestCallMs { 800 };
 
 class echo_handler : public peers::handler {
 public:
@@ -70,6 +74,23 @@
     cr_assert_eq(reply.wait().value().table_version(), 42);
 }
 
+Test(peers, connection_to_a_slow_peer_is_awaited_as_long_as_a_call)
+{
+    test::scripted_server silent([](auto& socket, int) {
+        std::array<char, 4096> ignored {};
+        while (socket.receiveBytes(ignored.data(), ignored.size()) > 0) { }
+    });
+    const auto client = peers::client::create(silent.address());
+    waiter<peers::wire::Update> reply;
+    const auto started = monotonic_clock::now();
+    client->exchange({}, replyTimeoutMs, reply.handler());
+    const auto failed = reply.wait();
+    const std::chrono::duration<double, std::milli> waited = monotonic_clock::now() - started;
+    cr_expect(failed.has_error());
+    cr_expect(waited >= longestCallMs, "given up after %.0f ms: %s", waited.count(),
+        failed.error().text().c_str());
+}
+
 Test(peers, refusal_names_step_and_peer)
 {
     echo_handler receiver;
