Take the ports of peers-test from the tests' common range of reserved ones

What was seen: two runs of peers-test at once failed 10 of 400 times, in every test of the file: "listening.has_value() is false", "first.has_value() is false", an answer from a peer that should be absent, another handler's answer.

Cause: the port followed from the process's number (21000 + number % 9000 + 0 to 3), so processes with neighbouring or congruent numbers shared ports, and the range lies within the one from which all other tests reserve theirs.

It binds the port as long as the process runs and without address reuse, so two processes cannot both hold it.

Change: freeAddress() in place of a computed port. No check has changed.

--- a/test/peers-test.cc
+++ b/test/peers-test.cc
@@ -40,12 +40,6 @@
     peers::wire::LoadReply reportLoad(const peers::wire::LoadReport&) override { return {}; }
 };
 
-/// Returns a loopback address for this test process.
-endpoint testAddress(std::uint16_t offset)
-{
-    return endpoint { "127.0.0.1", static_cast<std::uint16_t>(21000 + getpid() % 9000 + offset) };
-}
-
 template <class Reply>
 struct waiter {
     peers::reply_handler<Reply> handler()
@@ -63,7 +57,7 @@
 Test(peers, call_is_answered)
 {
     echo_handler receiver;
-    const auto address = testAddress(0);
+    const auto address = test::freeAddress();
     const auto listening = peers::server::start(address, receiver);
     cr_assert(listening.has_value());
     const auto client = peers::client::create(address);
@@ -94,7 +88,7 @@
 Test(peers, refusal_names_step_and_peer)
 {
     echo_handler receiver;
-    const auto address = testAddress(1);
+    const auto address = test::freeAddress();
     const auto listening = peers::server::start(address, receiver);
     const auto client = peers::client::create(address);
     waiter<peers::wire::NoticeReply> reply;
@@ -108,7 +102,7 @@
 
 Test(peers, absent_peer_fails_the_call)
 {
-    const auto client = peers::client::create(testAddress(2));
+    const auto client = peers::client::create(test::freeAddress());
     waiter<peers::wire::WitnessReply> reply;
     client->witness({}, shortTimeoutMs, reply.handler());
     cr_assert(reply.wait().has_error());
@@ -117,7 +111,7 @@
 Test(peers, address_in_use_is_an_error)
 {
     echo_handler receiver;
-    const auto address = testAddress(3);
+    const auto address = test::freeAddress();
     const auto first = peers::server::start(address, receiver);
     cr_assert(first.has_value());
     cr_assert(peers::server::start(address, receiver).has_error());
