Keep the scripted target's connection open where the proxy may use it again

What was seen: interim_answer_before_the_rest_is_not_put_into_the_body failed once at a load average over 20.

Cause: the test's target wrote the rest of the download with a Content-Length, which lets the proxy keep the connection, and closed it without having said so. If it was held up between the two, the proxy sent the second request on that connection, it was closed unanswered, and with the one attempt of the fixture the caller got 502 target-closed in place of "last". The download itself was whole in each failure.

Ruled out: the product put nothing into the body, and took the answers in order. The concurrent running of a connection's requests is not involved: the second request has Connection: close, and waits for the first. The other two tests of the function can't meet this, since an answer without or beyond its length ends its connection.

Change: the target closes only after a text that ends with its connection. The texts now follow the number of the request instead of the connection, so a proxy that keeps the connection gets "last" on it. The check itself is as it was, and now also covers a kept connection after the rest of a download.

Conclusion: the fault was in the test's set-up.

--- a/test/proxy-continuation-test.cc
+++ b/test/proxy-continuation-test.cc
@@ -23,13 +23,19 @@
 }
 
 /// Sends two requests at once and returns the answers; the download is answered with the first two
-/// texts.
+/// texts. The target closes a connection only after a text that ends with it: the proxy may send
+/// the next request on any other.
 std::vector<parsed_answer> answersAfter(const std::string& start, const std::string& rest)
 {
-    scripted_server server([&](auto& socket, int number) {
-        readRequest(socket);
-        write(socket, number == 0 ? start : number == 1 ? rest : last);
-        socket.close();
+    const bool restEndsWithConnection = rest.find("Content-Length: ") == std::string::npos;
+    std::atomic<int> requests { 0 };
+    scripted_server server([&](auto& socket, int) {
+        while (!readRequest(socket).empty()) {
+            const int number = requests++;
+            write(socket, number == 0 ? start : number == 1 ? rest : last);
+            if (number == 0 || (number == 1 && restEndsWithConnection))
+                return socket.close();
+        }
     });
     proxy_fixture host({ destinationOf(server) });
     raw_connection caller(host.address());
