Wait for a key's new owner after a target refused it, before asking it again

What callers saw: 503 not-run, reason token-refused or retry-budget, while keys moved. A host that had not yet heard of a move sent a request up to four times within some 50 ms to the target that had just said that it does not hold the key, and so used up the request's attempts and the retry budgets of the service and the caller.

Cause: a token refused by a target was retried after the backoff alone (0 to 10 ms, doubled), with the same owner and the same grant.

Change: a refused request is not sent again to the same target with the same grant for 100 ms, doubled after each refusal. It waits as a request whose key has no owner: a changed owner takes it at once, its objective and deadline end it as before, and a target that stays the owner is asked again. Budgets and attempts count as before.

Before: request_for_a_moved_key_waits_for_its_new_owner and owner_that_refused_a_key_is_asked_again_if_it_stays_the_owner failed (the request was sent again and refused within 80 ms). After: both pass, with the six routing test programs, failure-outcomes-test (9 of 9) and failure-ownership-test (11 of 11).

What remains: a request without a retry token waits until its deadline although its owner is known, if its caller sends nothing else on that host, since only first attempts refill the budget.

--- a/src/routing/attempts.cc
+++ b/src/routing/attempts.cc
@@ -56,6 +56,7 @@
 
     void operator()(const token_refused&) const
     {
+        self.holdForNewOwner(ended);
         self.retryOrEnd(ended, retry_reason::TokenRefused, refusal_reason::TokenRefused);
     }
 
--- a/src/routing/dispatching.cc
+++ b/src/routing/dispatching.cc
@@ -199,6 +199,7 @@
     waiting.currentPhase = phase::InFlight;
     waiting.attempt = attempt_number { waiting.attempt.value() + 1 };
     waiting.target = target.row.id;
+    waiting.grant = grant;
     waiting.run = target.run.value_or(incarnation {});
     waiting.tried.push_back(target.row.id);
     waiting.dispatched = m_now;
--- a/src/routing/engine.h
+++ b/src/routing/engine.h
@@ -51,6 +51,13 @@
     bool wasSent = false;
     /// Number of attempts that sent bytes.
     unsigned sends = 0;
+    /// Keyed services: the grant that was sent with the last attempt.
+    std::optional<token> grant;
+    /// The owner of the key and its grant, if the last attempt was refused with them, and the time
+    /// until which the request is not sent with them again.
+    std::optional<owned_by> refusedOwner;
+    instant refusedUntil;
+    unsigned ownerRefusals = 0;
     bool reusedConnection = false;
     bool responded = false;
     /// Start of the first probe of this attempt that showed its connection as silent.
@@ -213,6 +220,8 @@
     void refuseLateUnowned(service_state& service);
     void dequeue(pending_request& waiting);
     void retryUnowned(service_state& service);
+    void holdForNewOwner(pending_request& refused);
+    [[nodiscard]] bool isRefusedOwner(const pending_request& waiting, const owned_by& owner) const;
     void countWaiting(const pending_request& waiting);
     void uncountWaiting(const pending_request& waiting);
     [[nodiscard]] double cost(const service_state& service, const caller_id& caller) const;
--- a/src/routing/waiting.cc
+++ b/src/routing/waiting.cc
@@ -10,6 +10,10 @@
 constexpr double windowFloor = 0.05;
 constexpr double costMin = 0.1;
 constexpr double costMax = 20;
+/// Time after which a target that refused a key is asked again although it still is the owner;
+/// doubled after each refusal.
+constexpr duration ownerPause = std::chrono::milliseconds(100);
+constexpr unsigned ownerPauseDoublingsMax = 3;
 
 } // namespace
 
@@ -194,10 +198,32 @@
         enqueueUnowned(waiting);
         return;
     }
+    if (isRefusedOwner(waiting, *owned)) {
+        waiting.heldUntil = waiting.refusedUntil;
+        enqueueUnowned(waiting);
+        return;
+    }
     waiting.queuedTarget = owned->target;
     pushToQueue(waiting, target->waiting);
 }
 
+// The target does not hold the key, and this host has yet to learn which one does. Sending the
+// request there again at once would only use up its attempts and the retry budgets.
+void engine::holdForNewOwner(pending_request& refused)
+{
+    if (!refused.grant)
+        return;
+    const unsigned doublings = std::min(refused.ownerRefusals++, ownerPauseDoublingsMax);
+    refused.refusedOwner = owned_by { refused.target, *refused.grant };
+    refused.refusedUntil = m_now + ownerPause * (1U << doublings);
+}
+
+bool engine::isRefusedOwner(const pending_request& waiting, const owned_by& owner) const
+{
+    return waiting.refusedOwner && waiting.refusedOwner->target == owner.target
+        && waiting.refusedOwner->grant == owner.grant && m_now < waiting.refusedUntil;
+}
+
 void engine::pushToQueue(pending_request& waiting, fair_queue& in)
 {
     const request& submitted = waiting.submitted;
--- a/test/routing-retry-test.cc
+++ b/test/routing-retry-test.cc
@@ -27,8 +27,70 @@
     return all;
 }
 
+const owned_by oldOwner { target_id { "t0" }, { epoch { 1 }, sequence { 1 } } };
+const owned_by newOwner { target_id { "t1" }, { epoch { 1 }, sequence { 2 } } };
+
+request_number arriveWithKey(driver& test)
+{
+    request submitted = test.make();
+    submitted.key = key_hash { 7 };
+    return test.arrive(submitted);
+}
+
+/// The target answers each dispatch of the request in this time that it does not own the key.
+void refuseFor(driver& test, request_number number, duration time)
+{
+    attempt_number last;
+    for (const instant end = test.now + time; test.now < end; test.run(1ms)) {
+        const dispatch attempt = test.lastDispatch(number);
+        if (attempt.attempt == last)
+            continue;
+        last = attempt.attempt;
+        test.sent(attempt, test.now);
+        test.finish(attempt, token_refused {});
+    }
+}
+
+void learnOwner(driver& test, const owned_by& owner)
+{
+    test.owners.answer = owner;
+    const auto next = test.host->ownersChanged(test.now, service_id { "s" });
+    test.seen.insert(test.seen.end(), next.begin(), next.end());
+}
+
 } // namespace
 
+Test(routing_retry, request_for_a_moved_key_waits_for_its_new_owner)
+{
+    driver test(makeTable(2, true));
+    for (int move = 0; move < 8; ++move) {
+        test.owners.answer = oldOwner;
+        const auto number = arriveWithKey(test);
+        refuseFor(test, number, 80ms);
+        cr_expect(
+            test.lastDispatch(number).attempt == attempt_number { 1 }, "move %d: sent again", move);
+        learnOwner(test, newOwner);
+        const dispatch second = test.lastDispatch(number);
+        cr_assert_not(test.refusal(number).has_value(), "move %d: refused", move);
+        cr_assert(second.target == newOwner.target, "move %d: not sent at once", move);
+        test.finish(second, answered {});
+        for (int other = 0; other < 12; ++other)
+            test.finish(test.lastDispatch(arriveWithKey(test)), answered {});
+    }
+}
+
+Test(routing_retry, owner_that_refused_a_key_is_asked_again_if_it_stays_the_owner)
+{
+    driver test(makeTable(2, true));
+    test.owners.answer = oldOwner;
+    const auto number = arriveWithKey(test);
+    refuseFor(test, number, 80ms);
+    test.run(1s);
+    const dispatch second = test.lastDispatch(number);
+    cr_assert(second.attempt == attempt_number { 2 });
+    cr_assert(second.target == oldOwner.target);
+}
+
 Test(routing_retry, outage_of_all_targets_adds_at_most_a_tenth_in_retries)
 {
     driver test(makeTable(9, false));
