Let the tests' fault injection cut off only the host that is meant

What was seen: leaving_targets_get_no_new_requests_from_an_isolated_host failed once after 78.9 s, message not kept.

Cause: to cut the links of one process, stand-in-cutter looked up the process behind each connection between hosts by reading the kernel's whole connection table (26,713 entries then), one look-up at a time. In an instrumented run 11 look-ups took 364 ms each in the mean, up to 1.3 s, and waited up to 3.4 s for one another. Meanwhile the links between the two healthy hosts stood still. In the failed run h1 and h2 lost sight of each other from 14:02:38 to 14:02:45; h1, the new coordinator, gave up w1's keys 11.2 s after the table was applied, and the test allows 10 s.

Ruled out: a request from the isolated host to a target that had given its keys up (w1 held them until then), and the table (h1 and h2 had it 0.2 s after it was applied).

Change: the cutter asks the kernel for the one connection (sock_diag). The check and its limit of 10 s are as they were. New: isolation_of_one_host_does_not_separate_the_ others, and a test that the process is found from IPv4 and IPv6 sockets.

--- a/test/cutter-test.cc
+++ b/test/cutter-test.cc
@@ -1,5 +1,7 @@
 #include "helper.h"
 
+#include "stand-ins/cutter-sources.h"
+
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
 #include <criterion/criterion.h>
@@ -88,3 +90,40 @@
     link.resetFirst();
     cr_assert(link.injectAndReceive("stray") == "stray");
 }
+
+namespace {
+
+/// A connection to a loopback port; from an IPv6 socket as gRPC's are, or from an IPv4 socket.
+int connectTo(std::uint16_t port, bool fromIpv6)
+{
+    const int caller = ::socket(fromIpv6 ? AF_INET6 : AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in v4 {};
+    v4.sin_family = AF_INET;
+    v4.sin_port = htons(port);
+    v4.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    sockaddr_in6 v6 {};
+    v6.sin6_family = AF_INET6;
+    v6.sin6_port = htons(port);
+    cr_assert(inet_pton(AF_INET6, "::ffff:127.0.0.1", &v6.sin6_addr) == 1);
+    const auto* address = fromIpv6 ? reinterpret_cast<const sockaddr*>(&v6)
+                                   : reinterpret_cast<const sockaddr*>(&v4);
+    cr_assert(::connect(caller, address, fromIpv6 ? sizeof v6 : sizeof v4) == 0);
+    return caller;
+}
+
+} // namespace
+
+Test(cutter, process_behind_a_connection_is_found)
+{
+    Poco::Net::ServerSocket server(SocketAddress("127.0.0.1", 0));
+    stand_in::process_finder finder;
+    for (const bool fromIpv6 : { false, true }) {
+        const int caller = connectTo(server.address().port(), fromIpv6);
+        const auto accepted = server.acceptConnection();
+        finder.set({ getppid(), getpid() });
+        cr_expect(finder.find(accepted) == getpid(), "from IPv6: %d", fromIpv6);
+        finder.set({ getppid() });
+        cr_expect(finder.find(accepted) == 0, "from IPv6: %d", fromIpv6);
+        ::close(caller);
+    }
+}
--- a/test/failure-drain-test.cc
+++ b/test/failure-drain-test.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <criterion/criterion.h>
+#include <filesystem>
+#include <fstream>
 #include <future>
 
 using namespace pimentomast;
@@ -85,8 +87,37 @@
     cr_assert(found.empty(), "%s", found.front().c_str());
 }
 
+/// Returns whether a host's log has a line on live hosts that names this host alone, after one that
+/// names all three.
+bool wasAlone(cluster& system, const std::string& id)
+{
+    const std::filesystem::path settings = system.host(id).settingsFile;
+    std::ifstream log(settings.parent_path() / (id + ".log"));
+    bool metAll = false;
+    for (std::string line; std::getline(log, line);) {
+        if (line.find("event=live-hosts-changed") == std::string::npos)
+            continue;
+        metAll = metAll || line.find("hosts=\"h1 h2 h3\"") != std::string::npos;
+        if (metAll && line.find("hosts=" + id + " ") != std::string::npos)
+            return true;
+    }
+    return false;
+}
+
 } // namespace
 
+Test(failure_drain, isolation_of_one_host_does_not_separate_the_others)
+{
+    auto options = allServices();
+    options.deadlineMs = 5000;
+    scenario run(options, allLoad(54));
+    run.system.isolateHost("h3", "drop-both");
+    std::this_thread::sleep_for(leavingLimit);
+    cr_expect(wasAlone(run.system, "h3"));
+    cr_expect_not(wasAlone(run.system, "h1"));
+    cr_expect_not(wasAlone(run.system, "h2"));
+}
+
 Test(failure_drain, leaving_targets_get_no_new_requests)
 {
     scenario run(allServices(), allLoad(51));
--- a/test/stand-ins/cutter-sources.h
+++ b/test/stand-ins/cutter-sources.h
@@ -1,47 +1,70 @@
 #pragma once
 
 #include <Poco/Net/StreamSocket.h>
-#include <Poco/NumberFormatter.h>
+#include <arpa/inet.h>
+#include <array>
+#include <cstring>
 #include <filesystem>
-#include <fstream>
+#include <linux/inet_diag.h>
+#include <linux/netlink.h>
+#include <linux/sock_diag.h>
 #include <mutex>
-#include <sstream>
+#include <stdexcept>
 #include <string>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <vector>
 
 /// Finds the process at the other end of a loopback connection.
 namespace stand_in {
 
-/// Returns the inode of the socket with these addresses in a connection table of the kernel, or an
-/// empty string.
-inline std::string findInode(const std::string& file, const std::string& addresses)
+/// A question to the kernel for one TCP connection.
+struct connection_query {
+    nlmsghdr head {};
+    inet_diag_req_v2 body {};
+};
+
+/// Returns the question for the caller's socket of an accepted loopback connection. It also finds
+/// sockets of IPv6 that are connected to an IPv4 address, as gRPC's are.
+inline connection_query callerQuery(const Poco::Net::StreamSocket& accepted)
 {
-    std::ostringstream text;
-    text << std::ifstream(file).rdbuf();
-    const auto table = text.str();
-    const auto entry = table.find(": " + addresses + " ");
-    if (entry == std::string::npos)
-        return {};
-    std::istringstream fields(table.substr(entry, table.find('\n', entry) - entry));
-    std::string field;
-    for (int i = 0; i < 10; ++i)
-        fields >> field;
-    return field;
+    connection_query query;
+    query.head.nlmsg_len = sizeof query;
+    query.head.nlmsg_type = SOCK_DIAG_BY_FAMILY;
+    query.head.nlmsg_flags = NLM_F_REQUEST;
+    query.body.sdiag_family = AF_INET;
+    query.body.sdiag_protocol = IPPROTO_TCP;
+    query.body.idiag_states = ~0U;
+    query.body.id.idiag_sport = htons(accepted.peerAddress().port());
+    query.body.id.idiag_dport = htons(accepted.address().port());
+    query.body.id.idiag_src[0] = htonl(INADDR_LOOPBACK);
+    query.body.id.idiag_dst[0] = htonl(INADDR_LOOPBACK);
+    query.body.id.idiag_cookie[0] = INET_DIAG_NOCOOKIE;
+    query.body.id.idiag_cookie[1] = INET_DIAG_NOCOOKIE;
+    return query;
 }
 
-/// Returns the inode of the caller's socket of a loopback connection, or an empty string. Both
-/// ports are compared, since closed connections from the same caller port stay in the table for a
-/// while. gRPC connects to IPv4 addresses through IPv6 sockets, which have a separate table.
+/// Returns the inode of the caller's socket of a loopback connection, or an empty string. Asks for
+/// this connection alone: the table of all connections of a busy machine takes so long to read that
+/// the links of other processes stand still meanwhile.
 inline std::string findCallerInode(const Poco::Net::StreamSocket& accepted)
 {
-    const auto loopback = [](const Poco::Net::SocketAddress& address) {
-        return "0100007F:" + Poco::NumberFormatter::formatHex(address.port(), 4);
-    };
-    const auto from = loopback(accepted.peerAddress());
-    const auto to = loopback(accepted.address());
-    const std::string mapped = "0000000000000000FFFF0000";
-    const auto found = findInode("/proc/net/tcp", from + " " + to);
-    return found.empty() ? findInode("/proc/net/tcp6", mapped + from + " " + mapped + to) : found;
+    const auto query = callerQuery(accepted);
+    const int kernel = ::socket(AF_NETLINK, SOCK_DGRAM | SOCK_CLOEXEC, NETLINK_SOCK_DIAG);
+    if (kernel < 0)
+        throw std::runtime_error("the kernel takes no questions for connections");
+    alignas(nlmsghdr) std::array<char, 4096> answer {};
+    const bool sent = ::send(kernel, &query, sizeof query, 0) == sizeof query;
+    const auto got = sent ? ::recv(kernel, answer.data(), answer.size(), 0) : -1;
+    ::close(kernel);
+    nlmsghdr head {};
+    inet_diag_msg found {};
+    if (got < static_cast<ssize_t>(NLMSG_LENGTH(sizeof found)))
+        return {};
+    std::memcpy(&head, answer.data(), sizeof head);
+    std::memcpy(&found, answer.data() + NLMSG_HDRLEN, sizeof found);
+    const bool isOpen = head.nlmsg_type == SOCK_DIAG_BY_FAMILY && found.idiag_inode != 0;
+    return isOpen ? std::to_string(found.idiag_inode) : std::string();
 }
 
 inline bool holdsSocket(pid_t process, const std::string& inode)
