Keep the connection open after the 504 of a request whose time was up before it was sent

What callers saw: an answer 504 with "Connection: close", and then more answers on the connection. A caller that honours the field drops the answers of requests that have run; and if the 504 was the last one so far, the requests behind it, which are read later, got none.

Cause: sendFault() answered every fault with "Connection: close", as was right while one request ran at a time. The relay ends a request so, too, whose deadline passed before an attempt began (relay::checkBeforeSending), and others run behind it now. Ruled out: order and framing; each answer was whole and in its turn.

sendFault() closes by the same rule as sendRefusal(): the caller or a drain asks for it, or the body was not read. Faults of bodies (408, 400) leave the body unread and close as before.

--- a/src/proxy/server-dispatch.cc
+++ b/src/proxy/server-dispatch.cc
@@ -93,6 +93,12 @@
     sendRefusal(request, details);
 }
 
+bool server_impl::mustClose(const exchange& request) const
+{
+    return !request.head.keepAlive || request.ownsInput
+        || (m_draining && request.caller->responses.closeAfter(request.position));
+}
+
 void server_impl::sendRefusal(const exchange& request, const refusal& details)
 {
     if (request.responseStarted) {
@@ -108,8 +114,7 @@
     response.retryAfter = details.retryAfter;
     response.fractionalRetryAfter = m_options.contract.fractionalRetryAfter;
     response.withBody = !isHead(request);
-    response.closes = !request.head.keepAlive || request.ownsInput
-        || (m_draining && request.caller->responses.closeAfter(request.position));
+    response.closes = mustClose(request);
     complete(request,
         { details.status, details.reason, details.peer, details.retryAfter, details.expectedWait });
     respond(request, formatLocalResponse(response), response.closes);
@@ -307,8 +312,9 @@
     response.reason = name(*fault);
     response.step = "read request body";
     response.peer = request.caller->peerIp;
+    response.closes = mustClose(request);
     complete(request, { response.status, response.reason });
-    respond(request, formatLocalResponse(response), true);
+    respond(request, formatLocalResponse(response), response.closes);
 }
 
 void server_impl::complete(const exchange& request, const request_result& end)
--- a/src/proxy/server-impl.h
+++ b/src/proxy/server-impl.h
@@ -135,6 +135,9 @@
     void execute(std::unique_ptr<exchange> request, const decision& what);
     void startAttempt(std::unique_ptr<exchange> request, const destination& to);
     void refuseUnreplayable(const exchange& request, const destination& to);
+    /// Returns whether an answer of this host's own has to close the connection: the caller or a
+    /// drain asks for it, or the request's body was not read.
+    [[nodiscard]] bool mustClose(const exchange& request) const;
     void sendRefusal(const exchange& request, const refusal& details);
     void run(job work);
     void runForward(forward_job& work);
--- a/test/proxy-pipeline-test.cc
+++ b/test/proxy-pipeline-test.cc
@@ -140,6 +140,7 @@
 /// Long enough to be told apart from a second one on a busy machine.
 constexpr milliseconds allowedTime { 3000 };
 constexpr milliseconds longTime { 9000 };
+constexpr milliseconds shortTime { 200 };
 
 } // namespace
 
@@ -217,3 +218,21 @@
     cr_assert_neq(heads[1].find("/ledger/once"), std::string::npos);
     cr_assert_neq(heads[2].find("/weights/third"), std::string::npos);
 }
+
+// Its time is up behind a request that may not be repeated, so that it is ended before it is sent.
+Test(proxy_pipeline, request_whose_time_is_up_does_not_close_the_connection)
+{
+    concurrent_target target([](const std::string& head) {
+        return head.find(" /ledger/slow ") != std::string::npos ? std::string() : echoOf(head);
+    });
+    proxy_fixture host({ target.destination() }, 1, callersChooseIds());
+    raw_connection caller(host.address());
+    caller.send(requestFor("/ledger/slow", "1", shortTime, "DELETE")
+        + requestFor("/weights/late", "2", milliseconds(1))
+        + requestFor("/weights/next", "3", longTime));
+    const auto answers = parseAnswers(caller.readUntil("/weights/next"));
+    cr_assert_eq(answers.size(), 3);
+    cr_assert_eq(answers[1].status, 504);
+    cr_assert_eq(answers[1].head.find("Connection: close"), std::string::npos);
+    cr_assert_eq(answers[2].body, "/weights/next");
+}
