Send no body with the 504 that answers HEAD when its time was up before it was sent

What callers saw: the JSON body of a 504 behind the answer to HEAD, where the next answer was due. A caller took it for bytes of the next answer, or of none.

Cause: sendFault() left the body in for every method. While a fault also closed its connection and nothing followed, callers discarded these bytes; since requests run at the same time, answers follow. Ruled out: the other answers of the host (sendRefusal, refuseRequest, sendHealth) and of targets (the relay skips the body), by their code.

sendFault() leaves the body out for HEAD, as sendRefusal() does.

--- a/src/proxy/server-dispatch.cc
+++ b/src/proxy/server-dispatch.cc
@@ -312,6 +312,7 @@
     response.reason = name(*fault);
     response.step = "read request body";
     response.peer = request.caller->peerIp;
+    response.withBody = !isHead(request);
     response.closes = mustClose(request);
     complete(request, { response.status, response.reason });
     respond(request, formatLocalResponse(response), response.closes);
--- a/test/proxy-pipeline-test.cc
+++ b/test/proxy-pipeline-test.cc
@@ -236,3 +236,20 @@
     cr_assert_eq(answers[1].head.find("Connection: close"), std::string::npos);
     cr_assert_eq(answers[2].body, "/weights/next");
 }
+
+Test(proxy_pipeline, answer_to_head_whose_time_is_up_has_no_body)
+{
+    concurrent_target target([](const std::string& head) {
+        return head.find(" /ledger/slow ") != std::string::npos ? std::string() : echoOf(head);
+    });
+    proxy_fixture host({ target.destination() }, 1, callersChooseIds());
+    raw_connection caller(host.address());
+    caller.send(requestFor("/ledger/slow", "1", shortTime, "DELETE")
+        + requestFor("/weights/late", "2", milliseconds(1), "HEAD")
+        + requestFor("/weights/next", "3", longTime));
+    const std::string input = caller.readUntil("/weights/next");
+    const std::size_t refused = input.find("HTTP/1.1 504 ");
+    cr_assert_neq(refused, std::string::npos);
+    const std::string behind = input.substr(input.find("\r\n\r\n", refused) + 4);
+    cr_assert(behind.starts_with("HTTP/1.1 200 "), "%s", behind.c_str());
+}
