Show that answers which wait for their turn can take all workers (known red)

What callers saw, in the test: the first of three pipelined requests has 200 ms; its first attempt gets no answer, and it is held for 30.0 s (twice: 30,032 and 30,069 ms), until the proxy gives up the answers behind it.

Cause: an answer behind others that is larger than the relay's buffer (64 KiB) keeps its worker until its turn (relay::wait, awaitsTurn). The second attempt of the first request is a job in the same queue of workers. If such answers have all workers, nobody runs it, and nothing looks at its deadline. The test has two workers; the default is 128, which needs 19 connections with seven such answers each and a first request that is tried again. By reading, not shown: the same may happen with the slots of one target, which the later answers keep while the first request waits for one in the router.

Not fixed: to give up such an answer costs a run, to store it whole has no bound. A bound on the bytes held for a connection, checked when a request joins, is to be weighed.

The test target's threads end now when the proxy closes their connection in the middle of an answer.

--- a/test/proxy-pipeline-test.cc
+++ b/test/proxy-pipeline-test.cc
@@ -64,7 +64,13 @@
                     Poco::Timespan(0, pollMicroseconds), Poco::Net::Socket::SELECT_READ))
                 continue;
             const Poco::Net::StreamSocket socket = m_listener.acceptConnection();
-            m_connections.emplace_back([this, socket] { serve(socket); });
+            m_connections.emplace_back([this, socket] {
+                try {
+                    serve(socket);
+                } catch (const Poco::Exception&) {
+                    // The proxy has closed the connection.
+                }
+            });
         }
     }
 
@@ -117,11 +123,12 @@
     return head.substr(begin, head.find("\r\n", begin) - begin);
 }
 
-/// Returns a whole answer whose body is the request's path.
-std::string echoOf(const std::string& head)
+/// Returns a whole answer whose body is the request's path, filled up to a size.
+std::string echoOf(const std::string& head, std::size_t bytes = 0)
 {
     const std::size_t begin = head.find(' ') + 1;
-    const std::string path = head.substr(begin, head.find(' ', begin) - begin);
+    std::string path = head.substr(begin, head.find(' ', begin) - begin);
+    path.resize(std::max(path.size(), bytes), ' ');
     return "HTTP/1.1 200 OK\r\nX-Id: " + fieldOf(head, "X-Id")
         + "\r\nContent-Length: " + std::to_string(path.size()) + "\r\n\r\n" + path;
 }
@@ -141,6 +148,8 @@
 constexpr milliseconds allowedTime { 3000 };
 constexpr milliseconds longTime { 9000 };
 constexpr milliseconds shortTime { 200 };
+/// Larger than the buffers of the proxy and of the sockets.
+constexpr std::size_t largeBytes = 8000000;
 
 } // namespace
 
@@ -253,3 +262,27 @@
     const std::string behind = input.substr(input.find("\r\n\r\n", refused) + 4);
     cr_assert(behind.starts_with("HTTP/1.1 200 "), "%s", behind.c_str());
 }
+
+// The later answers are larger than the buffer of a request, so that each keeps its worker until
+// its turn; the first request needs a worker for its second attempt.
+Test(proxy_pipeline, answers_that_wait_for_their_turn_leave_a_worker_to_the_first)
+{
+    std::atomic<unsigned> attempts { 0 };
+    concurrent_target target([&](const std::string& head) {
+        if (head.find(" /weights/first ") != std::string::npos)
+            return attempts++ < 1 ? std::string() : echoOf(head);
+        return echoOf(head, largeBytes);
+    });
+    proxy::options settings = callersChooseIds();
+    settings.workers = 2;
+    proxy_fixture host({ target.destination() }, 2, settings);
+    raw_connection caller(host.address());
+    const auto sent = std::chrono::steady_clock::now();
+    caller.send(requestFor("/weights/first", "1", shortTime)
+        + requestFor("/weights/second", "2", longTime)
+        + requestFor("/weights/third", "3", longTime));
+    (void)caller.readUntil("HTTP/1.1 ");
+    const auto waited = std::chrono::steady_clock::now() - sent;
+    cr_assert_lt(waited, longTime, "held for %ld ms",
+        static_cast<long>(std::chrono::duration_cast<milliseconds>(waited).count()));
+}
