Let a held answer be given up after its connection broke

The host's memory is damaged if a worker gives up an answer that its caller does not take (after bodyTimeout, or when the server ends) just as another request of the connection breaks it: response_order::end() erased an entry that was gone, std::vector::erase(end()).

Cause: response_order::sendDue() drops held answers of a broken connection, and server_impl::runSend() ends its own after sendHeld() has said that it is not sent; between the two the lock is free. Found by reading.

end() returns without a change if the request has no entry any more: whoever dropped it has reported the connection's state.

proxy-response-order-test/held_answer_that_was_dropped_can_be_given_up crashed before.

--- a/src/proxy/response-order.cc
+++ b/src/proxy/response-order.cc
@@ -111,6 +111,9 @@
     const std::lock_guard lock(m_mutex);
     const auto ended = std::find_if(
         m_entries.begin(), m_entries.end(), [of](const entry& each) { return each.number == of; });
+    // A held response was dropped if the connection broke before its sender gave it up.
+    if (ended == m_entries.end())
+        return {};
     if (ended == m_entries.begin())
         m_isStreaming = false;
     m_entries.erase(ended);
--- a/test/proxy-response-order-test.cc
+++ b/test/proxy-response-order-test.cc
@@ -148,6 +148,22 @@
     cr_assert_not(order.sendHeld(second, both.host)->isEmpty);
 }
 
+// The worker that sends a held answer may give it up just as another request breaks the connection.
+Test(proxy_response_order, held_answer_that_was_dropped_can_be_given_up)
+{
+    constexpr std::size_t longAnswer = 16000000;
+    connection both;
+    response_order order;
+    const turn first = join(order, 1);
+    const turn second = join(order, 2);
+    const turn third = join(order, 3);
+    cr_assert(order.hold(second, std::string(longAnswer, 'x')));
+    cr_assert(order.end(first, connection_fate::KeptOpen, both.host).unsent.has_value());
+    cr_assert(order.end(third, connection_fate::Broken, both.host).isEmpty);
+    (void)order.end(second, connection_fate::Broken, both.host);
+    cr_assert(order.isEmpty());
+}
+
 Test(proxy_response_order, bytes_keep_the_time_of_their_arrival)
 {
     const instant start = monotonic_clock::now();
