--- a/src/proxy/server-dispatch.cc
+++ b/src/proxy/server-dispatch.cc
@@ -94,6 +94,12 @@
     sendRefusal(request, details);
 }
 
+bool server_impl::mustClose(const exchange& request) const
+{
+    return !request.head.keepAlive || request.ownsInput
+        || (m_draining && request.caller->responses.closeAfter(request.position));
+}
+
 void server_impl::sendRefusal(const exchange& request, const refusal& details)
 {
     if (request.responseStarted) {
@@ -109,7 +115,7 @@
     response.retryAfter = details.retryAfter;
     response.fractionalRetryAfter = m_options.contract.fractionalRetryAfter;
     response.withBody = !isHead(request);
-    response.closes = closesAfter(request);
+    response.closes = mustClose(request);
     complete(request,
         { details.status, details.reason, details.peer, details.retryAfter, details.expectedWait });
     respond(request, formatLocalResponse(response), response.closes);
@@ -304,17 +310,12 @@
     response.reason = name(*fault);
     response.step = "read request body";
     response.peer = request.caller->peerIp;
-    response.closes = closesAfter(request);
+    response.withBody = !isHead(request);
+    response.closes = mustClose(request);
     complete(request, { response.status, response.reason });
     respond(request, formatLocalResponse(response), response.closes);
 }
 
-bool server_impl::closesAfter(const exchange& request) const
-{
-    return !request.head.keepAlive || request.ownsInput
-        || (m_draining && request.caller->responses.closeAfter(request.position));
-}
-
 void server_impl::complete(const exchange& request, const request_result& end)
 {
     const auto now = monotonic_clock::now();
