Give up an answer that can be neither sent nor read on at its deadline

An answer over 1 MiB that waited for its turn kept its worker until the body timeout, and with it the requests that wait for a worker, among them the one whose turn it is.

--- a/src/proxy/relay.cc
+++ b/src/proxy/relay.cc
@@ -212,6 +212,9 @@
 
 bool relay::transferActive() const { return responseBegun() || !uploadComplete(); }
 
+// Other requests of the connection may wait for this worker, also those whose turn it is.
+bool relay::isStuck() const { return awaitsTurn() && !hasRoom(); }
+
 instant relay::answerDeadline() const
 {
     return std::min(m_request.facts.deadline, m_to.deadline) + m_callerWait;
@@ -222,7 +225,7 @@
     instant next = m_context.end();
     if (transferActive())
         next = std::min(next, m_lastProgress + m_context.settings.bodyTimeout);
-    if (!responseBegun())
+    if (!responseBegun() || isStuck())
         next = std::min(next, answerDeadline());
     return next;
 }
@@ -242,9 +245,9 @@
             < waited.count() * double(m_context.settings.minBodyBytesPerSecond);
     if (!m_request.bodyDone && tooSlow)
         return requestFault(reason::BodyTimeout);
-    if (responseBegun() || now < answerDeadline())
-        return std::nullopt;
-    return failed(reason::Deadline);
+    const bool isDue = !responseBegun() || isStuck();
+    return isDue && now >= answerDeadline() ? std::optional(failed(reason::Deadline))
+                                            : std::nullopt;
 }
 
 attempt_result relay::failed(reason why)
--- a/src/proxy/relay.h
+++ b/src/proxy/relay.h
@@ -88,6 +88,8 @@
     /// Returns whether received bytes of the response may be sent to the caller now.
     [[nodiscard]] bool maySend() const;
     [[nodiscard]] bool awaitsTurn() const { return !m_download.empty() && !maySend(); }
+    /// Returns whether the response can neither be sent nor read on.
+    [[nodiscard]] bool isStuck() const;
     /// Returns whether more of the response may be read from the target.
     [[nodiscard]] bool hasRoom() const;
     [[nodiscard]] io_state sendToCaller();
