--- a/test/routing-quarantine-test.cc
+++ b/test/routing-quarantine-test.cc
@@ -45,6 +45,7 @@
     for (unsigned seed = 1; seed <= 300; ++seed) {
         std::mt19937 random(seed);
         std::vector<crash> records;
+        records.reserve(40);
         for (int i = 0; i < 40; ++i)
             records.push_back(randomRecord(random));
         quarantine batched({});
