--- a/src/serve/metrics.cc
+++ b/src/serve/metrics.cc
@@ -86,10 +86,16 @@
     }
 }
 
+duration node::tablesAge() const
+{
+    const auto* tableSource = m_environment.tableSource();
+    return tableSource ? monotonic_clock::now() - tableSource->standing().confirmedAt : duration {};
+}
+
 void node::completed(const proxy::completion& finished)
 {
     const auto version = m_directory.version(finished.service);
-    m_requestLog.write(finished, version);
+    m_requestLog.write(finished, version, tablesAge());
     if (finished.status == 0)
         return;
     const auto& service = finished.service.value();
--- a/src/serve/node.h
+++ b/src/serve/node.h
@@ -70,6 +70,8 @@
     std::size_t reportLoads(instant now);
     void updateMetrics();
     [[nodiscard]] bool markedLeaving() const;
+    /// Returns how old the tables may be; 0 if they come from the operators' row.
+    [[nodiscard]] duration tablesAge() const;
     /// Returns the time by which requests must have ended in a drain that starts now.
     [[nodiscard]] instant drainEnd(instant started) const;
     /// Whether the table in force is known to be the newest.
--- a/src/serve/request_log.cc
+++ b/src/serve/request_log.cc
@@ -8,6 +8,8 @@
 constexpr double burstSeconds = 5;
 constexpr double reservedForImportant = 0.5;
 constexpr std::chrono::seconds leftOutInterval { 1 };
+/// Age of the tables from which the lines of requests state it.
+constexpr std::chrono::milliseconds oldTables { 1000 };
 
 std::string millisecondsText(duration span)
 {
@@ -114,7 +116,7 @@
     return true;
 }
 
-void request_log::write(const proxy::completion& finished, token version)
+void request_log::write(const proxy::completion& finished, token version, duration tablesAge)
 {
     const bool failed = hasFailed(finished);
     const bool unremarkable = !failed && finished.attempts <= 1 && !finished.late;
@@ -138,6 +140,8 @@
         line.add("key_hash", std::to_string(finished.key->value()));
         line.add("assignment", versionText(version));
     }
+    if (tablesAge >= oldTables)
+        line.add("tables_age_ms", tablesAge);
     if (failed)
         m_write(telemetry::severity::Info, "request-failed", line.all());
     else
--- a/src/serve/request_log.h
+++ b/src/serve/request_log.h
@@ -40,7 +40,8 @@
     request_log(unsigned linesPerSecond, writer write);
 
     /// version: version of the assignment in which the owner of the request's key was found.
-    void write(const proxy::completion& finished, token version);
+    /// tablesAge: time since the tables in force were last known to be the store's.
+    void write(const proxy::completion& finished, token version, duration tablesAge = {});
     void write(const proxy::rejection& refused);
 
 private:
--- a/test/request-log-test.cc
+++ b/test/request-log-test.cc
@@ -129,3 +129,14 @@
     cr_assert(recorder.lines.at(written).event == "request-lines-left-out");
     cr_assert(recorder.lines.at(written).fields["count"] == std::to_string(requests - written));
 }
+
+Test(request_log, states_the_age_of_old_tables)
+{
+    log_recorder recorder;
+    auto failed = servedRequest();
+    failed.status = 503;
+    recorder.log.write(failed, {}, 999ms);
+    recorder.log.write(failed, {}, 1500ms);
+    cr_assert(recorder.lines.at(0).fields["tables_age_ms"].empty());
+    cr_assert(recorder.lines.at(1).fields["tables_age_ms"] == "1500");
+}
