--- a/include/pimentomast/table.h
+++ b/include/pimentomast/table.h
@@ -88,6 +88,9 @@
     /// The target checks the fencing token of each grant and request.
     bool checksTokens = true;
     mark state = mark::Active;
+    /// Earliest time at which the target may have been marked as leaving, if the source of the
+    /// table knows it; otherwise it counts from when a host learns of the mark.
+    std::optional<instant> leavingSince {};
     /// Process name that requests carry to identify the intended recipient; empty: not sent.
     std::string instance {};
     /// Incarnation of the target's process if the table specifies it; 0: learned from the target.
--- a/src/routing/engine.cc
+++ b/src/routing/engine.cc
@@ -141,7 +141,7 @@
         if (row.state == table::mark::Active)
             target.leavingSince.reset();
         else if (!target.leavingSince)
-            target.leavingSince = m_now;
+            target.leavingSince = row.leavingSince.value_or(m_now);
         indexProbe(target);
         if (service_state* service = findService(row.service)) {
             target.position = service->targets.size();
--- a/src/routing/engine.h
+++ b/src/routing/engine.h
@@ -116,7 +116,7 @@
     instant reportedAt {};
     double reportTrust = 1;
     instant shedUntil {};
-    /// When this host learned that the target is leaving.
+    /// From when the target counts as leaving.
     std::optional<instant> leavingSince;
     unsigned connections = 1;
     /// The only request that may be in flight, because it is suspected of crashing targets.
