--- a/include/pimentomast/http.h
+++ b/include/pimentomast/http.h
@@ -42,6 +42,8 @@
     std::vector<field> fields {};
     /// Whether the connection had carried other requests before.
     bool onKeptConnection = false;
+    /// When the first byte arrived.
+    instant startedAt {};
 
     /// Returns the value of the first field with this name, ignoring case; empty if there is none.
     [[nodiscard]] std::string header(const std::string& name) const;
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -73,6 +73,7 @@
     detail::answer_reader reader(sent.method, allowed.bodyBytes);
     std::string piece(chunkBytes, '\0');
     detail::late_reads lateReads;
+    instant startedAt {};
     while (!reader.done()) {
         const bool inBody = reader.headDone();
         const auto end = inBody ? allowed.bodyDeadline : allowed.deadline;
@@ -82,13 +83,17 @@
         connection.setIoTimeout(inBody ? allowed.forNextPart() : remaining(allowed.deadline));
         const int count
             = connection.socket().receiveBytes(piece.data(), static_cast<int>(piece.size()));
+        if (count > 0 && startedAt == instant {})
+            startedAt = monotonic_clock::now();
         if (count > 0)
             reader.put(std::string_view(piece).substr(0, static_cast<std::size_t>(count)));
         else if (count == 0)
             reader.end();
     }
     const bool reusable = reader.reusable();
-    return { reader.take(), reusable };
+    received got { reader.take(), reusable };
+    got.whole.startedAt = startedAt;
+    return got;
 }
 
 std::string reason(const Poco::Exception& cause)
--- a/test/helper/table-pages.h
+++ b/test/helper/table-pages.h
@@ -29,12 +29,15 @@
     return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-/// Returns a configuration with one route to one service, whose spec has further fields.
-inline std::string configurationWith(const std::string& serviceFields)
+/// Returns a configuration with one route to one service, whose spec has further fields; version
+/// has 8 hexadecimal digits.
+inline std::string configurationWith(
+    const std::string& serviceFields, const std::string& version = "0000000c")
 {
-    return R"({"version":"0000000c","resources":[)"
-           R"({"type":"services","metadata":{"name":"weights"},"spec":)"
-           R"({"healthPath":"/healthz","maxConns":130)"
+    return R"({"version":")" + version
+        + R"(","resources":[)"
+          R"({"type":"services","metadata":{"name":"weights"},"spec":)"
+          R"({"healthPath":"/healthz","maxConns":130)"
         + serviceFields
         + R"(}},{"type":"routes","metadata":{"name":"r1"},"spec":{"host":"a.example",)"
           R"("prefix":"/w/","timeout":"0.8s","slo":"300ms","priority":2,"attempts":2,)"
--- a/test/platform-tables-test.cc
+++ b/test/platform-tables-test.cc
@@ -114,8 +114,48 @@
     }
 }
 
+/// Answers the feed of the configuration as the platform does: with the change once it is made, or
+/// without one when the wait is over.
+void answerWaitingFeed(
+    Poco::Net::StreamSocket& socket, const std::string& request, instant changedAt)
+{
+    if (request.find("waitMs=0") == std::string::npos)
+        std::this_thread::sleep_for(changedAt - monotonic_clock::now());
+    const bool isChanged = monotonic_clock::now() >= changedAt;
+    test::write(socket,
+        test::answer(isChanged ? test::page(11, "config", test::configurationWith("", "0000000d"))
+                               : std::string(R"({"ver":10,"rows":[]})")));
+}
+
 } // namespace
 
+Test(platform_tables, configuration_is_followed_while_registrations_are_not_answered)
+{
+    const auto changedAt = monotonic_clock::now() + 1s;
+    test::scripted_server store([&](auto& socket, int) {
+        for (auto request = test::readRequest(socket); !request.empty();
+             request = test::readRequest(socket)) {
+            const bool isFeed = request.starts_with("GET /rows-feed");
+            if (request.find("table=op&") == std::string::npos) {
+                if (isFeed)
+                    std::this_thread::sleep_for(drainBound);
+                test::write(socket, test::answer(R"({"ver":2,"rows":[]})"));
+            } else if (isFeed) {
+                answerWaitingFeed(socket, request, changedAt);
+            } else {
+                test::write(
+                    socket, test::answer(test::page(10, "config", test::configurationText)));
+            }
+        }
+    });
+    row_client client(store.address(), storeTimeout);
+    table_feed feed(client, { 10ms, 20ms });
+    std::atomic<bool> changed { false };
+    feed.start([&](const auto& table) { changed = table->editor == "configuration 13"; });
+    cr_assert(test::waitUntil([&] { return changed.load(); }, 2s));
+    feed.stop();
+}
+
 Test(platform_tables, leaving_target_is_seen_while_the_configuration_cannot_be_read)
 {
     cr_assert(seesLeavingTarget([](auto& socket) {
@@ -147,7 +187,7 @@
 
 Test(platform_tables, edit_of_one_route_takes_little_of_the_work_of_the_first_reading)
 {
-    const auto first = test::answer(test::page(10, "config", manyRoutes(10)));
+    const auto first = test::answer(test::page(10, "config", test::configurationText));
     const auto second = test::answer(test::page(11, "config", manyRoutes(11)));
     test::scripted_server store([&](auto& socket, int) { serveVersions(socket, first, second); });
     row_client client(store.address(), test::waitTimeout);
