Tell newer rows of a peer from older ones by the store's version

What callers saw: leavings learned late, and reads of the store for nothing.

Cause: hosts compared a hash of their tables, and one whose own poll lay before a peer's confirmation took any difference for news. The time of a call on its way is unknown, so a call of a slow host with older rows looked newer. A poll for nothing then hid all differences for 0.85 s, the true ones too.

Change: the standing states the registrations' hash with the version of the store to which they were read. A peer tells something only if its version is higher and its content differs; a peer of the same content raises this host's version. What a poll has disproved is one content, not a time. A host polls 0.1 s after it hears of newer rows.

Ruled out: a clock (the hosts' clocks are their own).

--- a/include/pimentomast/membership.h
+++ b/include/pimentomast/membership.h
@@ -207,11 +207,23 @@
     std::chrono::milliseconds leaderIntervalMs { 300 };
     /// Age of a host's last confirmation from which it polls itself.
     std::chrono::milliseconds maxAgeMs { 850 };
+    /// Delay before a host polls because a peer has newer rows; they may be on their way to it.
+    std::chrono::milliseconds newerPeerDelayMs { 100 };
+};
+
+/// What a host has of the store's rows.
+struct row_state {
+    /// Equal for equal rows.
+    std::uint64_t content = 0;
+    /// Version of the store whose rows these are.
+    row_version version;
+
+    bool operator==(const row_state&) const = default;
 };
 
 /// Schedules the polls of a host for rows of the store. The leader polls frequently. The other
-/// hosts learn from it, directly or through peers, whether their rows are current; they poll if
-/// they are not, or if there was no confirmation for too long.
+/// hosts learn from it, directly or through peers, whether their rows are current; they poll if a
+/// peer has newer ones, or if there was no confirmation for too long.
 class poll_schedule {
 public:
     explicit poll_schedule(const poll_options& options)
@@ -221,26 +233,39 @@
 
     /// Sets whether this host polls on behalf of the others.
     void setLeader(bool isLeader) noexcept { m_isLeader = isLeader; }
-    /// Records a poll that was sent at sentAt and that the store answered; changed tells whether it
-    /// returned new rows.
-    void recordPoll(instant sentAt, bool changed);
-    /// Records that a peer knows the state of the store at seenAt; same tells whether it matches
-    /// the state that this host has.
-    void recordPeerState(instant seenAt, bool same);
+    /// Records a poll that was sent at sentAt and that the store answered; read is what this host
+    /// has since.
+    void recordPoll(instant sentAt, const row_state& read);
+    /// Records that this host has other rows without having polled.
+    void recordRows(const row_state& now);
+    /// Records a peer's state, and when the store was last known to match it; `instant {}` if that
+    /// is not known.
+    void recordPeerState(instant now, const row_state& peer, instant confirmedAt);
 
+    /// Returns what this host has. The version is raised when a newer peer has the same content.
+    [[nodiscard]] const row_state& rows() const noexcept { return m_rows; }
     /// Returns the latest time at which the store is known to have matched this host's state.
     [[nodiscard]] instant confirmedAt() const noexcept { return m_confirmedAt; }
     /// Returns when to poll next.
     [[nodiscard]] instant nextPollAt() const noexcept;
 
 private:
+    /// A peer's state that may be newer than this host's.
+    struct newer_peer {
+        row_state rows;
+        instant seenAt;
+    };
+
+    void dropReachedPeer();
+
     poll_options m_options;
     bool m_isLeader = false;
+    row_state m_rows;
     instant m_polledAt {};
     instant m_confirmedAt {};
-    bool m_mismatch = false;
-    /// Mismatches seen before this time are ignored, because a poll has disproved one.
-    instant m_ignoreMismatchUntil {};
+    std::optional<newer_peer> m_newer;
+    /// Content that a poll did not find although a peer had it in an earlier version.
+    std::uint64_t m_disproved = 0;
 };
 
 } // namespace pimentomast::membership
--- a/include/pimentomast/serve.h
+++ b/include/pimentomast/serve.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "pimentomast/core.h"
+#include "pimentomast/membership.h"
 #include "pimentomast/proxy.h"
 #include "pimentomast/ranges.h"
 #include "pimentomast/settings.h"
@@ -13,11 +14,11 @@
 /// Runs an entry host, which forwards callers' requests and coordinates some of the services.
 namespace pimentomast::serve {
 
-/// Identifies the content of a host's tables, and when the store was last known to hold the same
-/// content.
+/// Identifies the rows of a host's tables, and when the store was last known to hold the same ones.
 struct table_standing {
-    /// Equal for equal tables; 0 if no table has been read yet.
-    std::uint64_t content = 0;
+    /// The content is 0 if no table has been read yet.
+    membership::row_state rows;
+    /// `instant {}` if it is not known.
     instant confirmedAt {};
 };
 
--- a/src/membership/poll_schedule.cc
+++ b/src/membership/poll_schedule.cc
@@ -4,29 +4,50 @@
 
 namespace pimentomast::membership {
 
-void poll_schedule::recordPoll(instant sentAt, bool changed)
+void poll_schedule::recordPoll(instant sentAt, const row_state& read)
 {
-    if (m_mismatch && !changed)
-        m_ignoreMismatchUntil = sentAt + m_options.maxAgeMs;
-    m_mismatch = false;
+    const bool unchanged = read.content == m_rows.content;
+    m_rows = { read.content, std::max(read.version, m_rows.version) };
     m_polledAt = sentAt;
     m_confirmedAt = std::max(m_confirmedAt, sentAt);
+    if (m_newer && unchanged && m_newer->rows.version <= m_rows.version)
+        m_disproved = m_newer->rows.content;
+    dropReachedPeer();
 }
 
-void poll_schedule::recordPeerState(instant seenAt, bool same)
+void poll_schedule::recordRows(const row_state& now)
 {
-    if (same)
-        m_confirmedAt = std::max(m_confirmedAt, seenAt);
-    else if (m_polledAt < seenAt && m_ignoreMismatchUntil <= seenAt)
-        m_mismatch = true;
+    m_rows = { now.content, std::max(now.version, m_rows.version) };
+    dropReachedPeer();
+}
+
+void poll_schedule::recordPeerState(instant now, const row_state& peer, instant confirmedAt)
+{
+    if (peer.content == m_rows.content) {
+        m_rows.version = std::max(m_rows.version, peer.version);
+        m_confirmedAt = std::max(m_confirmedAt, confirmedAt);
+        dropReachedPeer();
+    } else if (peer.version > m_rows.version && peer.content != m_disproved) {
+        m_newer = { peer, m_newer ? m_newer->seenAt : now };
+    }
+}
+
+// A state of an earlier version cannot tell this host anything.
+void poll_schedule::dropReachedPeer()
+{
+    const bool isReached = m_newer
+        && (m_newer->rows.content == m_rows.content || m_newer->rows.version <= m_rows.version);
+    if (isReached)
+        m_newer.reset();
 }
 
 instant poll_schedule::nextPollAt() const noexcept
 {
-    if (m_mismatch)
-        return m_polledAt;
-    return m_isLeader ? m_polledAt + m_options.leaderIntervalMs
-                      : m_confirmedAt + m_options.maxAgeMs;
+    const auto regular
+        = m_isLeader ? m_polledAt + m_options.leaderIntervalMs : m_confirmedAt + m_options.maxAgeMs;
+    if (!m_newer)
+        return regular;
+    return std::min(regular, std::max(m_newer->seenAt, m_polledAt) + m_options.newerPeerDelayMs);
 }
 
 } // namespace pimentomast::membership
--- a/src/serve/gossip.cc
+++ b/src/serve/gossip.cc
@@ -285,14 +285,14 @@
     }
 }
 
-// The transit time of the message is unknown, so equal content confirms nothing; different content
-// is passed on, so that the table source polls the store.
+// The transit time of the message is unknown, so it does not tell when the store was confirmed.
 void gossip::noteStanding(const wire::Digest& digest, instant now)
 {
     if (!m_options.tableSource || !digest.has_standing())
         return;
-    if (digest.standing().content() != m_options.tableSource->standing().content)
-        m_options.tableSource->receivePeerStanding(fromWire(digest.standing(), now));
+    auto standing = fromWire(digest.standing(), now);
+    standing.confirmedAt = {};
+    m_options.tableSource->receivePeerStanding(standing);
 }
 
 wire::Update gossip::exchange(const wire::Digest& digest)
--- a/src/serve/wire.cc
+++ b/src/serve/wire.cc
@@ -80,7 +80,8 @@
 wire::TableStanding toWire(const table_standing& value, instant now)
 {
     wire::TableStanding message;
-    message.set_content(value.content);
+    message.set_content(value.rows.content);
+    message.set_version(value.rows.version.value());
     const auto age = std::chrono::ceil<std::chrono::milliseconds>(now - value.confirmedAt);
     message.set_age_ms(static_cast<std::uint32_t>(age.count()));
     return message;
@@ -88,7 +89,8 @@
 
 table_standing fromWire(const wire::TableStanding& message, instant sentAt)
 {
-    return { message.content(), sentAt - std::chrono::milliseconds(message.age_ms()) };
+    return { { message.content(), row_version { message.version() } },
+        sentAt - std::chrono::milliseconds(message.age_ms()) };
 }
 
 wire::Crash toWire(const routing::crash& crash, instant now)
