Spread changed registrations between hosts

What callers saw: requests that reached a target over 2.5 s after it had said that it leaves, sent by hosts with 0.1 cores and 10 Mbit/s (the record: front-hetauda-22, to an unkeyed service, so no grace was at work).

Cause: a host that hears of other content must read the store over its own link, which downloads and a large configuration fill just then. Nothing went around that link, though its peers had the rows.

Change: the host that polls for all sends the rows that changed a target with its call to all hosts, and a host that is asked by one that is behind answers with the rows that it lacks. Each row carries its version and replaces older ones only. A poll remains for what does not come. A leaving is some 300 bytes on an open connection.

Ruled out: sending whole tables (240 entries for one change); the configuration in the same way: its row is 360 KB, each host needs it once, and an edit would need a form of its own.

Test: platform-tables-test/leaving_reaches_a_host_through_its_peers_while_the_store_does_not_answer_it. It needs the new interface, so it was not seen failing on the code before.

--- a/include/pimentomast/membership.h
+++ b/include/pimentomast/membership.h
@@ -184,8 +184,12 @@
     void recordStoreAnswer(instant at);
     /// Records that the store has the entry.
     void markPresent(const std::string& name) { m_missing.erase(name); }
-    /// Records that the store does not have the entry, or no longer.
-    void markMissing(instant now, const std::string& name) { m_missing.try_emplace(name, now); }
+    /// Records that the store does not have the entry, or no longer. Returns whether this was not
+    /// known.
+    bool markMissing(instant now, const std::string& name)
+    {
+        return m_missing.try_emplace(name, now).second;
+    }
     /// Returns the entries that count as removed from now on, each once. known lists all entries
     /// that are present or missing.
     [[nodiscard]] std::vector<std::string> takeRemoved(
@@ -236,7 +240,7 @@
     /// Records a poll that was sent at sentAt and that the store answered; read is what this host
     /// has since.
     void recordPoll(instant sentAt, const row_state& read);
-    /// Records that this host has other rows without having polled.
+    /// Records what this host has. The version is 0 for rows that it has not read from the store.
     void recordRows(const row_state& now);
     /// Records a peer's state, and when the store was last known to match it; `instant {}` if that
     /// is not known.
--- a/include/pimentomast/serve.h
+++ b/include/pimentomast/serve.h
@@ -22,6 +22,15 @@
     instant confirmedAt {};
 };
 
+/// A row of a table source that changed, in the source's own encoding.
+struct changed_row {
+    std::string key;
+    /// Empty if the row was removed.
+    std::string value;
+    row_version version;
+    bool removed = false;
+};
+
 /// Supplies tables that do not come from the operators' CSV row. Thread-safe.
 class table_source {
 public:
@@ -34,6 +43,11 @@
     [[nodiscard]] virtual table_standing standing() const = 0;
     /// Records a peer's standing, which may let this host skip a poll of the store.
     virtual void receivePeerStanding(const table_standing& peer) = 0;
+    /// Returns the latest rows that changed after a version; a bounded number of them, and not all
+    /// if the version is old.
+    [[nodiscard]] virtual std::vector<changed_row> changesAfter(row_version version) const = 0;
+    /// Puts rows in force that a peer has, unless this host has newer ones.
+    virtual void receivePeerRows(const std::vector<changed_row>& rows) = 0;
     /// Sets whether this host polls the store on behalf of all hosts.
     virtual void setDesignatedPoller(bool designated) = 0;
     /// Stops the source. When it returns, no call of receive is running and none will follow.
--- a/src/membership/poll_schedule.cc
+++ b/src/membership/poll_schedule.cc
@@ -6,17 +6,16 @@
 
 void poll_schedule::recordPoll(instant sentAt, const row_state& read)
 {
-    const bool unchanged = read.content == m_rows.content;
-    m_rows = { read.content, std::max(read.version, m_rows.version) };
+    recordRows(read);
     m_polledAt = sentAt;
     m_confirmedAt = std::max(m_confirmedAt, sentAt);
-    if (m_newer && unchanged && m_newer->rows.version <= m_rows.version)
-        m_disproved = m_newer->rows.content;
-    dropReachedPeer();
 }
 
 void poll_schedule::recordRows(const row_state& now)
 {
+    const bool unchanged = now.content == m_rows.content;
+    if (m_newer && unchanged && m_newer->rows.version <= now.version)
+        m_disproved = m_newer->rows.content;
     m_rows = { now.content, std::max(now.version, m_rows.version) };
     dropReachedPeer();
 }
--- a/src/serve/gossip.cc
+++ b/src/serve/gossip.cc
@@ -47,6 +47,22 @@
     return heard;
 }
 
+template <class Message>
+std::vector<changed_row> rowsIn(const Message& from)
+{
+    std::vector<changed_row> rows;
+    for (const auto& each : from.rows())
+        rows.push_back(fromWire(each));
+    return rows;
+}
+
+template <class Message>
+void addRows(const std::vector<changed_row>& rows, Message& to)
+{
+    for (const auto& each : rows)
+        *to.add_rows() = toWire(each);
+}
+
 /// Clears a flag that marks work as running when the work has ended.
 class running_guard {
 public:
@@ -119,8 +135,9 @@
     if (!due(m_nextExchange, now, exchangeInterval(now)))
         return;
     electStorePoller(now);
+    const auto message = digest(now);
     for (const auto& peer : peersToCall(now))
-        exchangeWith(peer);
+        exchangeWith(peer, message, now);
 }
 
 void gossip::electStorePoller(instant now)
@@ -154,8 +171,12 @@
 {
     if (!m_isStorePoller)
         return;
-    for (const auto& peer : m_peerRegistry.allPeers(monotonic_clock::now()))
-        exchangeWith(peer);
+    const auto now = monotonic_clock::now();
+    auto message = digest(now);
+    const row_version version { message.standing().version() };
+    addRows(m_options.tableSource->changesAfter(m_pushedVersion.exchange(version)), message);
+    for (const auto& peer : m_peerRegistry.allPeers(now))
+        exchangeWith(peer, message, now);
 }
 
 duration gossip::exchangeInterval(instant now) const
@@ -247,16 +268,16 @@
     m_callbacks.applyCrashes(records);
 }
 
-void gossip::exchangeWith(const peer_registry::client_pointer& peer)
+void gossip::exchangeWith(
+    const peer_registry::client_pointer& peer, const wire::Digest& message, instant sentAt)
 {
-    const auto sentAt = monotonic_clock::now();
     const auto address = peer->address();
-    peer->exchange(digest(sentAt), gossipTimeoutMs, [this, sentAt, address](auto reply) {
+    peer->exchange(message, gossipTimeoutMs, [this, sentAt, address](auto reply) {
         if (!reply)
             return;
         const auto& update = reply.value();
         if (m_options.tableSource && update.has_standing())
-            m_options.tableSource->receivePeerStanding(fromWire(update.standing(), sentAt));
+            applyPeerTables(fromWire(update.standing(), sentAt), rowsIn(update));
         m_peerRegistry.recordSighting(monotonic_clock::now(),
             { host_id { update.host() }, incarnation { update.incarnation() }, address,
                 update.leaving() });
@@ -285,14 +306,35 @@
     }
 }
 
+// A new table waits for locks of the router, so it is not put in force on the thread of a call.
+void gossip::applyPeerTables(const table_standing& standing, const std::vector<changed_row>& rows)
+{
+    if (rows.empty())
+        return m_options.tableSource->receivePeerStanding(standing);
+    boost::asio::post(m_pool, [this, standing, rows] {
+        m_options.tableSource->receivePeerRows(rows);
+        m_options.tableSource->receivePeerStanding(standing);
+    });
+}
+
 // The transit time of the message is unknown, so it does not tell when the store was confirmed.
-void gossip::noteStanding(const wire::Digest& digest, instant now)
+void gossip::receiveTables(const wire::Digest& digest, instant now)
 {
     if (!m_options.tableSource || !digest.has_standing())
         return;
     auto standing = fromWire(digest.standing(), now);
     standing.confirmedAt = {};
-    m_options.tableSource->receivePeerStanding(standing);
+    applyPeerTables(standing, rowsIn(digest));
+}
+
+void gossip::addChangedRows(const wire::Digest& digest, wire::Update& update)
+{
+    if (!m_options.tableSource)
+        return;
+    const auto own = m_options.tableSource->standing().rows;
+    const row_version ofPeer { digest.standing().version() };
+    if (ofPeer < own.version && digest.standing().content() != own.content)
+        addRows(m_options.tableSource->changesAfter(ofPeer), update);
 }
 
 wire::Update gossip::exchange(const wire::Digest& digest)
@@ -304,7 +346,7 @@
             digest.leaving() });
     m_peerRegistry.recordRelayed(now, heardIn(digest));
     applyCrashes(digest, now);
-    noteStanding(digest, now);
+    receiveTables(digest, now);
     wire::Update update;
     update.set_host(m_options.self.value());
     update.set_incarnation(m_options.run.value());
@@ -316,6 +358,7 @@
     addHeard(m_peerRegistry.heardHosts(now), update);
     if (m_options.tableSource)
         *update.mutable_standing() = toWire(m_options.tableSource->standing(), now);
+    addChangedRows(digest, update);
     m_routes.addNewer(digest, update);
     const std::lock_guard guard(m_lock);
     update.set_table_version(m_freshness.version().value());
--- a/src/serve/gossip.h
+++ b/src/serve/gossip.h
@@ -86,7 +86,10 @@
 
     void readConfig();
     void readHosts();
-    void exchangeWith(const peer_registry::client_pointer& peer);
+    void exchangeWith(
+        const peer_registry::client_pointer& peer, const wire::Digest& message, instant sentAt);
+    /// Puts a peer's changed rows in force, then records its standing.
+    void applyPeerTables(const table_standing& standing, const std::vector<changed_row>& rows);
     void applyUpdate(instant sentAt, const wire::Update& update);
     void applyTable(config_version version, const std::string& value);
     void applyAssignment(const wire::Assignment& message);
@@ -106,7 +109,8 @@
     [[nodiscard]] duration exchangeInterval(instant now) const;
     [[nodiscard]] duration hostsInterval(instant now) const;
     void electStorePoller(instant now);
-    void noteStanding(const wire::Digest& digest, instant now);
+    void receiveTables(const wire::Digest& digest, instant now);
+    void addChangedRows(const wire::Digest& digest, wire::Update& update);
     [[nodiscard]] std::vector<peer_registry::client_pointer> peersToCall(instant now);
     [[nodiscard]] bool due(instant& next, instant now, duration interval) const;
 
@@ -122,6 +126,8 @@
     instant m_nextConfig {};
     instant m_nextHosts {};
     instant m_nextExchange {};
+    /// The changes of the tables up to this version were sent to all hosts.
+    std::atomic<row_version> m_pushedVersion {};
     /// Host that polls the store on behalf of all hosts; empty if no host is live.
     host_id m_storePoller;
     std::mutex m_applyLock;
--- a/src/serve/wire.cc
+++ b/src/serve/wire.cc
@@ -93,6 +93,21 @@
         sentAt - std::chrono::milliseconds(message.age_ms()) };
 }
 
+wire::ChangedRow toWire(const changed_row& value)
+{
+    wire::ChangedRow message;
+    message.set_key(value.key);
+    message.set_value(value.value);
+    message.set_version(value.version.value());
+    message.set_removed(value.removed);
+    return message;
+}
+
+changed_row fromWire(const wire::ChangedRow& message)
+{
+    return { message.key(), message.value(), row_version { message.version() }, message.removed() };
+}
+
 wire::Crash toWire(const routing::crash& crash, instant now)
 {
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - crash.at);
--- a/src/serve/wire.h
+++ b/src/serve/wire.h
@@ -26,6 +26,9 @@
 /// Precondition: the message was sent no earlier than sentAt.
 [[nodiscard]] table_standing fromWire(const wire::TableStanding& message, instant sentAt);
 
+[[nodiscard]] wire::ChangedRow toWire(const changed_row& value);
+[[nodiscard]] changed_row fromWire(const wire::ChangedRow& message);
+
 /// Precondition: the action names a range.
 [[nodiscard]] wire::HoldRequest toWire(
     const service_id& service, const ownership::hold_slices& action);
--- a/test/platform-tables-test.cc
+++ b/test/platform-tables-test.cc
@@ -204,3 +204,68 @@
     const auto secondWork = afterSecond - afterFirst;
     cr_assert(secondWork < firstWork / 4, "%zu allocations, then %zu", firstWork, secondWork);
 }
+
+namespace {
+
+/// A host that follows the tables of a store, and the state of its target.
+class following_host {
+public:
+    explicit following_host(const endpoint& store)
+        : m_client(store, storeTimeout)
+        , m_feed(m_client, { 10ms, 20ms })
+    {
+        m_feed.start([this](const auto& table) {
+            m_known = !table->targets.empty();
+            m_leaves = m_known && table->targets[0].state == table::mark::Leaving;
+        });
+    }
+    ~following_host() { m_feed.stop(); }
+
+    [[nodiscard]] table_feed& feed() { return m_feed; }
+    [[nodiscard]] bool knowsTarget() const { return m_known; }
+    [[nodiscard]] bool seesLeaving() const { return m_leaves; }
+
+private:
+    row_client m_client;
+    table_feed m_feed;
+    std::atomic<bool> m_known { false };
+    std::atomic<bool> m_leaves { false };
+};
+
+/// Lists the tables; feeds of registrations get no answer.
+void serveListsOnly(Poco::Net::StreamSocket& socket)
+{
+    for (auto request = test::readRequest(socket); !request.empty();
+         request = test::readRequest(socket)) {
+        const bool isConfiguration = request.find("table=op&") != std::string::npos;
+        if (!request.starts_with("GET /rows-feed"))
+            test::write(socket,
+                test::answer(isConfiguration
+                        ? test::page(1, "config", test::configurationText)
+                        : test::page(2, "i-1", test::registrationText("ready"))));
+        else if (isConfiguration)
+            test::write(socket, test::answer(R"({"ver":2,"rows":[]})"));
+    }
+}
+
+} // namespace
+
+Test(platform_tables, leaving_reaches_a_host_through_its_peers_while_the_store_does_not_answer_it)
+{
+    test::scripted_server silent([](auto& socket, int) { serveListsOnly(socket); });
+    test::scripted_server sound([](auto& socket, int) {
+        serveStore(
+            socket, [](auto& to) { test::write(to, test::answer(R"({"ver":3,"rows":[]})")); });
+    });
+    following_host cutOff(silent.address());
+    following_host peer(sound.address());
+    cr_assert(test::waitUntil([&] { return cutOff.knowsTarget() && peer.seesLeaving(); }, 5s));
+    const auto rows = peer.feed().changesAfter(cutOff.feed().standing().rows.version);
+    cr_assert_eq(rows.size(), 1);
+    cutOff.feed().receivePeerRows(rows);
+    cr_assert(cutOff.seesLeaving());
+    cr_assert_eq(cutOff.feed().standing().rows.content, peer.feed().standing().rows.content);
+    cutOff.feed().receivePeerRows(
+        { { "i-1", test::registrationText("ready"), row_version { 2 }, false } });
+    cr_assert(cutOff.seesLeaving(), "an older row replaced a newer one");
+}
