--- /dev/null
+++ b/test/platform-registrations-test.cc
@@ -0,0 +1,102 @@
+#include "registrations.h"
+
+#include "helper/table-pages.h"
+
+#include <criterion/criterion.h>
+
+using namespace pimentomast;
+using namespace pimentomast::platform::detail;
+using namespace std::chrono_literals;
+
+namespace {
+
+const instant start { 1000s };
+
+stored_row rowOf(const std::string& instance, std::uint64_t version, const std::string& state)
+{
+    return { { targetTable, {}, instance }, test::registrationText(state), row_version { version },
+        false };
+}
+
+serve::changed_row changeOf(
+    const std::string& instance, std::uint64_t version, const std::string& state)
+{
+    return { targetTable, instance, test::registrationText(state), row_version { version }, false };
+}
+
+serve::changed_row removalOf(const std::string& instance, std::uint64_t version)
+{
+    return { targetTable, instance, {}, row_version { version }, true };
+}
+
+/// Three targets as of version 10, read at `start`.
+registrations threeTargets()
+{
+    registrations known;
+    known.applyPage(start,
+        { { rowOf("i-1", 8, "ready"), rowOf("i-2", 9, "ready"), rowOf("i-3", 10, "ready") },
+            row_version { 10 } },
+        true, {});
+    return known;
+}
+
+} // namespace
+
+Test(platform_registrations, older_row_of_a_peer_changes_nothing)
+{
+    auto known = threeTargets();
+    cr_assert_eq(known.applyPeerRows(start, { changeOf("i-1", 12, "draining") }, start).leaving, 1);
+    cr_assert_not(known.applyPeerRows(start, { changeOf("i-1", 11, "ready") }, start).any());
+    cr_assert(known.list()[0].draining);
+}
+
+Test(platform_registrations, late_row_brings_no_removed_target_back)
+{
+    auto known = threeTargets();
+    cr_assert_eq(known.applyPeerRows(start, { removalOf("i-1", 12) }, start).removed, 1);
+    cr_assert_not(known.applyPeerRows(start, { changeOf("i-1", 11, "ready") }, start).any());
+    cr_assert_eq(known.list().size(), 2);
+}
+
+Test(platform_registrations, targets_that_expired_in_an_outage_keep_their_grace_when_a_peer_tells)
+{
+    auto known = threeTargets();
+    const std::vector<serve::changed_row> removals { removalOf("i-1", 12), removalOf("i-2", 13),
+        removalOf("i-3", 14) };
+    cr_assert_not(known.applyPeerRows(start + 5s, removals, start).any());
+    cr_assert_eq(known.list().size(), 3);
+    known.recordStoreAnswer(start + 6s);
+    known.recordStoreAnswer(start + 7s);
+    cr_assert_not(known.applyPeerRows(start + 7200ms, {}, start).any());
+    cr_assert_eq(known.applyPeerRows(start + 7400ms, {}, start).removed, 3);
+}
+
+Test(platform_registrations, host_that_is_behind_gets_what_it_lacks)
+{
+    auto known = threeTargets();
+    cr_assert(known.changesAfter({}).empty(), "the first reading is no change");
+    known.applyPeerRows(start, { changeOf("i-1", 12, "draining") }, start);
+    known.applyPeerRows(start, { removalOf("i-2", 13) }, start);
+    cr_assert_eq(known.changesAfter(row_version { 10 }).size(), 2);
+    const auto lacking = known.changesAfter(row_version { 12 });
+    cr_assert_eq(lacking.size(), 1);
+    cr_assert(lacking[0].key == "i-2" && lacking[0].removed);
+}
+
+Test(platform_registrations, leaving_counts_from_the_last_confirmation_before_it)
+{
+    auto known = threeTargets();
+    known.applyPeerRows(start + 3s, { changeOf("i-1", 12, "draining") }, start + 1s);
+    known.applyPeerRows(start + 4s, { changeOf("i-1", 13, "draining") }, start + 3s);
+    cr_assert(known.list()[0].drainingSince == start + 1s);
+}
+
+Test(platform_registrations, equal_targets_have_equal_hashes)
+{
+    auto first = threeTargets();
+    auto second = threeTargets();
+    first.applyPeerRows(start, { changeOf("i-1", 12, "draining") }, start);
+    cr_assert_neq(first.contentHash(), second.contentHash());
+    second.applyPeerRows(start + 2s, { changeOf("i-1", 14, "draining") }, start + 1s);
+    cr_assert_eq(first.contentHash(), second.contentHash());
+}
