Move what hosts tell each other about tables out of gossip.cc

Only moved: the election of the polling host, the call to all hosts and what is done with a peer's rows are in gossip_tables.cc, the conversions of messages in wire.h. No logic changes.

--- a/src/serve/gossip.cc
+++ b/src/serve/gossip.cc
@@ -10,8 +10,6 @@
 namespace {
 
 constexpr unsigned poolThreads = 2;
-/// The host that polls the store is elected like the coordinator of a service with this name.
-constexpr auto storePollerElection = "tables";
 /// Interval of exchanges until a starting host has heard of every other host. It is short because a
 /// coordinator names only hosts that it has heard of as witnesses, and cannot survive a store
 /// outage without them.
@@ -47,35 +45,6 @@
     return heard;
 }
 
-template <class Message>
-std::vector<changed_row> rowsIn(const Message& from)
-{
-    std::vector<changed_row> rows;
-    for (const auto& each : from.rows())
-        rows.push_back(fromWire(each));
-    return rows;
-}
-
-template <class Message>
-void addStanding(const table_standing& standing, instant now, Message& to)
-{
-    *to.mutable_standing() = toWire(standing.targets, now);
-    *to.mutable_configuration() = toWire(standing.configuration, now);
-}
-
-template <class Message>
-table_standing standingIn(const Message& from, instant sentAt)
-{
-    return { fromWire(from.standing(), sentAt), fromWire(from.configuration(), sentAt) };
-}
-
-template <class Message>
-void addRows(const std::vector<changed_row>& rows, Message& to)
-{
-    for (const auto& each : rows)
-        *to.add_rows() = toWire(each);
-}
-
 /// Clears a flag that marks work as running when the work has ended.
 class running_guard {
 public:
@@ -153,23 +122,6 @@
         exchangeWith(peer, message, now);
 }
 
-void gossip::electStorePoller(instant now)
-{
-    if (!m_options.tableSource)
-        return;
-    std::vector<host_id> live;
-    ownership::host_millicores millicores;
-    for (const auto& each : m_peerRegistry.live(now)) {
-        live.push_back(each.id);
-        millicores.emplace(each.id, each.millicores);
-    }
-    m_storePoller
-        = ownership::preferredCoordinator(service_id { storePollerElection }, live, millicores)
-              .value_or(host_id {});
-    m_isStorePoller = m_storePoller == m_options.self;
-    m_options.tableSource->setDesignatedPoller(m_isStorePoller);
-}
-
 // The host that polls the store is called in each round.
 std::vector<peer_registry::client_pointer> gossip::peersToCall(instant now)
 {
@@ -180,24 +132,6 @@
     return peers;
 }
 
-void gossip::exchangeWithAll()
-{
-    if (!m_options.tableSource)
-        return;
-    const auto now = monotonic_clock::now();
-    auto pushed = m_options.tableSource->standing();
-    {
-        const std::lock_guard guard(m_lock);
-        std::swap(pushed, m_pushed);
-    }
-    if (!m_isStorePoller)
-        return;
-    auto message = digest(now);
-    addRows(m_options.tableSource->changesAfter(pushed), message);
-    for (const auto& peer : m_peerRegistry.allPeers(now))
-        exchangeWith(peer, message, now);
-}
-
 duration gossip::exchangeInterval(instant now) const
 {
     const bool starting = now - m_started < startPhaseS;
@@ -325,34 +259,6 @@
     }
 }
 
-// A new table waits for locks of the router, so it is not put in force on the thread of a call.
-void gossip::applyPeerTables(const table_standing& standing, const std::vector<changed_row>& rows)
-{
-    if (rows.empty())
-        return m_options.tableSource->receivePeerStanding(standing);
-    boost::asio::post(m_pool, [this, standing, rows] {
-        m_options.tableSource->receivePeerRows(rows);
-        m_options.tableSource->receivePeerStanding(standing);
-    });
-}
-
-// The transit time of the message is unknown, so it does not tell when the store was confirmed.
-void gossip::receiveTables(const wire::Digest& digest, instant now)
-{
-    if (!m_options.tableSource || !digest.has_standing())
-        return;
-    auto standing = standingIn(digest, now);
-    standing.targets.confirmedAt = {};
-    standing.configuration.confirmedAt = {};
-    applyPeerTables(standing, rowsIn(digest));
-}
-
-void gossip::addChangedRows(const wire::Digest& digest, instant now, wire::Update& update)
-{
-    if (m_options.tableSource && digest.has_standing())
-        addRows(m_options.tableSource->changesAfter(standingIn(digest, now)), update);
-}
-
 wire::Update gossip::exchange(const wire::Digest& digest)
 {
     const auto now = monotonic_clock::now();
--- /dev/null
+++ b/src/serve/gossip_tables.cc
@@ -0,0 +1,76 @@
+#include "gossip.h"
+
+#include <boost/asio/post.hpp>
+
+namespace pimentomast::serve::detail {
+namespace {
+
+/// The host that polls the store is elected like the coordinator of a service with this name.
+constexpr auto storePollerElection = "tables";
+
+} // namespace
+
+void gossip::electStorePoller(instant now)
+{
+    if (!m_options.tableSource)
+        return;
+    std::vector<host_id> live;
+    ownership::host_millicores millicores;
+    for (const auto& each : m_peerRegistry.live(now)) {
+        live.push_back(each.id);
+        millicores.emplace(each.id, each.millicores);
+    }
+    m_storePoller
+        = ownership::preferredCoordinator(service_id { storePollerElection }, live, millicores)
+              .value_or(host_id {});
+    m_isStorePoller = m_storePoller == m_options.self;
+    m_options.tableSource->setDesignatedPoller(m_isStorePoller);
+}
+
+void gossip::exchangeWithAll()
+{
+    if (!m_options.tableSource)
+        return;
+    const auto now = monotonic_clock::now();
+    auto pushed = m_options.tableSource->standing();
+    {
+        const std::lock_guard guard(m_lock);
+        std::swap(pushed, m_pushed);
+    }
+    if (!m_isStorePoller)
+        return;
+    auto message = digest(now);
+    addRows(m_options.tableSource->changesAfter(pushed), message);
+    for (const auto& peer : m_peerRegistry.allPeers(now))
+        exchangeWith(peer, message, now);
+}
+
+// A new table waits for locks of the router, so it is not put in force on the thread of a call.
+void gossip::applyPeerTables(const table_standing& standing, const std::vector<changed_row>& rows)
+{
+    if (rows.empty())
+        return m_options.tableSource->receivePeerStanding(standing);
+    boost::asio::post(m_pool, [this, standing, rows] {
+        m_options.tableSource->receivePeerRows(rows);
+        m_options.tableSource->receivePeerStanding(standing);
+    });
+}
+
+// The transit time of the message is unknown, so it does not tell when the store was confirmed.
+void gossip::receiveTables(const wire::Digest& digest, instant now)
+{
+    if (!m_options.tableSource || !digest.has_standing())
+        return;
+    auto standing = standingIn(digest, now);
+    standing.targets.confirmedAt = {};
+    standing.configuration.confirmedAt = {};
+    applyPeerTables(standing, rowsIn(digest));
+}
+
+void gossip::addChangedRows(const wire::Digest& digest, instant now, wire::Update& update)
+{
+    if (m_options.tableSource && digest.has_standing())
+        addRows(m_options.tableSource->changesAfter(standingIn(digest, now)), update);
+}
+
+} // namespace pimentomast::serve::detail
--- a/src/serve/wire.h
+++ b/src/serve/wire.h
@@ -29,6 +29,37 @@
 [[nodiscard]] wire::ChangedRow toWire(const changed_row& value);
 [[nodiscard]] changed_row fromWire(const wire::ChangedRow& message);
 
+/// The next four are for messages that state the tables of their sender: wire::Digest and
+/// wire::Update.
+template <class Message>
+[[nodiscard]] std::vector<changed_row> rowsIn(const Message& from)
+{
+    std::vector<changed_row> rows;
+    for (const auto& each : from.rows())
+        rows.push_back(fromWire(each));
+    return rows;
+}
+
+template <class Message>
+void addStanding(const table_standing& standing, instant now, Message& to)
+{
+    *to.mutable_standing() = toWire(standing.targets, now);
+    *to.mutable_configuration() = toWire(standing.configuration, now);
+}
+
+template <class Message>
+[[nodiscard]] table_standing standingIn(const Message& from, instant sentAt)
+{
+    return { fromWire(from.standing(), sentAt), fromWire(from.configuration(), sentAt) };
+}
+
+template <class Message>
+void addRows(const std::vector<changed_row>& rows, Message& to)
+{
+    for (const auto& each : rows)
+        *to.add_rows() = toWire(each);
+}
+
 /// Precondition: the action names a range.
 [[nodiscard]] wire::HoldRequest toWire(
     const service_id& service, const ownership::hold_slices& action);
