--- a/src/serve/gossip.cc
+++ b/src/serve/gossip.cc
@@ -119,7 +119,7 @@
     electStorePoller(now);
     const auto message = digest(now);
     for (const auto& peer : peersToCall(now))
-        exchangeWith(peer, message, now);
+        exchangeWith(peer, message, now, gossipTimeoutMs);
 }
 
 // The host that polls the store is called in each round.
@@ -221,11 +221,11 @@
     m_callbacks.applyCrashes(records);
 }
 
-void gossip::exchangeWith(
-    const peer_registry::client_pointer& peer, const wire::Digest& message, instant sentAt)
+void gossip::exchangeWith(const peer_registry::client_pointer& peer, const wire::Digest& message,
+    instant sentAt, std::chrono::milliseconds timeout)
 {
     const auto address = peer->address();
-    peer->exchange(message, gossipTimeoutMs, [this, sentAt, address](auto reply) {
+    peer->exchange(message, timeout, [this, sentAt, address](auto reply) {
         if (!reply)
             return;
         const auto& update = reply.value();
--- a/src/serve/gossip.h
+++ b/src/serve/gossip.h
@@ -17,6 +17,8 @@
 
 /// Timeout of each call to another host.
 constexpr std::chrono::milliseconds gossipTimeoutMs { 800 };
+/// Timeout of a call that may carry a configuration: a weak link may take seconds for it.
+constexpr std::chrono::milliseconds pushTimeoutMs { 2500 };
 
 struct gossip_options {
     host_id self;
@@ -86,8 +88,8 @@
 
     void readConfig();
     void readHosts();
-    void exchangeWith(
-        const peer_registry::client_pointer& peer, const wire::Digest& message, instant sentAt);
+    void exchangeWith(const peer_registry::client_pointer& peer, const wire::Digest& message,
+        instant sentAt, std::chrono::milliseconds timeout);
     /// Puts a peer's changed rows in force, then records its standing.
     void applyPeerTables(const table_standing& standing, const std::vector<changed_row>& rows);
     void applyUpdate(instant sentAt, const wire::Update& update);
--- a/src/serve/gossip_tables.cc
+++ b/src/serve/gossip_tables.cc
@@ -42,7 +42,7 @@
     auto message = digest(now);
     addRows(m_options.tableSource->changesAfter(pushed), message);
     for (const auto& peer : m_peerRegistry.allPeers(now))
-        exchangeWith(peer, message, now);
+        exchangeWith(peer, message, now, pushTimeoutMs);
 }
 
 // A new table waits for locks of the router, so it is not put in force on the thread of a call.
