--- a/support/lint.sh
+++ b/support/lint.sh
@@ -7,7 +7,7 @@
 shift || true
 files=("$@")
 if [ ${#files[@]} -eq 0 ]; then
-  mapfile -t files < <(git ls-files --cached --others --exclude-standard '*.cc' '*.h' | grep -v '/generated/')
+  mapfile -t files < <(git ls-files --cached --others --exclude-standard '*.cc' '*.h')
 fi
 clang-format --dry-run -Werror "${files[@]}"
 printf '%s\n' "${files[@]}" | grep '\.cc$' | xargs -P "$(nproc)" -n 1 clang-tidy -p "$build" --quiet 2>/dev/null
