Start the threads of a host when they are needed

Silent targets could take all 32 threads of grants and delay the others' renewals. Change: a pool starts a thread if none is idle, up to a limit, and ends it after 10 idle seconds; the last one stays. Grants may take 128 threads. At most two heaps.

--- a/src/proxy/server-impl.h
+++ b/src/proxy/server-impl.h
@@ -5,8 +5,8 @@
 #include "poller.h"
 #include "registry.h"
 #include "relay.h"
+#include "pimentomast/workers.h"
 #include "route-splitter.h"
-#include "worker-pool.h"
 
 #include <Poco/Net/ServerSocket.h>
 #include <condition_variable>
--- a/src/serve/control_actions.cc
+++ b/src/serve/control_actions.cc
@@ -2,8 +2,6 @@
 
 #include "pimentomast/telemetry.h"
 
-#include <boost/asio/post.hpp>
-
 /// Carries out the coordinators' actions on rows, grants, witnesses, holds and routes.
 namespace pimentomast::serve::detail {
 namespace {
@@ -49,7 +47,7 @@
 
 void coordinator_driver::perform(const service_id& service, const ownership::read_row& action)
 {
-    boost::asio::post(m_storePool, [this, service, action] {
+    m_storePool.push([this, service, action] {
         const auto row = m_store.read(action.key);
         if (row)
             deliver(service, ownership::row_read { action.request, row.value() });
@@ -60,7 +58,7 @@
 
 void coordinator_driver::perform(const service_id& service, const ownership::write_row& action)
 {
-    boost::asio::post(m_storePool, [this, service, action] {
+    m_storePool.push([this, service, action] {
         auto outcome = m_store.write(action.key, action.expected, action.value, action.writer);
         logIfNotWritten(action, outcome);
         deliver(service, ownership::write_finished { action.request, std::move(outcome) });
@@ -70,12 +68,12 @@
 void coordinator_driver::perform(const service_id& service, const ownership::send_grant& action)
 {
     if (!tryBeginGrant(action.target)) {
-        boost::asio::post(m_grantPool, [this, service, action] {
+        m_grantPool.push([this, service, action] {
             deliver(service, ownership::target_failed { action.request, action.target, false });
         });
         return;
     }
-    boost::asio::post(m_grantPool, [this, service, action] {
+    m_grantPool.push([this, service, action] {
         const auto answer = m_grants->send(action);
         endGrant(action.target);
         deliver(service, answer);
--- a/src/serve/coordinator_driver.cc
+++ b/src/serve/coordinator_driver.cc
@@ -71,8 +71,8 @@
     , m_routes(routes)
     , m_callbacks(std::move(callbacks))
     , m_grants(std::move(grants))
-    , m_storePool(options.storeThreads)
-    , m_grantPool(options.grantThreads)
+    , m_storePool({ options.storeThreads }, [](const work& each) { each(); })
+    , m_grantPool({ options.grantThreads }, [](const work& each) { each(); })
 {
 }
 
@@ -80,8 +80,6 @@
 {
     m_storePool.stop();
     m_grantPool.stop();
-    m_storePool.join();
-    m_grantPool.join();
 }
 
 void coordinator_driver::startService(const table::service_row& row)
--- a/src/serve/coordinator_driver.h
+++ b/src/serve/coordinator_driver.h
@@ -5,9 +5,9 @@
 #include "peer_registry.h"
 #include "pimentomast/ownership.h"
 #include "pimentomast/store.h"
+#include "pimentomast/workers.h"
 #include "wire.h"
 
-#include <boost/asio/thread_pool.hpp>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -20,7 +20,9 @@
     ownership::timings times;
     std::uint64_t seed = 1;
     unsigned storeThreads = 4;
-    unsigned grantThreads = 32;
+    /// Messages to targets that can wait for answers at the same time: targets that are silent must
+    /// not delay the renewals of the others.
+    unsigned grantThreads = 128;
 };
 
 /// Returns the role's name as used in logs and in the status.
@@ -131,8 +133,9 @@
     std::mutex m_grantLock;
     std::map<target_id, unsigned> m_grantsRunning;
     std::unique_ptr<grant_sender> m_grants;
-    boost::asio::thread_pool m_storePool;
-    boost::asio::thread_pool m_grantPool;
+    using work = std::function<void()>;
+    worker_pool<work> m_storePool;
+    worker_pool<work> m_grantPool;
 };
 
 } // namespace pimentomast::serve::detail
--- a/src/serve/range_grants.cc
+++ b/src/serve/range_grants.cc
@@ -2,8 +2,6 @@
 
 #include "pimentomast/telemetry.h"
 
-#include <boost/asio/post.hpp>
-#include <boost/asio/use_future.hpp>
 #include <future>
 
 namespace pimentomast::serve::detail {
@@ -45,11 +43,11 @@
 
 range_grants::range_grants(range_client& client)
     : m_client(client)
-    , m_releasePool(maxParallelReleases)
+    , m_releasePool({ maxParallelReleases }, [](const auto& each) { each(); })
 {
 }
 
-range_grants::~range_grants() { m_releasePool.join(); }
+range_grants::~range_grants() = default;
 
 range_grants::target_state& range_grants::stateOf(const target_id& target)
 {
@@ -156,10 +154,12 @@
     const ownership::send_grant& action, const std::vector<ranges::call>& releases)
 {
     std::vector<std::future<ended_call>> running;
-    for (std::size_t i = 1; i < releases.size(); ++i)
-        running.push_back(boost::asio::post(m_releasePool,
-            std::packaged_task<ended_call()>(
-                [this, &action, &each = releases[i]] { return execute(action, each); })));
+    for (std::size_t i = 1; i < releases.size(); ++i) {
+        const auto task = std::make_shared<std::packaged_task<ended_call()>>(
+            [this, &action, &each = releases[i]] { return execute(action, each); });
+        running.push_back(task->get_future());
+        m_releasePool.push([task] { (*task)(); });
+    }
     std::vector<ended_call> ended;
     if (!releases.empty())
         ended.push_back(execute(action, releases.front()));
--- a/src/serve/range_grants.h
+++ b/src/serve/range_grants.h
@@ -3,8 +3,8 @@
 #include "grant_sender.h"
 #include "pimentomast/ranges.h"
 #include "pimentomast/serve.h"
+#include "pimentomast/workers.h"
 
-#include <boost/asio/thread_pool.hpp>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -64,7 +64,7 @@
         service_state& service, const ranges::call& made, const ranges::call_result& outcome);
 
     range_client& m_client;
-    boost::asio::thread_pool m_releasePool;
+    worker_pool<std::function<void()>> m_releasePool;
     std::mutex m_lock;
     std::map<target_id, std::unique_ptr<target_state>> m_targets;
     std::map<service_id, std::unique_ptr<service_state>> m_services;
--- a/src/serve/serve.cc
+++ b/src/serve/serve.cc
@@ -3,6 +3,7 @@
 #include "node.h"
 
 #include <csignal>
+#include <malloc.h>
 
 namespace pimentomast::serve {
 namespace {
@@ -19,6 +20,9 @@
 }
 
 constexpr timespec watchInterval { 0, 500'000'000 };
+/// Heaps that the threads share. Each keeps what its threads once needed at the same time, so one
+/// for each thread would hold far more memory than is in use.
+constexpr int maxArenas = 2;
 
 /// Returns on SIGTERM or SIGINT. SIGHUP only logs that settings take effect at the next start.
 /// Meanwhile looks at the rounds of the host, whose own thread cannot tell that one never ends.
@@ -85,6 +89,7 @@
     std::signal(SIGPIPE, SIG_IGN);
     telemetry::setUpLog(logOptions(values));
     const auto env = connect().value();
+    mallopt(M_ARENA_MAX, maxArenas);
     detail::node host(values, *env);
     telemetry::log(telemetry::severity::Info, "started",
         { { "host", values.host.id.value() }, { "callers", values.host.callers.text() } });
