--- a/include/pimentomast/settings.h
+++ b/include/pimentomast/settings.h
@@ -147,6 +147,9 @@
     log_format format = log_format::Text;
     /// Average number of per-request lines per second; lines beyond it are only counted.
     unsigned requestLines = 20;
+    /// Average number of lines and bytes per second, of all events together.
+    unsigned lines = 200;
+    unsigned bytes = 65536;
 };
 
 struct drain_settings {
--- a/include/pimentomast/telemetry.h
+++ b/include/pimentomast/telemetry.h
@@ -168,6 +168,10 @@
     bool json = false;
     /// Strings that are replaced by "(secret)" in field values.
     std::vector<std::string> secrets;
+    /// Lines and bytes of all events in a second, on average; what exceeds them is only counted. 0:
+    /// unbounded.
+    unsigned linesPerSecond = 0;
+    unsigned bytesPerSecond = 0;
 };
 
 /// A key-value pair of a log line.
--- a/src/serve/coordinator_driver.cc
+++ b/src/serve/coordinator_driver.cc
@@ -7,18 +7,42 @@
 namespace pimentomast::serve::detail {
 namespace {
 
+/// Hosts that one log line names.
+constexpr std::size_t maxNamedHosts = 8;
+
 std::uint64_t seedFor(const coordinator_driver_options& options, const service_id& service)
 {
     return options.seed ^ hashKey(service.value()).value();
 }
 
-void logMembers(const ownership::membership_changed& members)
+/// Returns the hosts of one list that the other one lacks; both are sorted.
+std::vector<ownership::host_run> without(
+    const std::vector<ownership::host_run>& hosts, const std::vector<ownership::host_run>& others)
+{
+    std::vector<ownership::host_run> rest;
+    std::set_difference(
+        hosts.begin(), hosts.end(), others.begin(), others.end(), std::back_inserter(rest));
+    return rest;
+}
+
+std::string namesOf(const std::vector<ownership::host_run>& hosts)
+{
+    std::string names;
+    for (std::size_t i = 0; i < std::min(hosts.size(), maxNamedHosts); ++i)
+        names += (names.empty() ? "" : " ") + hosts[i].host.value();
+    if (hosts.size() > maxNamedHosts)
+        names += " and " + std::to_string(hosts.size() - maxNamedHosts) + " more";
+    return names;
+}
+
+void logMembers(
+    const ownership::membership_changed& before, const ownership::membership_changed& now)
 {
-    std::string hosts;
-    for (const auto& host : members.live)
-        hosts += (hosts.empty() ? "" : " ") + host.host.value();
     telemetry::log(telemetry::severity::Info, "live-hosts-changed",
-        { { "hosts", hosts }, { "complete", members.complete ? "yes" : "no" } });
+        { { "live", std::to_string(now.live.size()) },
+            { "added", namesOf(without(now.live, before.live)) },
+            { "removed", namesOf(without(before.live, now.live)) },
+            { "complete", now.complete ? "yes" : "no" } });
 }
 
 std::vector<table::target_row> targetsOf(const table::table& table, const service_id& service)
@@ -120,13 +144,14 @@
         members.millicores.emplace(host.id, host.millicores);
     }
     members.complete = complete;
+    ownership::membership_changed before;
     {
         const std::lock_guard guard(m_lock);
         if (m_members == members)
             return;
-        m_members = members;
+        before = std::exchange(m_members, members);
     }
-    logMembers(members);
+    logMembers(before, members);
     deliverToAll(members);
 }
 
--- a/src/serve/serve.cc
+++ b/src/serve/serve.cc
@@ -67,6 +67,8 @@
     options.file = values.log.sink == settings::log_sink::File ? values.log.file : "";
     options.json = values.log.format == settings::log_format::Json;
     options.secrets = { values.admin.token };
+    options.linesPerSecond = values.log.lines;
+    options.bytesPerSecond = values.log.bytes;
     return options;
 }
 
@@ -87,9 +89,9 @@
     const auto signals = terminationSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
+    mallopt(M_ARENA_MAX, maxArenas);
     telemetry::setUpLog(logOptions(values));
     const auto env = connect().value();
-    mallopt(M_ARENA_MAX, maxArenas);
     detail::node host(values, *env);
     telemetry::log(telemetry::severity::Info, "started",
         { { "host", values.host.id.value() }, { "callers", values.host.callers.text() } });
--- a/src/settings/keys.cc
+++ b/src/settings/keys.cc
@@ -330,6 +330,8 @@
             member { &s::log, &log_settings::format }),
         countRule(
             "log", "request_lines", { 0, 100000 }, member { &s::log, &log_settings::requestLines }),
+        countRule("log", "lines", { 1, 100000 }, member { &s::log, &log_settings::lines }),
+        countRule("log", "bytes", { 1024, 1 << 30 }, member { &s::log, &log_settings::bytes }),
         timeRule(
             "drain", "accept_ms", { 0, 600000 }, member { &s::drain, &drain_settings::acceptMs }),
         timeRule("drain", "idle_ms", { 0, 600000 }, member { &s::drain, &drain_settings::idleMs }),
--- a/src/telemetry/log.cc
+++ b/src/telemetry/log.cc
@@ -1,7 +1,9 @@
 #include "line_writer.h"
+#include "log_budget.h"
 #include "pimentomast/telemetry.h"
 
 #include <Poco/JSON/Object.h>
+#include <atomic>
 #include <boost/date_time/posix_time/posix_time_types.hpp>
 #include <boost/date_time/posix_time/time_formatters.hpp>
 #include <boost/log/attributes/clock.hpp>
@@ -12,6 +14,7 @@
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
 #include <boost/smart_ptr/make_shared.hpp>
+#include <memory>
 #include <sstream>
 
 namespace pimentomast::telemetry {
@@ -26,6 +29,8 @@
 struct shared_state {
     log_options options;
     boost::shared_ptr<detail::line_backend> lines;
+    std::unique_ptr<detail::log_budget> budget;
+    std::atomic<std::uint64_t> overBudget { 0 };
     logger source;
 };
 
@@ -119,6 +124,8 @@
     core->add_sink(output);
     state().options = options;
     state().lines = lines;
+    state().budget
+        = std::make_unique<detail::log_budget>(options.linesPerSecond, options.bytesPerSecond);
 }
 
 void log(severity level, std::string_view event, const std::vector<field>& fields)
@@ -128,7 +135,13 @@
         return;
     const auto formatLine = shared.options.json ? &jsonLine : &textLine;
     const auto line = formatLine(nameOf(level), event, fields, shared.options.secrets);
-    if (const auto dropped = shared.lines ? shared.lines->takeDroppedCount() : 0; dropped > 0) {
+    if (shared.budget && !shared.budget->take(monotonic_clock::now(), line.size())) {
+        ++shared.overBudget;
+        return;
+    }
+    const auto dropped
+        = shared.overBudget.exchange(0) + (shared.lines ? shared.lines->takeDroppedCount() : 0);
+    if (dropped > 0) {
         const auto count = formatLine(nameOf(severity::Warning), "log-lines-left-out",
             { { "count", std::to_string(dropped) } }, {});
         BOOST_LOG_SEV(shared.source, severity::Warning) << count;
--- a/test/telemetry-test.cc
+++ b/test/telemetry-test.cc
@@ -1,6 +1,7 @@
 #include "pimentomast/telemetry.h"
 
 #include "helper.h"
+#include "telemetry/log_budget.h"
 
 #include <Poco/JSON/Parser.h>
 #include <algorithm>
@@ -155,6 +156,45 @@
     cr_assert(line->getValue<std::string>("time").ends_with("Z"));
 }
 
+Test(telemetry, lines_beyond_the_rate_are_only_counted)
+{
+    auto options = fileLogOptions();
+    options.linesPerSecond = 20;
+    telemetry::setUpLog(options);
+    constexpr std::ptrdiff_t lines = 1000;
+    const auto began = monotonic_clock::now();
+    for (std::ptrdiff_t i = 0; i < lines; ++i)
+        telemetry::log(telemetry::severity::Warning, "decision");
+    const auto took = std::chrono::ceil<std::chrono::seconds>(monotonic_clock::now() - began);
+    const auto countLines
+        = [&](const std::string& text) { return std::count(text.begin(), text.end(), '\n'); };
+    const auto most = 20 * (5 + took.count());
+    const auto written = countLines(readAll(options.file));
+    cr_assert(written > 0 && written <= most, "%td lines in %jd s", written,
+        std::intmax_t(took.count()));
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    telemetry::log(telemetry::severity::Info, "decision");
+    cr_assert(readAll(options.file).find("event=log-lines-left-out") != std::string::npos);
+}
+
+Test(telemetry, budget_of_the_log_bounds_bytes_too)
+{
+    telemetry::detail::log_budget budget(0, 1000);
+    const instant start { std::chrono::seconds(100) };
+    const auto takeAll = [&](instant now) {
+        int lines = 0;
+        while (lines < 1000 && budget.take(now, 100))
+            ++lines;
+        return lines;
+    };
+    cr_assert_eq(takeAll(start), 50);
+    cr_assert_eq(takeAll(start), 0);
+    cr_assert_eq(takeAll(start + std::chrono::seconds(1)), 10);
+    cr_assert_eq(takeAll(start + std::chrono::seconds(60)), 50);
+    telemetry::detail::log_budget unbounded(0, 0);
+    cr_assert(unbounded.take(start, 1 << 20) && unbounded.take(start, 1 << 20));
+}
+
 // The reader of the pipe reads nothing until its buffer (64 KB) is full. log() must then drop lines
 // instead of blocking, and later report how many it dropped.
 Test(telemetry, log_drops_lines_when_the_pipe_is_full)
