Do not probe targets that report no load when they appear

The probe asks for the load and the run of a target; on the platform targets report no load, and the table states the run. Ruled out: probes by few hosts and news of them; a target that has just registered is alive. Change: the first probe of such a target is due after the interval of background probes, or as soon as a request fails. Its run is taken from the table, so that a crash is still attributed. Before and after: both new tests of routing-health-test; on the code before, 4 targets got 4 probes.

--- a/src/routing/engine.cc
+++ b/src/routing/engine.cc
@@ -11,8 +11,12 @@
 
 target_health::limits healthLimits(const options& settings)
 {
-    return { settings.probeInterval, settings.backgroundProbeInterval, settings.probeTimeout,
-        settings.ejectionMin, settings.ejectionMax, settings.slowStart };
+    // The first probe asks for the load. Targets that do not report it are known to be well from
+    // their registration, until requests to them fail.
+    const duration firstProbeDelay
+        = settings.targetsReportLoad ? duration {} : duration(settings.backgroundProbeInterval);
+    return { firstProbeDelay, settings.probeInterval, settings.backgroundProbeInterval,
+        settings.probeTimeout, settings.ejectionMin, settings.ejectionMax, settings.slowStart };
 }
 
 window::limits windowLimits(const options& settings)
@@ -57,9 +61,9 @@
 }
 
 target_state::target_state(const table::target_row& from, const target_health::limits& healthLimits,
-    const window::limits& windowLimits, double quantum, instant slowStartBegin)
+    const window::limits& windowLimits, double quantum, instant added, instant slowStartBegin)
     : row(from)
-    , health(healthLimits, slowStartBegin)
+    , health(healthLimits, added, slowStartBegin)
     , window(windowLimits)
     , waiting(quantum)
 {
@@ -133,8 +137,10 @@
     const instant slowStartBegin = m_hasTable ? m_now : m_now - m_settings.slowStart;
     for (const table::target_row& row : rows.targets) {
         const auto [found, added] = m_targets.try_emplace(
-            row.id, row, m_healthLimits, m_windowLimits, callerQuantum, slowStartBegin);
+            row.id, row, m_healthLimits, m_windowLimits, callerQuantum, m_now, slowStartBegin);
         target_state& target = found->second;
+        if (!target.runSeen && row.run != incarnation {})
+            updateRun(target, row.run);
         if (!added && row.state == table::mark::Active && target.row.state != row.state)
             target.health.restart(m_now);
         target.row = row;
--- a/src/routing/engine.h
+++ b/src/routing/engine.h
@@ -101,7 +101,7 @@
 
 struct target_state {
     target_state(const table::target_row& from, const target_health::limits& healthLimits,
-        const window::limits& windowLimits, double quantum, instant slowStartBegin);
+        const window::limits& windowLimits, double quantum, instant added, instant slowStartBegin);
 
     table::target_row row;
     target_health health;
--- a/src/routing/target_health.cc
+++ b/src/routing/target_health.cc
@@ -18,9 +18,10 @@
 
 } // namespace
 
-target_health::target_health(const limits& bounds, instant slowStartBegin)
+target_health::target_health(const limits& bounds, instant added, instant slowStartBegin)
     : m_limits(bounds)
     , m_slowStartBegin(slowStartBegin)
+    , m_nextProbe(added + bounds.firstProbeDelay)
 {
 }
 
--- a/src/routing/target_health.h
+++ b/src/routing/target_health.h
@@ -9,6 +9,8 @@
 class target_health {
 public:
     struct limits {
+        /// Time from when a target is added until its first probe.
+        duration firstProbeDelay;
         duration probeInterval;
         duration backgroundProbeInterval;
         duration probeTimeout;
@@ -17,7 +19,7 @@
         duration slowStart;
     };
 
-    target_health(const limits& bounds, instant slowStartBegin);
+    target_health(const limits& bounds, instant added, instant slowStartBegin);
 
     void onAnswered(instant now, const answered& ended);
     /// An attempt failed in a way that a healthy target would not cause.
@@ -65,7 +67,7 @@
     unsigned m_failuresInRow = 0;
     unsigned m_failedProbesInRow = 0;
     unsigned m_ejectionsInRow = 0;
-    instant m_nextProbe {};
+    instant m_nextProbe;
     instant m_lastProbeEnd {};
     double m_jitter = 1;
     std::optional<instant> m_probeStarted;
--- a/test/routing-health-test.cc
+++ b/test/routing-health-test.cc
@@ -348,3 +348,43 @@
     test.run(50ms);
     cr_assert(test.lastDispatch(number).attempt == attempt_number { 2 });
 }
+
+// Each host would otherwise open a connection to each target as soon as it starts.
+Test(routing_health, targets_that_report_no_load_are_probed_only_after_a_failure)
+{
+    options settings;
+    settings.targetsReportLoad = false;
+    settings.backgroundProbeInterval = 24h;
+    auto rows = makeTable(4, false);
+    for (auto& target : rows.targets)
+        target.run = firstRun;
+    driver test(rows, settings);
+    test.run(2s);
+    cr_assert(test.all<probe>().empty());
+    const auto number = test.arrive(test.make("c", 5));
+    const dispatch attempt = test.lastDispatch(number);
+    test.finish(attempt, connect_failed { true });
+    test.run(200ms);
+    const auto probes = test.all<probe>();
+    cr_assert_eq(probes.size(), 1);
+    cr_assert(probes.front().target == attempt.target);
+}
+
+// The run of a target that was never probed is the one that the table states.
+Test(routing_health, crash_of_a_target_that_was_never_probed_is_attributed)
+{
+    options settings;
+    settings.targetsReportLoad = false;
+    settings.backgroundProbeInterval = 24h;
+    auto rows = makeTable(1, false);
+    rows.targets.front().run = firstRun;
+    driver test(rows, settings);
+    const auto crashing = test.arrive(test.make("c", 5));
+    const auto refused = test.arrive(test.make("c", 6));
+    test.finish(test.lastDispatch(refused), connect_failed { true });
+    const auto crashes = test.all<broadcast_crash>();
+    cr_assert_eq(crashes.size(), 1);
+    cr_assert(crashes.front().record.run == firstRun);
+    cr_assert(crashes.front().record.requestFingerprint == fingerprint { 5 });
+    cr_assert(test.lastDispatch(crashing).target == target_id { "t0" });
+}
