Pass messages for all hosts on through relays

Cause: the coordinator sent each assignment and each request to hold to every host itself, some 500 and 390 messages a second with 195 hosts; the reader of the store did so with changed rows, and a host that saw a crash with its records. Each host read the list of hosts every 5 s (and every second while starting), as only the list told of hosts that had not called it. Change: above 64 receivers a message goes to about the square root of their number, strong ones that were heard lately, which pass it on; the answer to a hold waits for those. If a relay does not answer, the sender calls its hosts itself. Reports of live hosts state the address of those that became known in the last 15 s, so the list is read at most 8 times a second by all hosts together (100 while they start).

--- a/include/pimentomast/membership.h
+++ b/include/pimentomast/membership.h
@@ -28,6 +28,8 @@
     unsigned fanout = 4;
     /// Number of live hosts reported to a peer in one message.
     unsigned heardPerMessage = 20;
+    /// How long the address of a host that has become known is reported with it.
+    std::chrono::milliseconds newsTimeMs { 15000 };
     std::uint64_t seed = 1;
     /// Processor time that this host may use, in thousandths of a core.
     unsigned millicores = 0;
@@ -46,8 +48,32 @@
     host_id id;
     incarnation run;
     std::chrono::milliseconds ageMs {};
+    /// Only of a host that the peer has known for a short time; otherwise the port is 0.
+    endpoint peers {};
+    unsigned millicores = 0;
+};
+
+/// A host to which a message may be passed on.
+struct relay_candidate {
+    endpoint address;
+    unsigned millicores = 0;
+    /// Whether it may pass the message on to others: it was heard from lately and is not leaving.
+    bool relays = false;
 };
 
+/// Hosts that get a message through one of them: the relay gets it first.
+struct relay_group {
+    endpoint relay;
+    std::vector<endpoint> others;
+};
+
+/// Groups the receivers of a message so that neither the sender nor a relay sends more than about
+/// the square root of their number. Relays are chosen at random among the stronger half. A small
+/// number of receivers, and those that may not relay, get the message from the sender itself.
+/// Thread-safe.
+[[nodiscard]] std::vector<relay_group> groupByRelay(
+    std::vector<relay_candidate> receivers, std::uint64_t seed);
+
 struct member {
     host_id id;
     incarnation run;
@@ -71,10 +97,11 @@
     void recordContact(instant now, const peer_contact& seen);
     /// Merges a peer's reports of other hosts. A report never makes the last message of a host
     /// older. Reports of another incarnation than the last known one are ignored: only a message
-    /// from the host itself shows that it restarted.
+    /// from the host itself shows that it restarted. A host that was not known yet is added if the
+    /// report states its address.
     void mergeHeard(instant now, const std::vector<heard_host>& heard);
     /// Returns live hosts to report to a peer: at most options.heardPerMessage of them, chosen at
-    /// random, without self.
+    /// random, without self. Up to half of them are hosts that became known lately.
     [[nodiscard]] std::vector<heard_host> sampleHeard(instant now);
     /// Marks this host itself as leaving or returned.
     void setLeaving(bool leaving) noexcept { m_leaving = leaving; }
@@ -94,6 +121,8 @@
     [[nodiscard]] std::vector<endpoint> exchangePeers(instant now);
     /// Returns the addresses of all hosts that are listed or live, without self.
     [[nodiscard]] std::vector<endpoint> allPeers(instant now) const;
+    /// Returns all hosts that are listed or live, without self, in groups for a message to each.
+    [[nodiscard]] std::vector<relay_group> relayGroups(instant now);
     /// Returns the address of the peer with this id; an empty optional if it is unknown.
     [[nodiscard]] std::optional<endpoint> find(const host_id& id) const;
 
@@ -103,12 +132,16 @@
         incarnation run;
         unsigned millicores = 0;
         std::optional<instant> listedAt;
+        std::optional<instant> firstHeardAt;
         std::optional<instant> heardAt;
         bool listed = false;
         bool leaving = false;
     };
 
     explicit host_view(view_options options);
+    static void noteHeard(entry& known, instant at);
+    /// Returns whether peers may not know of the host yet.
+    [[nodiscard]] bool isNews(const entry& known, instant now) const;
     [[nodiscard]] bool heardRecently(const entry& known, instant now) const;
     [[nodiscard]] bool mayBeConnected(const entry& known, instant now) const;
     void removeDeparted(instant now);
--- a/include/pimentomast/peers.h
+++ b/include/pimentomast/peers.h
@@ -13,6 +13,10 @@
 template <class Reply>
 using reply_handler = std::function<void(result<Reply>)>;
 
+/// Sends the reply to a peer. Must be called once, on any thread.
+template <class Reply>
+using reply_sender = std::function<void(Reply)>;
+
 /// Answers calls of peers.
 /// Called concurrently from gRPC threads: implementations are thread-safe and do not block.
 class handler {
@@ -22,7 +26,8 @@
     virtual wire::Update exchange(const wire::Digest& digest) = 0;
     virtual wire::NoticeReply publish(const wire::Notice& notice) = 0;
     virtual wire::WitnessReply witness(const wire::WitnessRequest& request) = 0;
-    virtual wire::HoldReply hold(const wire::HoldRequest& request) = 0;
+    /// The reply may be sent after this returns.
+    virtual void hold(const wire::HoldRequest& request, reply_sender<wire::HoldReply> reply) = 0;
     virtual wire::RouteRenewalReply renewRoute(const wire::RouteRenewal& renewal) = 0;
     virtual wire::LoadReply reportLoad(const wire::LoadReport& report) = 0;
 };
--- a/src/membership/host_view.cc
+++ b/src/membership/host_view.cc
@@ -56,7 +56,7 @@
     auto& known = m_hosts[seen.id];
     const bool restarted = known.run != seen.run;
     known.run = seen.run;
-    known.heardAt = now;
+    noteHeard(known, now);
     known.leaving = restarted ? seen.leaving : known.leaving || seen.leaving;
     if (seen.peers.port != 0)
         known.peers = seen.peers;
@@ -65,31 +65,58 @@
 void host_view::mergeHeard(instant now, const std::vector<heard_host>& heard)
 {
     for (const auto& each : heard) {
-        const auto found = m_hosts.find(each.id);
+        const bool isRecent = each.ageMs.count() >= 0 && each.ageMs <= m_options.contactTimeoutMs;
+        const bool mayAdd = isRecent && each.peers.port != 0 && each.id != m_options.self;
+        const auto found = mayAdd ? m_hosts.try_emplace(each.id).first : m_hosts.find(each.id);
         if (found == m_hosts.end() || each.ageMs.count() < 0)
             continue;
         auto& known = found->second;
         if (known.heardAt && known.run != each.run)
             continue;
-        const instant at = now - each.ageMs;
+        if (known.peers.port == 0) {
+            known.peers = each.peers;
+            known.millicores = each.millicores;
+        }
         known.run = each.run;
-        known.heardAt = std::max(known.heardAt.value_or(at), at);
+        noteHeard(known, now - each.ageMs);
     }
 }
 
+void host_view::noteHeard(entry& known, instant at)
+{
+    if (!known.firstHeardAt)
+        known.firstHeardAt = at;
+    known.heardAt = std::max(known.heardAt.value_or(at), at);
+}
+
+bool host_view::isNews(const entry& known, instant now) const
+{
+    return known.firstHeardAt && now - *known.firstHeardAt <= m_options.newsTimeMs
+        && known.peers.port != 0;
+}
+
 std::vector<heard_host> host_view::sampleHeard(instant now)
 {
-    std::vector<heard_host> all;
+    std::vector<heard_host> news;
+    std::vector<heard_host> others;
     for (const auto& [id, known] : m_hosts) {
         if (!heardRecently(known, now) || known.leaving)
             continue;
         // Rounded up, so that the age does not shrink as it is passed from peer to peer.
         const auto age = std::chrono::ceil<std::chrono::milliseconds>(now - *known.heardAt);
-        all.push_back({ id, known.run, age });
+        if (isNews(known, now))
+            news.push_back({ id, known.run, age, known.peers, known.millicores });
+        else
+            others.push_back({ id, known.run, age });
     }
-    std::shuffle(all.begin(), all.end(), m_random);
-    all.resize(std::min<std::size_t>(all.size(), m_options.heardPerMessage));
-    return all;
+    std::shuffle(news.begin(), news.end(), m_random);
+    std::shuffle(others.begin(), others.end(), m_random);
+    const std::size_t most = m_options.heardPerMessage;
+    const auto room = most - std::min(most, others.size());
+    news.resize(std::min(news.size(), std::max(room, most / 2)));
+    others.resize(std::min(others.size(), most - news.size()));
+    news.insert(news.end(), others.begin(), others.end());
+    return news;
 }
 
 bool host_view::heardRecently(const entry& known, instant now) const
@@ -164,6 +191,17 @@
     return peers;
 }
 
+std::vector<relay_group> host_view::relayGroups(instant now)
+{
+    std::vector<relay_candidate> receivers;
+    for (const auto& [id, known] : m_hosts) {
+        const bool isLive = heardRecently(known, now);
+        if ((known.listed || isLive) && known.peers.port != 0)
+            receivers.push_back({ known.peers, known.millicores, isLive && !known.leaving });
+    }
+    return groupByRelay(std::move(receivers), m_random());
+}
+
 std::optional<endpoint> host_view::find(const host_id& id) const
 {
     const auto found = m_hosts.find(id);
--- a/src/peers/server.cc
+++ b/src/peers/server.cc
@@ -11,7 +11,7 @@
 constexpr int maxThreads = 8;
 constexpr std::chrono::milliseconds shutdownWaitMs { 500 };
 
-/// Answers each call at once, on the gRPC thread that received it.
+/// Passes each call to the handler on the gRPC thread that received it.
 class call_service final : public wire::Peer::CallbackService {
 public:
     explicit call_service(handler& receiver)
@@ -40,7 +40,12 @@
     grpc::ServerUnaryReactor* Hold(grpc::CallbackServerContext* context,
         const wire::HoldRequest* request, wire::HoldReply* reply) override
     {
-        return answer(context, [&] { *reply = m_receiver.hold(*request); });
+        grpc::ServerUnaryReactor* reactor = context->DefaultReactor();
+        m_receiver.hold(*request, [reactor, reply](wire::HoldReply made) {
+            *reply = std::move(made);
+            reactor->Finish(grpc::Status::OK);
+        });
+        return reactor;
     }
 
     grpc::ServerUnaryReactor* RenewRoute(grpc::CallbackServerContext* context,
--- a/src/serve/control_actions.cc
+++ b/src/serve/control_actions.cc
@@ -20,6 +20,11 @@
     return unknown ? &unknown->cause : nullptr;
 }
 
+bool isSameHold(const ownership::hold_slices& a, const ownership::hold_slices& b)
+{
+    return a.hold == b.hold && a.version == b.version && a.ranges == b.ranges;
+}
+
 } // namespace
 
 // Only the first of several failures in a row is logged: a write is repeated many times a second.
@@ -41,8 +46,18 @@
 void coordinator_driver::perform(
     const service_id& service, const std::vector<ownership::action>& actions)
 {
-    for (const auto& each : actions)
-        std::visit([&](const auto& action) { perform(service, action); }, each);
+    std::vector<const ownership::hold_slices*> holds;
+    for (const auto& each : actions) {
+        const auto* hold = std::get_if<ownership::hold_slices>(&each);
+        if (!holds.empty() && (!hold || !isSameHold(*holds.front(), *hold)))
+            sendHolds(service, std::exchange(holds, {}));
+        if (hold && hold->host != m_options.self.host)
+            holds.push_back(hold);
+        else
+            std::visit([&](const auto& action) { perform(service, action); }, each);
+    }
+    if (!holds.empty())
+        sendHolds(service, holds);
 }
 
 void coordinator_driver::perform(const service_id& service, const ownership::read_row& action)
@@ -134,21 +149,70 @@
 
 void coordinator_driver::perform(const service_id& service, const ownership::hold_slices& action)
 {
-    const ownership::hold_answered answered { action.request, action.host };
-    if (action.host == m_options.self.host) {
-        const auto until = monotonic_clock::now() + action.hold;
-        for (const auto& range : action.ranges)
-            m_routes.hold(service, range, action.version, until);
-        deliver(service, answered);
-        return;
+    if (action.host == m_options.self.host)
+        holdHere(service, action);
+    else
+        sendHold(service, action, {});
+}
+
+void coordinator_driver::holdHere(const service_id& service, const ownership::hold_slices& action)
+{
+    const auto until = monotonic_clock::now() + action.hold;
+    for (const auto& range : action.ranges)
+        m_routes.hold(service, range, action.version, until);
+    deliver(service, ownership::hold_answered { action.request, action.host });
+}
+
+void coordinator_driver::sendHolds(
+    const service_id& service, const std::vector<const ownership::hold_slices*>& actions)
+{
+    std::map<endpoint, const ownership::hold_slices*> byAddress;
+    std::vector<membership::relay_candidate> receivers;
+    for (const auto* action : actions) {
+        const auto peer = m_peerRegistry.find(action->host);
+        if (!peer || !byAddress.emplace(peer->address(), action).second) {
+            sendHold(service, *action, {});
+            continue;
+        }
+        receivers.push_back({ peer->address(), millicoresOf(action->host), true });
+    }
+    for (const auto& group :
+        membership::groupByRelay(std::move(receivers), actions.front()->request.value())) {
+        std::vector<ownership::hold_slices> others;
+        for (const auto& address : group.others)
+            others.push_back(*byAddress.at(address));
+        sendHold(service, *byAddress.at(group.relay), others);
     }
+}
+
+unsigned coordinator_driver::millicoresOf(const host_id& host) const
+{
+    const std::lock_guard guard(m_lock);
+    const auto found = m_members.millicores.find(host);
+    return found == m_members.millicores.end() ? 0 : found->second;
+}
+
+void coordinator_driver::sendHold(const service_id& service, const ownership::hold_slices& action,
+    const std::vector<ownership::hold_slices>& others)
+{
+    const ownership::hold_answered answered { action.request, action.host };
     const auto peer = m_peerRegistry.find(action.host);
-    if (!peer) {
-        deliver(service, answered);
-        return;
+    if (!peer)
+        return deliver(service, answered);
+    auto request = toWire(service, action);
+    for (const auto& each : others) {
+        if (const auto receiver = m_peerRegistry.find(each.host))
+            *request.add_forward_to() = toWire(receiver->address());
     }
-    peer->hold(toWire(service, action), holdTimeoutMs,
-        [this, service, answered](const auto&) { deliver(service, answered); });
+    peer->hold(request, holdTimeoutMs, [this, service, answered, others](const auto& reply) {
+        deliver(service, answered);
+        for (const auto& each : others) {
+            if (reply)
+                deliver(service, ownership::hold_answered { each.request, each.host });
+            else
+                sendHold(service, each, {});
+        }
+    });
 }
 
 void coordinator_driver::renewOwnRoute(
--- a/src/serve/coordinator_driver.h
+++ b/src/serve/coordinator_driver.h
@@ -111,6 +111,14 @@
     void perform(const service_id& service, const ownership::answer_witness& action);
     void perform(const service_id& service, const ownership::publish_assignment& action);
     void perform(const service_id& service, const ownership::hold_slices& action);
+    void holdHere(const service_id& service, const ownership::hold_slices& action);
+    /// Asks other hosts to hold the same ranges for the same time.
+    void sendHolds(
+        const service_id& service, const std::vector<const ownership::hold_slices*>& actions);
+    [[nodiscard]] unsigned millicoresOf(const host_id& host) const;
+    /// If the host does not answer, the others are asked by this one.
+    void sendHold(const service_id& service, const ownership::hold_slices& action,
+        const std::vector<ownership::hold_slices>& others);
     void perform(const service_id& service, const ownership::renew_route& action);
     void perform(const service_id& service, const ownership::role_changed& action);
     void renewOwnRoute(const service_id& service, const ownership::renew_route& action);
--- a/src/serve/gossip.cc
+++ b/src/serve/gossip.cc
@@ -17,6 +17,10 @@
 constexpr std::chrono::seconds startPhaseS { 10 };
 /// Interval between reads of the list of hosts after the start phase, if hosts list themselves.
 constexpr std::chrono::milliseconds selfListedHostsIntervalMs { 5000 };
+/// Time of this interval for each host, which bounds the reads of all hosts together: the larger
+/// interval of many hosts, since they learn of new ones from each other.
+constexpr std::chrono::milliseconds listReadPerHostMs { 125 };
+constexpr std::chrono::milliseconds startListReadPerHostMs { 10 };
 
 void logBadTable(config_version version, const error& cause)
 {
@@ -32,6 +36,10 @@
         message->set_host(each.id.value());
         message->set_incarnation(each.run.value());
         message->set_age_ms(static_cast<std::uint32_t>(each.ageMs.count()));
+        if (each.peers.port == 0)
+            continue;
+        *message->mutable_address() = toWire(each.peers);
+        message->set_millicores(each.millicores);
     }
 }
 
@@ -41,7 +49,8 @@
     std::vector<membership::heard_host> heard;
     for (const auto& each : from.heard())
         heard.push_back({ host_id { each.host() }, incarnation { each.incarnation() },
-            std::chrono::milliseconds(each.age_ms()) });
+            std::chrono::milliseconds(each.age_ms()), fromWire(each.address()),
+            each.millicores() });
     return heard;
 }
 
@@ -119,7 +128,7 @@
     electStorePoller(now);
     const auto message = digest(now);
     for (const auto& peer : peersToCall(now))
-        exchangeWith(peer, message, now, gossipTimeoutMs);
+        exchangeWith({ peer, {} }, message, now, gossipTimeoutMs);
 }
 
 // The host that polls the store is called in each round.
@@ -142,9 +151,13 @@
 // The list only supplements what hosts learn from each other.
 duration gossip::hostsInterval(instant now) const
 {
+    if (!m_options.tableSource)
+        return m_options.hostsIntervalMs;
+    const auto hosts = m_peerRegistry.connectionSharers(now);
     const bool starting = now - m_started < startPhaseS && !m_peerRegistry.complete(now);
-    return starting || !m_options.tableSource ? m_options.hostsIntervalMs
-                                              : selfListedHostsIntervalMs;
+    if (starting)
+        return std::max(m_options.hostsIntervalMs, hosts * startListReadPerHostMs);
+    return std::max(selfListedHostsIntervalMs, hosts * listReadPerHostMs);
 }
 
 void gossip::readConfig()
@@ -221,13 +234,23 @@
     m_callbacks.applyCrashes(records);
 }
 
-void gossip::exchangeWith(const peer_registry::client_pointer& peer, const wire::Digest& message,
+void gossip::exchangeWith(const peer_registry::relay_route& to, const wire::Digest& message,
     instant sentAt, std::chrono::milliseconds timeout)
 {
-    const auto address = peer->address();
-    peer->exchange(message, timeout, [this, sentAt, address](auto reply) {
-        if (!reply)
+    const auto address = to.relay->address();
+    std::shared_ptr<const wire::Digest> relayed;
+    if (!to.others.empty())
+        relayed = std::make_shared<const wire::Digest>(message);
+    auto sent = message;
+    addForward(to.others, sent);
+    to.relay->exchange(sent, timeout, [=, this, others = to.others](auto reply) {
+        if (!reply) {
+            // The last owner of a client must not be one of its own handlers.
+            if (!others.empty())
+                boost::asio::post(
+                    m_pool, [=, this] { exchangeWithEach(others, *relayed, sentAt, timeout); });
             return;
+        }
         const auto& update = reply.value();
         if (m_options.tableSource && update.has_standing())
             applyPeerTables(standingIn(update, sentAt), rowsIn(update));
@@ -239,6 +262,24 @@
     });
 }
 
+void gossip::exchangeWithEach(const std::vector<endpoint>& peers, const wire::Digest& message,
+    instant sentAt, std::chrono::milliseconds timeout)
+{
+    for (const auto& peer : m_peerRegistry.clientsAt(peers))
+        exchangeWith({ peer, {} }, message, sentAt, timeout);
+}
+
+// Passes on what is new, in a digest of this host's own.
+void gossip::relay(const wire::Digest& received, instant now)
+{
+    if (received.forward_to().empty())
+        return;
+    auto message = digest(now);
+    *message.mutable_crashes() = received.crashes();
+    *message.mutable_rows() = received.rows();
+    exchangeWithEach(forwardIn(received), message, now, pushTimeoutMs);
+}
+
 void gossip::applyUpdate(instant sentAt, const wire::Update& update)
 {
     if (update.has_table())
@@ -269,6 +310,7 @@
     m_peerRegistry.recordRelayed(now, heardIn(digest));
     applyCrashes(digest, now);
     receiveTables(digest, now);
+    relay(digest, now);
     wire::Update update;
     update.set_host(m_options.self.value());
     update.set_incarnation(m_options.run.value());
@@ -291,6 +333,7 @@
 
 wire::NoticeReply gossip::applyNotice(const wire::Notice& notice)
 {
+    relay(notice);
     if (notice.has_table())
         applyTable(config_version { notice.table().version() }, notice.table().value());
     for (const auto& message : notice.assignments())
@@ -334,8 +377,8 @@
     wire::Digest message = digest(now);
     for (const auto& crash : batch)
         *message.add_crashes() = toWire(crash, now);
-    for (const auto& peer : m_peerRegistry.allPeers(now))
-        peer->exchange(message, gossipTimeoutMs, [](const auto&) {});
+    for (const auto& each : m_peerRegistry.relayRoutes(now))
+        exchangeWith(each, message, now, gossipTimeoutMs);
 }
 
 bool gossip::sendsAllCrashes(instant now, std::uint64_t ofPeer)
--- a/src/serve/gossip.h
+++ b/src/serve/gossip.h
@@ -88,8 +88,12 @@
 
     void readConfig();
     void readHosts();
-    void exchangeWith(const peer_registry::client_pointer& peer, const wire::Digest& message,
+    /// If the relay does not answer, the other hosts of its route are called by this one.
+    void exchangeWith(const peer_registry::relay_route& to, const wire::Digest& message,
         instant sentAt, std::chrono::milliseconds timeout);
+    void exchangeWithEach(const std::vector<endpoint>& peers, const wire::Digest& message,
+        instant sentAt, std::chrono::milliseconds timeout);
+    void relay(const wire::Digest& received, instant now);
     /// Puts a peer's changed rows in force, then records its standing.
     void applyPeerTables(const table_standing& standing, const std::vector<changed_row>& rows);
     void applyUpdate(instant sentAt, const wire::Update& update);
@@ -98,8 +102,10 @@
     /// Ignores a change of an assignment that this host does not have.
     void applyChange(const wire::AssignmentChange& message);
     void notifyAll(const wire::Notice& notice);
-    void publishTo(const peer_registry::client_pointer& peer, const wire::Notice& notice,
-        const service_id& service);
+    /// If the relay does not answer, the other hosts of its route are called by this one.
+    void publishTo(const peer_registry::relay_route& to,
+        const std::shared_ptr<const wire::Notice>& notice, const service_id& service);
+    void relay(const wire::Notice& received);
     void catchUp(const peer_registry::client_pointer& peer, const service_id& service, token known);
     /// Records what is published; returns what was published before for that service, if anything.
     std::optional<ownership::assignment> exchangePublished(const ownership::assignment& value);
--- a/src/serve/gossip_assignments.cc
+++ b/src/serve/gossip_assignments.cc
@@ -29,15 +29,26 @@
 // commit, fills the links of the coordinator and of the slowest hosts.
 void gossip::publish(const ownership::assignment& value)
 {
-    wire::Notice notice;
-    notice.set_host(m_options.self.value());
+    const auto notice = std::make_shared<wire::Notice>();
+    notice->set_host(m_options.self.value());
     const auto base = exchangePublished(value);
     if (base && base->coordinator == value.coordinator)
-        *notice.add_changes() = toWire(ownership::difference(*base, value), m_options.self);
+        *notice->add_changes() = toWire(ownership::difference(*base, value), m_options.self);
     else
-        *notice.add_assignments() = toWire(value, m_options.self);
-    for (const auto& peer : m_peerRegistry.allPeers(monotonic_clock::now()))
-        publishTo(peer, notice, value.service);
+        *notice->add_assignments() = toWire(value, m_options.self);
+    for (const auto& each : m_peerRegistry.relayRoutes(monotonic_clock::now()))
+        publishTo(each, notice, value.service);
+}
+
+void gossip::relay(const wire::Notice& received)
+{
+    const auto service = serviceOf(received);
+    if (!service || received.forward_to().empty())
+        return;
+    const auto notice = std::make_shared<wire::Notice>(received);
+    notice->clear_forward_to();
+    for (const auto& peer : m_peerRegistry.clientsAt(forwardIn(received)))
+        publishTo({ peer, {} }, notice, *service);
 }
 
 std::optional<ownership::assignment> gossip::exchangePublished(const ownership::assignment& value)
@@ -50,12 +61,19 @@
     return std::exchange(published, value);
 }
 
-void gossip::publishTo(const peer_registry::client_pointer& peer, const wire::Notice& notice,
-    const service_id& service)
+void gossip::publishTo(const peer_registry::relay_route& to,
+    const std::shared_ptr<const wire::Notice>& notice, const service_id& service)
 {
-    const std::weak_ptr receiver = peer;
-    peer->publish(notice, gossipTimeoutMs, [this, receiver, service](auto reply) {
-        if (!reply)
+    const std::weak_ptr receiver = to.relay;
+    auto sent = *notice;
+    addForward(to.others, sent);
+    to.relay->publish(sent, gossipTimeoutMs, [=, this, others = to.others](auto reply) {
+        // The last owner of a client must not be one of its own handlers.
+        if (!reply) {
+            boost::asio::post(m_pool, [=, this] {
+                for (const auto& peer : m_peerRegistry.clientsAt(others))
+                    publishTo({ peer, {} }, notice, service);
+            });
             return;
         const auto known = directory::versionIn(reply.value().assignments(), service);
         // The last owner of a client must not be one of its own handlers.
@@ -69,7 +87,7 @@
     const peer_registry::client_pointer& peer, const service_id& service, token known)
 {
     const auto newest = m_routes.assignmentOf(service);
-    if (!peer || !newest || known >= newest->version())
+    if (!newest)
         return;
     wire::Notice whole;
     whole.set_host(m_options.self.value());
@@ -78,3 +96,4 @@
 }
 
 } // namespace pimentomast::serve::detail
+        }
--- a/src/serve/gossip_tables.cc
+++ b/src/serve/gossip_tables.cc
@@ -41,8 +41,8 @@
         return;
     auto message = digest(now);
     addRows(m_options.tableSource->changesAfter(pushed), message);
-    for (const auto& peer : m_peerRegistry.allPeers(now))
-        exchangeWith(peer, message, now, pushTimeoutMs);
+    for (const auto& each : m_peerRegistry.relayRoutes(now))
+        exchangeWith(each, message, now, pushTimeoutMs);
 }
 
 // A new table waits for locks of the router, so it is not put in force on the thread of a call.
--- a/src/serve/node.h
+++ b/src/serve/node.h
@@ -50,7 +50,8 @@
     peers::wire::Update exchange(const peers::wire::Digest& digest) override;
     peers::wire::NoticeReply publish(const peers::wire::Notice& notice) override;
     peers::wire::WitnessReply witness(const peers::wire::WitnessRequest& request) override;
-    peers::wire::HoldReply hold(const peers::wire::HoldRequest& request) override;
+    void hold(const peers::wire::HoldRequest& request,
+        peers::reply_sender<peers::wire::HoldReply> reply) override;
     peers::wire::RouteRenewalReply renewRoute(const peers::wire::RouteRenewal& renewal) override;
     peers::wire::LoadReply reportLoad(const peers::wire::LoadReport& report) override;
 
@@ -61,6 +62,8 @@
 private:
     void createComponents();
     void createPlacement();
+    /// Calls done once the hosts that the request is to be passed on to have answered or failed.
+    void relayHold(const peers::wire::HoldRequest& received, std::function<void()> done);
     void startListening();
     void putTable(const std::shared_ptr<const table::table>& table);
     void putAssignment(const ownership::assignment& newer, const host_id& coordinator);
--- a/src/serve/node_peers.cc
+++ b/src/serve/node_peers.cc
@@ -2,6 +2,12 @@
 
 /// Answers of a host to the calls of others.
 namespace pimentomast::serve::detail {
+namespace {
+
+/// Leaves time for the way back to the coordinator.
+constexpr std::chrono::milliseconds relayedHoldTimeoutMs { 35 };
+
+} // namespace
 
 peers::wire::Update node::exchange(const peers::wire::Digest& digest)
 {
@@ -25,7 +31,8 @@
     return reply;
 }
 
-peers::wire::HoldReply node::hold(const peers::wire::HoldRequest& request)
+void node::hold(const peers::wire::HoldRequest& request,
+    peers::reply_sender<peers::wire::HoldReply> reply)
 {
     const service_id service { request.service() };
     const token version { epoch { request.epoch() }, sequence { request.sequence() } };
@@ -34,9 +41,25 @@
         m_directory.hold(service, range, version, until);
     if (request.hold_ms() == 0)
         m_dispatch->ownersChanged(service);
-    peers::wire::HoldReply reply;
-    reply.set_incarnation(m_incarnation.value());
-    return reply;
+    peers::wire::HoldReply held;
+    held.set_incarnation(m_incarnation.value());
+    relayHold(request, [held, reply = std::move(reply)] { reply(held); });
+}
+
+void node::relayHold(const peers::wire::HoldRequest& received, std::function<void()> done)
+{
+    const auto clients = m_peerRegistry->clientsAt(forwardIn(received));
+    if (clients.empty())
+        return done();
+    auto relayed = received;
+    relayed.clear_forward_to();
+    const auto waiting = std::make_shared<std::atomic<std::size_t>>(clients.size());
+    const auto answered = [waiting, done = std::move(done)](const auto&) {
+        if (--*waiting == 0)
+            done();
+    };
+    for (const auto& client : clients)
+        client->hold(relayed, relayedHoldTimeoutMs, answered);
 }
 
 peers::wire::RouteRenewalReply node::renewRoute(const peers::wire::RouteRenewal& renewal)
--- a/src/serve/peer_registry.cc
+++ b/src/serve/peer_registry.cc
@@ -62,6 +62,24 @@
     return clientsOf(m_view.allPeers(now));
 }
 
+std::vector<peer_registry::relay_route> peer_registry::relayRoutes(instant now)
+{
+    const std::lock_guard guard(m_lock);
+    std::vector<relay_route> routes;
+    for (auto& group : m_view.relayGroups(now)) {
+        if (auto client = clientOf(group.relay))
+            routes.push_back({ std::move(client), std::move(group.others) });
+    }
+    return routes;
+}
+
+std::vector<peer_registry::client_pointer> peer_registry::clientsAt(
+    const std::vector<endpoint>& addresses)
+{
+    const std::lock_guard guard(m_lock);
+    return clientsOf(addresses);
+}
+
 peer_registry::client_pointer peer_registry::find(const host_id& id)
 {
     const std::lock_guard guard(m_lock);
--- a/src/serve/peer_registry.h
+++ b/src/serve/peer_registry.h
@@ -14,6 +14,12 @@
 public:
     using client_pointer = std::shared_ptr<peers::client>;
 
+    /// The client of a host, and the hosts to which that one passes a message on.
+    struct relay_route {
+        client_pointer relay;
+        std::vector<endpoint> others;
+    };
+
     explicit peer_registry(membership::host_view view)
         : m_view(std::move(view))
     {
@@ -34,6 +40,9 @@
     [[nodiscard]] std::vector<client_pointer> exchangePeers(instant now);
     /// Returns the clients of all other hosts that are listed or live.
     [[nodiscard]] std::vector<client_pointer> allPeers(instant now);
+    /// Returns all other hosts that are listed or live, in groups for a message to each.
+    [[nodiscard]] std::vector<relay_route> relayRoutes(instant now);
+    [[nodiscard]] std::vector<client_pointer> clientsAt(const std::vector<endpoint>& addresses);
     /// Returns the client of a host, or null if its address is unknown.
     [[nodiscard]] client_pointer find(const host_id& id);
 
--- a/src/serve/wire.cc
+++ b/src/serve/wire.cc
@@ -77,6 +77,19 @@
     return value;
 }
 
+wire::HostAddress toWire(const endpoint& address)
+{
+    wire::HostAddress message;
+    message.set_ip(address.ip);
+    message.set_port(address.port);
+    return message;
+}
+
+endpoint fromWire(const wire::HostAddress& message)
+{
+    return { message.ip(), static_cast<std::uint16_t>(message.port()) };
+}
+
 wire::TableStanding toWire(const followed_table& value, instant now)
 {
     wire::TableStanding message;
--- a/src/serve/wire.h
+++ b/src/serve/wire.h
@@ -22,6 +22,9 @@
 [[nodiscard]] wire::Crash toWire(const routing::crash& crash, instant now);
 [[nodiscard]] routing::crash fromWire(const wire::Crash& message, instant now);
 
+[[nodiscard]] wire::HostAddress toWire(const endpoint& address);
+[[nodiscard]] endpoint fromWire(const wire::HostAddress& message);
+
 [[nodiscard]] wire::TableStanding toWire(const followed_table& value, instant now);
 /// Precondition: the message was sent no earlier than sentAt.
 [[nodiscard]] followed_table fromWire(const wire::TableStanding& message, instant sentAt);
@@ -60,6 +63,23 @@
         *to.add_rows() = toWire(each);
 }
 
+/// For messages that their receiver passes on to other hosts.
+template <class Message>
+void addForward(const std::vector<endpoint>& receivers, Message& to)
+{
+    for (const auto& each : receivers)
+        *to.add_forward_to() = toWire(each);
+}
+
+template <class Message>
+[[nodiscard]] std::vector<endpoint> forwardIn(const Message& from)
+{
+    std::vector<endpoint> receivers;
+    for (const auto& each : from.forward_to())
+        receivers.push_back(fromWire(each));
+    return receivers;
+}
+
 /// Precondition: the action names a range.
 [[nodiscard]] wire::HoldRequest toWire(
     const service_id& service, const ownership::hold_slices& action);
--- a/test/peers-test.cc
+++ b/test/peers-test.cc
@@ -4,6 +4,8 @@
 
 #include <criterion/criterion.h>
 #include <future>
+#include <mutex>
+#include <thread>
 
 using namespace pimentomast;
 
@@ -32,12 +34,30 @@
         reply.set_epoch(request.epoch());
         return reply;
     }
-    peers::wire::HoldReply hold(const peers::wire::HoldRequest&) override { return {}; }
+    void hold(const peers::wire::HoldRequest&,
+        peers::reply_sender<peers::wire::HoldReply> reply) override
+    {
+        const std::lock_guard guard(m_lock);
+        m_held.push_back(std::move(reply));
+    }
+    void answerHolds(std::uint64_t run)
+    {
+        const std::lock_guard guard(m_lock);
+        peers::wire::HoldReply held;
+        held.set_incarnation(run);
+        for (const auto& reply : m_held)
+            reply(held);
+        m_held.clear();
+    }
     peers::wire::RouteRenewalReply renewRoute(const peers::wire::RouteRenewal&) override
     {
         return {};
     }
     peers::wire::LoadReply reportLoad(const peers::wire::LoadReport&) override { return {}; }
+
+private:
+    std::mutex m_lock;
+    std::vector<peers::reply_sender<peers::wire::HoldReply>> m_held;
 };
 
 template <class Reply>
@@ -100,6 +120,28 @@
     cr_assert(refused.error().reason.find("unknown service") != std::string::npos);
 }
 
+Test(peers, reply_may_be_sent_after_the_call_was_handled)
+{
+    echo_handler receiver;
+    const auto address = test::freeAddress();
+    const auto listening = peers::server::start(address, receiver);
+    const auto client = peers::client::create(address);
+    waiter<peers::wire::Update> other;
+    waiter<peers::wire::HoldReply> held;
+    client->hold({}, replyTimeoutMs, held.handler());
+    client->exchange({}, replyTimeoutMs, other.handler());
+    cr_assert(other.wait().has_value());
+    receiver.answerHolds(7);
+    std::thread answers([&] {
+        for (int i = 0; i < 100; ++i) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(50));
+            receiver.answerHolds(7);
+        }
+    });
+    cr_expect_eq(held.wait().value().incarnation(), 7);
+    answers.join();
+}
+
 Test(peers, absent_peer_fails_the_call)
 {
     const auto client = peers::client::create(test::freeAddress());
