Bound the load reports of all hosts to a coordinator

Cause: each host reports every 0.4 s, so 195 hosts send 488 reports a second to one coordinator. Change: the interval grows with the hosts, so that all together send at most 150 a second: 1.3 s with 195.

--- a/bench/capacity.cc
+++ b/bench/capacity.cc
@@ -309,7 +309,7 @@
     }
     const auto load = meter.report(instant { 1001s }, service);
     const double interval = std::chrono::duration<double>(
-        serve::detail::reportInterval(load.ByteSizeLong(), std::chrono::seconds { 1 }))
+        serve::detail::reportInterval(load.ByteSizeLong(), hosts, std::chrono::seconds { 1 }))
                                 .count();
     serve::detail::load_aggregator sum;
     cpu_timer receiving;
--- a/src/serve/load.cc
+++ b/src/serve/load.cc
@@ -15,6 +15,8 @@
 constexpr double reportLifeIntervals = 2.5;
 constexpr std::chrono::seconds maxReportIntervalS { 10 };
 constexpr double reportBytesPerSecond = 6000;
+/// Of all hosts to one coordinator.
+constexpr double reportsPerSecond = 150;
 
 double seconds(duration span) { return std::chrono::duration<double>(span).count(); }
 
@@ -74,9 +76,10 @@
     return ids;
 }
 
-duration reportInterval(std::size_t bytes, duration shortest)
+duration reportInterval(std::size_t bytes, unsigned hosts, duration shortest)
 {
-    const std::chrono::duration<double> span(static_cast<double>(bytes) / reportBytesPerSecond);
+    const std::chrono::duration<double> span(
+        std::max(static_cast<double>(bytes) / reportBytesPerSecond, hosts / reportsPerSecond));
     return std::clamp<duration>(
         std::chrono::duration_cast<duration>(span), shortest, maxReportIntervalS);
 }
--- a/src/serve/load.h
+++ b/src/serve/load.h
@@ -39,8 +39,9 @@
 };
 
 /// Returns how long after a report of this size the next one is due, at least shortest, so that a
-/// host's reports stay within their share of the bandwidth for control traffic.
-[[nodiscard]] duration reportInterval(std::size_t bytes, duration shortest);
+/// host's reports stay within their share of the bandwidth for control traffic, and those of all
+/// hosts within what a coordinator can take.
+[[nodiscard]] duration reportInterval(std::size_t bytes, unsigned hosts, duration shortest);
 
 /// Distribution of the total load of all hosts over the hash space. Concurrent
 /// reads are safe.
--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -271,7 +271,9 @@
         timer.endStage("routing", monotonic_clock::now());
         m_roundWatch.enter("load");
         if (now >= nextLoad)
-            nextLoad = now + reportInterval(reportLoads(now), m_values.placement.reportMs);
+            nextLoad = now
+                + reportInterval(reportLoads(now), m_peerRegistry->connectionSharers(now),
+                    m_values.placement.reportMs);
         timer.endStage("load", monotonic_clock::now());
         m_roundWatch.end();
         logIfSlow("round", timer);
--- a/test/serve-placement-test.cc
+++ b/test/serve-placement-test.cc
@@ -161,12 +161,24 @@
     cr_assert_float_eq(parts[1], 1, 0.01);
 }
 
+Test(serve_placement, reports_of_many_hosts_stay_within_what_a_coordinator_takes)
+{
+    constexpr double mostPerSecond = 151;
+    for (const unsigned hosts : { 12U, 61U, 195U, 770U }) {
+        const std::chrono::duration<double> interval
+            = serve::detail::reportInterval(100, hosts, std::chrono::milliseconds { 400 });
+        cr_expect_lt(hosts / interval.count(), mostPerSecond, "%u hosts", hosts);
+        cr_expect_lt(interval.count(), 6, "%u hosts", hosts);
+    }
+}
+
 Test(serve_placement, reports_of_many_slices_stay_within_the_byte_rate)
 {
     using serve::detail::reportInterval;
-    cr_assert(reportInterval(100, std::chrono::seconds { 1 }) == std::chrono::seconds { 1 });
-    cr_assert(reportInterval(30'000, std::chrono::seconds { 1 }) == std::chrono::seconds { 5 });
-    cr_assert(reportInterval(1'000'000, std::chrono::seconds { 1 }) == std::chrono::seconds { 10 });
+    using std::chrono::seconds;
+    cr_assert(reportInterval(100, 12, seconds { 1 }) == seconds { 1 });
+    cr_assert(reportInterval(30'000, 12, seconds { 1 }) == seconds { 5 });
+    cr_assert(reportInterval(1'000'000, 12, seconds { 1 }) == seconds { 10 });
     serve::detail::load_aggregator aggregator;
     serve::detail::wire::ServiceLoad load;
     auto* part = load.add_slices();
