Do not send a large assignment to peers whose publication is on its way

Cause: while keys move, a service's assignment changes every 0.4 s. A digest that arrived with the version before got the whole assignment in answer, and so did a host that answered a publication after the next one was made, even though the change was on its way to it. Change: an exchange brings the assignment only to a peer that lacks the version that this host has had for 1 ms a slice, at most 1 s, or that has none. A publication is repeated whole only if the receiver did not reach its version, and the assignment is not copied to find that out.

--- a/src/serve/directory.cc
+++ b/src/serve/directory.cc
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr int maxAssignmentsPerUpdate = 4;
+/// Time in which the publication of an assignment may still be on its way to a peer.
+constexpr std::chrono::milliseconds publicationTimePerSliceMs { 1 };
 /// Adjacent numeric keys differ in load, so each is counted separately.
 constexpr std::uint64_t countedRangeWidth = table::keyWidth(table::key_form::Number);
 
@@ -69,7 +71,8 @@
         known.routes.requireLease(hasUncheckedTarget(*m_table, service));
 }
 
-bool directory::putAssignment(const ownership::assignment& newer, const host_id& coordinator)
+bool directory::putAssignment(
+    instant now, const ownership::assignment& newer, const host_id& coordinator)
 {
     const std::unique_lock guard(m_lock);
     auto& known = m_services[newer.service];
@@ -78,6 +81,7 @@
     if (!known.routes.replaceIfNewer(newer))
         return false;
     known.coordinator = coordinator;
+    known.versions.add(now, newer.version());
     return true;
 }
 
@@ -189,14 +193,25 @@
     return current ? std::optional(*current) : std::nullopt;
 }
 
-void directory::addNewer(const wire::Digest& digest, wire::Update& update) const
+bool directory::lacks(const entry& known, instant now, token ofPeer)
+{
+    const auto* current = known.routes.current();
+    if (!current)
+        return false;
+    if (ofPeer == token {})
+        return true;
+    const auto slices = static_cast<std::int64_t>(current->slices.size());
+    const auto age = std::min(version_history::maxAge, publicationTimePerSliceMs * slices);
+    return ofPeer < known.versions.knownFor(now, age);
+}
+
+void directory::addNewer(instant now, const wire::Digest& digest, wire::Update& update) const
 {
     const std::shared_lock guard(m_lock);
     for (const auto& [service, known] : m_services) {
-        const auto* current = known.routes.current();
-        const bool newer = current && current->version() > versionIn(digest.assignments(), service);
-        if (newer && update.assignments_size() < maxAssignmentsPerUpdate)
-            *update.add_assignments() = toWire(*current, known.coordinator);
+        const bool isLacking = lacks(known, now, versionIn(digest.assignments(), service));
+        if (isLacking && update.assignments_size() < maxAssignmentsPerUpdate)
+            *update.add_assignments() = toWire(*known.routes.current(), known.coordinator);
     }
 }
 
--- a/src/serve/directory.h
+++ b/src/serve/directory.h
@@ -3,6 +3,7 @@
 #include "pimentomast/ownership.h"
 #include "pimentomast/routing.h"
 #include "pimentomast/table.h"
+#include "version_history.h"
 #include "wire.h"
 
 #include <map>
@@ -40,7 +41,8 @@
 
     /// Puts an assignment in force if it is newer; coordinator is the host that committed it.
     /// Returns whether it was put in force.
-    bool putAssignment(const ownership::assignment& newer, const host_id& coordinator);
+    bool putAssignment(
+        instant now, const ownership::assignment& newer, const host_id& coordinator);
     /// Returns the version of a service's assignment, (0, 0) if there is none.
     [[nodiscard]] token version(const service_id& service) const;
     /// Returns the slice that holds the key, if the service has an assignment.
@@ -74,16 +76,20 @@
     /// Returns a copy of the service's newest assignment, if there is one.
     [[nodiscard]] std::optional<ownership::assignment> assignmentOf(
         const service_id& service) const;
-    /// Adds to update the assignments that the digest's sender lacks, at most a few per update.
-    void addNewer(const wire::Digest& digest, wire::Update& update) const;
+    /// Adds to update the assignments that the digest's sender lacks, at most a few per update. A
+    /// large one is left out as long as the sender may get what changed by its publication.
+    void addNewer(instant now, const wire::Digest& digest, wire::Update& update) const;
 
 private:
     struct entry {
         ownership::route_table routes;
         ownership::forwarded_requests forwarded;
         host_id coordinator;
+        version_history versions;
     };
 
+    [[nodiscard]] static bool lacks(const entry& known, instant now, token ofPeer);
+
     mutable std::shared_mutex m_lock;
     incarnation m_self;
     duration m_cancelLimit;
--- a/src/serve/gossip.cc
+++ b/src/serve/gossip.cc
@@ -323,7 +323,7 @@
     if (m_options.tableSource)
         addStanding(m_options.tableSource->standing(), now, update);
     addChangedRows(digest, now, update);
-    m_routes.addNewer(digest, update);
+    m_routes.addNewer(now, digest, update);
     const std::lock_guard guard(m_lock);
     update.set_table_version(m_freshness.version().value());
     if (m_freshness.version().value() > digest.table_version())
--- a/src/serve/gossip_assignments.cc
+++ b/src/serve/gossip_assignments.cc
@@ -4,6 +4,29 @@
 
 /// Publication of assignments to the other hosts.
 namespace pimentomast::serve::detail {
+namespace {
+
+/// Returns the service whose assignment is published, if there is one.
+std::optional<service_id> serviceOf(const wire::Notice& notice)
+{
+    for (const auto& each : notice.changes())
+        return service_id { each.service() };
+    for (const auto& each : notice.assignments())
+        return service_id { each.service() };
+    return {};
+}
+
+/// Returns the version that the receivers of the notice have once they have applied it.
+token versionIn(const wire::Notice& notice)
+{
+    for (const auto& each : notice.changes())
+        return { epoch { each.epoch() }, sequence { each.sequence() } };
+    for (const auto& each : notice.assignments())
+        return { epoch { each.epoch() }, sequence { each.sequence() } };
+    return {};
+}
+
+} // namespace
 
 void gossip::applyAssignment(const wire::Assignment& message)
 {
@@ -75,10 +98,11 @@
                     publishTo({ peer, {} }, notice, service);
             });
             return;
+        }
         const auto known = directory::versionIn(reply.value().assignments(), service);
-        // The last owner of a client must not be one of its own handlers.
-        boost::asio::post(
-            m_pool, [this, receiver, service, known] { catchUp(receiver.lock(), service, known); });
+        if (known < versionIn(*notice))
+            boost::asio::post(m_pool,
+                [this, receiver, service, known] { catchUp(receiver.lock(), service, known); });
     });
 }
 
@@ -86,6 +110,8 @@
 void gossip::catchUp(
     const peer_registry::client_pointer& peer, const service_id& service, token known)
 {
+    if (!peer || known >= m_routes.version(service))
+        return;
     const auto newest = m_routes.assignmentOf(service);
     if (!newest)
         return;
@@ -96,4 +122,3 @@
 }
 
 } // namespace pimentomast::serve::detail
-        }
--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -245,7 +245,7 @@
 
 void node::putAssignment(const ownership::assignment& newer, const host_id& coordinator)
 {
-    if (m_directory.putAssignment(newer, coordinator))
+    if (m_directory.putAssignment(monotonic_clock::now(), newer, coordinator))
         m_dispatch->ownersChanged(newer.service);
 }
 
