Let the contact timeout grow with the number of hosts

Cause: a message names 20 live hosts, so among hundreds the news of a host comes late: in the simulation with 195 hosts and one exchange in twenty lost, a live host looked silent 6 % of the time. Elections, relays and holds go by who is live. Ruled out: more names a message (bytes between zones); a timeout in proportion to the hosts, which would find a dead one of 770 after 36 s. Change: beyond 64 hosts the timeout grows with the square root of their number: 5.2 s with 195.

--- a/include/pimentomast/membership.h
+++ b/include/pimentomast/membership.h
@@ -19,7 +19,8 @@
     incarnation run;
     /// Addresses of peers to call while no peer is known from the platform's list or from messages.
     std::vector<endpoint> seeds;
-    /// A host whose last known message is older than this is not live.
+    /// A host whose last known message is older than this is not live; with more than 64 hosts, the
+    /// time grows with the square root of their number.
     std::chrono::milliseconds contactTimeoutMs { 3000 };
     /// A host that disappeared from the platform's list still counts as a user of connections to
     /// targets for this long.
@@ -142,6 +143,7 @@
     static void noteHeard(entry& known, instant at);
     /// Returns whether peers may not know of the host yet.
     [[nodiscard]] bool isNews(const entry& known, instant now) const;
+    [[nodiscard]] duration contactTimeout() const;
     [[nodiscard]] bool heardRecently(const entry& known, instant now) const;
     [[nodiscard]] bool mayBeConnected(const entry& known, instant now) const;
     void removeDeparted(instant now);
--- a/src/membership/host_view.cc
+++ b/src/membership/host_view.cc
@@ -1,6 +1,7 @@
 #include "pimentomast/membership.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace pimentomast::membership {
 
@@ -8,6 +9,8 @@
 /// Upper bound of the random start of the round-robin order, which differs by host so that they do
 /// not all call the same peers.
 constexpr std::size_t maxFirstPeer = 1024;
+/// Number of hosts up to which the contact timeout is as the options say.
+constexpr double hostsOfContactTimeout = 64;
 } // namespace
 
 result<host_view> host_view::create(const view_options& options)
@@ -65,7 +68,7 @@
 void host_view::mergeHeard(instant now, const std::vector<heard_host>& heard)
 {
     for (const auto& each : heard) {
-        const bool isRecent = each.ageMs.count() >= 0 && each.ageMs <= m_options.contactTimeoutMs;
+        const bool isRecent = each.ageMs.count() >= 0 && each.ageMs <= contactTimeout();
         const bool mayAdd = isRecent && each.peers.port != 0 && each.id != m_options.self;
         const auto found = mayAdd ? m_hosts.try_emplace(each.id).first : m_hosts.find(each.id);
         if (found == m_hosts.end() || each.ageMs.count() < 0)
@@ -119,9 +122,17 @@
     return news;
 }
 
+// Reports of many hosts take longer to reach each of them, as a message names a bounded number.
+duration host_view::contactTimeout() const
+{
+    const double many = static_cast<double>(m_hosts.size()) / hostsOfContactTimeout;
+    return std::chrono::duration_cast<duration>(
+        m_options.contactTimeoutMs * std::sqrt(std::max(1.0, many)));
+}
+
 bool host_view::heardRecently(const entry& known, instant now) const
 {
-    return known.heardAt && now - *known.heardAt <= m_options.contactTimeoutMs;
+    return known.heardAt && now - *known.heardAt <= contactTimeout();
 }
 
 bool host_view::mayBeConnected(const entry& known, instant now) const
--- a/test/membership-test.cc
+++ b/test/membership-test.cc
@@ -243,6 +243,14 @@
     }
 }
 
+Test(membership, hundreds_of_exchanging_hosts_are_not_reported_silent)
+{
+    exchanging_hosts hosts(195);
+    (void)hosts.run(20);
+    const auto falseSilences = hosts.run(60);
+    cr_expect_eq(falseSilences, 0, "%u false silences", falseSilences);
+}
+
 Test(membership, disconnected_host_expires_despite_relayed_reports)
 {
     exchanging_hosts hosts(60);
