--- a/include/pimentomast/workers.h
+++ b/include/pimentomast/workers.h
@@ -21,9 +21,9 @@
     duration idleLimit = std::chrono::seconds(10);
 };
 
-/// Thread pool with a FIFO queue, for work that blocks. A thread is started if no other one is idle,
-/// up to a limit, and ends once it has been idle for long. If none can be started, the job waits for
-/// those that there are. Thread-safe.
+/// Thread pool with a FIFO queue, for work that blocks. A thread is started if no other one is
+/// idle, up to a limit, and ends once it has been idle for long. If none can be started, the job
+/// waits for those that there are. Thread-safe.
 ///
 /// The thread that became idle last gets the next job, so that few threads stay in use and their
 /// stacks and buffers remain in the CPU caches.
--- a/src/proxy/server-impl.cc
+++ b/src/proxy/server-impl.cc
@@ -47,8 +47,8 @@
         settings.drainIdleTimeout,
         lingerTime,
     };
-    m_workers = std::make_unique<worker_pool<job>>(worker_pool_options { settings.workers },
-        [this](job work) { run(std::move(work)); });
+    m_workers = std::make_unique<worker_pool<job>>(
+        worker_pool_options { settings.workers }, [this](job work) { run(std::move(work)); });
     for (unsigned i = 0; i < settings.pollers; ++i)
         m_pollers.push_back(std::make_unique<poller>(events, timeouts));
     m_pollers.front()->enableSweepEvents();
--- a/src/proxy/server-impl.h
+++ b/src/proxy/server-impl.h
@@ -2,10 +2,10 @@
 
 #include "classify.h"
 #include "drain-schedule.h"
+#include "pimentomast/workers.h"
 #include "poller.h"
 #include "registry.h"
 #include "relay.h"
-#include "pimentomast/workers.h"
 #include "route-splitter.h"
 
 #include <Poco/Net/ServerSocket.h>
--- a/src/serve/directory.h
+++ b/src/serve/directory.h
@@ -41,8 +41,7 @@
 
     /// Puts an assignment in force if it is newer; coordinator is the host that committed it.
     /// Returns whether it was put in force.
-    bool putAssignment(
-        instant now, const ownership::assignment& newer, const host_id& coordinator);
+    bool putAssignment(instant now, const ownership::assignment& newer, const host_id& coordinator);
     /// Returns the version of a service's assignment, (0, 0) if there is none.
     [[nodiscard]] token version(const service_id& service) const;
     /// Returns the slice that holds the key, if the service has an assignment.
--- a/src/serve/node_peers.cc
+++ b/src/serve/node_peers.cc
@@ -31,8 +31,8 @@
     return reply;
 }
 
-void node::hold(const peers::wire::HoldRequest& request,
-    peers::reply_sender<peers::wire::HoldReply> reply)
+void node::hold(
+    const peers::wire::HoldRequest& request, peers::reply_sender<peers::wire::HoldReply> reply)
 {
     const service_id service { request.service() };
     const token version { epoch { request.epoch() }, sequence { request.sequence() } };
--- a/test/membership-relay-test.cc
+++ b/test/membership-relay-test.cc
@@ -33,7 +33,8 @@
 Test(membership_relay, message_to_all_reaches_each_host_once_and_costs_no_host_much)
 {
     for (const unsigned count : { 11U, 60U, 65U, 194U, 769U }) {
-        const auto groups = groupByRelay(candidates(count, count / 10), count);
+        const unsigned unheard = count / 10;
+        const auto groups = groupByRelay(candidates(count, unheard), count);
         std::set<std::uint16_t> reached;
         std::size_t messages = 0;
         std::size_t mostByRelay = 0;
@@ -47,7 +48,7 @@
         cr_expect_eq(reached.size(), count);
         cr_expect_eq(messages, count);
         const bool isSmall = count <= 64;
-        const auto most = isSmall ? count : count / 10 + 2 * std::sqrt(count);
+        const auto most = isSmall ? count : unheard + 2 * std::sqrt(count);
         cr_expect_leq(double(groups.size()), double(most), "%u hosts", count);
         cr_expect_leq(double(mostByRelay), isSmall ? 0 : 2 * std::sqrt(count), "%u hosts", count);
     }
--- a/test/peers-test.cc
+++ b/test/peers-test.cc
@@ -34,8 +34,8 @@
         reply.set_epoch(request.epoch());
         return reply;
     }
-    void hold(const peers::wire::HoldRequest&,
-        peers::reply_sender<peers::wire::HoldReply> reply) override
+    void hold(
+        const peers::wire::HoldRequest&, peers::reply_sender<peers::wire::HoldReply> reply) override
     {
         const std::lock_guard guard(m_lock);
         m_held.push_back(std::move(reply));
--- a/test/telemetry-test.cc
+++ b/test/telemetry-test.cc
@@ -170,8 +170,8 @@
         = [&](const std::string& text) { return std::count(text.begin(), text.end(), '\n'); };
     const auto most = 20 * (5 + took.count());
     const auto written = countLines(readAll(options.file));
-    cr_assert(written > 0 && written <= most, "%td lines in %jd s", written,
-        std::intmax_t(took.count()));
+    cr_assert(
+        written > 0 && written <= most, "%td lines in %jd s", written, std::intmax_t(took.count()));
     std::this_thread::sleep_for(std::chrono::milliseconds(200));
     telemetry::log(telemetry::severity::Info, "decision");
     cr_assert(readAll(options.file).find("event=log-lines-left-out") != std::string::npos);
