Take back that moves grow with the targets

Each part of a target's keys is renewed by a call of its own, so moves make renewals dearer. Ruled out: hosts with old assignments; the failed requests name the newest versions. The search for places of leaving targets' keys still ends once no move can start.

--- a/include/pimentomast/balancing.h
+++ b/include/pimentomast/balancing.h
@@ -134,8 +134,7 @@
     double hotShare = 0.1;
     /// A slice of one key whose load is below this fraction of the mean load is merged back.
     double coldShare = 0.02;
-    /// Maximum number of moves for balance per round for up to 200 targets; more targets get more
-    /// moves in proportion.
+    /// Maximum number of moves for balance per round.
     unsigned movesPerRound = 2;
     /// Maximum number of planned moves of leaving targets' slices per round.
     unsigned drainMovesPerRound = 4;
--- a/src/balancing/planning.cc
+++ b/src/balancing/planning.cc
@@ -12,8 +12,6 @@
 constexpr double boundSlack = 1 - 1e-9;
 /// Number of standard deviations that a load may exceed its share by.
 constexpr double chanceDeviations = 1.5;
-/// Number of targets up to which a round makes no more moves than the options say.
-constexpr double targetsOfOneRound = 200;
 /// Steps of the approximation of an even share beside hot keys.
 constexpr unsigned shareSteps = 8;
 
@@ -100,13 +98,6 @@
     return target.weight * std::clamp(passed, m_settings.slowStartMinShare, 1.0);
 }
 
-unsigned planning_round::movesPerRound() const
-{
-    const auto targets = static_cast<unsigned>(m_targets.size());
-    const auto many = std::max(1.0, static_cast<double>(targets) / targetsOfOneRound);
-    return static_cast<unsigned>(m_settings.movesPerRound * many);
-}
-
 double planning_round::evenShare(double weight) const
 {
     return m_totalWeight > 0 ? m_totalLoad * weight / m_totalWeight : 0;
--- a/src/balancing/planning.h
+++ b/src/balancing/planning.h
@@ -70,7 +70,6 @@
     [[nodiscard]] double effectiveWeight(const placement_target& target) const;
     [[nodiscard]] std::optional<target_index> indexOf(const std::optional<target_id>& id) const;
     /// Load that targets of this weight would have if load were proportional to weight.
-    [[nodiscard]] unsigned movesPerRound() const;
     [[nodiscard]] double evenShare(double weight) const;
     /// Standard deviation of a counted load whose true value is the given one.
     [[nodiscard]] double deviation(double load) const;
--- a/src/balancing/rebalancing.cc
+++ b/src/balancing/rebalancing.cc
@@ -111,7 +111,7 @@
             candidates.push(*found);
     }
     unsigned moveCount = 0;
-    while (moveCount < movesPerRound() && !candidates.empty()) {
+    while (moveCount < m_settings.movesPerRound && !candidates.empty()) {
         const auto current = bestMoveOf(candidates.top().slice);
         candidates.pop();
         if (!current)
@@ -187,7 +187,7 @@
 {
     const double cold = m_settings.coldShare * m_meanLoad;
     const auto most = nominalSliceCount() + nominalSliceCount() / 4;
-    unsigned left = movesPerRound();
+    unsigned left = m_settings.movesPerRound;
     for (std::size_t i = 1; i < m_slices.size() && left > 0; ++i) {
         const placed_slice& one = m_slices[i];
         const auto neighbour = m_owners[i - 1];
--- a/src/ownership/coordinator_impl.h
+++ b/src/ownership/coordinator_impl.h
@@ -122,7 +122,6 @@
     void planWanted(instant now);
     void planMove(
         instant now, const slice& range, const target_id& from, const target_id& to, bool forced);
-    std::size_t maxMoves() const;
     bool mayPlanMoves(instant now) const;
     void planLeaving(instant now);
     void planLostSlices(instant now);
--- a/src/ownership/moves.cc
+++ b/src/ownership/moves.cc
@@ -8,10 +8,7 @@
 using detail::move_phase;
 
 namespace {
-constexpr std::size_t minMaxMoves = 64;
-/// Targets of a service for each move that may run beyond this number, so that a large one does not
-/// take longer to follow its load.
-constexpr std::size_t targetsPerMove = 4;
+constexpr std::size_t maxMoves = 64;
 
 double hashCount(const slice& range)
 {
@@ -160,17 +157,12 @@
     }
 }
 
-std::size_t coordinator::impl::maxMoves() const
-{
-    return std::max(minMaxMoves, m_targets.size() / targetsPerMove);
-}
-
 bool coordinator::impl::mayPlanMoves(instant now) const
 {
     // A target may still accept an unanswered grant of an earlier holder until its lease has ended.
     const bool earlierLeasesEnded = m_earlierRenewalsEnded && now >= earlierLeasesEnd();
     const bool storeAnswers = now - m_storeConfirmed < m_options.times.authority;
-    return earlierLeasesEnded && storeAnswers && !m_stopping && m_moves.size() < maxMoves();
+    return earlierLeasesEnded && storeAnswers && !m_stopping && m_moves.size() < maxMoves;
 }
 
 void coordinator::impl::planWanted(instant now)
@@ -198,7 +190,7 @@
         if (owner.inTable && owner.row.state == table::mark::Active)
             continue;
         for (const auto& each : owned) {
-            if (m_moves.size() >= maxMoves())
+            if (m_moves.size() >= maxMoves)
                 return;
             if (isMoving(each.range))
                 continue;
@@ -212,7 +204,7 @@
 void coordinator::impl::planMove(
     instant now, const slice& range, const target_id& from, const target_id& to, bool forced)
 {
-    const bool full = m_moves.size() >= maxMoves();
+    const bool full = m_moves.size() >= maxMoves;
     if (full || !isReachable(m_targets.at(from)) || isMoving(range) || isPostponed(now, range))
         return;
     move planned;
