--- /dev/null
+++ b/review/stand-ins/installation.h
@@ -0,0 +1,163 @@
+#pragma once
+
+#include "link.h"
+#include "store.h"
+#include "upstream.h"
+
+#include <Poco/Base64Encoder.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/StreamCopier.h>
+#include <map>
+#include <optional>
+#include <set>
+
+/// The users' side of a small installation on loopback addresses: store, upstreams and clients.
+namespace review {
+
+using Poco::Net::SocketAddress;
+
+/// Replaces each placeholder {{name}} of a settings template.
+inline std::string fill(std::string text, const std::map<std::string, std::string>& values)
+{
+    for (const auto& [name, value] : values) {
+        const std::string placeholder = "{{" + name + "}}";
+        for (auto at = text.find(placeholder); at != std::string::npos; at = text.find(placeholder))
+            text.replace(at, placeholder.size(), value);
+    }
+    return text;
+}
+
+inline std::string textOfFile(const std::string& path)
+{
+    std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+inline std::string base64(const std::string& text)
+{
+    std::ostringstream encoded;
+    Poco::Base64Encoder encoder(encoded);
+    encoder.rdbuf()->setLineLength(0);
+    encoder << text;
+    encoder.close();
+    return encoded.str();
+}
+
+inline Poco::Net::HTTPServerParams::Ptr serverParams()
+{
+    Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
+    params->setKeepAlive(true);
+    params->setMaxKeepAliveRequests(0);
+    params->setKeepAliveTimeout(Poco::Timespan(30, 0));
+    params->setMaxThreads(128);
+    params->setMaxQueued(1024);
+    return params;
+}
+
+/// An HTTP server on a free loopback port.
+class loopback_server {
+public:
+    explicit loopback_server(Poco::Net::HTTPRequestHandlerFactory::Ptr handlers)
+        : m_socket(SocketAddress("127.0.0.1", 0), 1024)
+        , m_pool(4, 128)
+        , m_server(std::move(handlers), m_pool, m_socket, serverParams())
+    {
+        m_server.start();
+    }
+
+    [[nodiscard]] SocketAddress address() const { return m_socket.address(); }
+    void stop() { m_server.stopAll(true); }
+
+private:
+    Poco::Net::ServerSocket m_socket;
+    Poco::ThreadPool m_pool;
+    Poco::Net::HTTPServer m_server;
+};
+
+/// Returns a loopback address with a port that is free now.
+inline std::string freeAddress()
+{
+    const Poco::Net::ServerSocket probe(SocketAddress("127.0.0.1", 0));
+    return probe.address().toString();
+}
+
+/// Remembers with which fences each upstream took each key, and what broke the rule OWNER: an
+/// upstream takes a key with a fence that is not above all with which other upstreams had it.
+/// Thread-safe.
+class fence_check {
+public:
+    explicit fence_check(record& log)
+        : m_log(log)
+        , m_fences(keyCount)
+    {
+    }
+
+    /// excused: the grant arrived within "thaw" after the link healed.
+    void taken(const std::string& id, const granted_range& range, bool excused)
+    {
+        const std::lock_guard guard(m_lock);
+        unsigned broken = 0;
+        std::string other;
+        unsigned long otherFence = 0;
+        for (unsigned key = range.first; key <= range.last; ++key) {
+            for (const auto& [holder, fence] : m_fences[key]) {
+                if (holder == id || fence < range.fence)
+                    continue;
+                ++broken;
+                other = holder;
+                otherFence = std::max(otherFence, fence);
+            }
+            auto& own = m_fences[key][id];
+            own = std::max(own, range.fence);
+        }
+        if (broken == 0)
+            return;
+        m_log.add(std::string(excused ? "(excused) " : "RULE BROKEN: ") + id + " took "
+            + std::to_string(broken) + " keys with fence " + std::to_string(range.fence)
+            + "; before, " + other + " had keys of them with fence " + std::to_string(otherFence));
+        m_broken += excused ? 0 : 1;
+    }
+
+    [[nodiscard]] unsigned broken()
+    {
+        const std::lock_guard guard(m_lock);
+        return m_broken;
+    }
+
+private:
+    record& m_log;
+    std::mutex m_lock;
+    std::vector<std::map<std::string, unsigned long>> m_fences;
+    unsigned m_broken = 0;
+};
+
+/// Sends one request to a host and returns the status of the answer; 0 if there was none.
+inline int sendLookup(const std::string& host, const std::string& id, unsigned key, record& log)
+{
+    int status = 0;
+    try {
+        Poco::Net::HTTPClientSession session { SocketAddress(host) };
+        session.setTimeout(Poco::Timespan(2, 0));
+        Poco::Net::HTTPRequest request("GET", "/weights/" + std::to_string(key), "HTTP/1.1");
+        request.setHost("weights.example");
+        request.set("X-Request-Id", id);
+        request.set("X-Request-Deadline", "1500");
+        request.set("X-Shard-Key", std::to_string(key));
+        session.sendRequest(request);
+        Poco::Net::HTTPResponse response;
+        std::string body;
+        Poco::StreamCopier::copyToString(session.receiveResponse(response), body);
+        status = static_cast<int>(response.getStatus());
+    } catch (const Poco::Exception&) {
+        status = 0;
+    }
+    log.add("client: request " + id + ", key " + std::to_string(key) + " at " + host + ": "
+        + (status == 0 ? "no answer" : "status " + std::to_string(status)));
+    return status;
+}
+
+} // namespace review
