--- a/review/stand-ins/installation.h
+++ b/review/stand-ins/installation.h
@@ -85,6 +85,39 @@
     return probe.address().toString();
 }
 
+/// Returns an upstream's entry in the store.
+inline std::string registration(
+    const std::string& service, const std::string& address, long born, unsigned long beat)
+{
+    return R"({"address":")" + address + R"(","born":)" + std::to_string(born)
+        + R"(,"info":{"service":")" + service
+        + R"(","version":"v1","zone":"kalimati","capacity":4},"status":{"state":"ready","seq":)"
+        + std::to_string(beat) + R"(,"warmup_time":"0ms"}})";
+}
+
+/// Writes a settings file for each host, from the template of the deploy file, and then the file
+/// "ready". Returns the hosts' addresses for clients.
+inline std::vector<std::string> writeHostSettings(
+    const std::string& folder, unsigned count, const std::string& store)
+{
+    const auto form = textOfFile("deploy/settings.ini");
+    const std::string bounds = "stability=3000ms,drain=2000ms,grace=6s,configApply=2000ms,"
+                               "holdMax=10000ms,thaw=300ms";
+    std::vector<std::string> hosts;
+    for (unsigned i = 1; i <= count; ++i) {
+        const SocketAddress peers(freeAddress());
+        hosts.push_back(freeAddress());
+        std::ofstream(folder + "/host-" + std::to_string(i) + ".ini") << fill(form,
+            { { "node", "front-" + std::to_string(i) }, { "zone", "kalimati" },
+                { "listen.front", hosts.back() }, { "ip", "127.0.0.1" },
+                { "portRange.0", std::to_string(peers.port()) }, { "listen.ready", freeAddress() },
+                { "limits.cpuShare", "0.2" }, { "limits.maxFds", "4100" },
+                { "provider.address", store }, { "bounds", bounds } });
+    }
+    std::ofstream(folder + "/ready") << "ready\n";
+    return hosts;
+}
+
 /// Remembers with which fences each upstream took each key, and what broke the rule OWNER: an
 /// upstream takes a key with a fence that is not above all with which other upstreams had it.
 /// Thread-safe.
--- a/review/stand-ins/owners.cc
+++ b/review/stand-ins/owners.cc
@@ -1,7 +1,5 @@
 #include "installation.h"
 
-#include <Poco/Base64Encoder.h>
-#include <filesystem>
 #include <iostream>
 
 /// Case 1: one of six upstreams of a keyed service is cut off from all hosts for 5.5 s. Prints
@@ -31,14 +29,6 @@
       R"({"type":"limits","metadata":{},"spec":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,)"
       R"("headerTimeout":"3000ms","idleTimeout":"15000ms"}}]})";
 
-std::string registration(const std::string& address, long born, unsigned long beat)
-{
-    return R"({"address":")" + address + R"(","born":)" + std::to_string(born)
-        + R"(,"info":{"service":"weights","version":"v1","zone":"kalimati","capacity":4},)"
-          R"("status":{"state":"ready","seq":)"
-        + std::to_string(beat) + R"(,"warmup_time":"0ms"}})";
-}
-
 class owners_case {
 public:
     owners_case(std::string folder, const std::string& recordFile, bool isCut)
@@ -56,7 +46,7 @@
     {
         m_rows.put({ "op", "", "config" }, base64(configuration));
         beat();
-        writeSettings();
+        m_hosts = writeHostSettings(m_folder, hostCount, m_store.address().toString());
         if (!waitForOwners()) {
             m_log.add("the case could not run: the keys had no owners in time");
             return 2;
@@ -117,26 +107,6 @@
             std::this_thread::sleep_for(std::chrono::milliseconds(5));
     }
 
-    void writeSettings()
-    {
-        const auto form = textOfFile("deploy/settings.ini");
-        for (unsigned i = 1; i <= hostCount; ++i) {
-            const auto peers = SocketAddress(freeAddress());
-            m_hosts.push_back(freeAddress());
-            const std::string bounds
-                = "stability=3000ms,drain=2000ms,grace=6s,configApply=2000ms,holdMax=10000ms,"
-                  "thaw=300ms";
-            std::ofstream(m_folder + "/host-" + std::to_string(i) + ".ini") << fill(form,
-                { { "node", "front-" + std::to_string(i) }, { "zone", "kalimati" },
-                    { "listen.front", m_hosts.back() }, { "ip", "127.0.0.1" },
-                    { "portRange.0", std::to_string(peers.port()) },
-                    { "listen.ready", freeAddress() }, { "limits.cpuShare", "0.2" },
-                    { "limits.maxFds", "4100" },
-                    { "provider.address", m_store.address().toString() }, { "bounds", bounds } });
-        }
-        std::ofstream(m_folder + "/ready") << "ready\n";
-    }
-
     void beat()
     {
         if (m_lastBeat && m_log.now() - *m_lastBeat < heartbeatMs)
@@ -145,7 +115,7 @@
         ++m_beats;
         for (unsigned i = 0; i < upstreamCount; ++i)
             m_rows.put({ "servers", "", m_upstreams[i]->id() },
-                base64(registration(m_addresses[i], 1790000000000 + i, m_beats)));
+                base64(registration("weights", m_addresses[i], 1790000000000 + i, m_beats)));
     }
 
     bool waitForOwners()
--- a/review/stand-ins/store.h
+++ b/review/stand-ins/store.h
@@ -38,6 +38,13 @@
         m_changed.notify_all();
     }
 
+    void remove(const row_key& key)
+    {
+        const std::lock_guard guard(m_lock);
+        m_rows[key] = { "", ++m_version, true };
+        m_changed.notify_all();
+    }
+
     /// Carries out a transaction; returns the status, and the body in the argument.
     int transact(const std::string& request, std::string& reply)
     {
