--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for source in review/stand-ins/*.cc; do
+for source in review/*.cc; do
   name=$(basename "$source" .cc)
   g++ -std=c++20 -O1 -Wall -Wextra "$source" -o "target/review/$name" \
     -lPocoNet -lPocoJSON -lPocoFoundation -pthread
--- a/review/stand-ins/installation.h
+++ b/review/installation.h
@@ -11,6 +11,7 @@
 #include <Poco/StreamCopier.h>
 #include <map>
 #include <optional>
+#include <random>
 #include <set>
 
 /// The users' side of a small installation on loopback addresses: store, upstreams and clients.
@@ -78,11 +79,23 @@
     Poco::Net::HTTPServer m_server;
 };
 
-/// Returns a loopback address with a port that is free now.
+/// Returns a loopback address with a port that is free now, and below those that the system gives
+/// to outgoing connections.
 inline std::string freeAddress()
 {
-    const Poco::Net::ServerSocket probe(SocketAddress("127.0.0.1", 0));
-    return probe.address().toString();
+    constexpr std::uint16_t lowest = 12000;
+    constexpr std::uint16_t highest = 32000;
+    static std::mt19937 random { std::random_device {}() };
+    std::uniform_int_distribution<std::uint16_t> ports(lowest, highest);
+    while (true) {
+        const SocketAddress address("127.0.0.1", ports(random));
+        try {
+            const Poco::Net::ServerSocket probe(address);
+            return address.toString();
+        } catch (const Poco::Exception&) {
+            continue;
+        }
+    }
 }
 
 /// Returns an upstream's entry in the store.
