Reset connections whose call was given up

Cause: a call that timed out was closed in the ordinary way, and the kernel went on retransmitting it. The bound on its arrival (maxDeliveryDelay) was only assumed. Evidence, a trial on loopback with a socket filter in place of the cut: 0.3 s and 1.2 s after the close the socket was in FIN_WAIT1 with 6 bytes in its send queue, and they arrived 1.69 s after they were sent. With SO_LINGER of 0 nothing arrived.

Ruled out: a late read by the target alone (the bytes were not at its machine).

A call sets TCP_USER_TIMEOUT for hosts that stand still, and is not sent after its time.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -1,6 +1,7 @@
 #include "pimentomast/http.h"
 
 #include "answer-reader.h"
+#include "pimentomast/transport.h"
 #include "session-pool.h"
 
 #include <Poco/Net/HTTPRequest.h>
@@ -191,8 +192,11 @@
 outcome client::state::sendOn(
     std::unique_ptr<session> connection, const request& sent, const limits& allowed)
 {
+    if (monotonic_clock::now() >= allowed.deadline)
+        return not_sent { { sent.method + " " + sent.path, peer, "too late to send" } };
     try {
         connection->setIoTimeout(remaining(allowed.deadline));
+        connection->limitDelivery(std::min(remaining(allowed.deadline), transport::silenceLimit));
         sendBody(*connection, sent);
         auto got = receiveAnswer(*connection, sent, allowed);
         if (got.reusable && !sent.ownConnection)
--- a/src/http/session-pool.cc
+++ b/src/http/session-pool.cc
@@ -1,5 +1,7 @@
 #include "session-pool.h"
 
+#include "pimentomast/transport.h"
+
 #include <poll.h>
 
 namespace pimentomast::http::detail {
@@ -17,11 +19,18 @@
     setKeepAlive(true);
 }
 
+session::~session() { transport::close(socket()); }
+
 void session::open(std::chrono::milliseconds timeout)
 {
     setTimeout(timespan(timeout));
     reconnect();
-    socket().setNoDelay(true);
+    transport::prepare(socket());
+}
+
+void session::limitDelivery(std::chrono::milliseconds limit)
+{
+    transport::limitDelivery(socket(), limit);
 }
 
 void session::setIoTimeout(std::chrono::milliseconds timeout)
--- a/src/http/session-pool.h
+++ b/src/http/session-pool.h
@@ -13,12 +13,17 @@
 class session : public Poco::Net::HTTPClientSession {
 public:
     explicit session(const endpoint& address);
+    session(const session&) = delete;
+    session& operator=(const session&) = delete;
+    ~session() override;
 
     /// Opens the connection. Throws a Poco exception if that fails or takes longer than the
     /// timeout.
     void open(std::chrono::milliseconds timeout);
     /// Sets the timeout of each following receive and send.
     void setIoTimeout(std::chrono::milliseconds timeout);
+    /// Bounds the time in which what is sent from now on may arrive, as transport::limitDelivery().
+    void limitDelivery(std::chrono::milliseconds limit);
     /// Returns whether an idle connection is still open and has received nothing.
     [[nodiscard]] bool reusable();
 
--- a/src/proxy/target-pool.cc
+++ b/src/proxy/target-pool.cc
@@ -1,5 +1,7 @@
 #include "target-pool.h"
 
+#include "pimentomast/transport.h"
+
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 #include <algorithm>
@@ -16,7 +18,7 @@
 {
     if (m_returned)
         return;
-    closeConnection(socket);
+    transport::close(socket);
     m_pool.release(m_address);
 }
 
@@ -64,12 +66,24 @@
     return connection;
 }
 
+template <class Condition>
+void target_pool::target_entry::closeIdleIf(const Condition& isOver)
+{
+    const auto over = std::stable_partition(idle.begin(), idle.end(),
+        [&](const idle_connection& connection) { return !isOver(connection); });
+    for (auto each = over; each != idle.end(); ++each)
+        transport::close(each->socket);
+    open -= static_cast<std::size_t>(idle.end() - over);
+    idle.erase(over, idle.end());
+}
+
 bool target_pool::closeOldestIdle(const endpoint& address)
 {
     const std::lock_guard lock(m_mutex);
     target_entry& entry = m_targets[address];
     if (entry.idle.empty())
         return false;
+    transport::close(entry.idle.front().socket);
     entry.idle.erase(entry.idle.begin());
     --entry.open;
     return true;
@@ -81,7 +95,7 @@
         Poco::Net::StreamSocket socket;
         socket.connect(Poco::Net::SocketAddress(address.ip, address.port),
             Poco::Timespan(m_connectTimeout.count()));
-        socket.setNoDelay(true);
+        transport::prepare(socket);
         return socket;
     } catch (const Poco::Exception&) {
         return std::nullopt;
@@ -93,7 +107,7 @@
     const std::lock_guard lock(m_mutex);
     target_entry& entry = m_targets[address];
     entry.minOpened = std::max(entry.minOpened, before);
-    entry.open -= std::erase_if(entry.idle,
+    entry.closeIdleIf(
         [before](const idle_connection& connection) { return connection.opened < before; });
 }
 
@@ -101,7 +115,7 @@
 {
     const std::lock_guard lock(m_mutex);
     for (auto& [address, entry] : m_targets) {
-        entry.open -= std::erase_if(entry.idle, [&](const idle_connection& connection) {
+        entry.closeIdleIf([&](const idle_connection& connection) {
             return connection.idleSince + m_idleTimeout < now
                 || peekState(connection.socket) != io_state::WouldBlock;
         });
@@ -147,14 +161,13 @@
         --found->second.open;
 }
 
-void target_pool::putIdle(
-    const endpoint& address, const Poco::Net::StreamSocket& socket, instant opened)
+void target_pool::putIdle(const endpoint& address, Poco::Net::StreamSocket& socket, instant opened)
 {
     const std::lock_guard lock(m_mutex);
     target_entry& entry = m_targets[address];
     if (opened < entry.minOpened) {
         --entry.open;
-        return;
+        return transport::close(socket);
     }
     entry.idle.push_back({ socket, opened, monotonic_clock::now() });
 }
--- a/src/proxy/target-pool.h
+++ b/src/proxy/target-pool.h
@@ -15,7 +15,8 @@
 
 class target_pool;
 
-/// A connection in use. Closed on destruction unless it was returned to the pool.
+/// A connection in use. Closed on destruction unless it was returned to the pool: nothing of a
+/// request that was given up arrives more than transport::maxTransit later.
 class target_connection {
 public:
     target_connection(target_pool& pool, endpoint address);
@@ -72,6 +73,9 @@
         std::size_t open = 0;
         /// Connections opened before this time are not reused.
         instant minOpened {};
+
+        template <class Condition>
+        void closeIdleIf(const Condition& isOver);
     };
 
     [[nodiscard]] std::optional<Poco::Net::StreamSocket> open(const endpoint& address) const;
@@ -80,7 +84,7 @@
     [[nodiscard]] std::optional<idle_connection> takeIdle(const endpoint& address);
     [[nodiscard]] bool reserve(const endpoint& address, unsigned limit);
     void release(const endpoint& address);
-    void putIdle(const endpoint& address, const Poco::Net::StreamSocket& socket, instant opened);
+    void putIdle(const endpoint& address, Poco::Net::StreamSocket& socket, instant opened);
 
     duration m_connectTimeout;
     duration m_idleTimeout;
--- /dev/null
+++ b/src/transport/transport.cc
@@ -0,0 +1,81 @@
+#include "pimentomast/transport.h"
+
+#include <Poco/Exception.h>
+#include <linux/sockios.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <optional>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+
+namespace pimentomast::transport {
+namespace {
+
+constexpr int maxUnansweredProbes = 2;
+
+int descriptor(const Poco::Net::StreamSocket& socket)
+{
+    return static_cast<int>(socket.impl()->sockfd());
+}
+
+/// Returns the number of bytes that the peer has not acknowledged; nothing if the kernel does not
+/// tell.
+std::optional<int> unacknowledgedBytes(int socket) noexcept
+{
+    int bytes = 0;
+    if (::ioctl(socket, SIOCOUTQ, &bytes) != 0)
+        return std::nullopt;
+    return bytes;
+}
+
+/// Returns the time since the peer last acknowledged anything; nothing if the kernel does not tell.
+std::optional<std::chrono::milliseconds> timeSinceAcknowledgement(int socket) noexcept
+{
+    tcp_info info {};
+    socklen_t size = sizeof info;
+    if (::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
+        return std::nullopt;
+    return std::chrono::milliseconds(info.tcpi_last_ack_recv);
+}
+
+} // namespace
+
+void prepare(Poco::Net::StreamSocket& opened)
+{
+    const auto seconds = static_cast<int>(silenceInterval.count());
+    opened.setNoDelay(true);
+    opened.setLinger(true, 0);
+    opened.setKeepAlive(true);
+    opened.setOption(IPPROTO_TCP, TCP_KEEPIDLE, seconds);
+    opened.setOption(IPPROTO_TCP, TCP_KEEPINTVL, seconds);
+    opened.setOption(IPPROTO_TCP, TCP_KEEPCNT, maxUnansweredProbes);
+}
+
+void limitDelivery(Poco::Net::StreamSocket& connection, std::chrono::milliseconds limit)
+{
+    connection.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(limit.count()));
+}
+
+bool isSilent(const Poco::Net::StreamSocket& connection) noexcept
+{
+    const int socket = descriptor(connection);
+    return unacknowledgedBytes(socket).value_or(0) > 0
+        && timeSinceAcknowledgement(socket).value_or(std::chrono::milliseconds(0)) >= silenceLimit;
+}
+
+void close(Poco::Net::StreamSocket& connection) noexcept
+{
+    const int socket = descriptor(connection);
+    if (unacknowledgedBytes(socket) == 0) {
+        const linger none { 0, 0 };
+        ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &none, sizeof none);
+    }
+    try {
+        connection.close();
+    } catch (const Poco::Exception&) {
+        // It was closed already.
+        return;
+    }
+}
+
+} // namespace pimentomast::transport
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -1,5 +1,6 @@
 #include "pimentomast/http.h"
 
+#include "helper/cut-link.h"
 #include "helper/scripted-server.h"
 #include "http/answer-reader.h"
 
@@ -34,6 +35,11 @@
     return written;
 }
 
+bool isNoAnswer(const http::outcome& outcome)
+{
+    return std::holds_alternative<http::no_answer>(outcome);
+}
+
 bool isAnswer(const http::outcome& outcome, const std::string& body)
 {
     const auto* answer = std::get_if<http::answer>(&outcome);
@@ -60,11 +66,6 @@
     return outcomes;
 }
 
-bool isNoAnswer(const http::outcome& outcome)
-{
-    return std::holds_alternative<http::no_answer>(outcome);
-}
-
 /// What the buffers of both sockets may hold beyond what the client reads.
 constexpr std::size_t socketBytes = 16U << 20U;
 constexpr std::size_t endlessBytes = 256U << 20U;
@@ -108,6 +109,55 @@
         (monotonic_clock::now() - started).count(), duration(test::waitTimeout).count() / 2);
 }
 
+// A grant arrived after its target had been cut off, seconds after its call had timed out.
+Test(http, call_that_timed_out_does_not_arrive_after_a_cut)
+{
+    std::promise<void> timedOut;
+    std::promise<bool> arrived;
+    scripted_server server([&](auto& socket, int) {
+        readRequest(socket);
+        {
+            const test::cut_link cut(socket);
+            write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1");
+            timedOut.get_future().wait();
+            std::this_thread::sleep_for(1s);
+        }
+        // Retransmissions of the call would follow within the next pause between them.
+        socket.setReceiveTimeout(Poco::Timespan(3, 0));
+        char byte = 0;
+        try {
+            arrived.set_value(socket.receiveBytes(&byte, 1) > 0);
+        } catch (const Poco::Exception&) {
+            arrived.set_value(false);
+        }
+    });
+    http::client client({ server.address(), test::waitTimeout });
+    cr_assert(isAnswer(client.sendOnce(get), "1"));
+    http::request grant { "POST", "/grant", "", "1" };
+    grant.timeout = 300ms;
+    cr_assert(isNoAnswer(client.sendOnce(grant)));
+    timedOut.set_value();
+    cr_assert_not(arrived.get_future().get());
+}
+
+Test(http, call_whose_time_is_over_is_not_sent)
+{
+    std::atomic<int> requests { 0 };
+    scripted_server server([&](auto& socket, int) {
+        while (!readRequest(socket).empty()) {
+            ++requests;
+            write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1");
+        }
+    });
+    http::client client({ server.address(), test::waitTimeout });
+    cr_assert(isAnswer(client.sendOnce(get), "1"));
+    auto late = get;
+    late.timeout = 0ms;
+    cr_assert(std::holds_alternative<http::not_sent>(client.sendOnce(late)));
+    cr_assert(isAnswer(client.sendOnce(get), "1"));
+    cr_assert_eq(requests, 2);
+}
+
 Test(http, head_without_end_is_given_up_in_bounded_memory)
 {
     std::promise<std::size_t> written;
