Give Beast's parser no less than it needs

Cause: Beast notes the last chunk and asserts at the next call that five bytes follow; the relay called it with the three that were left. Not enough would be to call it only if more has come: a fourth byte alone ends the process too, so an answer in three pieces does. The answers to the host's own calls go through the same parser.

Ruled out: bodies with data, trailers or extensions before the last chunk; more than five bytes are left there.

Change: incremental_parser holds the precondition in one place, for answers of targets and for answers to the host.

--- a/src/http/answer-reader.h
+++ b/src/http/answer-reader.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "pimentomast/http.h"
+#include "pimentomast/http_parser.h"
 
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <string_view>
 
@@ -21,8 +21,7 @@
     unsigned m_count = 0;
 };
 
-/// Decodes the answer to one request. Boost.Beast is used because POCO's readers take a message
-/// that ends early for a whole one. Not thread-safe.
+/// Decodes the answer to one request. Not thread-safe.
 class answer_reader {
 public:
     /// `method` is the method of the request, `maxBodyBytes` the longest body accepted.
@@ -43,7 +42,7 @@
     [[nodiscard]] answer take();
 
 private:
-    using parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+    using parser = http_parser::incremental_parser<false, boost::beast::http::string_body>;
 
     void startMessage();
     void decode();
--- a/src/proxy/body.h
+++ b/src/proxy/body.h
@@ -4,11 +4,10 @@
 
 #include <string>
 
-/// Decoding and encoding of message bodies. Boost.Beast is used for decoding because POCO's chunked
-/// reader accepts a truncated body as complete.
+/// Decoding and encoding of message bodies.
 namespace pimentomast::proxy::detail {
 
-using response_parser = http::response_parser<http::buffer_body>;
+using response_parser = http_parser::incremental_parser<false, http::buffer_body>;
 
 enum class body_state {
     NeedsInput,
@@ -19,7 +18,7 @@
 };
 
 /// Decodes body bytes, removing them from the input and appending at most `room` bytes to the
-/// output.
+/// output. May be called again without more input.
 [[nodiscard]] body_state decodeBody(
     request_parser& parser, std::string& input, std::string& output, std::size_t room);
 [[nodiscard]] body_state decodeBody(
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -233,6 +233,22 @@
     }
 }
 
+// The end of an empty answer in chunks ended the process when it came in three pieces.
+Test(http, answer_that_comes_byte_by_byte_is_read)
+{
+    for (const std::string body : { "", "5\r\ngoats\r\n" }) {
+        const std::string whole
+            = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + body + "0\r\n\r\n";
+        http::detail::answer_reader reader("GET", 1000);
+        for (const char byte : whole) {
+            cr_assert_not(reader.done());
+            reader.put({ &byte, 1 });
+        }
+        cr_assert(reader.done());
+        cr_assert_eq(reader.take().body, body.empty() ? "" : "goats");
+    }
+}
+
 Test(http, answer_without_a_length_is_whole_only_after_its_head_and_an_orderly_close)
 {
     const std::string head = "HTTP/1.1 200 OK\r\nX-Revision: 12\r\n\r\n";
--- a/test/proxy-failure-test.cc
+++ b/test/proxy-failure-test.cc
@@ -47,6 +47,16 @@
 
 } // namespace
 
+// The host ended, and with it every request that it had passed on.
+Test(proxy_failure, answer_that_breaks_off_within_its_last_chunk_does_not_end_the_host)
+{
+    const std::string brokenOff = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+    scripted_target target({ { brokenOff, ending::Close }, { completeResponse } });
+    proxy_fixture host({ target.destination() });
+    cr_assert_not(looksComplete(sendRequest(host, closingGet)));
+    cr_assert(looksComplete(sendRequest(host, closingGet)));
+}
+
 Test(proxy_failure, truncated_responses_never_look_complete)
 {
     const std::string length = "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n0123456789";
