Let the transport tell silent connections from slow work

Cause: a good answer over a new connection was taken for a sign that the old connection was dead, and a report without load for an idle target. Late requests that may be repeated were given up though no other attempt could follow: in a stop, after the last attempt, near the deadline, without a token.

Ruled out: the end of the grace (2.5 s of 8 is far from it).

Change: keep-alive probes and a look at what a quiet target has not acknowledged end a silent connection in about 3 s, as target-silent; gRPC's connections between hosts get the same limit. An unrepeatable request ends sooner only if the target itself reports twice that it works on nothing. A late repeatable one is tried elsewhere only if that attempt follows, and pays for it at once.

--- a/include/pimentomast/dispatch.h
+++ b/include/pimentomast/dispatch.h
@@ -54,6 +54,7 @@
     NoConnection,
     TargetClosed,
     TargetTimeout,
+    TargetSilent,
     TargetAnswerMalformed,
     TargetAnswerUnframed,
     AnswerBroken,
--- a/include/pimentomast/routing.h
+++ b/include/pimentomast/routing.h
@@ -140,7 +140,10 @@
 };
 /// The connection ended before the answer was complete, after bytes of the request may have been
 /// sent.
-struct broken { };
+struct broken {
+    /// The target's machine no longer acknowledged anything.
+    bool silent = false;
+};
 /// The attempt's deadline passed; the connection has been closed.
 struct timed_out { };
 /// The caller disconnected; the connection has been closed.
--- a/src/dispatch/reason.cc
+++ b/src/dispatch/reason.cc
@@ -44,6 +44,7 @@
     { "no-connection", 503 },
     { "target-closed", 502 },
     { "target-timeout", 504 },
+    { "target-silent", 504 },
     { "target-answer-malformed", 502 },
     { "target-answer-unframed", 502 },
     { "answer-broken", 502 },
--- a/src/dispatch/router-results.cc
+++ b/src/dispatch/router-results.cc
@@ -21,7 +21,7 @@
 {
     if (why == reason::Deadline || why == reason::TargetTimeout)
         return routing::timed_out {};
-    return routing::broken {};
+    return routing::broken { why == reason::TargetSilent };
 }
 
 } // namespace
--- a/src/peers/client.cc
+++ b/src/peers/client.cc
@@ -14,6 +14,10 @@
 constexpr int reconnectMaxMs = 1000;
 /// Time that a peer has to accept a connection and to send its first frame.
 constexpr int connectTimeoutMs = 1000;
+/// Time after which a connection fails whose peer acknowledges nothing; gRPC sets it as
+/// TCP_USER_TIMEOUT only if it may also send pings, which calls as short as these never need.
+constexpr int silenceLimitMs = 2500;
+constexpr int pingIntervalMs = 3600000;
 
 /// Counts the calls whose handlers have not returned yet.
 class running_calls {
@@ -71,6 +75,8 @@
     // gRPC bounds a connection attempt by this one, and waits for the initial one between attempts.
     arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, connectTimeoutMs);
     arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, reconnectMaxMs);
+    arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, pingIntervalMs);
+    arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, silenceLimitMs);
     arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
     arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
     return arguments;
--- a/src/proxy/io.cc
+++ b/src/proxy/io.cc
@@ -20,8 +20,15 @@
 
 io_state stateFromErrno(int code)
 {
-    return code == EAGAIN || code == EWOULDBLOCK || code == EINTR ? io_state::WouldBlock
-                                                                  : io_state::Failed;
+    switch (code) {
+    case EAGAIN:
+    case EINTR:
+        return io_state::WouldBlock;
+    case ETIMEDOUT:
+        return io_state::Silent;
+    default:
+        return io_state::Failed;
+    }
 }
 
 } // namespace
--- a/src/proxy/io.h
+++ b/src/proxy/io.h
@@ -16,8 +16,16 @@
     EndOfStream,
     /// The connection is lost.
     Failed,
+    /// The connection is lost: the peer's machine acknowledged nothing any more.
+    Silent,
 };
 
+/// Returns whether nothing more can be received.
+[[nodiscard]] constexpr bool hasEnded(io_state state)
+{
+    return state != io_state::Ready && state != io_state::WouldBlock;
+}
+
 struct io_result {
     io_state state = io_state::Ready;
     std::size_t bytes = 0;
--- a/src/proxy/poller.cc
+++ b/src/proxy/poller.cc
@@ -180,8 +180,7 @@
     std::string ignored;
     const auto got = receiveInto(connection->socket, ignored, receiveBytes);
     connection->discardedBytes += got.bytes;
-    const bool ended = got.state == io_state::EndOfStream || got.state == io_state::Failed;
-    if ((ended || connection->discardedBytes > maxLingerBytes) && unwatch(connection))
+    if ((hasEnded(got.state) || connection->discardedBytes > maxLingerBytes) && unwatch(connection))
         drop(connection);
 }
 
--- a/src/proxy/relay-response.cc
+++ b/src/proxy/relay-response.cc
@@ -25,7 +25,7 @@
 std::optional<attempt_result> relay::readTarget()
 {
     const auto got = receiveInto(m_target.socket, m_targetInput, bufferBytes);
-    if (got.state == io_state::EndOfStream || got.state == io_state::Failed)
+    if (hasEnded(got.state))
         m_targetEnded = true;
     if (const auto result = skipStaleResponse())
         return result;
@@ -42,7 +42,7 @@
     if (got.state == io_state::EndOfStream)
         completeUnframedResponse();
     if (m_targetEnded && m_responseState != response_state::Done)
-        return failed(reason::TargetClosed);
+        return failed(got.state == io_state::Silent ? reason::TargetSilent : reason::TargetClosed);
     return std::nullopt;
 }
 
@@ -258,7 +258,7 @@
         m_isHeld = true;
         m_download.clear();
     }
-    if (!m_download.empty() && maySend() && sendToCaller() == io_state::Failed)
+    if (!m_download.empty() && maySend() && hasEnded(sendToCaller()))
         return attempt_cancelled {};
     if (m_download.empty() && m_continueUnsent) {
         m_request.continueSent = true;
--- a/src/proxy/relay.cc
+++ b/src/proxy/relay.cc
@@ -1,5 +1,7 @@
 #include "relay.h"
 
+#include "pimentomast/transport.h"
+
 #include <algorithm>
 #include <array>
 #include <poll.h>
@@ -114,7 +116,7 @@
     caller_connection& caller = *m_request.caller;
     if (caller.input.empty() || m_needsInput) {
         const auto got = receiveInto(caller.socket, caller.input, bufferBytes);
-        if (got.state == io_state::EndOfStream || got.state == io_state::Failed)
+        if (hasEnded(got.state))
             return attempt_cancelled {};
         if (got.bytes > 0)
             m_lastProgress = monotonic_clock::now();
@@ -139,7 +141,7 @@
 std::optional<attempt_result> relay::sendUpload()
 {
     const auto sent = sendSome(m_target.socket, std::string_view(m_upload).substr(m_uploadOffset));
-    if (sent.state == io_state::Failed) {
+    if (hasEnded(sent.state)) {
         m_uploadFailed = true;
         if (m_requestBytesSent == 0)
             return attempt_not_run { reason::TargetClosed };
@@ -239,6 +241,8 @@
         const bool callerStalled = (!m_request.bodyDone && m_upload.empty()) || !m_download.empty();
         return callerStalled ? requestFault(reason::BodyTimeout) : failed(reason::TargetTimeout);
     }
+    if (isTargetSilent(now))
+        return failed(reason::TargetSilent);
     const std::chrono::duration<double> waited = m_callerWait;
     const bool tooSlow = m_callerWait > m_context.settings.bodyTimeout
         && double(m_bodyBytesReceived)
@@ -250,9 +254,17 @@
                                             : std::nullopt;
 }
 
+bool relay::isTargetSilent(instant now) const
+{
+    const bool awaitsTarget = m_requestBytesSent > 0 && m_responseState != response_state::Done;
+    return awaitsTarget && now - m_lastProgress >= transport::silenceLimit
+        && transport::isSilent(m_target.socket);
+}
+
 attempt_result relay::failed(reason why)
 {
-    m_targetFailed = why == reason::TargetClosed || why == reason::TargetTimeout;
+    m_targetFailed = why == reason::TargetClosed || why == reason::TargetTimeout
+        || why == reason::TargetSilent;
     if (m_request.responseStarted)
         return attempt_broken { reason::AnswerBroken };
     return attempt_unknown { why };
--- a/src/proxy/relay.h
+++ b/src/proxy/relay.h
@@ -96,6 +96,8 @@
     [[nodiscard]] std::optional<attempt_result> wait();
     [[nodiscard]] std::optional<attempt_result> checkTimeouts(instant now);
     [[nodiscard]] attempt_result failed(reason why);
+    /// Returns whether the target's machine no longer acknowledges what was sent.
+    [[nodiscard]] bool isTargetSilent(instant now) const;
     [[nodiscard]] std::optional<attempt_result> beginContinuation();
     [[nodiscard]] bool saveContinuation();
     void addCallerWait(instant before, instant now, bool waitsForCaller);
--- a/src/proxy/response-order.cc
+++ b/src/proxy/response-order.cc
@@ -79,7 +79,7 @@
         if (m_fate != connection_fate::Broken) {
             const auto sent = sendSome(caller, due.held);
             due.held.erase(0, sent.bytes);
-            if (sent.state == io_state::Failed)
+            if (hasEnded(sent.state))
                 setFate(connection_fate::Broken);
         }
         if (m_fate != connection_fate::Broken && !due.held.empty()) {
--- a/src/routing/attempts.cc
+++ b/src/routing/attempts.cc
@@ -79,9 +79,13 @@
         self.retryOrEnd(ended, retry_reason::ConnectFailed, refusal_reason::ConnectFailed);
     }
 
-    void operator()(const broken&) const
+    void operator()(const broken& result) const
     {
+        const auto refusal
+            = result.silent ? refusal_reason::ConnectionSilent : refusal_reason::ConnectionBroken;
         ended.mayHaveRun = true;
+        if (result.silent)
+            ++self.m_counts.silentConnections;
         if (target != nullptr) {
             target->health.onFailure(self.m_now);
             self.indexProbe(*target);
@@ -95,14 +99,15 @@
         const bool mayRepeat = ended.submitted.repeatable && !ended.responded
             && ended.attempt.value() < self.m_settings.attemptsMax;
         if (!mayRepeat || target == nullptr) {
-            self.end(ended, outcome::Unknown, refusal_reason::ConnectionBroken);
+            self.end(ended, outcome::Unknown, refusal);
             return;
         }
-        if (self.m_settings.targetsReportLoad)
+        if (result.silent)
+            self.retryOrEnd(ended, retry_reason::ConnectionSilent, refusal);
+        else if (self.m_settings.targetsReportLoad)
             self.awaitProbe(ended);
         else
-            self.retryOrEnd(
-                ended, retry_reason::ConnectionBroken, refusal_reason::ConnectionBroken);
+            self.retryOrEnd(ended, retry_reason::ConnectionBroken, refusal);
     }
 
     // A full target may not answer at all; its silence is the only sign.
--- a/src/routing/dispatching.cc
+++ b/src/routing/dispatching.cc
@@ -217,7 +217,8 @@
     waiting.dispatched = m_now;
     waiting.wasSent = false;
     waiting.responded = false;
-    waiting.silentSince.reset();
+    waiting.idleSince.reset();
+    waiting.isRetryPaid = false;
     target.inFlight.insert(submitted.number);
     ++service.inFlight;
     ++m_inFlightFingerprints[submitted.requestFingerprint];
--- a/src/routing/engine.h
+++ b/src/routing/engine.h
@@ -60,8 +60,10 @@
     unsigned ownerRefusals = 0;
     bool reusedConnection = false;
     bool responded = false;
-    /// Start of the first probe of this attempt that showed its connection as silent.
-    std::optional<instant> silentSince;
+    /// Start of the first of the probes that found the target idle since this attempt became late.
+    std::optional<instant> idleSince;
+    /// The retry budgets have been charged for the next attempt.
+    bool isRetryPaid = false;
     bool callerGone = false;
     /// An earlier attempt may have run.
     bool mayHaveRun = false;
@@ -273,6 +275,10 @@
     [[nodiscard]] pending_request* currentAttempt(request_number number, attempt_number attempt);
     target_state* detachFromTarget(pending_request& ended);
     void retryOrEnd(pending_request& failed, retry_reason retry, refusal_reason reason);
+    /// Whether the host and the request's own limit allow an attempt after this one.
+    [[nodiscard]] bool allowsAttempt(const pending_request& inFlight);
+    /// Whether a request that may be repeated will be attempted again if this attempt is given up.
+    [[nodiscard]] bool mayAttemptAgain(const pending_request& inFlight);
     void backOff(pending_request& failed);
     [[nodiscard]] duration failureBackoff(const pending_request& failed) const;
     [[nodiscard]] duration shedBackoff(const pending_request& failed) const;
@@ -303,8 +309,11 @@
     void endAwaitedAnswer(const pending_request& inFlight);
     /// Whether the first byte is later than nearly all of the service's.
     [[nodiscard]] bool isOverdue(const pending_request& inFlight) const;
-    void endSilentAttempts(target_state& target, instant probeStarted, bool targetIsIdle);
-    [[nodiscard]] static bool isSilent(pending_request& suspect, instant probeStarted);
+    /// Whether a request was late already when the probe started, and has no answer yet.
+    [[nodiscard]] bool isUnansweredSince(
+        const pending_request& inFlight, instant probeStarted) const;
+    void retryLateAttempts(target_state& target, instant probeStarted, const load_report& reported);
+    void endLostAttempts(target_state& target, instant probeStarted, const load_report& reported);
     void endLateAttempts(target_state& target);
     void releaseAwaitingProbe(target_state& target);
     void releaseAwaitingProbe(target_state& target, pending_request& waiting);
@@ -313,7 +322,8 @@
     void refuseQuarantined();
     void updateReport(target_state& target, const load_report& load);
     void onRunEnded(target_state& target);
-    void abandonAttempt(pending_request& inFlight, retry_reason retry, refusal_reason reason);
+    void abandonAttempt(pending_request& inFlight);
+    void attemptAgain(pending_request& inFlight, retry_reason retry, refusal_reason reason);
 
     // tick.cc and retries.cc: timers and retry budgets
     void endBackoffs();
--- a/src/routing/health.cc
+++ b/src/routing/health.cc
@@ -9,13 +9,12 @@
 constexpr double errorShareToEject = 0.5;
 constexpr double peerErrorShareMax = 0.2;
 constexpr unsigned errorSamplesMin = 10;
-constexpr duration silenceConfirmationTime = std::chrono::seconds(2);
+/// Time between two reports of an idle target after which a request that it did not answer is lost.
+constexpr duration idleConfirmationTime = std::chrono::seconds(2);
 constexpr duration lostAttemptRetention = std::chrono::seconds(10);
 constexpr double trustLossOnShed = 0.8;
 constexpr double trustLossOnUnderReport = 0.9;
 
-bool isIdle(const load_report& load) { return load.running + load.queued == 0; }
-
 } // namespace
 
 void target_state::reduceTrustIfSlotsFree()
@@ -66,7 +65,8 @@
         known->health.onProbeAnswered(now);
         if (started) {
             resolveLosses(*known, *started);
-            endSilentAttempts(*known, *started, isIdle(good->load));
+            retryLateAttempts(*known, *started, good->load);
+            endLostAttempts(*known, *started, good->load);
         }
     } else {
         if (std::get<probe_failed>(ended).refused)
@@ -336,42 +336,64 @@
     }
 }
 
-// The target answered a probe over a new connection while requests got no answer. Suspected are
-// requests on connections that were opened before their dispatch or, if the target reports no load,
-// all of them.
-void engine::endSilentAttempts(target_state& target, instant probeStarted, bool targetIsIdle)
+bool engine::isUnansweredSince(const pending_request& inFlight, instant probeStarted) const
 {
-    std::vector<request_number> silent;
+    return inFlight.wasSent && !inFlight.responded && probeStarted >= lateAt(inFlight);
+}
+
+// The target answered a probe over a new connection while requests got no answer. Those on
+// connections that were opened before their dispatch or, if the target reports no work, all of them
+// are tried again. The attempts may yet have been answered, so none is given up unless another can
+// follow.
+void engine::retryLateAttempts(
+    target_state& target, instant probeStarted, const load_report& reported)
+{
+    const bool reportsWork = reported.running + reported.queued > 0;
+    std::vector<request_number> late;
     for (const request_number number : target.inFlight) {
-        pending_request& inFlight = m_requests.at(number);
-        const bool noAnswer = inFlight.wasSent && !inFlight.responded;
-        const bool isSuspect = inFlight.reusedConnection || targetIsIdle;
-        if (!noAnswer || !isSuspect || probeStarted < lateAt(inFlight))
-            inFlight.silentSince.reset();
-        else if (isSilent(inFlight, probeStarted))
-            silent.push_back(number);
+        const pending_request& inFlight = m_requests.at(number);
+        const bool isSuspect = inFlight.reusedConnection || !reportsWork;
+        if (isSuspect && isUnansweredSince(inFlight, probeStarted))
+            late.push_back(number);
     }
-    if (silent.empty())
-        return;
-    m_actions.emplace_back(close_idle { target.row.id, probeStarted });
-    for (const request_number number : silent) {
+    if (!late.empty())
+        m_actions.emplace_back(close_idle { target.row.id, probeStarted });
+    for (const request_number number : late) {
         pending_request& inFlight = m_requests.at(number);
-        if (inFlight.submitted.repeatable && !mayRetry(inFlight))
+        if (!mayAttemptAgain(inFlight))
             continue;
         ++m_counts.silentConnections;
-        abandonAttempt(inFlight, retry_reason::ConnectionSilent, refusal_reason::ConnectionSilent);
+        attemptAgain(inFlight, retry_reason::ConnectionSilent, refusal_reason::ConnectionSilent);
     }
 }
 
-// A busy target may answer a probe before it reads a request that arrived earlier. A request that
-// may not be repeated is therefore ended only if a later probe shows the same.
-bool engine::isSilent(pending_request& suspect, instant probeStarted)
+// A request that may not be repeated ends only if the target itself reports, twice, that it works
+// on nothing: the first probe may have been answered before the request was read. Targets that
+// report no load may be at work on it for as long as their connection lives.
+void engine::endLostAttempts(
+    target_state& target, instant probeStarted, const load_report& reported)
 {
-    if (suspect.submitted.repeatable)
-        return true;
-    if (!suspect.silentSince)
-        suspect.silentSince = probeStarted;
-    return probeStarted - *suspect.silentSince >= silenceConfirmationTime;
+    const bool isIdle = m_settings.targetsReportLoad && reported.running + reported.queued == 0;
+    std::vector<request_number> lost;
+    for (const request_number number : target.inFlight) {
+        pending_request& inFlight = m_requests.at(number);
+        if (inFlight.submitted.repeatable)
+            continue;
+        if (!isIdle || !isUnansweredSince(inFlight, probeStarted))
+            inFlight.idleSince.reset();
+        else if (probeStarted - inFlight.idleSince.value_or(probeStarted) >= idleConfirmationTime)
+            lost.push_back(number);
+        else if (!inFlight.idleSince)
+            inFlight.idleSince = probeStarted;
+    }
+    if (!lost.empty())
+        m_actions.emplace_back(close_idle { target.row.id, probeStarted });
+    for (const request_number number : lost) {
+        pending_request& inFlight = m_requests.at(number);
+        ++m_counts.silentConnections;
+        abandonAttempt(inFlight);
+        end(inFlight, outcome::Unknown, refusal_reason::ConnectionSilent);
+    }
 }
 
 // An ejected target is not expected to answer late requests; repeatable ones are retried on another
@@ -381,25 +403,27 @@
     const auto numbers = target.inFlight;
     for (const request_number number : numbers) {
         pending_request& inFlight = m_requests.at(number);
-        const bool isLate = inFlight.wasSent && !inFlight.responded && m_now >= lateAt(inFlight);
-        if (isLate && inFlight.submitted.repeatable && mayRetry(inFlight))
-            abandonAttempt(
+        if (isUnansweredSince(inFlight, m_now) && mayAttemptAgain(inFlight))
+            attemptAgain(
                 inFlight, retry_reason::AttemptTimedOut, refusal_reason::DeadlineAfterDispatch);
     }
 }
 
-void engine::abandonAttempt(pending_request& inFlight, retry_reason retry, refusal_reason reason)
+void engine::abandonAttempt(pending_request& inFlight)
 {
     m_actions.emplace_back(abandon { inFlight.submitted.number, inFlight.attempt });
     if (target_state* target = detachFromTarget(inFlight))
         recordLoss(inFlight, *target);
     inFlight.mayHaveRun = true;
-    const bool mayRepeat
-        = inFlight.submitted.repeatable && inFlight.attempt.value() < m_settings.attemptsMax;
-    if (mayRepeat)
-        retryOrEnd(inFlight, retry, reason);
-    else
-        end(inFlight, outcome::Unknown, reason);
+}
+
+// Precondition: mayAttemptAgain(). The retry is paid for at once: later there may be no token.
+void engine::attemptAgain(pending_request& inFlight, retry_reason retry, refusal_reason reason)
+{
+    abandonAttempt(inFlight);
+    chargeRetryBudgets(inFlight);
+    inFlight.isRetryPaid = true;
+    retryOrEnd(inFlight, retry, reason);
 }
 
 } // namespace pimentomast::routing
--- a/src/routing/retries.cc
+++ b/src/routing/retries.cc
@@ -17,11 +17,9 @@
 {
     failed.retry = retry;
     failed.failure = reason;
-    const service_state* service = findService(failed.submitted.service);
-    const bool isOver = m_stopping || service == nullptr || service->targets.empty()
-        || failed.sends >= failed.submitted.attempts;
     backOff(failed);
-    if (isOver || failed.callerGone || failed.notBefore >= failed.submitted.deadline) {
+    const bool isOver = !allowsAttempt(failed) || failed.notBefore >= failed.submitted.deadline;
+    if (isOver || failed.callerGone) {
         end(failed, outcome::NotRun, reason);
         return;
     }
@@ -29,6 +27,21 @@
     m_backoffs.emplace(failed.notBefore, failed.submitted.number);
 }
 
+bool engine::allowsAttempt(const pending_request& inFlight)
+{
+    const service_state* service = findService(inFlight.submitted.service);
+    return !m_stopping && service != nullptr && !service->targets.empty()
+        && inFlight.sends < inFlight.submitted.attempts;
+}
+
+bool engine::mayAttemptAgain(const pending_request& inFlight)
+{
+    const request& submitted = inFlight.submitted;
+    return submitted.repeatable && !inFlight.callerGone && allowsAttempt(inFlight)
+        && inFlight.attempt.value() < m_settings.attemptsMax && mayRetry(inFlight)
+        && m_now + m_settings.retryBackoffMax < submitted.deadline;
+}
+
 // Full jitter: M. Brooker, "Exponential Backoff and Jitter", AWS Architecture Blog, 2015. After a
 // shed answer the backoff does not grow, since the window already spaces out the attempts. The
 // pause that the target requested applies to its window, not to the request, which another target
@@ -119,8 +132,8 @@
 // nothing, and the window limits how often the request is sent.
 void engine::resume(pending_request& waiting)
 {
-    const bool isBudgeted
-        = waiting.retry && (m_settings.budgetsShed || waiting.retry != retry_reason::TargetShed);
+    const bool isBudgeted = waiting.retry && !waiting.isRetryPaid
+        && (m_settings.budgetsShed || waiting.retry != retry_reason::TargetShed);
     if (isBudgeted && !mayRetry(waiting) && !m_settings.waitsForBudget) {
         end(waiting, outcome::NotRun, refusal_reason::RetryBudget);
         return;
--- a/test/peers-test.cc
+++ b/test/peers-test.cc
@@ -1,10 +1,13 @@
 #include "pimentomast/peers.h"
 
+#include "helper/cut-link.h"
 #include "helper/scripted-server.h"
 
 #include <criterion/criterion.h>
 #include <future>
+#include <list>
 #include <mutex>
+#include <netinet/in.h>
 #include <thread>
 
 using namespace pimentomast;
@@ -15,6 +18,8 @@
 constexpr std::chrono::milliseconds shortTimeoutMs { 200 };
 /// The longest time that a host gives a call to a peer.
 constexpr std::chrono::milliseconds longestCallMs { 800 };
+/// Longest time until a silent connection is replaced.
+constexpr std::chrono::seconds silentLimit { 10 };
 
 class echo_handler : public peers::handler {
 public:
@@ -72,6 +77,26 @@
     std::promise<result<Reply>> m_promise;
 };
 
+/// Returns the descriptors of the connections that this process accepted at the port.
+std::vector<int> acceptedConnections(std::uint16_t port)
+{
+    constexpr int maxDescriptor = 1024;
+    std::vector<int> found;
+    for (int descriptor = 0; descriptor < maxDescriptor; ++descriptor) {
+        // The port stands at the same place for both families.
+        sockaddr_in6 own {};
+        sockaddr_in6 peer {};
+        socklen_t size = sizeof own;
+        socklen_t peerSize = sizeof peer;
+        const bool isConnected
+            = ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&own), &size) == 0
+            && ::getpeername(descriptor, reinterpret_cast<sockaddr*>(&peer), &peerSize) == 0;
+        if (isConnected && ntohs(own.sin6_port) == port)
+            found.push_back(descriptor);
+    }
+    return found;
+}
+
 } // namespace
 
 Test(peers, call_is_answered)
@@ -158,3 +183,25 @@
     cr_assert(first.has_value());
     cr_assert(peers::server::start(address, receiver).has_error());
 }
+
+// Calls to a host over a silent connection failed for more than 20 s.
+Test(peers, silent_connection_is_replaced)
+{
+    echo_handler receiver;
+    const auto address = test::freeAddress();
+    const auto listening = peers::server::start(address, receiver);
+    const auto client = peers::client::create(address);
+    const auto isAnswered = [&] {
+        waiter<peers::wire::Update> reply;
+        client->exchange({}, longestCallMs, reply.handler());
+        return reply.wait().has_value();
+    };
+    cr_assert(test::waitUntil(isAnswered));
+    const auto connections = acceptedConnections(address.port);
+    cr_assert_not(connections.empty());
+    std::list<test::cut_link> cuts;
+    for (const int each : connections)
+        cuts.emplace_back(each);
+    cr_assert_not(isAnswered());
+    cr_assert(test::waitUntil(isAnswered, silentLimit));
+}
