Parse bodies of requests through the same guard

Any caller could end every host with one request.

Ruled out: the crash itself; the pause alone is enough.

Change: the request's parser is the incremental_parser too.

Tests, before (a trial with the guard taken out): http-parser-test bodies_of_requests_are_decoded_alike_in_pieces and proxy-failure-test empty_body_that_pauses_within_its_last_chunk_does_not_end_the_host ended in the assertion. After: both pass.

--- a/src/proxy/head.h
+++ b/src/proxy/head.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "pimentomast/http_parser.h"
 #include "pimentomast/proxy.h"
 
 #include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <limits>
 #include <memory>
 #include <string>
@@ -17,7 +17,7 @@
 namespace pimentomast::proxy::detail {
 
 namespace http = boost::beast::http;
-using request_parser = http::request_parser<http::buffer_body>;
+using request_parser = http_parser::incremental_parser<true, http::buffer_body>;
 
 /// Beast 1.74 treats boost::none ("no limit") as a limit of 0.
 constexpr std::uint64_t unlimitedBody = std::numeric_limits<std::uint64_t>::max();
--- a/test/http-parser-test.cc
+++ b/test/http-parser-test.cc
@@ -9,12 +9,15 @@
 using namespace pimentomast;
 using proxy::detail::body_state;
 using proxy::detail::decodeBody;
+using proxy::detail::request_parser;
 using proxy::detail::response_parser;
 
 /// Bodies in chunks are decoded alike, however they are cut into pieces, whenever the decoder is
 /// called without more input, and wherever they end.
 namespace {
 
+const std::string requestHead
+    = "PUT /weights/g1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
 const std::string responseHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 constexpr std::size_t room = 64;
 
@@ -168,6 +171,12 @@
     cr_assert(isDecodedAlikeInPieces<response_parser>(responseHead));
 }
 
+// So did a request whose empty body in chunks paused before its last line.
+Test(http_parser, bodies_of_requests_are_decoded_alike_in_pieces)
+{
+    cr_assert(isDecodedAlikeInPieces<request_parser>(requestHead));
+}
+
 // So did an answer of the store or of a target to a call of the host itself.
 Test(http_parser, answers_to_the_host_are_read_alike_in_pieces)
 {
--- a/test/proxy-failure-test.cc
+++ b/test/proxy-failure-test.cc
@@ -57,6 +57,24 @@
     cr_assert(looksComplete(sendRequest(host, closingGet)));
 }
 
+// Any caller could end every host with one such request.
+Test(proxy_failure, empty_body_that_pauses_within_its_last_chunk_does_not_end_the_host)
+{
+    const std::string head
+        = "PUT /weights/g1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    scripted_target target({ { completeResponse }, { "", ending::Close }, { completeResponse } });
+    proxy_fixture host({ target.destination() });
+    for (const char* expected : { "200 OK", "target-closed" }) {
+        raw_connection caller(host.address());
+        caller.send(head + "0\r\n");
+        std::this_thread::sleep_for(milliseconds(1500));
+        caller.send("\r\n");
+        const auto got = caller.readUntil(expected);
+        cr_assert(contains(got, expected), "%s", got.c_str());
+    }
+    cr_assert(looksComplete(sendRequest(host, closingGet)));
+}
+
 Test(proxy_failure, truncated_responses_never_look_complete)
 {
     const std::string length = "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n0123456789";
