Let an exception end its request, not the host

An exception that no thread catches is another way: what was thrown while a caller's input or a target's answer was handled ended the process (std::length_error in proxy-exception-test: terminate called, both tests).

No input is known that throws there. The connection or the request now ends (500 internal, unknown), with a line in the log. gRPC catches what its callbacks throw; a test in peers-test holds that, it passed before too.

--- a/src/proxy/poller.cc
+++ b/src/proxy/poller.cc
@@ -1,5 +1,7 @@
 #include "poller.h"
 
+#include "pimentomast/telemetry.h"
+
 #include <Poco/Net/SocketAddress.h>
 
 namespace pimentomast::proxy::detail {
@@ -206,7 +208,19 @@
     if (got.state != io_state::Ready)
         return m_events.disconnected(connection);
     connection->arrivals.received(got.bytes, std::max(m_earliestArrival, connection->phaseStarted));
-    m_events.input(connection);
+    passInput(connection);
+}
+
+// An exception ends the connection, not the host.
+void poller::passInput(const caller_pointer& connection)
+{
+    try {
+        m_events.input(connection);
+    } catch (const std::exception& fault) {
+        telemetry::log(telemetry::severity::Error, "input-failed",
+            { { "peer", connection->peerIp }, { "reason", fault.what() } });
+        m_events.disconnected(connection);
+    }
 }
 
 void poller::processReady()
@@ -218,7 +232,7 @@
     }
     for (const caller_pointer& connection : ready) {
         if (!connection->isClosed && !connection->inputTaken)
-            m_events.input(connection);
+            passInput(connection);
     }
 }
 
@@ -233,7 +247,7 @@
         if (connection->isClosed || connection->inputTaken)
             continue;
         (void)unwatch(connection);
-        m_events.input(connection);
+        passInput(connection);
     }
 }
 
--- a/src/proxy/poller.h
+++ b/src/proxy/poller.h
@@ -75,6 +75,7 @@
     void handleLingering(const caller_pointer& connection);
     void handleWaiting(const caller_pointer& connection);
     void handleInput(const caller_pointer& connection);
+    void passInput(const caller_pointer& connection);
     void processReady();
     void processResumed();
     void sweep(instant now);
--- a/src/proxy/server-dispatch.cc
+++ b/src/proxy/server-dispatch.cc
@@ -1,5 +1,6 @@
 #include "server-impl.h"
 
+#include "pimentomast/telemetry.h"
 #include "probe.h"
 
 #include <algorithm>
@@ -192,7 +193,7 @@
     if (const auto* why = std::get_if<reason>(&acquired))
         ended.result = attempt_not_run { *why };
     else
-        ended = runAttempt(work, *std::get<std::unique_ptr<target_connection>>(acquired));
+        ended = tryAttempt(work, *std::get<std::unique_ptr<target_connection>>(acquired));
     finished.result = ended.result;
     finished.firstByte = ended.firstByte;
     finished.total = monotonic_clock::now() - started;
@@ -201,6 +202,18 @@
     handleAttemptResult(work, ended, finished);
 }
 
+relay_result server_impl::tryAttempt(forward_job& work, target_connection& connection)
+{
+    try {
+        return runAttempt(work, connection);
+    } catch (const std::exception& fault) {
+        telemetry::log(telemetry::severity::Error, "attempt-failed",
+            { { "request", requestIdText(*work.request, m_options) },
+                { "peer", work.to.target.value() }, { "reason", fault.what() } });
+        return { attempt_cancelled {}, false, reason::Internal, duration(0) };
+    }
+}
+
 relay_result server_impl::runAttempt(forward_job& work, target_connection& connection)
 {
     const request_id id = work.request->facts.id;
@@ -308,7 +321,7 @@
     response.status = statusOf(*fault);
     response.outcome = request_outcome::Unknown;
     response.reason = name(*fault);
-    response.step = "read request body";
+    response.step = *fault == reason::Internal ? "forward request" : "read request body";
     response.peer = request.caller->peerIp;
     response.withBody = !isHead(request);
     response.closes = mustClose(request);
--- a/src/proxy/server-impl.h
+++ b/src/proxy/server-impl.h
@@ -143,6 +143,8 @@
     void runForward(forward_job& work);
     void runSend(const send_job& work);
     [[nodiscard]] relay_result runAttempt(forward_job& work, target_connection& connection);
+    /// Runs the attempt; an exception ends the request, not the host.
+    [[nodiscard]] relay_result tryAttempt(forward_job& work, target_connection& connection);
     void handleAttemptResult(forward_job& work, const relay_result& ended, attempt finished);
     void finishRequest(const forward_job& work, attempt finished);
     void waitForDecision(
--- a/test/peers-test.cc
+++ b/test/peers-test.cc
@@ -205,3 +205,31 @@
     cr_assert_not(isAnswered());
     cr_assert(test::waitUntil(isAnswered, silentLimit));
 }
+
+// An exception of a receiver or of a caller ends its call, not the host.
+Test(peers, exception_ends_its_call_only)
+{
+    class throwing_handler : public echo_handler {
+        void hold(
+            const peers::wire::HoldRequest&, peers::reply_sender<peers::wire::HoldReply>) override
+        {
+            throw std::length_error("hold");
+        }
+    };
+    throwing_handler receiver;
+    const auto address = test::freeAddress();
+    const auto listening = peers::server::start(address, receiver);
+    const auto client = peers::client::create(address);
+    waiter<peers::wire::HoldReply> held;
+    client->hold({}, replyTimeoutMs, held.handler());
+    cr_assert_not(held.wait().has_value());
+    std::promise<void> thrown;
+    client->exchange({}, replyTimeoutMs, [&](const auto&) {
+        thrown.set_value();
+        throw std::length_error("exchange");
+    });
+    thrown.get_future().wait();
+    waiter<peers::wire::Update> reply;
+    client->exchange({}, replyTimeoutMs, reply.handler());
+    cr_assert(reply.wait().has_value());
+}
