Answer 503 only if the request did not run

Cause: the status came from the reason alone. An unknown outcome now takes 502. Test: proxy-routing-test request_that_may_have_run_is_not_answered_as_not_run.

--- a/src/dispatch/routed-dispatcher.cc
+++ b/src/dispatch/routed-dispatcher.cc
@@ -239,7 +239,7 @@
         answer.outcome = order.requestOutcome == routing::outcome::NotRun
             ? request_outcome::NotRun
             : request_outcome::Unknown;
-        answer.status = statusOf(order.reason);
+        answer.status = statusOf(order.reason, order.requestOutcome);
         answer.reason = routing::name(order.reason);
         answer.peer = order.target.value();
         answer.retryAfter = std::max(order.retryAfter, duration::zero());
--- a/src/dispatch/router-results.cc
+++ b/src/dispatch/router-results.cc
@@ -3,6 +3,10 @@
 namespace pimentomast::proxy::detail {
 namespace {
 
+/// A promise to callers that the request did not run.
+constexpr int notRunStatus = 503;
+constexpr int unknownStatus = 502;
+
 routing::attempt_result notRunResult(const attempt_not_run& refused)
 {
     switch (refused.why) {
@@ -24,9 +28,7 @@
     return routing::broken { why == reason::TargetSilent };
 }
 
-} // namespace
-
-int statusOf(routing::refusal_reason why) noexcept
+int usualStatusOf(routing::refusal_reason why) noexcept
 {
     using routing::refusal_reason;
     switch (why) {
@@ -40,10 +42,18 @@
     case refusal_reason::Quarantined:
         return 422;
     default:
-        return 503;
+        return notRunStatus;
     }
 }
 
+} // namespace
+
+int statusOf(routing::refusal_reason why, routing::outcome known) noexcept
+{
+    const int usual = usualStatusOf(why);
+    return usual == notRunStatus && known == routing::outcome::Unknown ? unknownStatus : usual;
+}
+
 routing::attempt_result routerResult(const attempt& finished)
 {
     const overloaded convert {
--- a/test/proxy-routing-test.cc
+++ b/test/proxy-routing-test.cc
@@ -71,6 +71,22 @@
     cr_assert_eq(target.heads().size(), 2);
 }
 
+// A request that ran and found no token for its retry was answered 503, which promises that it did
+// not run.
+Test(proxy_routing, request_that_may_have_run_is_not_answered_as_not_run)
+{
+    routing::options noRetries;
+    noRetries.retryBurst = 0;
+    noRetries.retryRatio = 0;
+    noRetries.waitsForBudget = false;
+    scripted_target target({ { "", ending::Reset } });
+    routed_fixture host({ target.destination().address }, noRetries);
+    const auto reply = call(host.address(), { "GET", "/weights/g1" });
+    cr_assert_eq(reply.field("Pimentomast-Outcome"), "unknown");
+    cr_assert(contains(reply.body, "\"reason\":\"retry-budget\""), "%s", reply.body.c_str());
+    cr_assert_eq(reply.status, 502);
+}
+
 Test(proxy_routing, silent_connection_is_abandoned_when_a_new_one_gets_a_response)
 {
     const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\ngoats";
