--- a/test/platform-hosts-test.cc
+++ b/test/platform-hosts-test.cc
@@ -47,8 +47,42 @@
     return platform::detail::platform_store(client).hosts();
 }
 
+/// Receives a call of the store whose body is a transaction; empty if the client has left.
+std::string readTransaction(Poco::Net::StreamSocket& socket)
+{
+    std::string received;
+    std::array<char, 4096> buffer {};
+    while (!received.ends_with("]}")) {
+        const int count = socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+        if (count <= 0)
+            return {};
+        received.append(buffer.data(), static_cast<std::size_t>(count));
+    }
+    return received;
+}
+
 } // namespace
 
+// A removal that the store carries out late would take away the row of the host's next run.
+Test(platform_hosts, removal_names_the_version_of_the_row_that_was_written)
+{
+    std::vector<std::string> calls;
+    test::scripted_server server([&](auto& socket, int) {
+        for (auto call = readTransaction(socket); !call.empty(); call = readTransaction(socket)) {
+            calls.push_back(call);
+            test::write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{\"ver\":7}");
+        }
+    });
+    platform::detail::row_client client(server.address(), test::waitTimeout);
+    platform::detail::platform_store rows(client);
+    const host_id self { "h1" };
+    cr_assert_not(rows.removeHost(self).has_value());
+    cr_assert(rows.putHost({ self, domain_id { "d1" }, { "10.0.0.1", 7000 } }).has_value());
+    cr_assert(rows.removeHost(self).has_value());
+    cr_assert_eq(calls.size(), 2);
+    cr_assert_neq(calls[1].find("\"ver\":7"), std::string::npos, "%s", calls[1].c_str());
+}
+
 Test(platform_hosts, odd_host_row_hides_no_other_host)
 {
     for (const auto& odd : { std::string(), std::string("null"), std::string("[]"),
