Reset given-up connections also behind a proxy

Cause: what the peer's kernel had acknowledged was closed in order. And the router woke its worker by shutting down both directions, so that an orderly end came before the reset.

Change: a connection is reset unless all its requests were answered, and the worker is woken without sending anything. Tests: transport-test connection_is_reset_also_if_everything_was_acknowledged, http-test call_that_timed_out_ends_with_a_reset.

--- a/include/pimentomast/transport.h
+++ b/include/pimentomast/transport.h
@@ -7,11 +7,11 @@
 /// opens a connection over POCO uses it: calls to stores and targets, callers' requests to targets,
 /// and probes.
 ///
-/// An ordinary close() leaves it to the kernel to deliver what the peer has not acknowledged, and
-/// the kernel retransmits it for minutes, also after the end of the process. What was sent before a
-/// link was cut can so arrive after the cut, long after its call was given up. A prepared
-/// connection is reset instead if it ends with unacknowledged data, by close() or with the process,
-/// and nothing of that arrives more than maxTransit later.
+/// An ordinary close() leaves it to the kernel, or to a proxy on the way, to deliver what the peer
+/// has not received, and that goes on for minutes, also after the end of the process. What was sent
+/// before a link was cut can so arrive after the cut, long after its call was given up. A prepared
+/// connection is reset instead, by reset() or by the end of the process, and nothing that was sent
+/// on it arrives more than maxTransit later.
 ///
 /// A peer whose program works for long still acknowledges; one that is cut off, or whose connection
 /// has gone silent, does not. On a prepared connection without traffic the kernel asks for a sign
@@ -42,9 +42,12 @@
 /// nothing was sent in that time. Thread-safe for different connections.
 [[nodiscard]] bool isSilent(const Poco::Net::StreamSocket& connection) noexcept;
 
-/// Closes a prepared connection: in order if the peer has acknowledged all data, otherwise with a
-/// reset, which drops the rest. Does nothing if it is closed already. Thread-safe for different
-/// connections.
-void close(Poco::Net::StreamSocket& connection) noexcept;
+/// Ends a prepared connection with a reset, which drops what has not arrived. Does nothing if it is
+/// closed already. Thread-safe for different connections.
+void reset(Poco::Net::StreamSocket& connection) noexcept;
+
+/// Ends a prepared connection in order. Does nothing if it is closed already. Precondition: every
+/// request that was sent on it has been answered. Thread-safe for different connections.
+void closeIdle(Poco::Net::StreamSocket& connection) noexcept;
 
 } // namespace pimentomast::transport
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -196,9 +196,10 @@
         return not_sent { { sent.method + " " + sent.path, peer, "too late to send" } };
     try {
         connection->setIoTimeout(remaining(allowed.deadline));
-        connection->limitDelivery(std::min(remaining(allowed.deadline), transport::silenceLimit));
+        connection->beginExchange(std::min(remaining(allowed.deadline), transport::silenceLimit));
         sendBody(*connection, sent);
         auto got = receiveAnswer(*connection, sent, allowed);
+        connection->endExchange();
         if (got.reusable && !sent.ownConnection)
             pool.returnIdle(std::move(connection));
         return got.whole;
--- a/src/http/session-pool.cc
+++ b/src/http/session-pool.cc
@@ -19,7 +19,13 @@
     setKeepAlive(true);
 }
 
-session::~session() { transport::close(socket()); }
+session::~session()
+{
+    if (m_isIdle)
+        transport::closeIdle(socket());
+    else
+        transport::reset(socket());
+}
 
 void session::open(std::chrono::milliseconds timeout)
 {
@@ -28,9 +34,10 @@
     transport::prepare(socket());
 }
 
-void session::limitDelivery(std::chrono::milliseconds limit)
+void session::beginExchange(std::chrono::milliseconds deliveryLimit)
 {
-    transport::limitDelivery(socket(), limit);
+    m_isIdle = false;
+    transport::limitDelivery(socket(), deliveryLimit);
 }
 
 void session::setIoTimeout(std::chrono::milliseconds timeout)
--- a/src/http/session-pool.h
+++ b/src/http/session-pool.h
@@ -22,13 +22,19 @@
     void open(std::chrono::milliseconds timeout);
     /// Sets the timeout of each following receive and send.
     void setIoTimeout(std::chrono::milliseconds timeout);
-    /// Bounds the time in which what is sent from now on may arrive, as transport::limitDelivery().
-    void limitDelivery(std::chrono::milliseconds limit);
+    /// Call before a request is sent. The connection is reset if it ends before endExchange(). The
+    /// limit is that of transport::limitDelivery().
+    void beginExchange(std::chrono::milliseconds deliveryLimit);
+    /// Call when the answer is whole.
+    void endExchange() { m_isIdle = true; }
     /// Returns whether an idle connection is still open and has received nothing.
     [[nodiscard]] bool reusable();
 
 protected:
     [[nodiscard]] bool mustReconnect() const override { return false; }
+
+private:
+    bool m_isIdle = true;
 };
 
 /// Idle connections to one server. Thread-safe.
--- a/src/proxy/io.cc
+++ b/src/proxy/io.cc
@@ -98,6 +98,11 @@
     ::shutdown(descriptor(socket), SHUT_RDWR);
 }
 
+void shutdownReceive(Poco::Net::StreamSocket& socket) noexcept
+{
+    ::shutdown(descriptor(socket), SHUT_RD);
+}
+
 void resetOnClose(Poco::Net::StreamSocket& socket) noexcept
 {
     const linger immediate { 1, 0 };
--- a/src/proxy/io.h
+++ b/src/proxy/io.h
@@ -53,6 +53,10 @@
 /// Shuts down both directions, which wakes a thread that waits on the socket. Never throws.
 void shutdownBoth(Poco::Net::StreamSocket& socket) noexcept;
 
+/// Shuts down the receiving side, which wakes a thread that waits on the socket. Nothing is sent:
+/// after an orderly end a reset that follows could be overlooked. Never throws.
+void shutdownReceive(Poco::Net::StreamSocket& socket) noexcept;
+
 /// Makes the connection end with a TCP reset when it is closed, so that the peer detects a
 /// truncated message.
 void resetOnClose(Poco::Net::StreamSocket& socket) noexcept;
--- a/src/proxy/registry.cc
+++ b/src/proxy/registry.cc
@@ -113,7 +113,7 @@
 {
     running.abandoned = !running.responseStarted;
     if (running.abandoned && running.target)
-        shutdownBoth(*running.target);
+        shutdownReceive(*running.target);
 }
 
 bool registry::detachConnection(request_id id)
--- a/src/proxy/target-pool.cc
+++ b/src/proxy/target-pool.cc
@@ -18,7 +18,7 @@
 {
     if (m_returned)
         return;
-    transport::close(socket);
+    transport::reset(socket);
     m_pool.release(m_address);
 }
 
@@ -72,7 +72,7 @@
     const auto over = std::stable_partition(idle.begin(), idle.end(),
         [&](const idle_connection& connection) { return !isOver(connection); });
     for (auto each = over; each != idle.end(); ++each)
-        transport::close(each->socket);
+        transport::closeIdle(each->socket);
     open -= static_cast<std::size_t>(idle.end() - over);
     idle.erase(over, idle.end());
 }
@@ -83,7 +83,7 @@
     target_entry& entry = m_targets[address];
     if (entry.idle.empty())
         return false;
-    transport::close(entry.idle.front().socket);
+    transport::closeIdle(entry.idle.front().socket);
     entry.idle.erase(entry.idle.begin());
     --entry.open;
     return true;
@@ -167,7 +167,7 @@
     target_entry& entry = m_targets[address];
     if (opened < entry.minOpened) {
         --entry.open;
-        return transport::close(socket);
+        return transport::closeIdle(socket);
     }
     entry.idle.push_back({ socket, opened, monotonic_clock::now() });
 }
--- a/src/transport/transport.cc
+++ b/src/transport/transport.cc
@@ -18,14 +18,11 @@
     return static_cast<int>(socket.impl()->sockfd());
 }
 
-/// Returns the number of bytes that the peer has not acknowledged; nothing if the kernel does not
-/// tell.
-std::optional<int> unacknowledgedBytes(int socket) noexcept
+/// Returns whether the peer has not acknowledged everything; false if the kernel does not tell.
+bool awaitsAcknowledgement(int socket) noexcept
 {
     int bytes = 0;
-    if (::ioctl(socket, SIOCOUTQ, &bytes) != 0)
-        return std::nullopt;
-    return bytes;
+    return ::ioctl(socket, SIOCOUTQ, &bytes) == 0 && bytes > 0;
 }
 
 /// Returns the time since the peer last acknowledged anything; nothing if the kernel does not tell.
@@ -59,17 +56,12 @@
 bool isSilent(const Poco::Net::StreamSocket& connection) noexcept
 {
     const int socket = descriptor(connection);
-    return unacknowledgedBytes(socket).value_or(0) > 0
+    return awaitsAcknowledgement(socket)
         && timeSinceAcknowledgement(socket).value_or(std::chrono::milliseconds(0)) >= silenceLimit;
 }
 
-void close(Poco::Net::StreamSocket& connection) noexcept
+void reset(Poco::Net::StreamSocket& connection) noexcept
 {
-    const int socket = descriptor(connection);
-    if (unacknowledgedBytes(socket) == 0) {
-        const linger none { 0, 0 };
-        ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &none, sizeof none);
-    }
     try {
         connection.close();
     } catch (const Poco::Exception&) {
@@ -78,4 +70,11 @@
     }
 }
 
+void closeIdle(Poco::Net::StreamSocket& connection) noexcept
+{
+    const linger none { 0, 0 };
+    ::setsockopt(descriptor(connection), SOL_SOCKET, SO_LINGER, &none, sizeof none);
+    reset(connection);
+}
+
 } // namespace pimentomast::transport
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -140,6 +140,24 @@
     cr_assert_not(arrived.get_future().get());
 }
 
+// A proxy on the way passes on what was followed by an orderly end.
+Test(http, call_that_timed_out_ends_with_a_reset)
+{
+    std::promise<bool> wasReset;
+    scripted_server server([&](auto& socket, int) {
+        readRequest(socket);
+        try {
+            char byte = 0;
+            wasReset.set_value(socket.receiveBytes(&byte, 1) < 0);
+        } catch (const Poco::Exception&) {
+            wasReset.set_value(true);
+        }
+    });
+    http::client client({ server.address(), 200ms });
+    cr_assert(isNoAnswer(client.sendOnce(get)));
+    cr_assert(wasReset.get_future().get());
+}
+
 Test(http, call_whose_time_is_over_is_not_sent)
 {
     std::atomic<int> requests { 0 };
--- a/test/transport-test.cc
+++ b/test/transport-test.cc
@@ -68,7 +68,7 @@
         const cut_link cut(ends.peer);
         sendText(ends.own, "late");
         std::this_thread::sleep_for(cutTime / 2);
-        transport::close(ends.own);
+        transport::reset(ends.own);
         std::this_thread::sleep_for(cutTime / 2);
     }
     cr_assert_not(receive(ends.peer, retransmissionTime));
@@ -105,16 +105,27 @@
     cr_assert_not(receive(ends.peer, retransmissionTime));
 }
 
-Test(transport, connection_whose_data_was_acknowledged_is_closed_in_order)
+Test(transport, idle_connection_is_closed_in_order)
 {
     connection_pair ends;
     sendText(ends.own, "goats");
     cr_assert_eq(receive(ends.peer, test::waitTimeout).value_or(""), "goats");
-    transport::close(ends.own);
+    transport::closeIdle(ends.own);
     const auto last = receive(ends.peer, test::waitTimeout);
     cr_assert(last && last->empty());
 }
 
+// A proxy on the way may have acknowledged what the target has not received; it passes on an
+// orderly end behind it.
+Test(transport, connection_is_reset_also_if_everything_was_acknowledged)
+{
+    connection_pair ends;
+    sendText(ends.own, "goats");
+    cr_assert_eq(receive(ends.peer, test::waitTimeout).value_or(""), "goats");
+    transport::reset(ends.own);
+    cr_assert_not(receive(ends.peer, test::waitTimeout));
+}
+
 Test(transport, quiet_connection_to_a_peer_that_is_cut_off_fails)
 {
     connection_pair ends;
