--- a/include/pimentomast/http.h
+++ b/include/pimentomast/http.h
@@ -12,8 +12,8 @@
 /// HTTP client for the host's own requests, to stores and to the control interface of targets.
 /// Callers' requests are not sent through it.
 ///
-/// Nothing of a request is sent after its timeout, and nothing that was sent arrives more than
-/// transport::maxTransit after it: a connection whose answer is given up is reset.
+/// A request is not sent after its timeout, and does not arrive later than transport::maxTransit
+/// after that: the connection is reset when its answer is given up.
 namespace pimentomast::http {
 
 /// One header field of a request or an answer.
--- a/include/pimentomast/transport.h
+++ b/include/pimentomast/transport.h
@@ -18,6 +18,8 @@
 /// of life after silenceInterval, and fails the connection after two more intervals without one.
 namespace pimentomast::transport {
 
+/// Time without traffic after which the kernel asks the peer for a sign of life, and between two
+/// such probes.
 inline constexpr std::chrono::seconds silenceInterval { 1 };
 
 /// Time after which a peer that acknowledges nothing counts as lost.
