--- a/test/proxy-silence-test.cc
+++ b/test/proxy-silence-test.cc
@@ -49,7 +49,7 @@
     caller.readUntil("goats");
     caller.clearInput();
     caller.send(sale);
-    const auto got = caller.readUntil("}\n");
+    auto got = caller.readUntil("}\n");
     finish.set_value();
     return got;
 }
