--- a/src/routing/engine.h
+++ b/src/routing/engine.h
@@ -288,7 +288,7 @@
     void adaptWindow(target_state& target, const request& submitted, bool wasShed);
     void recordLatency(const request& submitted, const answered& result);
 
-    // health.cc: probes, ejection, crashes, silent connections
+    // health.cc: probes, ejection, crashes
     void updateRun(target_state& target, incarnation run);
     void attributeCrash(target_state& target, incarnation run);
     void clear(fingerprint requestFingerprint);
@@ -301,6 +301,15 @@
     [[nodiscard]] std::vector<target_state*> targetsWithDueProbe() const;
     void startDueProbes();
     void startProbe(target_state& target);
+    void releaseAwaitingProbe(target_state& target);
+    void releaseAwaitingProbe(target_state& target, pending_request& waiting);
+    void recordLoss(const pending_request& lost, target_state& target);
+    void resolveLosses(const target_state& target, instant until);
+    void refuseQuarantined();
+    void updateReport(target_state& target, const load_report& load);
+    void onRunEnded(target_state& target);
+
+    // late.cc: late answers, and attempts that are given up for them
     void requestLateProbes();
     /// Time from the first byte of a request of the service to when its answer is late.
     [[nodiscard]] duration lateAfter(const service_id& service) const;
@@ -315,13 +324,6 @@
     void retryLateAttempts(target_state& target, instant probeStarted, const load_report& reported);
     void endLostAttempts(target_state& target, instant probeStarted, const load_report& reported);
     void endLateAttempts(target_state& target);
-    void releaseAwaitingProbe(target_state& target);
-    void releaseAwaitingProbe(target_state& target, pending_request& waiting);
-    void recordLoss(const pending_request& lost, target_state& target);
-    void resolveLosses(const target_state& target, instant until);
-    void refuseQuarantined();
-    void updateReport(target_state& target, const load_report& load);
-    void onRunEnded(target_state& target);
     void abandonAttempt(pending_request& inFlight);
     void attemptAgain(pending_request& inFlight, retry_reason retry, refusal_reason reason);
 
