Read routes of the kind upload

A configuration with one route of this kind was refused as a whole, so hosts had no table and served nothing. Such requests are treated as not repeatable, and their routes say that bodies are buffered. A kind that is not known still refuses the configuration, as the store's documents define the kinds.

The fields for warm-up, evacuation and the slowdown of a target's machine are declared; nothing fills them in yet.

--- a/include/pimentomast/routing.h
+++ b/include/pimentomast/routing.h
@@ -157,6 +157,8 @@
     unsigned running = 0;
     unsigned queued = 0;
     unsigned slots = 0;
+    /// Time that work takes on the target's machine at the moment, relative to the usual time.
+    double slowdown = 1;
 };
 /// The target answered the probe over a new connection.
 struct probe_answered {
--- a/include/pimentomast/table.h
+++ b/include/pimentomast/table.h
@@ -49,6 +49,15 @@
     return form == key_form::Number ? std::uint64_t { 1 } << numberShift : 1;
 }
 
+/// How targets of a service warm up after a cold start.
+struct warmup_terms {
+    std::chrono::milliseconds time {};
+    /// Requests per second that a cold target tolerates.
+    double requestsPerSecond = 0;
+
+    bool operator==(const warmup_terms&) const = default;
+};
+
 struct service_row {
     service_id id;
     /// Requests whose path starts with this prefix belong to the service; the longest prefix wins.
@@ -67,6 +76,8 @@
     double churnPrice = 0.25;
     /// Path of the targets' health check endpoint.
     std::string healthPath = "/pimentomast/health";
+    /// Not set: cold targets are not limited.
+    std::optional<warmup_terms> warmup {};
 
     [[nodiscard]] bool keyed() const noexcept { return !std::holds_alternative<no_source>(key); }
     bool operator==(const service_row&) const = default;
@@ -91,6 +102,10 @@
     /// Earliest time at which the target may have been marked as leaving, if the source of the
     /// table knows it; otherwise it counts from when a host learns of the mark.
     std::optional<instant> leavingSince {};
+    /// The failure domain is evacuated: the state is Leaving until the evacuation ends.
+    bool evacuated = false;
+    /// Until when the target is cold, if it is.
+    std::optional<instant> coldUntil {};
     /// Process name that requests carry to identify the intended recipient; empty: not sent.
     std::string instance {};
     /// Incarnation of the target's process if the table specifies it; 0: learned from the target.
@@ -126,6 +141,8 @@
     std::vector<route_part> parts;
     /// Requests may be executed more than once.
     bool repeatable = false;
+    /// Request bodies are large: a host receives one, up to a limit, before it occupies a target.
+    bool buffersBody = false;
     /// Maximum number of targets that one request is sent to.
     unsigned maxAttempts = 4;
     /// Maximum time until a request is answered.
--- a/test/platform-documents-test.cc
+++ b/test/platform-documents-test.cc
@@ -84,9 +84,21 @@
     };
     cr_assert(kindOf("download").value().routes[0].repeatable);
     cr_assert(!kindOf("non_idempotent").value().routes[0].repeatable);
+    cr_assert(!kindOf("upload").value().routes[0].repeatable);
     cr_assert(kindOf("sometimes").has_error());
 }
 
+// One route of an unknown kind refuses the whole configuration, so a host would serve nothing.
+Test(platform_documents, uploads_are_accepted_and_have_their_bodies_buffered)
+{
+    const auto read = readConfiguration(document(route(R"("kind":"upload","service":"sales")")));
+    cr_assert(read.has_value());
+    cr_assert(read.value().routes[0].buffersBody);
+    const auto other
+        = readConfiguration(document(route(R"("kind":"non_idempotent","service":"sales")")));
+    cr_assert(!other.value().routes[0].buffersBody);
+}
+
 Test(platform_documents, weighted_parts_are_read_and_zero_weights_ignored)
 {
     const auto read = readConfiguration(
