Read load reports of responses; accept no status beyond HTTP's

Targets may state their load in a header field of their responses and health answers. It reaches the router with its age; the slowdown of the target's machine lowers its weight. A malformed field is counted and ignored.

Responses with a status below 100 were taken for malformed already; those from 600 to 999 reached callers. Ruled out: status 000 as an answer to callers, grants or calls to the store.

--- a/include/pimentomast/dispatch.h
+++ b/include/pimentomast/dispatch.h
@@ -57,6 +57,8 @@
     TargetSilent,
     TargetAnswerMalformed,
     TargetAnswerUnframed,
+    /// Not a refusal: the target's load report is ignored.
+    LoadReportMalformed,
     AnswerBroken,
     /// Not a refusal: the rest of the answer was requested with a Range field.
     AnswerContinued,
@@ -176,6 +178,8 @@
     /// From sending the request's first byte until receiving the answer's first byte.
     duration firstByte { 0 };
     duration total { 0 };
+    /// Load that the target reported with its answer.
+    std::optional<routing::load_report> load {};
 };
 
 /// Result of a probe: the load that the target reported, or nothing if it did not answer in time.
--- a/include/pimentomast/proxy.h
+++ b/include/pimentomast/proxy.h
@@ -42,6 +42,11 @@
     bool sendPimentomastFields = true;
     /// Send Retry-After with fractions of a second instead of rounding up.
     bool fractionalRetryAfter = false;
+    /// Field with the target's load in its responses, also those to probes; empty: there is none.
+    std::string load {};
+    /// Decodes the value of the load field. Returns nothing if it is malformed. Must be set if load
+    /// is, and be thread-safe.
+    std::function<std::optional<routing::load_report>(std::string_view)> decodeLoad {};
 };
 
 /// Target, outcome and duration of one attempt.
--- a/include/pimentomast/routing.h
+++ b/include/pimentomast/routing.h
@@ -375,7 +375,8 @@
         instant now, request_number number, attempt_number attempt, const attempt_result& ended)
         = 0;
 
-    /// Applies a load report from a target's answer to a grant.
+    /// Applies a load report from a target's answer to a grant or to a request. Its run is 0 if the
+    /// answer does not state it.
     virtual actions report(instant now, const target_id& target, const load_report& load) = 0;
     /// Applies the result of a probe.
     virtual actions probed(instant now, const target_id& target, const probe_result& ended) = 0;
--- a/src/dispatch/routed-dispatcher.cc
+++ b/src/dispatch/routed-dispatcher.cc
@@ -1,8 +1,10 @@
 #include "router-results.h"
 
+#include <algorithm>
 #include <atomic>
 #include <condition_variable>
 #include <deque>
+#include <iterator>
 #include <map>
 #include <mutex>
 #include <thread>
@@ -83,8 +85,12 @@
         recordUnreplayable(finished);
         run(
             [&](instant now, routing::router& router) {
-                return router.finish(now, routing::request_number { finished.id.value() },
+                auto todo = router.finish(now, routing::request_number { finished.id.value() },
                     routing::attempt_number { finished.number }, routerResult(finished));
+                if (finished.load)
+                    std::ranges::move(router.report(now, finished.target, *finished.load),
+                        std::back_inserter(todo));
+                return todo;
             },
             sink);
     }
--- a/src/http/answer-reader.cc
+++ b/src/http/answer-reader.cc
@@ -14,6 +14,7 @@
 /// Chunk sizes and trailers that are incomplete are kept undecoded.
 constexpr std::size_t maxUndecodedBytes = 65536;
 constexpr unsigned firstStatus = 100;
+constexpr unsigned lastStatus = 599;
 constexpr unsigned switchingProtocols = 101;
 constexpr unsigned firstFinalStatus = 200;
 
@@ -71,7 +72,8 @@
 void answer_reader::checkHead() const
 {
     const auto& head = m_parser->get();
-    if (head.result_int() < firstStatus || head.result_int() == switchingProtocols)
+    const unsigned status = head.result_int();
+    if (status < firstStatus || status > lastStatus || status == switchingProtocols)
         fail("answer has an unexpected status");
     const auto lengths = head.count(beast::field::content_length);
     const auto encodings = head.count(beast::field::transfer_encoding);
--- a/src/proxy/message.cc
+++ b/src/proxy/message.cc
@@ -177,6 +177,25 @@
     return head + "\r\n";
 }
 
+bool isValidStatus(unsigned status) noexcept
+{
+    constexpr unsigned first = 100;
+    constexpr unsigned last = 599;
+    constexpr unsigned switchingProtocols = 101;
+    return status >= first && status <= last && status != switchingProtocols;
+}
+
+load_field loadField(const response_parser& response, const contract& fields)
+{
+    if (fields.load.empty())
+        return {};
+    const auto found = response.get().find(fields.load);
+    if (found == response.get().end())
+        return {};
+    const auto report = fields.decodeLoad(view(found->value()));
+    return { report, !report };
+}
+
 bool isStaleResponse(
     const response_parser& response, const exchange& request, const contract& fields)
 {
--- a/src/proxy/message.h
+++ b/src/proxy/message.h
@@ -28,6 +28,20 @@
 [[nodiscard]] std::optional<reason> notRunReason(
     const response_parser& response, const contract& fields);
 
+/// Returns whether the status code is one of HTTP's (RFC 9110, section 15) and is expected here: no
+/// request asks to switch protocols.
+[[nodiscard]] bool isValidStatus(unsigned status) noexcept;
+
+/// A response's load field.
+struct load_field {
+    /// Empty if the field is missing or malformed.
+    std::optional<routing::load_report> report;
+    bool isMalformed = false;
+};
+
+/// Returns the load that a target reports with a response.
+[[nodiscard]] load_field loadField(const response_parser& response, const contract& fields);
+
 /// Returns whether the response carries the id of another request.
 [[nodiscard]] bool isStaleResponse(
     const response_parser& response, const exchange& request, const contract& fields);
--- a/src/proxy/probe.cc
+++ b/src/proxy/probe.cc
@@ -25,15 +25,22 @@
     return report;
 }
 
-routing::load_report readHealth(const probe_address& at, const std::string& body)
+routing::load_report readHealth(
+    const probe_address& at, const http::answer& answer, const contract& fields)
 {
-    return at.run == incarnation {} ? readLoad(body) : routing::load_report { at.run };
+    if (at.run == incarnation {})
+        return readLoad(answer.body);
+    routing::load_report report;
+    if (!fields.load.empty())
+        report = fields.decodeLoad(answer.header(fields.load)).value_or(report);
+    report.run = at.run;
+    return report;
 }
 
 } // namespace
 
-probe_report probeHealth(
-    const target_id& target, const probe_address& at, std::chrono::milliseconds timeout)
+probe_report probeHealth(const target_id& target, const probe_address& at,
+    std::chrono::milliseconds timeout, const contract& fields)
 {
     const instant started = monotonic_clock::now();
     probe_report report;
@@ -46,7 +53,7 @@
     const auto* answer = std::get_if<http::answer>(&outcome);
     if (answer != nullptr && answer->status == Poco::Net::HTTPResponse::HTTP_OK) {
         try {
-            report.load = readHealth(at, answer->body);
+            report.load = readHealth(at, *answer, fields);
         } catch (const Poco::Exception&) {
             report.load.reset();
         }
--- a/src/proxy/relay-response.cc
+++ b/src/proxy/relay-response.cc
@@ -9,7 +9,6 @@
 /// Bytes of a response that are kept while it may not be sent yet.
 constexpr std::size_t heldBytes = 1048576;
 constexpr std::size_t maxResponseHeadBytes = 65536;
-constexpr unsigned firstStatus = 100;
 
 } // namespace
 
@@ -132,12 +131,13 @@
 std::optional<attempt_result> relay::beginResponse()
 {
     const unsigned status = m_response->get().result_int();
-    if (status < firstStatus || status == 101)
+    if (!isValidStatus(status))
         return failed(reason::TargetAnswerMalformed);
     if (status < 200) {
         sendInterim();
         return std::nullopt;
     }
+    m_load = loadField(*m_response, m_context.settings.contract);
     if (const auto result = checkResponseFraming())
         return result;
     if (isNamelessRefusal(*m_response, m_context.settings.contract))
--- a/src/proxy/relay.cc
+++ b/src/proxy/relay.cc
@@ -299,7 +299,7 @@
 
 relay_result relay::finish(const attempt_result& result)
 {
-    relay_result ended { result, false, m_fault, m_firstByte, false };
+    relay_result ended { result, false, m_fault, m_firstByte, m_load };
     ended.continues = std::holds_alternative<attempt_broken>(result) && saveContinuation();
     if (m_request.pendingContinuation && std::holds_alternative<attempt_not_run>(result))
         m_request.pendingContinuation->unsent = std::move(m_download);
--- a/src/proxy/relay.h
+++ b/src/proxy/relay.h
@@ -34,6 +34,8 @@
     /// Set if the request itself was invalid or too slow; the proxy responds with this reason.
     std::optional<reason> fault;
     duration firstByte { 0 };
+    /// Load that the target reported with its response.
+    load_field load {};
     /// The response was interrupted, and the request holds the state needed to continue it.
     bool continues = false;
     /// The whole response waits for its turn on the caller's connection.
@@ -143,6 +145,7 @@
     std::uint64_t m_delivered = 0;
     std::optional<std::uint64_t> m_total;
     std::string m_etag;
+    load_field m_load;
     bool m_targetFailed = false;
     std::string m_download;
     bool m_isHeld = false;
--- a/src/proxy/server-dispatch.cc
+++ b/src/proxy/server-dispatch.cc
@@ -153,7 +153,9 @@
     if (const auto* held = std::get_if<send_job>(&work))
         return runSend(*held);
     const probe_job& requested = std::get<probe_job>(work);
-    m_dispatcher.probed(probeHealth(requested.target, requested.at, m_options.probeTimeout), *this);
+    m_dispatcher.probed(
+        probeHealth(requested.target, requested.at, m_options.probeTimeout, m_options.contract),
+        *this);
 }
 
 void server_impl::runSend(const send_job& work)
@@ -196,6 +198,9 @@
         ended = tryAttempt(work, *std::get<std::unique_ptr<target_connection>>(acquired));
     finished.result = ended.result;
     finished.firstByte = ended.firstByte;
+    finished.load = ended.load.report;
+    if (ended.load.isMalformed)
+        m_counts.add(reason::LoadReportMalformed);
     finished.total = monotonic_clock::now() - started;
     finished.replayable = work.request->replayable;
     work.request->history.push_back({ work.to.target, outcomeOf(ended.result), finished.total });
--- a/src/routing/dispatching.cc
+++ b/src/routing/dispatching.cc
@@ -175,9 +175,23 @@
         return own;
     const double reported = target.report->running + target.report->queued;
     const double others = std::clamp(reported - own, 0.0, static_cast<double>(target.row.slots));
+    return own + others * target.reportTrust * reportRelevance(target);
+}
+
+// Decays with the age of the last report, which must exist.
+double engine::reportRelevance(const target_state& target) const
+{
     const double age = std::chrono::duration<double>(m_now - target.reportedAt)
         / std::chrono::duration<double>(m_settings.reportAge);
-    return own + others * target.reportTrust * std::exp(-age);
+    return std::exp(-age);
+}
+
+// How many times as long as usual work takes on the target's machine at the moment.
+double engine::currentSlowdown(const target_state& target) const
+{
+    if (!target.report)
+        return 1;
+    return 1 + std::max(target.report->slowdown - 1, 0.0) * reportRelevance(target);
 }
 
 double engine::effectiveWeight(const target_state& target, const service_state& service) const
@@ -188,7 +202,7 @@
     const double smoothed = static_cast<double>(service.firstByte.smoothed({}).count());
     const double own = static_cast<double>(target.health.firstByte().smoothed({}).count());
     const double slowness = smoothed > 0 ? own / (slowFactor * smoothed) : 1;
-    return weight / std::max(1.0, slowness);
+    return weight / (std::max(1.0, slowness) * currentSlowdown(target));
 }
 
 void engine::startAttempt(
--- a/src/routing/engine.h
+++ b/src/routing/engine.h
@@ -266,6 +266,8 @@
     [[nodiscard]] std::optional<target_id> chooseTarget(
         service_state& service, const pending_request& waiting);
     [[nodiscard]] double estimatedLoad(const target_state& target) const;
+    [[nodiscard]] double reportRelevance(const target_state& target) const;
+    [[nodiscard]] double currentSlowdown(const target_state& target) const;
     [[nodiscard]] double effectiveWeight(
         const target_state& target, const service_state& service) const;
     void startAttempt(pending_request& waiting, target_state& target, std::optional<token> grant);
--- a/src/routing/health.cc
+++ b/src/routing/health.cc
@@ -33,7 +33,8 @@
     target_state* known = findTarget(target);
     if (known == nullptr)
         return takeActions();
-    updateRun(*known, load.run);
+    if (load.run != incarnation {})
+        updateRun(*known, load.run);
     updateReport(*known, load);
     return takeActions();
 }
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -278,6 +278,23 @@
         cr_expect(isNoAnswer(outcome));
 }
 
+// Answers to grants, of the store and to probes are read here.
+Test(http, answer_with_a_status_that_is_not_one_of_http_is_no_answer)
+{
+    for (const std::string status :
+        { "000", "099", "101", "600", "999", "abc", "20", "2000", "-20", "" }) {
+        const std::string whole = "HTTP/1.1 " + status + " Odd\r\nContent-Length: 2\r\n\r\n{}";
+        for (const std::string before : { "", "HTTP/1.1 103 Early Hints\r\n\r\n" }) {
+            scripted_server server([&](auto& socket, int) {
+                readRequest(socket);
+                write(socket, before + whole);
+            });
+            http::client client({ server.address(), test::waitTimeout });
+            cr_expect(isNoAnswer(client.sendOnce(get)), "%s", (before + whole).c_str());
+        }
+    }
+}
+
 Test(http, interim_answers_without_end_are_given_up_at_the_deadline)
 {
     scripted_server server([](auto& socket, int) {
--- a/test/proxy-probe-test.cc
+++ b/test/proxy-probe-test.cc
@@ -20,7 +20,7 @@
     const scripted_server& server, incarnation run, std::chrono::milliseconds limit)
 {
     return proxy::detail::probeHealth(
-        target_id { "t" }, { server.address(), "/health", run }, limit);
+        target_id { "t" }, { server.address(), "/health", run }, limit, {});
 }
 
 void sendWithoutEnd(Poco::Net::StreamSocket& socket, const std::string& start, std::string more)
@@ -71,8 +71,8 @@
 
 Test(proxy_probe, refused_connection_is_told_apart)
 {
-    const auto report
-        = proxy::detail::probeHealth(target_id { "t" }, { freeAddress(), "/health", {} }, ample);
+    const auto report = proxy::detail::probeHealth(
+        target_id { "t" }, { freeAddress(), "/health", {} }, ample, {});
     cr_assert(report.refused);
     cr_assert_not(report.load.has_value());
 }
