--- a/include/pimentomast/table.h
+++ b/include/pimentomast/table.h
@@ -102,8 +102,9 @@
     /// Earliest time at which the target may have been marked as leaving, if the source of the
     /// table knows it; otherwise it counts from when a host learns of the mark.
     std::optional<instant> leavingSince {};
-    /// The failure domain is evacuated: the state is Leaving until the evacuation ends.
-    bool evacuated = false;
+    /// Set while the failure domain is evacuated: the state is Leaving, and no request is sent to
+    /// the target after this time.
+    std::optional<instant> evacuatedBy {};
     /// Until when the target is cold, if it is.
     std::optional<instant> coldUntil {};
     /// Process name that requests carry to identify the intended recipient; empty: not sent.
--- a/include/pimentomast/telemetry.h
+++ b/include/pimentomast/telemetry.h
@@ -38,6 +38,7 @@
     Coordinating,
     MovesRunning,
     TargetsInUse,
+    EvacuatedTargets,
     AdminRequests,
 };
 
--- a/src/routing/waiting.cc
+++ b/src/routing/waiting.cc
@@ -245,7 +245,13 @@
 // The owner of a key may leave before the key gets another owner.
 bool engine::hasLeft(const target_state& target) const
 {
-    return target.leavingSince && m_now >= *target.leavingSince + m_settings.leavingGrace;
+    const auto& evacuatedBy = target.row.evacuatedBy;
+    if (evacuatedBy && m_now >= *evacuatedBy)
+        return true;
+    // The grace of an evacuation is longer, since many keys move at once.
+    const bool onlyEvacuated = evacuatedBy && !target.row.leavingSince;
+    return target.leavingSince && !onlyEvacuated
+        && m_now >= *target.leavingSince + m_settings.leavingGrace;
 }
 
 // A request whose key gets no owner in time is refused, so that its caller can try elsewhere.
--- a/src/serve/metrics.cc
+++ b/src/serve/metrics.cc
@@ -53,6 +53,16 @@
         metrics.gaugeFor(metric::TargetsInUse, service.value()).set(count);
 }
 
+/// Domains that were evacuated earlier are exposed with 0.
+void exposeEvacuations(telemetry::registry& metrics, const table::table& rows)
+{
+    std::map<domain_id, std::int64_t> targets;
+    for (const auto& target : rows.targets)
+        targets[target.domain] += target.evacuatedBy ? 1 : 0;
+    for (const auto& [domain, count] : targets)
+        metrics.gaugeFor(metric::EvacuatedTargets, domain.value()).set(count);
+}
+
 } // namespace
 
 telemetry::registry& node::metrics()
@@ -73,6 +83,8 @@
     m_metrics.gaugeFor(metric::Running).set(static_cast<std::int64_t>(state.running));
     m_metrics.gaugeFor(metric::Queued).set(static_cast<std::int64_t>(state.waiting));
     exposeTargets(m_metrics, m_dispatch->targets());
+    if (const auto table = m_directory.currentTable())
+        exposeEvacuations(m_metrics, *table);
     m_metrics.gaugeFor(metric::ConfigVersion)
         .set(static_cast<std::int64_t>(m_gossip->version().value()));
     for (const auto& service : m_coordinators->status()) {
--- a/src/telemetry/telemetry.cc
+++ b/src/telemetry/telemetry.cc
@@ -34,6 +34,8 @@
         "Slices that this host is moving to another target." },
     family { metric::TargetsInUse, kind::Gauge, "pimentomast_targets_in_use", "service",
         "Targets that this host has not ejected as failing." },
+    family { metric::EvacuatedTargets, kind::Gauge, "pimentomast_evacuated_targets", "domain",
+        "Targets in an evacuated failure domain, which get no requests." },
     family { metric::AdminRequests, kind::Counter, "pimentomast_admin_requests_total", "status",
         "Requests to the administration API by HTTP status." },
 };
