Let keys move after a restart of all hosts and without the holder's store

After a restart of all hosts the witnesses named in the coordinator's row had ended, so the new holder never learned that no quorum could extend the earlier authority, and planned no move for ten minutes. An answer of a host's later run now counts: the named run has ended. A holder whose earlier run or whose predecessor has answered needs not wait for that authority either. The takeover model has both steps, and a mutant.

A restarted holder, or a host that sees that the holder has restarted, takes over at once: targets keep their keys only for what is left of their leases.

A holder that the store does not answer for two authorities asks the other hosts in turn to take over. Before, it kept its authority through witnesses while no key could move, for as long as the hosts that read the row often did not reach the store either.

--- a/bench/capacity.cc
+++ b/bench/capacity.cc
@@ -204,7 +204,7 @@
             if (asked.self.host != action.host)
                 continue;
             const auto actions = asked.core.step(
-                m_now, ownership::witness_asked { ++asked.queries, action.asked });
+                m_now, ownership::witness_asked { ++asked.queries, action.asked, action.takeOver });
             for (const auto& each : actions) {
                 const auto* answer = std::get_if<ownership::answer_witness>(&each);
                 if (answer)
--- a/include/pimentomast/ownership.h
+++ b/include/pimentomast/ownership.h
@@ -198,6 +198,8 @@
 struct witness_asked {
     std::uint64_t query = 0;
     epoch asked;
+    /// The holder of the epoch asks this host to take over, because the store does not answer it.
+    bool takeOver = false;
 };
 /// Answer to hold_slices. Also sent if the host could not be reached, since holds are advisory.
 struct hold_answered {
@@ -280,6 +282,8 @@
     request_number request;
     host_id host;
     epoch asked;
+    /// Also ask the host to take over.
+    bool takeOver = false;
 };
 struct answer_witness {
     std::uint64_t query = 0;
@@ -349,6 +353,8 @@
     std::chrono::milliseconds routeLease { 1500 };
     /// Timeout of reads and writes of the store.
     std::chrono::milliseconds storeTimeout { 1000 };
+    /// For how long a holder without the store asks one host to take over, before it asks the next.
+    std::chrono::milliseconds successorWait { 500 };
     /// Longest time for which a newly started host waits until it has heard of all listed hosts.
     std::chrono::milliseconds settling { 1500 };
     /// Time without a new target after which the keys of a new service are dealt out.
--- a/model/takeover.pml
+++ b/model/takeover.pml
@@ -30,7 +30,13 @@
 inline dec(x) { if :: x > 0 -> x-- :: else fi }
 
 #define BITS(x) (((x) & 1) + (((x) >> 1) & 1) + (((x) >> 2) & 1))
-#define READ(h) (seen[h] == 2 && !fresh[h])
+/* A run that answers after a restart has read the row; the run that the row names is gone. */
+#define READ(h) (seen[h] == 2)
+#ifdef ANY_WITNESS_ENDS
+#define HOLDER_READ (READ(2))
+#else
+#define HOLDER_READ (READ(0))
+#endif
 #ifdef ONE_WITNESS
 #define MAJ(n) ((n) >= 1)
 #else
@@ -123,6 +129,8 @@
        wait = AUTHORITY + LEASE
 #endif
      }
+  /* The earlier holder itself has read epoch 2, or has ended: its authority has too. */
+  :: atomic { number == 2 && !allSeen && HOLDER_READ -> allSeen = true; ended = true; wait = LEASE }
   :: atomic { number == 2 && !granted && tEpoch != 2 -> tEpoch = 2 }
   :: atomic { number == 2 && !granted && tEpoch == 2 -> tLease = LEASE }
 #ifdef NO_LEASE_WAIT
--- a/src/ownership/authority.cc
+++ b/src/ownership/authority.cc
@@ -37,6 +37,13 @@
     m_actions.push_back(read_row { *m_pollRequest, coordinatorKey(m_options.service) });
 }
 
+// An invitation counts only if the store answers this host now: the holder may reach it again soon.
+void coordinator::impl::forgetObservation() noexcept
+{
+    m_observing = false;
+    m_invitedBy.reset();
+}
+
 std::optional<coordinator_row> coordinator::impl::recordRow(const std::optional<store::row>& row)
 {
     if (!row)
@@ -96,13 +103,34 @@
     return m_membershipComplete || (m_firstTick && now - *m_firstTick >= m_options.times.settling);
 }
 
+bool coordinator::impl::observedHolderEnded() const
+{
+    if (!m_observedRow)
+        return false;
+    const auto isLaterRun = [this](const host_run& run) {
+        return run.host == m_observedRow->holder.host && run != m_observedRow->holder;
+    };
+    return isLaterRun(m_options.self) || std::any_of(m_live.begin(), m_live.end(), isLaterRun);
+}
+
+bool coordinator::impl::isInvited() const
+{
+    return m_observedRow && m_invitedBy == m_observedRow->number;
+}
+
 bool coordinator::impl::mayChallenge(instant now) const
 {
-    if (!m_observing || m_stopping || m_tableRows.empty() || !hasSettled(now))
+    if (!m_observing || m_stopping || m_tableRows.empty())
+        return false;
+    if (isInvited())
+        return true;
+    // After a restart of all hosts, targets keep their keys only for what is left of their leases.
+    const bool holderEnded = observedHolderEnded();
+    if (!holderEnded && !hasSettled(now))
         return false;
     const auto& times = m_options.times;
     duration wait = times.stagger * static_cast<std::int64_t>(challengeRank());
-    if (m_observedRow && !m_observedRow->released)
+    if (m_observedRow && !m_observedRow->released && !holderEnded)
         wait += times.authority + times.clockMargin;
     return now - m_observedSince >= wait;
 }
@@ -114,7 +142,10 @@
     m_pendingRow.holder = m_options.self;
     m_pendingRow.witnesses = liveHosts();
     m_earlierWitnesses.clear();
+    m_onlyEarlierHolder.reset();
     if (m_observedRow) {
+        if (m_observedRow->earlier.empty() && !m_observedRow->released)
+            m_onlyEarlierHolder = m_observedRow->holder.host;
         m_pendingRow.earlier = m_observedRow->earlier;
         m_earlierWitnesses = m_observedRow->earlier;
         m_earlierWitnesses.push_back(m_observedRow->witnesses);
--- a/src/ownership/coordinator.cc
+++ b/src/ownership/coordinator.cc
@@ -10,8 +10,8 @@
     return { times.targetLease, times.targetRenewal, times.authority, times.authorityRenewal,
         times.fastPoll, times.slowPoll, times.stagger, times.witnessRound, times.maxOutage,
         times.clockMargin, times.holdAnswer, times.drain, times.announce, times.retryMove,
-        times.routeLease, times.storeTimeout, times.settling, times.targetsSettling,
-        times.firstDealDelay };
+        times.routeLease, times.storeTimeout, times.successorWait, times.settling,
+        times.targetsSettling, times.firstDealDelay };
 }
 
 result<void> checkTimes(const timings& times)
--- a/src/ownership/coordinator_impl.h
+++ b/src/ownership/coordinator_impl.h
@@ -45,11 +45,15 @@
     void tickStandby(instant now);
     void poll(instant now);
     void observe(instant now, const std::optional<store::row>& row);
-    void forgetObservation() noexcept { m_observing = false; }
+    void forgetObservation() noexcept;
     std::optional<coordinator_row> recordRow(const std::optional<store::row>& row);
     void answerQueries();
     std::size_t challengeRank() const;
     bool hasSettled(instant now) const;
+    /// Whether the run that holds the coordinator row has ended.
+    bool observedHolderEnded() const;
+    /// Whether the holder of the coordinator row asked this host to take over.
+    bool isInvited() const;
     bool mayChallenge(instant now) const;
     void challenge(instant now);
     void changeRole(role next, const std::string& reason);
@@ -75,7 +79,9 @@
     bool preventsEarlierQuorums() const;
     /// Witnesses of earlier holders that are not known to have read this epoch.
     std::vector<host_run> uninformedWitnesses() const;
-    void recordInformed(instant now, const host_run& witness);
+    void recordInformed(instant now, const host_id& witness);
+    /// The host that is asked to take over because the store does not answer this one.
+    std::optional<host_id> successorToAsk(instant now) const;
     void evaluateRound(const detail::witness_round& round);
     void endEarlierRenewals(instant now);
     bool authorityNearExpiry(instant now) const;
@@ -216,6 +222,8 @@
     row_version m_observedVersion;
     std::optional<coordinator_row> m_observedRow;
     std::vector<std::uint64_t> m_witnessQueries;
+    /// The epoch whose holder asked this host to take over.
+    std::optional<epoch> m_invitedBy;
 
     // The coordinator row as this host last wrote it, and as the pending write would change it.
     coordinator_row m_row;
@@ -233,9 +241,11 @@
     std::vector<std::vector<host_run>> m_earlierWitnesses;
     bool m_earlierRenewalsEnded = false;
     instant m_earlierAuthorityEnds {};
-    /// Hosts whose run has read this epoch. It never confirms a lower epoch again, so the answers
-    /// of all rounds count together.
-    std::set<host_run> m_informed;
+    /// Hosts of which a run has read this epoch and answered. That run never confirms a lower epoch
+    /// again, and earlier runs of the host have ended, so the answers of all rounds count together.
+    std::set<host_id> m_informed;
+    /// The previous holder, if no other earlier holder may still be active.
+    std::optional<host_id> m_onlyEarlierHolder;
 
     std::deque<detail::witness_round> m_rounds;
     instant m_nextRound {};
--- a/src/ownership/witness_rounds.cc
+++ b/src/ownership/witness_rounds.cc
@@ -28,9 +28,11 @@
 }
 
 /// Whether the witnesses that know the newer epoch leave too few others for a quorum.
-bool preventsQuorum(const std::vector<host_run>& set, const std::set<host_run>& agreed)
+bool preventsQuorum(const std::vector<host_run>& set, const std::set<host_id>& informed)
 {
-    return set.size() < countAgreed(set, agreed) + quorum(set.size());
+    const auto count = std::count_if(
+        set.begin(), set.end(), [&](const auto& each) { return informed.contains(each.host); });
+    return set.size() < static_cast<std::size_t>(count) + quorum(set.size());
 }
 } // namespace
 
@@ -52,18 +54,25 @@
     std::vector<host_run> uninformed;
     for (const auto& set : m_row.earlier) {
         for (const auto& each : set) {
-            if (!m_informed.contains(each))
+            if (!m_informed.contains(each.host))
                 uninformed.push_back(each);
         }
     }
     return uninformed;
 }
 
-void coordinator::impl::recordInformed(instant now, const host_run& witness)
+void coordinator::impl::recordInformed(instant now, const host_id& witness)
 {
     m_informed.insert(witness);
-    if (!m_earlierRenewalsEnded && preventsEarlierQuorums())
+    if (m_earlierRenewalsEnded)
+        return;
+    if (preventsEarlierQuorums())
         endEarlierRenewals(now);
+    // A holder steps down when it reads a higher epoch, before it answers.
+    if (m_onlyEarlierHolder == witness) {
+        m_earlierRenewalsEnded = true;
+        m_earlierAuthorityEnds = now;
+    }
 }
 
 std::vector<std::vector<host_run>> coordinator::impl::ownWitnessSets() const
@@ -107,18 +116,19 @@
         for (const auto& each : set)
             hosts.insert(each.host);
     }
+    const auto successor = successorToAsk(now);
     detail::witness_round round;
     round.sent = now;
     if (m_witness.answer().highest == m_row.number) {
         round.agreed.insert(m_options.self);
-        recordInformed(now, m_options.self);
+        recordInformed(now, m_options.self.host);
     }
     for (const auto& each : hosts) {
         if (each == m_options.self.host)
             continue;
         const auto request = m_ids.nextRequest();
         round.asked.emplace(request, each);
-        m_actions.push_back(ask_witness { request, each, m_row.number });
+        m_actions.push_back(ask_witness { request, each, m_row.number, each == successor });
     }
     m_rounds.push_back(std::move(round));
     if (m_rounds.size() > maxRounds)
@@ -126,6 +136,27 @@
     evaluateRound(m_rounds.back());
 }
 
+// Without the store no keys move, so hot keys and leaving targets wait, while other hosts may still
+// reach the store. It is not known which, so they are asked in turn. A takeover delays moves by a
+// lease, so a short outage is not worth one.
+std::optional<host_id> coordinator::impl::successorToAsk(instant now) const
+{
+    const auto& times = m_options.times;
+    const auto since = m_storeConfirmed + 2 * times.authority;
+    if (m_role != role::Holder || m_stopping || now < since)
+        return {};
+    std::vector<host_id> others;
+    for (const auto& each : m_live) {
+        if (each.host != m_options.self.host)
+            others.push_back(each.host);
+    }
+    const auto ranked = rankCoordinators(m_options.service, others, m_millicores);
+    if (ranked.empty())
+        return {};
+    const auto turn = static_cast<std::size_t>((now - since) / times.successorWait);
+    return ranked[turn % ranked.size()];
+}
+
 void coordinator::impl::on(instant now, const witness_answered& received)
 {
     const auto round = std::find_if(m_rounds.begin(), m_rounds.end(), [&](const auto& each) {
@@ -142,7 +173,7 @@
         return;
     const host_run witness { received.host, received.answer.run };
     round->agreed.insert(witness);
-    recordInformed(now, witness);
+    recordInformed(now, witness.host);
     evaluateRound(*round);
 }
 
@@ -172,9 +203,13 @@
 void coordinator::impl::on(instant now, const witness_asked& received)
 {
     m_witnessQueries.push_back(received.query);
-    if (m_witness.answer().highest >= received.asked)
+    const bool isInvitation = received.takeOver && m_role == role::Standby;
+    if (isInvitation)
+        m_invitedBy = received.asked;
+    const bool hasRead = m_witness.answer().highest >= received.asked;
+    if (hasRead)
         answerQueries();
-    else if (!m_pollRequest)
+    if ((!hasRead || isInvitation) && !m_pollRequest)
         poll(now);
 }
 
--- a/src/serve/control_actions.cc
+++ b/src/serve/control_actions.cc
@@ -117,7 +117,7 @@
 void coordinator_driver::perform(const service_id& service, const ownership::ask_witness& action)
 {
     if (action.host == m_options.self.host) {
-        const auto answer = answerWitness(service, action.asked);
+        const auto answer = answerWitness(service, action.asked, false);
         deliver(service, ownership::witness_answered { action.request, action.host, answer });
         return;
     }
@@ -128,6 +128,7 @@
     request.set_service(service.value());
     request.set_host(m_options.self.host.value());
     request.set_epoch(action.asked.value());
+    request.set_take_over(action.takeOver);
     peer->witness(
         request, peerTimeoutMs, [this, service, action](result<wire::WitnessReply> reply) {
             if (!reply)
--- a/src/serve/coordinator_driver.cc
+++ b/src/serve/coordinator_driver.cc
@@ -177,9 +177,10 @@
     deliver(service, wanted);
 }
 
-ownership::witness_answer coordinator_driver::answerWitness(const service_id& service, epoch asked)
+ownership::witness_answer coordinator_driver::answerWitness(
+    const service_id& service, epoch asked, bool takeOver)
 {
-    const auto actions = stepCore(service, ownership::witness_asked { 0, asked });
+    const auto actions = stepCore(service, ownership::witness_asked { 0, asked, takeOver });
     // An answer that needs a read of the store is not waited for: the asking host asks again.
     perform(service, actions);
     for (const auto& action : actions) {
--- a/src/serve/coordinator_driver.h
+++ b/src/serve/coordinator_driver.h
@@ -82,7 +82,8 @@
     /// Replaces the previous proposal for a service; ignored if this host no longer coordinates it.
     void propose(const service_id& service, const ownership::placement_wanted& wanted);
     /// Answers as a witness of a service.
-    [[nodiscard]] ownership::witness_answer answerWitness(const service_id& service, epoch asked);
+    [[nodiscard]] ownership::witness_answer answerWitness(
+        const service_id& service, epoch asked, bool takeOver);
     /// Starts to hand over every service. stopped() returns true once this is done or given up.
     void stop();
     [[nodiscard]] bool stopped() const;
--- a/src/serve/node_peers.cc
+++ b/src/serve/node_peers.cc
@@ -22,7 +22,7 @@
 peers::wire::WitnessReply node::witness(const peers::wire::WitnessRequest& request)
 {
     const auto answer = m_coordinators->answerWitness(
-        service_id { request.service() }, epoch { request.epoch() });
+        service_id { request.service() }, epoch { request.epoch() }, request.take_over());
     peers::wire::WitnessReply reply;
     reply.set_incarnation(answer.run.value());
     reply.set_read(answer.highest.has_value());
--- a/test/ownership-moves-test.cc
+++ b/test/ownership-moves-test.cc
@@ -194,3 +194,90 @@
     cr_assert(holdersOf(system, { 3, 12 }) == std::set { target_id { "t0" } });
     cr_assert(system.violation.empty());
 }
+
+namespace {
+
+/// Cuts the host off from the store alone.
+void cutFromStore(simulation& system, int host)
+{
+    system.activeFaults.cuts.insert({ host, storeNode });
+    system.activeFaults.cuts.insert({ storeNode, host });
+}
+
+/// Returns whether the target owns the key within the time, while other hosts want it to.
+bool movesWithin(simulation& system, int sampled, const target_id& to, milliseconds limit)
+{
+    const auto end = system.now + std::chrono::microseconds(limit).count();
+    while (system.now < end) {
+        system.want({ { rangeAt(sampled), to } });
+        system.runFor(tickMs);
+        if (holdersOf(system, { sampled }) == std::set { to })
+            return true;
+    }
+    return false;
+}
+
+/// Authority and leases of an earlier holder, and a move.
+constexpr milliseconds maxMoveDelay { 5000 };
+
+} // namespace
+
+// The witnesses that the row names have ended with their hosts, so none of them can say that it has
+// read the new epoch. No keys moved for ten minutes then.
+Test(ownership_moves, keys_move_after_a_restart_of_all_hosts)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        options chosen;
+        chosen.seed = seed;
+        chosen.hosts = 5;
+        simulation system(chosen);
+        system.runFor(settleMs);
+        for (int host = 0; host <= system.lastHost(); ++host)
+            system.restartHost(host);
+        cr_assert(movesWithin(system, 3, target_id { "t0" }, maxMoveDelay));
+        cr_assert(movesWithin(system, 3, target_id { "t1" }, maxMoveDelay));
+        cr_assert(system.violation.empty(), "%s", system.violation.c_str());
+    }
+}
+
+// The holder keeps its authority through its witnesses, and the hosts that read the row most often
+// don't reach the store either.
+Test(ownership_moves, keys_move_while_the_store_answers_only_some_hosts)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        options chosen;
+        chosen.seed = seed;
+        chosen.hosts = 9;
+        simulation system(chosen);
+        system.runFor(settleMs);
+        std::vector<host_id> others;
+        for (int host = 0; host <= system.lastHost(); ++host) {
+            if (host != system.holder())
+                others.push_back(system.hosts[static_cast<std::size_t>(host)].id.host);
+        }
+        cutFromStore(system, *system.holder());
+        const auto ranked = rankCoordinators(service, others, {});
+        for (std::size_t i = 0; i < 3; ++i)
+            cutFromStore(system, std::stoi(ranked[i].value().substr(1)));
+        system.runFor(milliseconds { 1000 });
+        cr_assert(movesWithin(system, 3, target_id { "t0" }, maxMoveDelay));
+        cr_assert(movesWithin(system, 3, target_id { "t1" }, maxMoveDelay));
+        cr_assert(system.violation.empty(), "%s", system.violation.c_str());
+    }
+}
+
+// An invitation to take over is no order: it must not end the authority of a holder that the store
+// answers, nor do harm while the store answers nobody.
+Test(ownership_moves, holder_stays_while_the_store_answers_nobody)
+{
+    options chosen;
+    chosen.seed = 3;
+    chosen.hosts = 5;
+    simulation system(chosen);
+    system.runFor(settleMs);
+    const auto holder = system.holder();
+    system.activeFaults.outage = true;
+    system.runFor(milliseconds { 10000 });
+    cr_assert(system.holder() == holder);
+    cr_assert(system.violation.empty(), "%s", system.violation.c_str());
+}
