Reach the store through other hosts while it turns this one away

The store may turn single hosts away, the coordinator first, and serve the others. The coordinator kept its authority then but could not write its rows, so no key moved. With store.relay, rows are read and written through a live host; requests are never passed on further, and an outage of the whole store is noticed by the first relayed call. A lost reply leaves the outcome unknown.

--- a/include/pimentomast/peers.h
+++ b/include/pimentomast/peers.h
@@ -30,6 +30,8 @@
     virtual void hold(const wire::HoldRequest& request, reply_sender<wire::HoldReply> reply) = 0;
     virtual wire::RouteRenewalReply renewRoute(const wire::RouteRenewal& renewal) = 0;
     virtual wire::LoadReply reportLoad(const wire::LoadReport& report) = 0;
+    /// The reply may be sent after this returns.
+    virtual void relayRow(const wire::RowRequest& request, reply_sender<wire::RowReply> reply) = 0;
 };
 
 /// Serves the peers' calls until it is destroyed.
@@ -74,6 +76,8 @@
         reply_handler<wire::RouteRenewalReply> done);
     void reportLoad(const wire::LoadReport& report, std::chrono::milliseconds timeout,
         reply_handler<wire::LoadReply> done);
+    void relayRow(const wire::RowRequest& request, std::chrono::milliseconds timeout,
+        reply_handler<wire::RowReply> done);
 
     /// Returns the peer's address.
     [[nodiscard]] const endpoint& address() const noexcept;
--- a/include/pimentomast/settings.h
+++ b/include/pimentomast/settings.h
@@ -44,6 +44,9 @@
     milliseconds pollMs { 500 };
     /// What the users' platform tells about itself, in its own spelling; read by its adapter.
     std::string terms {};
+    /// Whether rows are read and written through other hosts while the store does not answer this
+    /// one.
+    bool relay = false;
 };
 
 struct admin_settings {
--- a/src/peers/client.cc
+++ b/src/peers/client.cc
@@ -180,4 +180,13 @@
     m_state->call<wire::LoadReply>("report load", timeout, std::move(done), invoke);
 }
 
+void client::relayRow(const wire::RowRequest& request, std::chrono::milliseconds timeout,
+    reply_handler<wire::RowReply> done)
+{
+    auto invoke = [&](auto* context, auto* reply, auto complete) {
+        m_state->stub->async()->RelayRow(context, &request, reply, std::move(complete));
+    };
+    m_state->call<wire::RowReply>("relay row", timeout, std::move(done), invoke);
+}
+
 } // namespace pimentomast::peers
--- a/src/peers/server.cc
+++ b/src/peers/server.cc
@@ -60,6 +60,17 @@
         return answer(context, [&] { *reply = m_receiver.reportLoad(*request); });
     }
 
+    grpc::ServerUnaryReactor* RelayRow(grpc::CallbackServerContext* context,
+        const wire::RowRequest* request, wire::RowReply* reply) override
+    {
+        grpc::ServerUnaryReactor* reactor = context->DefaultReactor();
+        m_receiver.relayRow(*request, [reactor, reply](wire::RowReply made) {
+            *reply = std::move(made);
+            reactor->Finish(grpc::Status::OK);
+        });
+        return reactor;
+    }
+
 private:
     template <class Call>
     static grpc::ServerUnaryReactor* answer(grpc::CallbackServerContext* context, const Call& call)
--- a/src/serve/metrics.cc
+++ b/src/serve/metrics.cc
@@ -75,6 +75,7 @@
 {
     const auto names = exposeRouting(m_metrics, m_dispatch->counts());
     exposeProxy(m_metrics, m_proxy->counts(), names);
+    raiseTo(m_metrics.counterFor(metric::RelayedRows), m_store.relayedCalls());
     const auto state = m_proxy->state();
     m_metrics.gaugeFor(metric::Connections, "callers")
         .set(static_cast<std::int64_t>(state.connections));
--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -14,6 +14,8 @@
 constexpr std::chrono::milliseconds controlTickMs { 25 };
 constexpr std::chrono::milliseconds loadTimeoutMs { 500 };
 constexpr std::chrono::milliseconds handoverTimeoutMs { 3000 };
+/// Requests of other hosts for rows that are carried out at the same time.
+constexpr unsigned maxRowJobs = 4;
 constexpr std::chrono::milliseconds grantTimeoutMs { 400 };
 /// Running requests are ended this part of the grace before the process is killed.
 constexpr int endMarginParts = 12;
@@ -108,8 +110,10 @@
     , m_incarnation(randomIncarnation())
     , m_requestLog(values.log.requestLines, &telemetry::log)
     , m_environment(env)
-    , m_store(env.storeServices())
+    , m_store(env.storeServices(), makeRelay())
     , m_directory(m_incarnation, values.ownership.targetLeaseMs)
+    , m_rowJobs(
+          { maxRowJobs }, [this](const row_job& job) { job.reply(m_store.answer(job.request)); })
     , m_announcingStore(m_store,
           [this](config_version version, const std::string& value) {
               m_gossip->announce(version, value);
--- a/src/serve/node.h
+++ b/src/serve/node.h
@@ -12,7 +12,9 @@
 #include "pimentomast/serve.h"
 #include "pimentomast/settings.h"
 #include "pimentomast/telemetry.h"
+#include "pimentomast/workers.h"
 #include "placement_rounds.h"
+#include "relaying_store.h"
 #include "request_log.h"
 #include "round_watch.h"
 
@@ -54,16 +56,27 @@
         peers::reply_sender<peers::wire::HoldReply> reply) override;
     peers::wire::RouteRenewalReply renewRoute(const peers::wire::RouteRenewal& renewal) override;
     peers::wire::LoadReply reportLoad(const peers::wire::LoadReport& report) override;
+    void relayRow(const peers::wire::RowRequest& request,
+        peers::reply_sender<peers::wire::RowReply> reply) override;
 
     // proxy::observer
     void completed(const proxy::completion& finished) override;
     void rejected(const proxy::rejection& refused) override;
 
 private:
+    /// Another host's request for a row.
+    struct row_job {
+        peers::wire::RowRequest request;
+        peers::reply_sender<peers::wire::RowReply> reply;
+    };
+
     void createComponents();
     void createPlacement();
     /// Calls done once the hosts that the request is to be passed on to have answered or failed.
     void relayHold(const peers::wire::HoldRequest& received, std::function<void()> done);
+    [[nodiscard]] relaying_store::relay_call makeRelay();
+    /// Sends the request to one of the live hosts, another one after each failure.
+    [[nodiscard]] result<peers::wire::RowReply> relayToPeer(const peers::wire::RowRequest& request);
     void startListening();
     void putTable(const std::shared_ptr<const table::table>& table);
     void putAssignment(const ownership::assignment& newer, const host_id& coordinator);
@@ -87,9 +100,12 @@
     request_log m_requestLog;
     telemetry::registry m_metrics;
     environment& m_environment;
-    store::services& m_store;
+    relaying_store m_store;
+    std::atomic<std::size_t> m_nextRelay { 0 };
     directory m_directory;
     std::unique_ptr<peer_registry> m_peerRegistry;
+    /// Carries out other hosts' requests for rows, each of which blocks for a call to the store.
+    worker_pool<row_job> m_rowJobs;
     std::unique_ptr<dispatch> m_dispatch;
     std::unique_ptr<gossip> m_gossip;
     std::unique_ptr<coordinator_driver> m_coordinators;
--- a/src/serve/node_peers.cc
+++ b/src/serve/node_peers.cc
@@ -1,11 +1,15 @@
 #include "node.h"
 
+#include <future>
+
 /// Answers of a host to the calls of others.
 namespace pimentomast::serve::detail {
 namespace {
 
 /// Leaves time for the way back to the coordinator.
 constexpr std::chrono::milliseconds relayedHoldTimeoutMs { 35 };
+/// Longer than a call to the store, so that its outcome is known if the store does not answer.
+constexpr std::chrono::milliseconds relayedRowTimeoutMs { 600 };
 
 } // namespace
 
@@ -83,4 +87,35 @@
     return {};
 }
 
+void node::relayRow(
+    const peers::wire::RowRequest& request, peers::reply_sender<peers::wire::RowReply> reply)
+{
+    m_rowJobs.push({ request, std::move(reply) });
+}
+
+relaying_store::relay_call node::makeRelay()
+{
+    if (!m_values.store.relay)
+        return {};
+    return [this](const auto& request) { return relayToPeer(request); };
+}
+
+result<peers::wire::RowReply> node::relayToPeer(const peers::wire::RowRequest& request)
+{
+    auto hosts = m_peerRegistry->live(monotonic_clock::now());
+    std::erase_if(hosts, [this](const auto& each) { return each.id == m_values.host.id; });
+    if (hosts.empty())
+        return peers::wire::RowReply {};
+    const auto peer = m_peerRegistry->find(hosts[m_nextRelay % hosts.size()].id);
+    if (!peer)
+        return peers::wire::RowReply {};
+    std::promise<result<peers::wire::RowReply>> received;
+    peer->relayRow(request, relayedRowTimeoutMs,
+        [&](result<peers::wire::RowReply> reply) { received.set_value(std::move(reply)); });
+    auto reply = received.get_future().get();
+    if (!reply || reply.value().outcome() == peers::wire::RowReply::UNAVAILABLE)
+        ++m_nextRelay;
+    return reply;
+}
+
 } // namespace pimentomast::serve::detail
--- a/src/settings/keys.cc
+++ b/src/settings/keys.cc
@@ -259,6 +259,8 @@
             "store", "timeout_ms", { 10, 60000 }, member { &s::store, &store_settings::timeoutMs }),
         timeRule("store", "poll_ms", { 500, 60000 }, member { &s::store, &store_settings::pollMs }),
         termsRule(),
+        choiceRule("store", "relay", yes_no_choices { { "yes", true }, { "no", false } },
+            member { &s::store, &store_settings::relay }),
         tokenRule(),
         countRule(
             "limits", "workers", { 1, 1024 }, member { &s::limits, &limit_settings::workers }),
--- a/src/telemetry/telemetry.cc
+++ b/src/telemetry/telemetry.cc
@@ -38,6 +38,8 @@
         "Targets in an evacuated failure domain, which get no requests." },
     family { metric::AdminRequests, kind::Counter, "pimentomast_admin_requests_total", "status",
         "Requests to the administration API by HTTP status." },
+    family { metric::RelayedRows, kind::Counter, "pimentomast_relayed_rows_total", "",
+        "Reads and writes of rows that other hosts carried out for this one." },
 };
 
 constexpr std::size_t maxLabelValues = 1000;
--- a/test/peers-test.cc
+++ b/test/peers-test.cc
@@ -58,6 +58,11 @@
     {
         return {};
     }
+    void relayRow(
+        const peers::wire::RowRequest&, peers::reply_sender<peers::wire::RowReply> reply) override
+    {
+        reply({});
+    }
     peers::wire::LoadReply reportLoad(const peers::wire::LoadReport&) override { return {}; }
 
 private:
