Limit the requests to cold targets

A target that has just started tolerates few requests and crashes above that, and each host sees only its own. Keys of a cold owner wait for a place or for the end of the warm-up, or are refused at once as target-warming. Coordinators give cold targets no slices while others can take them.

--- a/include/pimentomast/membership.h
+++ b/include/pimentomast/membership.h
@@ -113,6 +113,9 @@
     /// Returns whether the platform's list was read and each host on it that is not leaving is
     /// live.
     [[nodiscard]] bool complete(instant now) const;
+    /// Returns the hosts on the platform's list, including self if it is there, sorted by id; empty
+    /// before the list was read.
+    [[nodiscard]] std::vector<host_id> listed() const;
     /// Returns how many hosts may have connections open to targets: self and every host that is
     /// listed, or was listed or heard from within the departure timeout. An unreachable host
     /// counts, because it may still reach the targets.
@@ -155,6 +158,7 @@
     std::size_t m_nextPeer;
     bool m_leaving = false;
     bool m_listRead = false;
+    bool m_selfListed = false;
 };
 
 struct freshness_options {
--- a/include/pimentomast/routing.h
+++ b/include/pimentomast/routing.h
@@ -98,8 +98,9 @@
     HostStopping,
     TableUnconfirmed,
     WaitTooLong,
+    TargetWarming,
 };
-inline constexpr std::size_t refusalReasonCount = 18;
+inline constexpr std::size_t refusalReasonCount = 19;
 
 /// Why a request was attempted again.
 enum class retry_reason {
@@ -164,6 +165,8 @@
 struct probe_answered {
     load_report load;
     duration latency {};
+    /// Remaining time for which the target is cold; zero if it is warm or does not state it.
+    duration coldFor {};
 };
 /// The probe got no connection or no answer within its timeout.
 struct probe_failed {
@@ -257,6 +260,8 @@
     std::uint64_t ejections = 0;
     std::uint64_t ejectionsPrevented = 0;
     std::uint64_t silentConnections = 0;
+    /// Requests that waited because a cold target could not take more.
+    std::uint64_t delayedByWarmup = 0;
     /// Indexed by refusal_reason.
     std::array<std::uint64_t, refusalReasonCount> refusals {};
     /// Indexed by retry_reason.
@@ -275,6 +280,8 @@
     bool ejected = false;
     /// Share of the full weight during slow start, from 0 to 1.
     double slowStartShare = 1;
+    /// The target is cold, and its service limits cold targets.
+    bool cold = false;
     duration latency {};
 };
 
@@ -356,6 +363,11 @@
     virtual actions applyTable(instant now, const table::table& rows) = 0;
     /// Sets the number of live hosts, including this one; empty if it could not be confirmed.
     virtual actions applyLiveHosts(instant now, std::optional<unsigned> count) = 0;
+    /// Sets the hosts in the store's list, sorted by id. By this list the hosts agree on who sends
+    /// to a cold target; a router that has no list, or one without self, sends nothing there.
+    virtual actions applyListedHosts(
+        instant now, const host_id& self, const std::vector<host_id>& listed)
+        = 0;
     /// Call when owner_lookup::find() answers differently from before for keys of the service.
     virtual actions ownersChanged(instant now, const service_id& service) = 0;
 
--- a/include/pimentomast/table.h
+++ b/include/pimentomast/table.h
@@ -52,7 +52,7 @@
 /// How targets of a service warm up after a cold start.
 struct warmup_terms {
     std::chrono::milliseconds time {};
-    /// Requests per second that a cold target tolerates.
+    /// Requests that a cold target may receive in any one second, from all hosts together.
     double requestsPerSecond = 0;
 
     bool operator==(const warmup_terms&) const = default;
@@ -105,7 +105,7 @@
     /// Set while the failure domain is evacuated: the state is Leaving, and no request is sent to
     /// the target after this time.
     std::optional<instant> evacuatedBy {};
-    /// Until when the target is cold, if it is.
+    /// Until when the target is cold; set only if its service limits cold targets.
     std::optional<instant> coldUntil {};
     /// Process name that requests carry to identify the intended recipient; empty: not sent.
     std::string instance {};
--- a/include/pimentomast/telemetry.h
+++ b/include/pimentomast/telemetry.h
@@ -39,6 +39,8 @@
     MovesRunning,
     TargetsInUse,
     EvacuatedTargets,
+    ColdTargets,
+    WarmupDelays,
     AdminRequests,
 };
 
--- a/src/membership/host_view.cc
+++ b/src/membership/host_view.cc
@@ -35,11 +35,14 @@
 void host_view::replaceList(instant now, const std::vector<store::listed_host>& hosts)
 {
     m_listRead = true;
+    m_selfListed = false;
     for (auto& [id, known] : m_hosts)
         known.listed = false;
     for (const auto& host : hosts) {
-        if (host.id == m_options.self)
+        if (host.id == m_options.self) {
+            m_selfListed = true;
             continue;
+        }
         auto& known = m_hosts[host.id];
         known.listed = true;
         known.listedAt = now;
@@ -172,6 +175,19 @@
     });
 }
 
+std::vector<host_id> host_view::listed() const
+{
+    std::vector<host_id> hosts;
+    if (m_selfListed)
+        hosts.push_back(m_options.self);
+    for (const auto& [id, known] : m_hosts) {
+        if (known.listed)
+            hosts.push_back(id);
+    }
+    std::sort(hosts.begin(), hosts.end());
+    return hosts;
+}
+
 unsigned host_view::connectionSharers(instant now) const
 {
     const auto sharers = std::count_if(m_hosts.begin(), m_hosts.end(),
--- a/src/routing/attempts.cc
+++ b/src/routing/attempts.cc
@@ -56,6 +56,7 @@
 
     void operator()(const token_refused&) const
     {
+        giveBackQuota();
         self.holdForNewOwner(ended);
         self.retryOrEnd(ended, retry_reason::TokenRefused, refusal_reason::TokenRefused);
     }
@@ -69,6 +70,7 @@
 
     void operator()(const connect_failed& result) const
     {
+        giveBackQuota();
         if (target != nullptr) {
             target->health.onFailure(self.m_now);
             self.indexProbe(*target);
@@ -110,6 +112,13 @@
             self.retryOrEnd(ended, retry_reason::ConnectionBroken, refusal);
     }
 
+    // The target did not receive the request, or refused it in the way that does not count.
+    void giveBackQuota() const
+    {
+        if (target != nullptr)
+            target->quota.giveBack(ended.wasSent ? ended.sent : self.m_now);
+    }
+
     // A full target may not answer at all; its silence is the only sign.
     void shrinkIfSilent() const
     {
@@ -144,6 +153,12 @@
     m_now = now;
     if (pending_request* known = currentAttempt(number, attempt)) {
         endAwaitedAnswer(*known);
+        if (target_state* target = findTarget(known->target)) {
+            if (known->wasSent)
+                target->quota.onSentAgain(now);
+            else
+                target->quota.onSent(now);
+        }
         known->wasSent = true;
         ++known->sends;
         known->sent = now;
@@ -212,6 +227,8 @@
     if (target == nullptr)
         return nullptr;
     target->inFlight.erase(submitted.number);
+    if (!ended.wasSent)
+        target->quota.onSent(m_now);
     if (target->isolated == submitted.number)
         target->isolated.reset();
     return target;
--- a/src/routing/dispatching.cc
+++ b/src/routing/dispatching.cc
@@ -60,6 +60,8 @@
         startAttempt(waiting, m_targets.at(*chosen), std::nullopt);
         return true;
     }
+    if (const auto front = service.waiting.front())
+        countDelay(m_requests.at(*front), service);
     return false;
 }
 
@@ -95,8 +97,10 @@
         enqueue(waiting);
         return true;
     }
-    if (!workerFree(*findService(target.row.service)) || !eligible(target, waiting))
+    if (!workerFree(*findService(target.row.service)) || !eligible(target, waiting)) {
+        countDelay(waiting, target);
         return false;
+    }
     target.waiting.popOf(waiting.submitted.caller);
     indexQueue(target);
     startAttempt(waiting, target, owned->grant);
@@ -118,7 +122,8 @@
 
 bool engine::eligible(const target_state& target, const pending_request& waiting) const
 {
-    if (target.health.ejected() || m_now < target.shedUntil || hasLeft(target))
+    if (target.health.ejected() || m_now < target.shedUntil || hasLeft(target)
+        || !warmupAllows(target))
         return false;
     const auto outstanding = static_cast<unsigned>(target.inFlight.size());
     const unsigned usable = std::max(1U, target.connections - 1);
@@ -217,6 +222,7 @@
         creditRetryBudgets(service, submitted.caller);
     const auto outstanding = static_cast<unsigned>(target.inFlight.size());
     target.window.onDispatch(m_now, outstanding);
+    target.quota.onDispatch();
     if (m_quarantine.verdictOf(submitted.requestFingerprint) == quarantine::verdict::Suspected) {
         target.isolated = submitted.number;
         target.isolatedUntil = m_now + isolationMax;
--- a/src/routing/engine.cc
+++ b/src/routing/engine.cc
@@ -65,6 +65,7 @@
     : row(from)
     , health(healthLimits, added, slowStartBegin)
     , window(windowLimits)
+    , quota(added)
     , waiting(quantum)
 {
 }
@@ -144,6 +145,7 @@
         if (!added && row.state == table::mark::Active && target.row.state != row.state)
             target.health.restart(m_now);
         target.row = row;
+        applyWarmup(target, rows);
         if (row.state == table::mark::Active)
             target.leavingSince.reset();
         else if (!target.leavingSince)
@@ -158,6 +160,7 @@
         service.queued.clear();
     for (auto& [id, target] : m_targets)
         indexQueue(target);
+    refuseWarming();
 }
 
 void engine::dropTarget(const target_id& id)
@@ -213,6 +216,16 @@
     return takeActions();
 }
 
+actions engine::applyListedHosts(
+    instant now, const host_id& self, const std::vector<host_id>& listed)
+{
+    m_now = now;
+    m_senders.setHosts(now, self, listed);
+    updateSenders();
+    dispatchAll();
+    return takeActions();
+}
+
 actions engine::ownersChanged(instant now, const service_id& service)
 {
     m_now = now;
@@ -281,6 +294,7 @@
         view.window = target.window.size();
         view.ejected = target.health.ejected();
         view.slowStartShare = target.health.slowStartShare(m_now);
+        view.cold = isCold(target);
         view.latency = target.health.latency().smoothed({});
         views.push_back(view);
     }
--- a/src/routing/engine.h
+++ b/src/routing/engine.h
@@ -7,6 +7,7 @@
 #include "quarantine.h"
 #include "retry_budget.h"
 #include "target_health.h"
+#include "warmup_quota.h"
 #include "weighted_choice.h"
 #include "window.h"
 
@@ -65,6 +66,8 @@
     /// The retry budgets have been charged for the next attempt.
     bool isRetryPaid = false;
     bool callerGone = false;
+    /// It waited because a cold target could not take more.
+    bool delayedByWarmup = false;
     /// An earlier attempt may have run.
     bool mayHaveRun = false;
     /// Set by the last attempt's failure.
@@ -108,6 +111,11 @@
     table::target_row row;
     target_health health;
     routing::window window;
+    warmup_quota quota;
+    /// Until when the target is cold according to its answers to probes.
+    instant probedColdUntil {};
+    /// This host may send to the target while it is cold. Up to date while it is cold.
+    bool isSender = false;
     /// Keyed services only.
     fair_queue waiting;
     std::set<request_number> inFlight;
@@ -173,6 +181,8 @@
 
     actions applyTable(instant now, const table::table& rows) override;
     actions applyLiveHosts(instant now, std::optional<unsigned> count) override;
+    actions applyListedHosts(
+        instant now, const host_id& self, const std::vector<host_id>& listed) override;
     actions ownersChanged(instant now, const service_id& service) override;
     actions arrive(instant now, const request& submitted) override;
     actions cancel(instant now, request_number number) override;
@@ -224,6 +234,8 @@
         duration perRequest {};
         /// Latency of the target once the request is dispatched.
         duration latency {};
+        /// Part of the wait that is due to cold targets.
+        duration warming {};
     };
     [[nodiscard]] queue_estimate targetQueueEstimate(
         const target_state& target, std::size_t ahead) const;
@@ -248,6 +260,28 @@
     void end(pending_request& ended, outcome requestOutcome, refusal_reason reason);
     void forget(request_number number);
 
+    // warming.cc: cold targets
+    [[nodiscard]] static instant coldUntil(const target_state& target);
+    [[nodiscard]] bool isCold(const target_state& target) const;
+    /// Whether the limit of cold targets allows this host one more request to the target.
+    [[nodiscard]] bool warmupAllows(const target_state& target) const;
+    /// When warmupAllows() becomes true if no other event happens.
+    [[nodiscard]] instant warmupOpensAt(const target_state& target) const;
+    /// For how long the limit delays a request that has this many others ahead of it.
+    [[nodiscard]] duration warmupWait(const target_state& target, std::size_t ahead) const;
+    /// The same for a service without keys; zero if one of its targets is warm.
+    [[nodiscard]] duration warmupWait(const service_state& service) const;
+    void applyWarmup(target_state& target, const table::table& rows);
+    void applyProbedWarmup(target_state& target, duration coldFor);
+    void updateSender(target_state& target);
+    void updateSenders();
+    /// Refuses a request in a target's queue that could not be answered in time. Returns whether it
+    /// was refused.
+    bool refuseWarming(pending_request& waiting, target_state& target, std::size_t ahead);
+    void refuseWarming();
+    void countDelay(pending_request& waiting, const target_state& target);
+    void countDelay(pending_request& waiting, const service_state& service);
+
     // dispatching.cc: from waiting to in flight
     void dispatchAll();
     void dispatchService(service_state& service);
@@ -372,6 +406,7 @@
     /// What the targets' connections and windows were last divided by.
     connection_divisors m_appliedDivisors;
     mutable std::uint64_t m_targetVisits = 0;
+    warmup_senders m_senders;
     quarantine m_quarantine;
     std::map<fingerprint, unresolved_loss> m_unresolvedLosses;
     std::mt19937_64 m_random;
--- a/src/routing/health.cc
+++ b/src/routing/health.cc
@@ -62,6 +62,7 @@
         updateRun(*known, good->load.run);
         updateReport(*known, good->load);
         known->health.onProbeAnswered(now);
+        applyProbedWarmup(*known, good->coldFor);
         if (started) {
             resolveLosses(*known, *started);
             retryLateAttempts(*known, *started, good->load);
--- a/src/routing/tick.cc
+++ b/src/routing/tick.cc
@@ -19,6 +19,8 @@
         resumeAwaitingBudget(service);
     }
     updateConnectionsIfHostsChanged();
+    if (m_senders.expire(now))
+        updateSenders();
     dispatchAll();
     return takeActions();
 }
@@ -117,7 +119,7 @@
     const auto outstanding = static_cast<unsigned>(target.inFlight.size());
     const duration latency = target.health.latency().smoothed(initialLatency);
     const instant window = target.window.nextFraction(outstanding, latency);
-    const instant opens = std::max(window, target.shedUntil);
+    const instant opens = std::max({ window, target.shedUntil, warmupOpensAt(target) });
     return std::max(opens, m_now + std::chrono::milliseconds(1));
 }
 
--- a/src/routing/waiting.cc
+++ b/src/routing/waiting.cc
@@ -37,7 +37,7 @@
     if (!submitted.repeatable && awaitCrashCheck(known))
         return this->takeActions();
     enqueue(known);
-    if (refuseLate(known.submitted.number))
+    if (refuseLate(submitted.number))
         return this->takeActions();
     if (pending_request* still = find(submitted.number); still != nullptr && service.row.keyed()) {
         if (target_state* target = findTarget(still->queuedTarget))
@@ -72,8 +72,9 @@
     const double excess = isPaced ? static_cast<double>(ahead)
                                   : static_cast<double>(ahead) + outstanding + 1 - size;
     const auto queued = std::chrono::duration_cast<duration>(perRequest * std::max(excess, 0.0));
-    const auto wait = std::max(pause, std::max(opens - m_now, duration {})) + queued;
-    return { wait, std::chrono::duration_cast<duration>(perRequest), latency };
+    const auto warming = warmupWait(target, ahead);
+    const auto wait = std::max(pause, std::max(opens - m_now, duration {})) + queued + warming;
+    return { wait, std::chrono::duration_cast<duration>(perRequest), latency, warming };
 }
 
 // Targets of a service without keys share its queue.
@@ -83,7 +84,7 @@
     double room = 0;
     for (const target_id& id : service.targets) {
         const target_state& target = m_targets.at(id);
-        if (target.row.state != table::mark::Active || target.health.ejected())
+        if (target.row.state != table::mark::Active || target.health.ejected() || isCold(target))
             continue;
         const std::chrono::duration<double> latency(
             target.health.latency().smoothed(initialLatency));
@@ -93,8 +94,10 @@
     }
     const duration latency = service.latency.smoothed(initialLatency);
     const double excess = static_cast<double>(service.waiting.size()) - std::max(room, 0.0);
-    if (excess <= 0 || perSecond <= 0)
-        return { {}, {}, latency };
+    if (excess <= 0 || perSecond <= 0) {
+        const auto warming = warmupWait(service);
+        return { warming, {}, latency, warming };
+    }
     const std::chrono::duration<double> perRequest(1 / perSecond);
     return { std::chrono::duration_cast<duration>(perRequest * excess),
         std::chrono::duration_cast<duration>(perRequest), latency };
@@ -122,7 +125,9 @@
     arrived->expectedWait = estimate.wait;
     arrived->retryAfter = retryAfterSchedule.next(m_now, estimate.wait - slack, estimate.perRequest,
         arrived->submitted.deadline - estimate.latency);
-    end(*arrived, outcome::NotRun, refusal_reason::WaitTooLong);
+    const bool isWarming = estimate.wait - estimate.warming <= slack;
+    end(*arrived, outcome::NotRun,
+        isWarming ? refusal_reason::TargetWarming : refusal_reason::WaitTooLong);
     return true;
 }
 
@@ -206,6 +211,7 @@
     waiting.queuedTarget = owned->target;
     pushToQueue(waiting, target->waiting);
     indexQueue(*target);
+    refuseWarming(waiting, *target, target->waiting.size() - 1);
 }
 
 // The target does not hold the key, and this host has yet to learn which one does. Sending the
--- a/src/serve/dispatch.cc
+++ b/src/serve/dispatch.cc
@@ -86,6 +86,13 @@
         [&](instant now, routing::router& router) { return router.applyLiveHosts(now, count); });
 }
 
+void dispatch::applyListedHosts(const host_id& self, const std::vector<host_id>& listed)
+{
+    m_routedDispatcher->call([&](instant now, routing::router& router) {
+        return router.applyListedHosts(now, self, listed);
+    });
+}
+
 void dispatch::applyConfirmed(bool confirmed)
 {
     m_routedDispatcher->call([&](instant now, routing::router& router) {
--- a/src/serve/dispatch.h
+++ b/src/serve/dispatch.h
@@ -40,6 +40,8 @@
     /// confirmed: whether the table in force is known to be the newest.
     void applyConfirmed(bool confirmed);
     void applyLiveHosts(std::optional<unsigned> count);
+    /// listed: the store's list of hosts, sorted.
+    void applyListedHosts(const host_id& self, const std::vector<host_id>& listed);
     void ownersChanged(const service_id& service);
     void report(const target_id& target, const routing::load_report& load);
     void applyPeerCrashes(const std::vector<routing::crash>& records);
--- a/src/serve/metrics.cc
+++ b/src/serve/metrics.cc
@@ -29,6 +29,7 @@
         const auto label = routing::name(static_cast<routing::retry_reason>(i));
         raiseTo(metrics.counterFor(metric::Retries, label), counts.retries.at(i));
     }
+    raiseTo(metrics.counterFor(metric::WarmupDelays), counts.delayedByWarmup);
     return names;
 }
 
@@ -47,10 +48,15 @@
 void exposeTargets(telemetry::registry& metrics, const std::vector<routing::target_view>& targets)
 {
     std::map<service_id, std::int64_t> inUse;
-    for (const auto& target : targets)
+    std::map<service_id, std::int64_t> cold;
+    for (const auto& target : targets) {
         inUse[target.service] += target.ejected ? 0 : 1;
+        cold[target.service] += target.cold ? 1 : 0;
+    }
     for (const auto& [service, count] : inUse)
         metrics.gaugeFor(metric::TargetsInUse, service.value()).set(count);
+    for (const auto& [service, count] : cold)
+        metrics.gaugeFor(metric::ColdTargets, service.value()).set(count);
 }
 
 /// Domains that were evacuated earlier are exposed with 0.
--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -267,6 +267,7 @@
         m_roundWatch.enter("routing");
         m_dispatch->applyConfirmed(tableConfirmed(now));
         m_dispatch->applyLiveHosts(m_peerRegistry->connectionSharers(now));
+        applyListedHosts();
         m_proxy->setHealthy(currentHealth().accepting);
         timer.endStage("routing", monotonic_clock::now());
         m_roundWatch.enter("load");
@@ -281,6 +282,15 @@
     }
 }
 
+void node::applyListedHosts()
+{
+    auto listed = m_peerRegistry->listed();
+    if (listed == m_listedHosts)
+        return;
+    m_listedHosts = std::move(listed);
+    m_dispatch->applyListedHosts(m_values.host.id, m_listedHosts);
+}
+
 void node::logStuckRound(instant now)
 {
     if (const auto round = m_roundWatch.overdue(now))
--- a/src/serve/node.h
+++ b/src/serve/node.h
@@ -71,6 +71,8 @@
     /// Reports the load that this host forwarded to the services' coordinators. Returns the size of
     /// the reports in bytes.
     std::size_t reportLoads(instant now);
+    /// Passes the list of hosts to the router if it changed. Called by one thread.
+    void applyListedHosts();
     void updateMetrics();
     [[nodiscard]] bool markedLeaving() const;
     /// Returns how old the tables may be; 0 if they come from the operators' row.
@@ -100,6 +102,7 @@
     std::unique_ptr<admin::server> m_admin;
     std::atomic<bool> m_draining { false };
     std::atomic<bool> m_stopTimers { false };
+    std::vector<host_id> m_listedHosts;
     round_watch m_roundWatch;
     std::thread m_controlTimer;
 };
--- a/src/serve/peer_registry.cc
+++ b/src/serve/peer_registry.cc
@@ -44,6 +44,12 @@
     return m_view.complete(now);
 }
 
+std::vector<host_id> peer_registry::listed() const
+{
+    const std::lock_guard guard(m_lock);
+    return m_view.listed();
+}
+
 unsigned peer_registry::connectionSharers(instant now) const
 {
     const std::lock_guard guard(m_lock);
--- a/src/serve/peer_registry.h
+++ b/src/serve/peer_registry.h
@@ -35,6 +35,8 @@
     /// Returns whether the platform's list was read and each host on it that is not leaving is
     /// live.
     [[nodiscard]] bool complete(instant now) const;
+    /// Returns the hosts on the platform's list, sorted by id.
+    [[nodiscard]] std::vector<host_id> listed() const;
     [[nodiscard]] unsigned connectionSharers(instant now) const;
     /// Returns the peers to call in this round of exchange.
     [[nodiscard]] std::vector<client_pointer> exchangePeers(instant now);
--- a/src/serve/status.cc
+++ b/src/serve/status.cc
@@ -39,6 +39,7 @@
     object->set("queued", target.queued);
     object->set("window", target.window);
     object->set("ejected", target.ejected);
+    object->set("cold", target.cold);
     return object;
 }
 
--- a/src/telemetry/telemetry.cc
+++ b/src/telemetry/telemetry.cc
@@ -36,6 +36,10 @@
         "Targets that this host has not ejected as failing." },
     family { metric::EvacuatedTargets, kind::Gauge, "pimentomast_evacuated_targets", "domain",
         "Targets in an evacuated failure domain, which get no requests." },
+    family { metric::ColdTargets, kind::Gauge, "pimentomast_cold_targets", "service",
+        "Targets that are cold and get a limited number of requests." },
+    family { metric::WarmupDelays, kind::Counter, "pimentomast_warmup_delays_total", "",
+        "Requests that waited because a cold target could not take more." },
     family { metric::AdminRequests, kind::Counter, "pimentomast_admin_requests_total", "status",
         "Requests to the administration API by HTTP status." },
 };
--- a/test/serve-placement-test.cc
+++ b/test/serve-placement-test.cc
@@ -70,7 +70,17 @@
         return highest * targetCount / (evenRate + hotRate);
     }
 
+    double ownedBy(const target_id& target)
+    {
+        double owned = 0;
+        for (const auto& each : committed().slices)
+            owned += each.owner == target ? fractionOfSpace(each.range) : 0;
+        return owned;
+    }
+
     simulation system { withTargets(targetCount) };
+    /// Cold according to the rows that the planner gets.
+    std::set<target_id> cold;
 
 private:
     coordinator& coordinatorOfHolder() { return *system.hosts[holder()].coordination; }
@@ -97,6 +107,10 @@
         std::vector<table::target_row> all(system.targets.size());
         for (std::size_t i = 0; i < all.size(); ++i)
             all[i].id = system.targets[i].id;
+        for (auto& each : all) {
+            if (cold.contains(each.id))
+                each.coldUntil = instant::max();
+        }
         return all;
     }
 
@@ -119,6 +133,39 @@
     cr_assert(fixture.system.violation.empty());
 }
 
+// Until it is warm, a target keeps its slices and gets no others.
+Test(serve_placement, cold_target_gets_no_slices)
+{
+    placement_fixture fixture;
+    const key_hash hot { 1U << 20U };
+    const auto* hotSlice = fixture.committed().find(hot);
+    const target_id owner = hotSlice->owner;
+    for (const auto& each : fixture.system.targets) {
+        if (each.id != owner && fixture.cold.empty())
+            fixture.cold.insert(each.id);
+    }
+    std::map<target_id, double> before;
+    for (const auto& each : fixture.system.targets)
+        before[each.id] = fixture.ownedBy(each.id);
+    fixture.run(hot, 20);
+    for (const auto& each : fixture.cold)
+        cr_assert_float_eq(fixture.ownedBy(each), before[each], 1e-9);
+    cr_assert_lt(fixture.ownedBy(owner), before[owner], "the warm target takes nothing");
+    fixture.cold.clear();
+    fixture.run(hot, 40);
+    cr_assert_leq(fixture.imbalance(hot), 1.4);
+}
+
+Test(serve_placement, cold_targets_get_slices_if_all_are_cold)
+{
+    placement_fixture fixture;
+    const key_hash hot { 1U << 20U };
+    for (const auto& each : fixture.system.targets)
+        fixture.cold.insert(each.id);
+    fixture.run(hot, 40);
+    cr_assert_leq(fixture.imbalance(hot), 1.4);
+}
+
 Test(serve_placement, slices_of_many_former_hot_keys_are_merged_again)
 {
     placement_fixture fixture;
