--- a/include/pimentomast/dispatch.h
+++ b/include/pimentomast/dispatch.h
@@ -59,6 +59,8 @@
     TargetAnswerUnframed,
     /// Not a refusal: the target's load report is ignored.
     LoadReportMalformed,
+    /// Not a refusal: the target's remaining warm-up time is ignored.
+    WarmupReportMalformed,
     AnswerBroken,
     /// Not a refusal: the rest of the answer was requested with a Range field.
     AnswerContinued,
@@ -189,6 +191,10 @@
     duration latency { 0 };
     /// The connection was refused: no process is listening.
     bool refused = false;
+    /// Time for which the target says that it is still cold.
+    duration coldFor {};
+    /// What it says about this cannot be read.
+    bool isWarmupMalformed = false;
 };
 
 /// Where a target answers probes.
--- a/include/pimentomast/proxy.h
+++ b/include/pimentomast/proxy.h
@@ -47,6 +47,12 @@
     /// Decodes the value of the load field. Returns nothing if it is malformed. Must be set if load
     /// is, and be thread-safe.
     std::function<std::optional<routing::load_report>(std::string_view)> decodeLoad {};
+    /// Field of responses to probes with the time for which the target is still cold; empty: there
+    /// is none.
+    std::string warmup {};
+    /// Decodes the value of the warmup field. Returns nothing if it is malformed. Must be set if
+    /// warmup is, and be thread-safe.
+    std::function<std::optional<duration>(std::string_view)> decodeWarmup {};
 };
 
 /// Target, outcome and duration of one attempt.
--- a/src/dispatch/routed-dispatcher.cc
+++ b/src/dispatch/routed-dispatcher.cc
@@ -110,7 +110,7 @@
     {
         routing::probe_result ended = routing::probe_failed { report.refused };
         if (report.load)
-            ended = routing::probe_answered { *report.load, report.latency };
+            ended = routing::probe_answered { *report.load, report.latency, report.coldFor };
         run([&](instant now,
                 routing::router& router) { return router.probed(now, report.target, ended); },
             sink);
--- a/src/proxy/probe.cc
+++ b/src/proxy/probe.cc
@@ -37,6 +37,16 @@
     return report;
 }
 
+void readWarmup(probe_report& report, const http::answer& answer, const contract& fields)
+{
+    const auto text = fields.warmup.empty() ? std::string() : answer.header(fields.warmup);
+    if (text.empty())
+        return;
+    const auto coldFor = fields.decodeWarmup(text);
+    report.coldFor = coldFor.value_or(duration {});
+    report.isWarmupMalformed = !coldFor;
+}
+
 } // namespace
 
 probe_report probeHealth(const target_id& target, const probe_address& at,
@@ -54,6 +64,7 @@
     if (answer != nullptr && answer->status == Poco::Net::HTTPResponse::HTTP_OK) {
         try {
             report.load = readHealth(at, *answer, fields);
+            readWarmup(report, *answer, fields);
         } catch (const Poco::Exception&) {
             report.load.reset();
         }
--- a/src/proxy/server-dispatch.cc
+++ b/src/proxy/server-dispatch.cc
@@ -153,9 +153,11 @@
     if (const auto* held = std::get_if<send_job>(&work))
         return runSend(*held);
     const probe_job& requested = std::get<probe_job>(work);
-    m_dispatcher.probed(
-        probeHealth(requested.target, requested.at, m_options.probeTimeout, m_options.contract),
-        *this);
+    const auto report
+        = probeHealth(requested.target, requested.at, m_options.probeTimeout, m_options.contract);
+    if (report.isWarmupMalformed)
+        m_counts.add(reason::WarmupReportMalformed);
+    m_dispatcher.probed(report, *this);
 }
 
 void server_impl::runSend(const send_job& work)
--- a/test/membership-test.cc
+++ b/test/membership-test.cc
@@ -42,6 +42,19 @@
     cr_assert_eq(view.live(start + 4s).size(), 1);
 }
 
+// Hosts agree on who sends to a cold target by the list alone, whoever else they hear of.
+Test(membership, list_of_hosts_has_what_the_platform_lists)
+{
+    auto view = makeView("b");
+    view.recordContact(start, contact("d", 1));
+    cr_assert(view.listed().empty());
+    view.replaceList(start, { listed("c", 3), listed("b", 2), listed("a", 1) });
+    const std::vector all { host_id { "a" }, host_id { "b" }, host_id { "c" } };
+    cr_assert(view.listed() == all);
+    view.replaceList(start, { listed("c", 3) });
+    cr_assert(view.listed() == std::vector { host_id { "c" } });
+}
+
 Test(membership, live_hosts_have_the_processor_time_of_the_list)
 {
     auto view = makeView("a");
--- a/test/platform-documents-test.cc
+++ b/test/platform-documents-test.cc
@@ -4,6 +4,7 @@
 
 using namespace pimentomast;
 using namespace pimentomast::platform::detail;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -253,3 +254,114 @@
              R"({"drain":"2s"})", R"({"grace":6})", R"({"grace":)", R"({"grace":"-1s"})" })
         cr_assert(stopGrace(terms) == duration::zero(), "%s", terms);
 }
+
+namespace {
+
+constexpr instant now { 1000s };
+const std::string limitedConfiguration = replaced(
+    validConfiguration, R"("healthPath")", R"("warmup":"3s","warmupPerS":5.0,"healthPath")");
+
+/// Returns the row of the one target, whose service limits cold targets.
+table::target_row rowOf(const registration& target, const reopened_domains& reopened = {})
+{
+    const auto configured = readConfiguration(limitedConfiguration).value();
+    return makeTable(config_version { 1 }, configured, { target }, { {}, reopened, {} }).targets[0];
+}
+
+} // namespace
+
+Test(platform_documents, limit_of_cold_targets_is_read_and_extended_by_the_bounds)
+{
+    const auto configured = readConfiguration(limitedConfiguration).value();
+    cr_assert(configured.services[0].warmup.has_value());
+    const table_circumstances circumstances { {}, {}, { 1.5, 8 } };
+    const auto rows = makeTable(config_version { 1 }, configured, {}, circumstances);
+    const auto* service = rows.service(service_id { "weights" });
+    cr_assert(service->warmup->time == 3s);
+    cr_assert_float_eq(service->warmup->requestsPerSecond, 15.5, 1e-9);
+}
+
+Test(platform_documents, service_that_states_no_rate_or_no_time_has_no_limit)
+{
+    for (const std::string fields : { "", R"("warmup":"3s",)", R"("warmupPerS":5,)",
+             R"("warmup":"0ms","warmupPerS":5,)", R"("warmup":"3s","warmupPerS":0,)" }) {
+        const auto read = readConfiguration(
+            replaced(validConfiguration, R"("healthPath")", fields + R"("healthPath")"));
+        cr_assert(read.has_value(), "%s", fields.c_str());
+        cr_expect_not(read.value().services[0].warmup.has_value(), "%s", fields.c_str());
+    }
+}
+
+Test(platform_documents, invalid_limits_of_cold_targets_are_rejected)
+{
+    for (const std::string fields : { R"("warmup":3,)", R"("warmup":"soon",)", R"("warmup":"-1s",)",
+             R"("warmupPerS":"5",)", R"("warmupPerS":-1,)", R"("warmupPerS":true,)",
+             R"("warmupPerS":1e300,)", R"("warmupPerS":null,)" })
+        cr_expect(readConfiguration(
+                      replaced(validConfiguration, R"("healthPath")", fields + R"("healthPath")"))
+                      .has_error(),
+            "%s", fields.c_str());
+}
+
+Test(platform_documents, bounds_of_cold_targets_are_read)
+{
+    for (const std::string terms : { "grace=6s, coldOver=1.5,coldSlack=8,evac=5000ms",
+             R"({"coldOver":1.5,"coldSlack":8})", R"({"coldOver":"1.5","coldSlack":"8"})" }) {
+        const auto bounds = warmupBounds(terms);
+        cr_expect_float_eq(bounds.over, 1.5, 1e-9, "%s", terms.c_str());
+        cr_expect_float_eq(bounds.slack, 8, 1e-9, "%s", terms.c_str());
+    }
+    // A limit that is too high would let a target crash.
+    for (const std::string terms :
+        { "", "{}", "{", "evac=5000ms", "coldOver=x,coldSlack=-8", "coldOver=0.5,coldSlack=nan",
+            R"({"coldOver":true,"coldSlack":[8]})", R"({"note":"x,coldOver=9,coldSlack=9"})" }) {
+        const auto bounds = warmupBounds(terms);
+        cr_expect_float_eq(bounds.over, 1, 1e-9, "%s", terms.c_str());
+        cr_expect_float_eq(bounds.slack, 0, 1e-9, "%s", terms.c_str());
+    }
+}
+
+Test(platform_documents, remaining_warmup_time_is_read)
+{
+    const auto read = [](const std::string& text) {
+        return readRegistration("i-1", replaced(validRegistration, R"("0ms")", text));
+    };
+    cr_assert(read(R"("1500ms")").value().coldFor == 1500ms);
+    cr_assert(read(R"("2s")").value().coldFor == 2s);
+    cr_assert(read(R"("0ms")").value().coldFor == 0ms);
+    const auto silent = replaced(validRegistration, R"(,"warmup_time":"0ms")", "");
+    cr_assert_not(readRegistration("i-1", silent).value().coldFor.has_value());
+    for (const std::string invalid : { R"("soon")", R"("-1s")", R"("3")", "3", "null", R"("")" })
+        cr_expect(read(invalid).has_error(), "%s", invalid.c_str());
+}
+
+Test(platform_documents, target_is_cold_only_if_its_service_limits_cold_targets)
+{
+    auto target = readRegistration("i-1", validRegistration).value();
+    target.coldUntil = now + 2s;
+    cr_assert(rowOf(target).coldUntil == now + 2s);
+    const auto unlimited = readConfiguration(validConfiguration).value();
+    const auto rows = makeTable(config_version { 1 }, unlimited, { target });
+    cr_assert_not(rows.targets[0].coldUntil.has_value());
+    target.coldUntil.reset();
+    target.newSince = now;
+    cr_assert(rowOf(target).coldUntil == now + 3s);
+}
+
+// The targets of a domain that is taken back may be cold, and old rows do not tell.
+Test(platform_documents, target_is_cold_after_an_evacuation_unless_a_newer_row_says_otherwise)
+{
+    auto target = readRegistration("i-1", validRegistration).value();
+    target.version = 9;
+    const reopened_domains here { { domain_id { "k" }, { now, 10 } } };
+    const reopened_domains elsewhere { { domain_id { "north" }, { now, 10 } } };
+    cr_assert(rowOf(target, here).coldUntil == now + 3s);
+    cr_assert_not(rowOf(target, elsewhere).coldUntil.has_value());
+    target.coldUntil = now + 5s;
+    cr_assert(rowOf(target, here).coldUntil == now + 5s);
+    target.coldUntil.reset();
+    target.version = 11;
+    cr_assert_not(rowOf(target, here).coldUntil.has_value());
+    target.coldFor.reset();
+    cr_assert(rowOf(target, here).coldUntil == now + 3s, "the newer row says nothing");
+}
--- a/test/platform-evacuations-test.cc
+++ b/test/platform-evacuations-test.cc
@@ -102,12 +102,14 @@
             m_known = !rows->targets.empty();
             m_leaves = m_known && rows->targets[0].state == table::mark::Leaving
                 && rows->targets[0].evacuatedBy.has_value();
+            m_isCold = m_known && rows->targets[0].coldUntil.has_value();
         });
     }
     ~following_host() { m_feed.stop(); }
 
     [[nodiscard]] table_feed& feed() { return m_feed; }
     [[nodiscard]] bool isActive() const { return m_known && !m_leaves; }
+    [[nodiscard]] bool isCold() const { return m_isCold; }
     [[nodiscard]] bool isEvacuated() const { return m_known && m_leaves; }
 
 private:
@@ -115,18 +117,19 @@
     table_feed m_feed;
     std::atomic<bool> m_known { false };
     std::atomic<bool> m_leaves { false };
+    std::atomic<bool> m_isCold { false };
 };
 
 /// Lists a configuration and a target; the feed of the operators' table is answered by answerFeed.
-void serveStore(Poco::Net::StreamSocket& socket, const std::function<std::string()>& answerFeed)
+void serveStore(Poco::Net::StreamSocket& socket, const std::function<std::string()>& answerFeed,
+    const std::string& configuration = test::configurationText)
 {
     for (auto request = test::readRequest(socket); !request.empty();
          request = test::readRequest(socket)) {
         const bool isFeed = request.starts_with("GET /rows-feed");
         if (request.find("table=op&") != std::string::npos)
             test::write(socket,
-                test::answer(
-                    isFeed ? answerFeed() : test::page(1, "config", test::configurationText)));
+                test::answer(isFeed ? answerFeed() : test::page(1, "config", configuration)));
         else
             test::write(socket,
                 test::answer(isFeed ? std::string(R"({"ver":2,"rows":[]})")
@@ -163,3 +166,23 @@
     other.feed().receivePeerRows(poller.feed().changesAfter(other.feed().standing()));
     cr_assert(other.isActive());
 }
+
+Test(platform_evacuations, targets_of_a_domain_that_is_taken_back_are_cold)
+{
+    const auto limited = test::configurationWith(R"(,"warmup":"3s","warmupPerS":5)");
+    std::atomic<int> step { 0 };
+    test::scripted_server store([&](auto& socket, int) {
+        serveStore(
+            socket, [&] { return step == 0 ? noChange
+                              : step == 1  ? beginning
+                                           : ending; }, limited);
+    });
+    following_host host(store.address());
+    host.feed().setDesignatedPoller(true);
+    cr_assert(test::waitUntil([&] { return host.isActive(); }));
+    cr_assert_not(host.isCold());
+    step = 1;
+    cr_assert(test::waitUntil([&] { return host.isEvacuated(); }));
+    step = 2;
+    cr_assert(test::waitUntil([&] { return host.isActive() && host.isCold(); }));
+}
--- a/test/platform-load-test.cc
+++ b/test/platform-load-test.cc
@@ -4,6 +4,7 @@
 
 using namespace pimentomast;
 using platform::detail::readLoadReport;
+using platform::detail::readWarmupTime;
 
 Test(platform_load, numbers_are_read_in_their_order)
 {
@@ -31,3 +32,13 @@
             "1,0,6x", "1;0;6", "a,b,c", "1,2,99999999999", "1,0,6,-5" })
         cr_expect_not(readLoadReport(text).has_value(), "%s", text.c_str());
 }
+
+// A wrong time would let all hosts send at once to a target that cannot bear it, or keep them away.
+Test(platform_load, warmup_time_is_a_whole_number_of_milliseconds)
+{
+    cr_assert(readWarmupTime(" 2500 ") == std::chrono::milliseconds(2500));
+    cr_assert(readWarmupTime("0") == duration {});
+    for (const std::string text :
+        { "", " ", "-1", "2.5", "2500ms", "2s", "x", "1,2", "700000", "99999999999" })
+        cr_expect_not(readWarmupTime(text).has_value(), "%s", text.c_str());
+}
--- a/test/platform-registrations-test.cc
+++ b/test/platform-registrations-test.cc
@@ -29,6 +29,18 @@
     return { targetTable, instance, {}, row_version { version }, true };
 }
 
+/// A row whose target states for how long it is cold.
+stored_row coldRow(const std::string& coldFor, std::uint64_t version)
+{
+    return rowOf("i-1", version, R"(ready","warmup_time":")" + coldFor);
+}
+
+/// Reads the row as a page of its own.
+registrations::changes read(registrations& known, instant now, const stored_row& row)
+{
+    return known.applyPage(now, { { row }, row.version }, false, {});
+}
+
 /// Three targets as of version 10, read at `start`.
 registrations threeTargets()
 {
@@ -100,3 +112,56 @@
     second.applyPeerRows(start + 2s, { changeOf("i-1", 14, "draining") }, start + 1s);
     cr_assert_eq(first.contentHash(), second.contentHash());
 }
+
+// A target writes a shorter remaining time with each heartbeat; a new table for each of them would
+// keep every host busy.
+Test(platform_registrations, shorter_remaining_time_of_each_heartbeat_changes_nothing)
+{
+    registrations known;
+    known.applyPage(start, { { coldRow("3s", 2) }, row_version { 2 } }, true, {});
+    const auto until = known.list()[0].coldUntil;
+    cr_assert(until && *until >= start + 3s && *until <= start + 3500ms);
+    const std::vector<std::pair<instant, std::string>> heartbeats { { start + 500ms, "2500ms" },
+        { start + 1250ms, "2000ms" }, { start + 1500ms, "1500ms" }, { start + 2000ms, "0.8s" } };
+    std::uint64_t version = 3;
+    for (const auto& [at, coldFor] : heartbeats) {
+        cr_expect_not(read(known, at, coldRow(coldFor, version++)).any(), "%s", coldFor.c_str());
+        cr_assert(known.list()[0].coldUntil == until);
+    }
+}
+
+Test(platform_registrations, target_that_is_warm_or_cold_again_changes)
+{
+    registrations known;
+    known.applyPage(start, { { coldRow("3s", 2) }, row_version { 2 } }, true, {});
+    const auto coldContent = known.contentHash();
+    cr_assert_eq(read(known, start + 1s, coldRow("0ms", 3)).set, 1);
+    cr_assert_not(known.list()[0].coldUntil.has_value());
+    cr_assert_neq(known.contentHash(), coldContent, "peers would not learn of it");
+    cr_assert_eq(read(known, start + 60s, coldRow("2s", 4)).set, 1);
+    cr_assert(*known.list()[0].coldUntil >= start + 62s);
+    cr_assert_eq(read(known, start + 61s, coldRow("2s", 5)).set, 1, "it is cold for longer");
+    cr_assert(*known.list()[0].coldUntil >= start + 63s);
+}
+
+// A new process of the same name has a warm-up of its own.
+Test(platform_registrations, new_process_does_not_keep_the_end_of_an_earlier_one)
+{
+    registrations known;
+    known.applyPage(start, { { coldRow("3s", 2) }, row_version { 2 } }, true, {});
+    auto restarted = coldRow("2900ms", 3);
+    restarted.value.replace(restarted.value.find("1790000000000"), 13, "1790000000001");
+    cr_assert_eq(read(known, start + 100ms, restarted).set, 1);
+    cr_assert(*known.list()[0].coldUntil >= start + 3s);
+}
+
+// A target that states nothing may have just started, unless it was there before this host.
+Test(platform_registrations, new_target_that_states_nothing_is_known_as_new)
+{
+    auto known = threeTargets();
+    cr_assert_not(known.list()[0].newSince.has_value());
+    read(known, start + 5s, rowOf("i-4", 11, "ready"));
+    cr_assert(known.list()[3].newSince == start + 5s);
+    cr_assert_not(read(known, start + 6s, rowOf("i-4", 12, "ready")).any());
+    cr_assert(known.list()[3].newSince == start + 5s);
+}
--- a/test/proxy-probe-test.cc
+++ b/test/proxy-probe-test.cc
@@ -76,3 +76,25 @@
     cr_assert(report.refused);
     cr_assert_not(report.load.has_value());
 }
+
+// What a target says about its warm-up is a hint: an unreadable one is no sign of bad health.
+Test(proxy_probe, warmup_field_is_read_or_reported_as_malformed)
+{
+    proxy::contract fields;
+    fields.warmup = "Cold-For";
+    fields.decodeWarmup = [](std::string_view text) {
+        return text == "700" ? std::optional<duration>(700ms) : std::nullopt;
+    };
+    for (const std::string text : { "", "700", "soon" }) {
+        const auto field = text.empty() ? "" : "Cold-For: " + text + "\r\n";
+        scripted_server server([&](auto& socket, int) {
+            readRequest(socket);
+            write(socket, "HTTP/1.1 200 OK\r\n" + field + "Content-Length: 0\r\n\r\n");
+        });
+        const auto report = proxy::detail::probeHealth(
+            target_id { "t" }, { server.address(), "/health", incarnation { 7 } }, ample, fields);
+        cr_assert(report.load.has_value());
+        cr_assert(report.coldFor == (text == "700" ? duration(700ms) : duration {}));
+        cr_assert_eq(report.isWarmupMalformed, text == "soon");
+    }
+}
