--- a/test/ownership-moves-test.cc
+++ b/test/ownership-moves-test.cc
@@ -99,6 +99,7 @@
     system.cold.insert(cold);
     sendTables();
     std::vector<wanted_slice> wanted;
+    wanted.reserve(samples.size());
     for (const int sampled : samples)
         wanted.push_back({ rangeAt(sampled), cold });
     system.want(wanted);
--- a/test/routing-warmup-test.cc
+++ b/test/routing-warmup-test.cc
@@ -220,6 +220,13 @@
     return made;
 }
 
+std::vector<request_number> arriveThree(driver& test)
+{
+    const auto first = test.arrive(keyedRequest(test));
+    const auto second = test.arrive(keyedRequest(test));
+    return { first, second, test.arrive(keyedRequest(test)) };
+}
+
 bool wasDispatched(const driver& test, request_number number)
 {
     return test.lastDispatch(number).number == number;
@@ -409,9 +416,7 @@
     setListed(test, true);
     makeCold(rows, 0, test.now + coldTime);
     (void)test.host->applyTable(test.now, rows);
-    std::vector<request_number> numbers;
-    for (int i = 0; i < 3; ++i)
-        numbers.push_back(test.arrive(keyedRequest(test)));
+    const auto numbers = arriveThree(test);
     cr_assert(wasDispatched(test, numbers[0]) && wasDispatched(test, numbers[1]));
     cr_assert_not(wasDispatched(test, numbers[2]));
     for (int i = 0; i < 2; ++i) {
@@ -437,9 +442,7 @@
         setListed(test, true);
         makeCold(rows, 0, test.now + coldTime);
         (void)test.host->applyTable(test.now, rows);
-        std::vector<request_number> numbers;
-        for (int i = 0; i < 3; ++i)
-            numbers.push_back(test.arrive(keyedRequest(test)));
+        const auto numbers = arriveThree(test);
         const auto attempt = test.lastDispatch(numbers[0]);
         if (std::holds_alternative<token_refused>(ended))
             test.sent(attempt, test.now);
@@ -457,9 +460,7 @@
     setListed(test, true);
     makeCold(rows, 0, test.now + coldTime);
     (void)test.host->applyTable(test.now, rows);
-    std::vector<request_number> numbers;
-    for (int i = 0; i < 3; ++i)
-        numbers.push_back(test.arrive(keyedRequest(test)));
+    const auto numbers = arriveThree(test);
     test.finish(test.lastDispatch(numbers[0]), cancelled {});
     cr_assert_not(wasDispatched(test, numbers[2]));
 }
