--- a/test/platform-documents-test.cc
+++ b/test/platform-documents-test.cc
@@ -276,9 +276,9 @@
     cr_assert(configured.services[0].warmup.has_value());
     const table_circumstances circumstances { {}, {}, { 1.5, 8 } };
     const auto rows = makeTable(config_version { 1 }, configured, {}, circumstances);
-    const auto* service = rows.service(service_id { "weights" });
-    cr_assert(service->warmup->time == 3s);
-    cr_assert_float_eq(service->warmup->requestsPerSecond, 15.5, 1e-9);
+    const auto* limited = rows.service(service_id { "weights" });
+    cr_assert(limited->warmup->time == 3s);
+    cr_assert_float_eq(limited->warmup->requestsPerSecond, 15.5, 1e-9);
 }
 
 Test(platform_documents, service_that_states_no_rate_or_no_time_has_no_limit)
