Share the speed of targets between hosts

A host sends 0.02 to 0.1 requests per second to each target, so what it sees itself says almost nothing about the target's speed. Hosts send counts and times to one host, which estimates a factor for each target and sends all of them to every host. Routing and placement multiply weights by it. Off unless [targets] share_speed is yes.

--- a/include/pimentomast/routing.h
+++ b/include/pimentomast/routing.h
@@ -4,6 +4,7 @@
 #include "pimentomast/table.h"
 
 #include <array>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string_view>
@@ -160,6 +161,22 @@
     /// Time that work takes on the target's machine at the moment, relative to the usual time.
     double slowdown = 1;
 };
+/// What this host saw of a target's speed during some time.
+struct speed_sample {
+    target_id target;
+    /// Attempts with an answer that is no server error, and attempts that got none for longer than
+    /// is usual.
+    std::uint64_t answers = 0;
+    /// Sum of their times.
+    duration total {};
+    /// Attempts that ended because the target was full, or reset the connection unanswered.
+    std::uint64_t rejections = 0;
+
+    bool operator==(const speed_sample&) const = default;
+};
+/// Speeds of targets relative to the usual one of their service. A target that is missing has the
+/// usual speed.
+using speed_factors = std::map<target_id, double>;
 /// The target answered the probe over a new connection.
 struct probe_answered {
     load_report load;
@@ -276,6 +293,8 @@
     /// Share of the full weight during slow start, from 0 to 1.
     double slowStartShare = 1;
     duration latency {};
+    /// Speed relative to the usual one of the service, as set by applySpeedFactors().
+    double speedFactor = 1;
 };
 
 /// Settings of a router; docs/POLICY.md explains each.
@@ -384,6 +403,12 @@
     virtual actions applyCrashes(instant now, const std::vector<crash>& records) = 0;
     /// Clears a fingerprint on behalf of an operator, on this host and on the others.
     virtual actions pardon(instant now, fingerprint requestFingerprint) = 0;
+    /// Replaces the factors by which the weights of targets are multiplied in the choice of a
+    /// target. Precondition: they are positive.
+    virtual actions applySpeedFactors(instant now, const speed_factors& factors) = 0;
+    /// Returns what was counted of each target since the last call, without targets of which
+    /// nothing was.
+    [[nodiscard]] virtual std::vector<speed_sample> takeSpeedSamples() = 0;
     /// Sets whether the current table is known to be the newest. While it is not, new requests of
     /// services without keys are refused with TableUnconfirmed and waiting ones keep waiting: their
     /// targets may be leaving, and no lease protects these requests.
--- a/include/pimentomast/settings.h
+++ b/include/pimentomast/settings.h
@@ -88,6 +88,8 @@
 struct target_settings {
     /// Whether targets report their load in responses to probes and grants.
     bool reportLoad = true;
+    /// Whether hosts share what they see of the targets' speed, and give more load to faster ones.
+    bool shareSpeed = false;
     /// How long a leaving target still receives requests for the keys that it owns.
     milliseconds leavingGraceMs { 3600000 };
 };
--- a/include/pimentomast/telemetry.h
+++ b/include/pimentomast/telemetry.h
@@ -39,6 +39,7 @@
     MovesRunning,
     TargetsInUse,
     EvacuatedTargets,
+    TargetSpeed,
     AdminRequests,
 };
 
--- a/src/routing/attempts.cc
+++ b/src/routing/attempts.cc
@@ -29,6 +29,7 @@
     {
         if (target != nullptr) {
             target->health.onAnswered(self.m_now, result);
+            engine::countAnswer(*target, result);
             if (!self.m_settings.targetsReportLoad)
                 target->window.onLatency(result.total);
             else
@@ -46,6 +47,7 @@
     {
         ended.retryAfter = result.retryAfter.value_or(duration {});
         if (target != nullptr) {
+            ++target->speed.rejections;
             self.adaptWindow(*target, ended.submitted, true);
             const auto pause = std::min<duration>(ended.retryAfter, self.m_settings.shedPauseMax);
             target->shedUntil = std::max(target->shedUntil, self.m_now + pause);
@@ -90,6 +92,8 @@
             target->health.onFailure(self.m_now);
             self.indexProbe(*target);
             self.recordLoss(ended, *target);
+            if (!result.silent && !ended.responded)
+                ++target->speed.rejections;
             if (self.m_settings.targetsReportLoad)
                 self.m_unresolvedLosses[ended.submitted.requestFingerprint]
                     = { target->row.id, self.m_now };
@@ -125,6 +129,7 @@
             target->health.onFailure(self.m_now);
             self.indexProbe(*target);
             self.recordLoss(ended, *target);
+            self.countUnanswered(*target, ended);
         }
         ended.mayHaveRun = true;
         self.end(ended, outcome::Unknown, refusal_reason::DeadlineAfterDispatch);
@@ -133,6 +138,8 @@
     void operator()(const cancelled&) const
     {
         shrinkIfSilent();
+        if (target != nullptr)
+            self.countUnanswered(*target, ended);
         ++self.m_counts.cancelled;
         self.forget(ended.submitted.number);
     }
--- a/src/routing/dispatching.cc
+++ b/src/routing/dispatching.cc
@@ -197,8 +197,8 @@
 double engine::effectiveWeight(const target_state& target, const service_state& service) const
 {
     const double success = std::max(successFloor, target.health.successShare());
-    const double weight = std::max(1e-3, target.row.weight) * target.health.slowStartShare(m_now)
-        * success * success;
+    const double weight = std::max(1e-3, target.row.weight) * target.speedFactor
+        * target.health.slowStartShare(m_now) * success * success;
     const double smoothed = static_cast<double>(service.firstByte.smoothed({}).count());
     const double own = static_cast<double>(target.health.firstByte().smoothed({}).count());
     const double slowness = smoothed > 0 ? own / (slowFactor * smoothed) : 1;
--- a/src/routing/engine.cc
+++ b/src/routing/engine.cc
@@ -281,6 +281,7 @@
         view.window = target.window.size();
         view.ejected = target.health.ejected();
         view.slowStartShare = target.health.slowStartShare(m_now);
+        view.speedFactor = target.speedFactor;
         view.latency = target.health.latency().smoothed({});
         views.push_back(view);
     }
--- a/src/routing/engine.h
+++ b/src/routing/engine.h
@@ -117,6 +117,9 @@
     std::optional<load_report> report;
     instant reportedAt {};
     double reportTrust = 1;
+    /// Counted since the last call of takeSpeedSamples(); its target is not set.
+    speed_sample speed;
+    double speedFactor = 1;
     instant shedUntil {};
     /// From when the target counts as leaving.
     std::optional<instant> leavingSince;
@@ -185,6 +188,8 @@
     actions probed(instant now, const target_id& target, const probe_result& ended) override;
     actions applyCrashes(instant now, const std::vector<crash>& records) override;
     actions pardon(instant now, fingerprint requestFingerprint) override;
+    actions applySpeedFactors(instant now, const speed_factors& factors) override;
+    [[nodiscard]] std::vector<speed_sample> takeSpeedSamples() override;
     actions applyTableConfirmed(instant now, bool confirmed) override;
     actions stop(instant now) override;
     actions tick(instant now) override;
@@ -290,6 +295,11 @@
     void adaptWindow(target_state& target, const request& submitted, bool wasShed);
     void recordLatency(const request& submitted, const answered& result);
 
+    // speed.cc: samples of the targets' speed
+    static void countAnswer(target_state& target, const answered& result);
+    /// Counts an attempt that ended without an answer, if it took longer than is usual.
+    void countUnanswered(target_state& target, const pending_request& ended);
+
     // health.cc: probes, ejection, crashes
     void updateRun(target_state& target, incarnation run);
     void attributeCrash(target_state& target, incarnation run);
--- a/src/routing/late.cc
+++ b/src/routing/late.cc
@@ -141,8 +141,10 @@
 void engine::abandonAttempt(pending_request& inFlight)
 {
     m_actions.emplace_back(abandon { inFlight.submitted.number, inFlight.attempt });
-    if (target_state* target = detachFromTarget(inFlight))
+    if (target_state* target = detachFromTarget(inFlight)) {
         recordLoss(inFlight, *target);
+        countUnanswered(*target, inFlight);
+    }
     inFlight.mayHaveRun = true;
 }
 
--- a/src/serve/dispatch.cc
+++ b/src/serve/dispatch.cc
@@ -105,6 +105,23 @@
         [&](instant now, routing::router& router) { return router.report(now, target, load); });
 }
 
+void dispatch::applySpeedFactors(const routing::speed_factors& factors)
+{
+    m_routedDispatcher->call([&](instant now, routing::router& router) {
+        return router.applySpeedFactors(now, factors);
+    });
+}
+
+std::vector<routing::speed_sample> dispatch::takeSpeedSamples()
+{
+    std::vector<routing::speed_sample> taken;
+    m_routedDispatcher->call([&](instant, routing::router& router) {
+        taken = router.takeSpeedSamples();
+        return routing::actions {};
+    });
+    return taken;
+}
+
 void dispatch::applyPeerCrashes(const std::vector<routing::crash>& records)
 {
     m_routedDispatcher->call(
--- a/src/serve/dispatch.h
+++ b/src/serve/dispatch.h
@@ -42,6 +42,7 @@
     void applyLiveHosts(std::optional<unsigned> count);
     void ownersChanged(const service_id& service);
     void report(const target_id& target, const routing::load_report& load);
+    void applySpeedFactors(const routing::speed_factors& factors);
     void applyPeerCrashes(const std::vector<routing::crash>& records);
     void pardon(routing::fingerprint print);
 
@@ -52,6 +53,8 @@
     [[nodiscard]] std::vector<routing::target_view> targets() const;
     /// Returns the request rates of every keyed service since the last call.
     [[nodiscard]] std::vector<wire::ServiceLoad> takeLoads(instant now);
+    /// Returns what was counted of the targets' speed since the last call.
+    [[nodiscard]] std::vector<routing::speed_sample> takeSpeedSamples();
 
 private:
     dispatch(directory& owners, std::unique_ptr<proxy::routed_dispatcher> routedDispatcher);
--- a/src/serve/gossip.cc
+++ b/src/serve/gossip.cc
@@ -334,12 +334,17 @@
 wire::NoticeReply gossip::applyNotice(const wire::Notice& notice)
 {
     relay(notice);
+    if (notice.has_speeds())
+        applySpeeds(notice);
     if (notice.has_table())
         applyTable(config_version { notice.table().version() }, notice.table().value());
     for (const auto& message : notice.assignments())
         applyAssignment(message);
     for (const auto& message : notice.changes())
         applyChange(message);
+    // Nobody reads the reply to the speed of targets.
+    if (notice.has_speeds())
+        return {};
     wire::NoticeReply reply;
     m_routes.describe(*reply.mutable_assignments());
     reply.set_incarnation(m_options.run.value());
--- a/src/serve/gossip.h
+++ b/src/serve/gossip.h
@@ -48,6 +48,8 @@
         std::function<std::vector<routing::crash>()> crashes;
         std::function<std::uint64_t()> crashesHash;
         std::function<void(const std::vector<routing::crash>&)> applyCrashes;
+        /// Takes the speed of targets that a host sent.
+        std::function<void(const host_id& sender, const wire::SpeedFactors&)> applySpeeds;
     };
 
     /// Fails if a time is not positive. store, peerRegistry and routes must outlive the object.
@@ -65,6 +67,11 @@
 
     /// Sends an assignment that this host committed to every other host.
     void publish(const ownership::assignment& value);
+    /// Sends the speed of targets to every other host.
+    void publish(const wire::SpeedFactors& speeds);
+    /// Returns the host that polls the store on behalf of all hosts and collects the speed of
+    /// targets; empty if no host is live. Call on the thread of tick().
+    [[nodiscard]] const host_id& designatedHost() const noexcept { return m_storePoller; }
     /// If this host polls the store on behalf of all hosts, starts an exchange with each of them,
     /// so that they learn at once which tables it has.
     void exchangeWithAll();
@@ -105,7 +112,11 @@
     /// If the relay does not answer, the other hosts of its route are called by this one.
     void publishTo(const peer_registry::relay_route& to,
         const std::shared_ptr<const wire::Notice>& notice, const service_id& service);
+    /// The same for the speed of targets.
+    void publishSpeedsTo(
+        const peer_registry::relay_route& to, const std::shared_ptr<const wire::Notice>& notice);
     void relay(const wire::Notice& received);
+    void applySpeeds(const wire::Notice& received);
     void catchUp(const peer_registry::client_pointer& peer, const service_id& service, token known);
     /// Records what is published; returns what was published before for that service, if anything.
     std::optional<ownership::assignment> exchangePublished(const ownership::assignment& value);
@@ -136,7 +147,8 @@
     instant m_nextExchange {};
     /// What this host had when it last called all hosts.
     table_standing m_pushed;
-    /// Host that polls the store on behalf of all hosts; empty if no host is live.
+    /// Host that polls the store on behalf of all hosts and collects the speed of targets; empty if
+    /// no host is live.
     host_id m_storePoller;
     std::mutex m_applyLock;
     std::mutex m_crashLock;
--- a/src/serve/gossip_tables.cc
+++ b/src/serve/gossip_tables.cc
@@ -12,8 +12,6 @@
 
 void gossip::electStorePoller(instant now)
 {
-    if (!m_options.tableSource)
-        return;
     std::vector<host_id> live;
     ownership::host_millicores millicores;
     for (const auto& each : m_peerRegistry.live(now)) {
@@ -23,6 +21,8 @@
     m_storePoller
         = ownership::preferredCoordinator(service_id { storePollerElection }, live, millicores)
               .value_or(host_id {});
+    if (!m_options.tableSource)
+        return;
     m_isStorePoller = m_storePoller == m_options.self;
     m_options.tableSource->setDesignatedPoller(m_isStorePoller);
 }
--- a/src/serve/metrics.cc
+++ b/src/serve/metrics.cc
@@ -1,5 +1,7 @@
 #include "node.h"
 
+#include <algorithm>
+#include <cmath>
 #include <map>
 #include <set>
 
@@ -53,6 +55,19 @@
         metrics.gaugeFor(metric::TargetsInUse, service.value()).set(count);
 }
 
+void exposeSpeeds(telemetry::registry& metrics, const std::vector<routing::target_view>& targets)
+{
+    constexpr double percent = 100;
+    double lowest = 1;
+    double highest = 1;
+    for (const auto& target : targets) {
+        lowest = std::min(lowest, target.speedFactor);
+        highest = std::max(highest, target.speedFactor);
+    }
+    metrics.gaugeFor(metric::TargetSpeed, "lowest").set(std::lround(lowest * percent));
+    metrics.gaugeFor(metric::TargetSpeed, "highest").set(std::lround(highest * percent));
+}
+
 /// Domains that were evacuated earlier are exposed with 0.
 void exposeEvacuations(telemetry::registry& metrics, const table::table& rows)
 {
@@ -82,7 +97,10 @@
         .set(static_cast<std::int64_t>(state.targetConnections));
     m_metrics.gaugeFor(metric::Running).set(static_cast<std::int64_t>(state.running));
     m_metrics.gaugeFor(metric::Queued).set(static_cast<std::int64_t>(state.waiting));
-    exposeTargets(m_metrics, m_dispatch->targets());
+    const auto targets = m_dispatch->targets();
+    exposeTargets(m_metrics, targets);
+    if (m_values.targets.shareSpeed)
+        exposeSpeeds(m_metrics, targets);
     if (const auto table = m_directory.currentTable())
         exposeEvacuations(m_metrics, *table);
     m_metrics.gaugeFor(metric::ConfigVersion)
--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -13,6 +13,8 @@
 
 constexpr std::chrono::milliseconds controlTickMs { 25 };
 constexpr std::chrono::milliseconds loadTimeoutMs { 500 };
+/// Time after which the speed of targets is applied again; it changes once a second.
+constexpr std::chrono::seconds speedIntervalS { 1 };
 constexpr std::chrono::milliseconds handoverTimeoutMs { 3000 };
 constexpr std::chrono::milliseconds grantTimeoutMs { 400 };
 /// Running requests are ended this part of the grace before the process is killed.
@@ -110,6 +112,7 @@
     , m_environment(env)
     , m_store(env.storeServices())
     , m_directory(m_incarnation, values.ownership.targetLeaseMs)
+    , m_speed(values.host.id, m_incarnation)
     , m_announcingStore(m_store,
           [this](config_version version, const std::string& value) {
               m_gossip->announce(version, value);
@@ -175,8 +178,9 @@
         { [this](auto table) { putTable(std::move(table)); },
             [this](const auto& newer, const auto& host) { putAssignment(newer, host); },
             [this] { return m_dispatch->crashes(); }, [this] { return m_dispatch->crashesHash(); },
-            [this](const auto& records) {
-                m_dispatch->applyPeerCrashes(records);
+            [this](const auto& records) { m_dispatch->applyPeerCrashes(records); },
+            [this](const auto& sender, const auto& speeds) {
+                m_speed.receive(monotonic_clock::now(), sender, speeds);
             } }).value();
 
     coordinator_driver_options driverOptions;
@@ -232,6 +236,7 @@
     stage_timer timer(monotonic_clock::now());
     m_directory.putTable(table);
     m_proxy->setTable(table);
+    m_speed.applyTable(*table);
     m_dispatch->applyTable(*table);
     timer.endStage("requests", monotonic_clock::now());
     m_coordinators->applyTable(*table);
@@ -270,6 +275,7 @@
         m_proxy->setHealthy(currentHealth().accepting);
         timer.endStage("routing", monotonic_clock::now());
         m_roundWatch.enter("load");
+        shareSpeed(now);
         if (now >= nextLoad)
             nextLoad = now
                 + reportInterval(reportLoads(now), m_peerRegistry->connectionSharers(now),
@@ -297,17 +303,39 @@
         report.set_host(m_values.host.id.value());
         *report.add_loads() = std::move(load);
     }
+    if (m_values.targets.shareSpeed) {
+        if (const auto samples = m_dispatch->takeSpeedSamples(); !samples.empty()) {
+            auto& report = reports[m_gossip->designatedHost()];
+            report.set_host(m_values.host.id.value());
+            addSamples(samples, report);
+        }
+    }
     std::size_t sent = 0;
     for (const auto& [host, report] : reports) {
         sent += report.ByteSizeLong();
         if (host == m_values.host.id)
-            m_placement->addLoad(host, report);
+            (void)reportLoad(report);
         else if (const auto peer = m_peerRegistry->find(host))
             peer->reportLoad(report, loadTimeoutMs, [](const auto&) {});
     }
     return sent;
 }
 
+void node::shareSpeed(instant now)
+{
+    if (!m_values.targets.shareSpeed)
+        return;
+    m_speed.setCollector(now, m_gossip->designatedHost());
+    if (const auto speeds = m_speed.tick(now))
+        m_gossip->publish(*speeds);
+    if (now < m_nextSpeed)
+        return;
+    m_nextSpeed = now + speedIntervalS;
+    const auto factors = m_speed.factors(now);
+    m_dispatch->applySpeedFactors(factors);
+    m_placement->setSpeedFactors(factors);
+}
+
 bool node::markedLeaving() const
 {
     const auto table = m_directory.currentTable();
--- a/src/serve/node.h
+++ b/src/serve/node.h
@@ -15,6 +15,7 @@
 #include "placement_rounds.h"
 #include "request_log.h"
 #include "round_watch.h"
+#include "speed_sharing.h"
 
 #include <atomic>
 #include <memory>
@@ -71,6 +72,8 @@
     /// Reports the load that this host forwarded to the services' coordinators. Returns the size of
     /// the reports in bytes.
     std::size_t reportLoads(instant now);
+    /// Sends and applies the speed of targets, if hosts share it.
+    void shareSpeed(instant now);
     void updateMetrics();
     [[nodiscard]] bool markedLeaving() const;
     /// Returns how old the tables may be; 0 if they come from the operators' row.
@@ -89,6 +92,9 @@
     environment& m_environment;
     store::services& m_store;
     directory m_directory;
+    speed_sharing m_speed;
+    /// When the speed of targets is applied again. Used by the control timer only.
+    instant m_nextSpeed {};
     std::unique_ptr<peer_registry> m_peerRegistry;
     std::unique_ptr<dispatch> m_dispatch;
     std::unique_ptr<gossip> m_gossip;
--- a/src/serve/node_peers.cc
+++ b/src/serve/node_peers.cc
@@ -79,7 +79,9 @@
 
 peers::wire::LoadReply node::reportLoad(const peers::wire::LoadReport& report)
 {
-    m_placement->addLoad(host_id { report.host() }, report);
+    if (!report.loads().empty())
+        m_placement->addLoad(host_id { report.host() }, report);
+    m_speed.add(report);
     return {};
 }
 
--- a/src/serve/placement_rounds.cc
+++ b/src/serve/placement_rounds.cc
@@ -48,6 +48,7 @@
 {
     while (waitForNextRound()) {
         takeReports();
+        takeSpeedFactors();
         for (const auto& each : m_coordinators.coordinated())
             plan(each);
     }
@@ -68,6 +69,18 @@
     }
 }
 
+void placement_rounds::setSpeedFactors(routing::speed_factors factors)
+{
+    const std::lock_guard guard(m_lock);
+    m_speedFactors = std::move(factors);
+}
+
+void placement_rounds::takeSpeedFactors()
+{
+    const std::lock_guard guard(m_lock);
+    m_usedFactors.update(m_speedFactors);
+}
+
 void placement_rounds::plan(const coordinated_service& coordinated)
 {
     auto* planner = plannerOf(coordinated.service);
@@ -76,8 +89,11 @@
     const auto started = monotonic_clock::now();
     // Empty proposals are passed on too: they replace the previous ones, which would otherwise be
     // carried out although they are outdated.
+    auto rows = coordinated.targets;
+    for (auto& row : rows)
+        row.weight *= m_usedFactors.of(row.id);
     const auto wanted = planner->plan(
-        started, coordinated.committed, coordinated.moving, coordinated.views, coordinated.targets);
+        started, coordinated.committed, coordinated.moving, coordinated.views, rows);
     m_listener({ coordinated.service, planner->imbalance(), coordinated.runningMoves,
         wanted.slices.size(), monotonic_clock::now() - started });
     m_coordinators.propose(coordinated.service, wanted);
--- a/src/serve/placement_rounds.h
+++ b/src/serve/placement_rounds.h
@@ -3,6 +3,7 @@
 #include "coordinator_driver.h"
 #include "directory.h"
 #include "placement.h"
+#include "speed.h"
 
 #include <condition_variable>
 #include <deque>
@@ -48,6 +49,8 @@
 
     /// Takes a host's report for the next round. Never waits for a plan.
     void addLoad(const host_id& host, const wire::LoadReport& report);
+    /// Sets the factors by which the weights of targets are multiplied from the next round on.
+    void setSpeedFactors(routing::speed_factors factors);
 
 private:
     struct received_report {
@@ -59,6 +62,7 @@
     void planLoop();
     [[nodiscard]] bool waitForNextRound();
     void takeReports();
+    void takeSpeedFactors();
     void plan(const coordinated_service& coordinated);
     /// Returns null if the table in force lacks the service or no plan can be made for it.
     [[nodiscard]] placement_planner* plannerOf(const service_id& service);
@@ -69,9 +73,11 @@
     plan_listener m_listener;
     /// Used only by the planning thread.
     std::map<service_id, placement_planner> m_planners;
+    placement_factors m_usedFactors;
     std::mutex m_lock;
     std::condition_variable m_wake;
     std::deque<received_report> m_reports;
+    routing::speed_factors m_speedFactors;
     bool m_stopped = false;
     std::thread m_thread;
 };
--- a/src/serve/status.cc
+++ b/src/serve/status.cc
@@ -39,6 +39,7 @@
     object->set("queued", target.queued);
     object->set("window", target.window);
     object->set("ejected", target.ejected);
+    object->set("speed_factor", target.speedFactor);
     return object;
 }
 
--- a/src/settings/keys.cc
+++ b/src/settings/keys.cc
@@ -287,6 +287,8 @@
             member { &s::retries, &retry_settings::countShed }),
         choiceRule("targets", "report_load", yes_no_choices { { "yes", true }, { "no", false } },
             member { &s::targets, &target_settings::reportLoad }),
+        choiceRule("targets", "share_speed", yes_no_choices { { "yes", true }, { "no", false } },
+            member { &s::targets, &target_settings::shareSpeed }),
         timeRule("targets", "leaving_grace_ms", { 0, 86400000 },
             member { &s::targets, &target_settings::leavingGraceMs }),
         timeRule("probes", "background_ms", { 100, 86400000 },
--- a/src/telemetry/telemetry.cc
+++ b/src/telemetry/telemetry.cc
@@ -36,6 +36,8 @@
         "Targets that this host has not ejected as failing." },
     family { metric::EvacuatedTargets, kind::Gauge, "pimentomast_evacuated_targets", "domain",
         "Targets in an evacuated failure domain, which get no requests." },
+    family { metric::TargetSpeed, kind::Gauge, "pimentomast_target_speed_percent", "which",
+        "Lowest and highest speed of a target relative to its service, in percent." },
     family { metric::AdminRequests, kind::Counter, "pimentomast_admin_requests_total", "status",
         "Requests to the administration API by HTTP status." },
 };
