--- a/include/pimentomast/routing.h
+++ b/include/pimentomast/routing.h
@@ -177,6 +177,13 @@
 /// Speeds of targets relative to the usual one of their service. A target that is missing has the
 /// usual speed.
 using speed_factors = std::map<target_id, double>;
+/// What the hosts agree on to spread their requests evenly over the targets.
+struct even_load {
+    speed_factors factors;
+    /// Position of this host among all of them, below hosts.
+    unsigned rank = 0;
+    unsigned hosts = 1;
+};
 /// The target answered the probe over a new connection.
 struct probe_answered {
     load_report load;
@@ -293,7 +300,7 @@
     /// Share of the full weight during slow start, from 0 to 1.
     double slowStartShare = 1;
     duration latency {};
-    /// Speed relative to the usual one of the service, as set by applySpeedFactors().
+    /// Speed relative to the usual one of the service, as set by applyEvenLoad().
     double speedFactor = 1;
 };
 
@@ -403,9 +410,10 @@
     virtual actions applyCrashes(instant now, const std::vector<crash>& records) = 0;
     /// Clears a fingerprint on behalf of an operator, on this host and on the others.
     virtual actions pardon(instant now, fingerprint requestFingerprint) = 0;
-    /// Replaces the factors by which the weights of targets are multiplied in the choice of a
-    /// target. Precondition: they are positive.
-    virtual actions applySpeedFactors(instant now, const speed_factors& factors) = 0;
+    /// From now on multiplies the weights of targets by the factors, and prefers for services
+    /// without keys the part of the targets that belongs to this host's rank. Precondition: factors
+    /// are positive.
+    virtual actions applyEvenLoad(instant now, const even_load& shared) = 0;
     /// Returns what was counted of each target since the last call, without targets of which
     /// nothing was.
     [[nodiscard]] virtual std::vector<speed_sample> takeSpeedSamples() = 0;
--- a/src/routing/dispatching.cc
+++ b/src/routing/dispatching.cc
@@ -147,10 +147,21 @@
 
 std::optional<target_id> engine::chooseTarget(
     service_state& service, const pending_request& waiting)
+{
+    // Few candidates would get more than their share.
+    const auto preferred = chooseAmong(service.preferred, service, service.preferredChoice, waiting,
+        (service.preferred.size() + 1) / 2);
+    return preferred ? preferred
+                     : chooseAmong(service.targets, service, service.choice, waiting, 1);
+}
+
+std::optional<target_id> engine::chooseAmong(const std::vector<target_id>& targets,
+    const service_state& service, weighted_choice& choice, const pending_request& waiting,
+    std::size_t candidatesMin)
 {
     std::vector<weighted_choice::candidate> fresh;
     std::vector<weighted_choice::candidate> tried;
-    for (const target_id& id : service.targets) {
+    for (const target_id& id : targets) {
         const target_state& target = m_targets.at(id);
         if (target.row.state != table::mark::Active || !eligible(target, waiting))
             continue;
@@ -160,7 +171,9 @@
             .push_back({ id, effectiveWeight(target, service), estimatedLoad(target) });
     }
     const auto& candidates = fresh.empty() ? tried : fresh;
-    const auto index = service.choice.choose(candidates);
+    if (candidates.size() < candidatesMin)
+        return std::nullopt;
+    const auto index = choice.choose(candidates);
     if (!index)
         return std::nullopt;
     return candidates[*index].id;
--- a/src/routing/engine.cc
+++ b/src/routing/engine.cc
@@ -74,6 +74,7 @@
     : row(from)
     , waiting(quantum)
     , choice(seed, settings.loadBias)
+    , preferredChoice(seed, settings.loadBias)
     , budget(settings.retryRatio, settings.retryBurst)
 {
 }
@@ -154,8 +155,10 @@
             service->targets.push_back(row.id);
         }
     }
-    for (auto& [id, service] : m_services)
+    for (auto& [id, service] : m_services) {
         service.queued.clear();
+        preferTargets(service);
+    }
     for (auto& [id, target] : m_targets)
         indexQueue(target);
 }
--- a/src/routing/engine.h
+++ b/src/routing/engine.h
@@ -146,11 +146,17 @@
 
     table::service_row row;
     std::vector<target_id> targets;
+    /// Targets that are chosen before all others, if there are any; unkeyed services only.
+    std::vector<target_id> preferred;
     /// The targets whose own queue is not empty, by position.
     std::map<std::size_t, target_state*> queued;
     /// Unkeyed services only.
     fair_queue waiting;
     weighted_choice choice;
+    /// Of preferred targets. Turns in the whole service are rare for a host that prefers some of
+    /// its targets, so a common choice would not keep the order of the others: all hosts would send
+    /// to the same ones first.
+    weighted_choice preferredChoice;
     retry_budget budget;
     /// Unkeyed services only.
     retry_after_schedule retryAfterSchedule;
@@ -188,7 +194,7 @@
     actions probed(instant now, const target_id& target, const probe_result& ended) override;
     actions applyCrashes(instant now, const std::vector<crash>& records) override;
     actions pardon(instant now, fingerprint requestFingerprint) override;
-    actions applySpeedFactors(instant now, const speed_factors& factors) override;
+    actions applyEvenLoad(instant now, const even_load& shared) override;
     [[nodiscard]] std::vector<speed_sample> takeSpeedSamples() override;
     actions applyTableConfirmed(instant now, bool confirmed) override;
     actions stop(instant now) override;
@@ -270,6 +276,10 @@
         const target_state& target, const pending_request& waiting) const;
     [[nodiscard]] std::optional<target_id> chooseTarget(
         service_state& service, const pending_request& waiting);
+    /// Returns nothing if there are fewer candidates than this.
+    [[nodiscard]] std::optional<target_id> chooseAmong(const std::vector<target_id>& targets,
+        const service_state& service, weighted_choice& choice, const pending_request& waiting,
+        std::size_t candidatesMin);
     [[nodiscard]] double estimatedLoad(const target_state& target) const;
     [[nodiscard]] double reportRelevance(const target_state& target) const;
     [[nodiscard]] double currentSlowdown(const target_state& target) const;
@@ -297,6 +307,7 @@
 
     // speed.cc: samples of the targets' speed
     static void countAnswer(target_state& target, const answered& result);
+    void preferTargets(service_state& service);
     /// Counts an attempt that ended without an answer, if it took longer than is usual.
     void countUnanswered(target_state& target, const pending_request& ended);
 
@@ -379,6 +390,7 @@
     std::map<service_id, std::set<sent_request>> m_unanswered;
     std::map<fingerprint, unsigned> m_inFlightFingerprints;
     host_count m_hosts;
+    std::optional<even_load> m_evenLoad;
     /// What the targets' connections and windows were last divided by.
     connection_divisors m_appliedDivisors;
     mutable std::uint64_t m_targetVisits = 0;
--- a/src/serve/dispatch.cc
+++ b/src/serve/dispatch.cc
@@ -105,11 +105,10 @@
         [&](instant now, routing::router& router) { return router.report(now, target, load); });
 }
 
-void dispatch::applySpeedFactors(const routing::speed_factors& factors)
+void dispatch::applyEvenLoad(const routing::even_load& shared)
 {
-    m_routedDispatcher->call([&](instant now, routing::router& router) {
-        return router.applySpeedFactors(now, factors);
-    });
+    m_routedDispatcher->call(
+        [&](instant now, routing::router& router) { return router.applyEvenLoad(now, shared); });
 }
 
 std::vector<routing::speed_sample> dispatch::takeSpeedSamples()
--- a/src/serve/dispatch.h
+++ b/src/serve/dispatch.h
@@ -42,7 +42,7 @@
     void applyLiveHosts(std::optional<unsigned> count);
     void ownersChanged(const service_id& service);
     void report(const target_id& target, const routing::load_report& load);
-    void applySpeedFactors(const routing::speed_factors& factors);
+    void applyEvenLoad(const routing::even_load& shared);
     void applyPeerCrashes(const std::vector<routing::crash>& records);
     void pardon(routing::fingerprint print);
 
--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -91,6 +91,21 @@
             { "took_ms", milliseconds(plan.took) } });
 }
 
+/// Ranks the hosts by a hash of their ids, which mixes those of all failure domains.
+routing::even_load evenLoadOf(const host_id& self, const std::vector<membership::member>& live)
+{
+    const auto own = std::pair(hashKey(self.value()), self);
+    routing::even_load shared;
+    for (const auto& each : live) {
+        if (each.id == self)
+            continue;
+        ++shared.hosts;
+        if (std::pair(hashKey(each.id.value()), each.id) < own)
+            ++shared.rank;
+    }
+    return shared;
+}
+
 /// Returns the started component. If it did not start, throws the failure with the setting of its
 /// address.
 template <class Component>
@@ -331,9 +346,10 @@
     if (now < m_nextSpeed)
         return;
     m_nextSpeed = now + speedIntervalS;
-    const auto factors = m_speed.factors(now);
-    m_dispatch->applySpeedFactors(factors);
-    m_placement->setSpeedFactors(factors);
+    auto shared = evenLoadOf(m_values.host.id, m_peerRegistry->live(now));
+    shared.factors = m_speed.factors(now);
+    m_dispatch->applyEvenLoad(shared);
+    m_placement->setSpeedFactors(shared.factors);
 }
 
 bool node::markedLeaving() const
--- a/src/serve/speed.cc
+++ b/src/serve/speed.cc
@@ -9,7 +9,7 @@
 constexpr std::chrono::seconds roundS { 1 };
 /// Time after which a sample counts half. A target gets 4 to 6 requests per second from all hosts,
 /// so about 40 answers count, whose mean varies by a tenth.
-constexpr std::chrono::seconds sampleHalfLifeS { 5 };
+constexpr std::chrono::seconds sampleHalfLifeS { 10 };
 /// Number of answers at which a factor is half of what they show, on a logarithmic scale.
 constexpr double priorAnswers = 10;
 /// Number of answers that the factors of the preceding collector count as.
