--- a/src/routing/speed.cc
+++ b/src/routing/speed.cc
@@ -51,11 +51,15 @@
 actions engine::applyEvenLoad(instant now, const even_load& shared)
 {
     m_now = now;
+    const bool moved
+        = !m_evenLoad || m_evenLoad->rank != shared.rank || m_evenLoad->hosts != shared.hosts;
     m_evenLoad = shared;
     for (auto& [id, target] : m_targets) {
         const auto found = shared.factors.find(id);
         target.speedFactor = found == shared.factors.end() ? 1 : found->second;
     }
+    if (!moved)
+        return takeActions();
     for (auto& [id, service] : m_services)
         preferTargets(service);
     return takeActions();
--- a/test/serve-speed-test.cc
+++ b/test/serve-speed-test.cc
@@ -58,6 +58,8 @@
     bool slowPhases = false;
     /// Hosts get requests in proportion to 1, 2, 3 and so on up to this number.
     unsigned hostRates = 1;
+    /// Part of the other hosts that a host does not know of at a moment.
+    double unknownHosts = 0;
     /// Part of the messages between hosts that are lost.
     double loss = 0;
     /// Time between two changes of the host that collects; 0 if it stays.
@@ -379,8 +381,14 @@
         if (m_scenario.chosen != policy::PartsOnly)
             by.shared.factors = by.speed.factorsByTarget(clock());
         if (m_scenario.chosen == policy::Shared || m_scenario.chosen == policy::PartsOnly) {
-            by.shared.rank = by.rank;
-            by.shared.hosts = m_scenario.hosts;
+            by.shared.rank = 0;
+            by.shared.hosts = 0;
+            for (const auto& other : m_hosts) {
+                if (other.rank != by.rank && happens(m_scenario.unknownHosts))
+                    continue;
+                by.shared.rank += other.rank < by.rank ? 1 : 0;
+                ++by.shared.hosts;
+            }
         }
         perform(by, by.router->applyEvenLoad(clock(), by.shared));
     }
@@ -657,6 +665,16 @@
     }
 }
 
+// Hosts place themselves by the hosts that they know, and a host among many misses some at times.
+Test(serve_speed, hosts_that_know_different_hosts_are_no_worse)
+{
+    auto chosen = scenarioOf(128, 0.8, false);
+    chosen.unknownHosts = 0.06;
+    expectBetter(chosen);
+    chosen.speeds = { 1 };
+    expectNoWorse(chosen);
+}
+
 // The measured times contain the wait in the queue, which the factor changes: without damping,
 // factors rise and fall in turn.
 Test(serve_speed, factors_converge_to_the_speeds)
