--- a/include/pimentomast/telemetry.h
+++ b/include/pimentomast/telemetry.h
@@ -41,6 +41,7 @@
     EvacuatedTargets,
     ColdTargets,
     WarmupDelays,
+    TargetSpeed,
     AdminRequests,
     RelayedRows,
 };
--- a/src/routing/engine.cc
+++ b/src/routing/engine.cc
@@ -75,6 +75,7 @@
     : row(from)
     , waiting(quantum)
     , choice(seed, settings.loadBias)
+    , preferredChoice(seed, settings.loadBias)
     , budget(settings.retryRatio, settings.retryBurst)
 {
 }
@@ -156,8 +157,10 @@
             service->targets.push_back(row.id);
         }
     }
-    for (auto& [id, service] : m_services)
+    for (auto& [id, service] : m_services) {
         service.queued.clear();
+        preferTargets(service);
+    }
     for (auto& [id, target] : m_targets)
         indexQueue(target);
     refuseWarming();
@@ -295,6 +298,7 @@
         view.ejected = target.health.ejected();
         view.slowStartShare = target.health.slowStartShare(m_now);
         view.cold = isCold(target);
+        view.speedFactor = target.speedFactor;
         view.latency = target.health.latency().smoothed({});
         views.push_back(view);
     }
--- a/src/serve/dispatch.h
+++ b/src/serve/dispatch.h
@@ -44,6 +44,7 @@
     void applyListedHosts(const host_id& self, const std::vector<host_id>& listed);
     void ownersChanged(const service_id& service);
     void report(const target_id& target, const routing::load_report& load);
+    void applyEvenLoad(const routing::even_load& shared);
     void applyPeerCrashes(const std::vector<routing::crash>& records);
     void pardon(routing::fingerprint print);
 
@@ -54,6 +55,8 @@
     [[nodiscard]] std::vector<routing::target_view> targets() const;
     /// Returns the request rates of every keyed service since the last call.
     [[nodiscard]] std::vector<wire::ServiceLoad> takeLoads(instant now);
+    /// Returns what was counted of the targets' speed since the last call.
+    [[nodiscard]] std::vector<routing::speed_sample> takeSpeedSamples();
 
 private:
     dispatch(directory& owners, std::unique_ptr<proxy::routed_dispatcher> routedDispatcher);
--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -13,6 +13,8 @@
 
 constexpr std::chrono::milliseconds controlTickMs { 25 };
 constexpr std::chrono::milliseconds loadTimeoutMs { 500 };
+/// Time after which the speed of targets is applied again; it changes once a second.
+constexpr std::chrono::seconds speedIntervalS { 1 };
 constexpr std::chrono::milliseconds handoverTimeoutMs { 3000 };
 /// Requests of other hosts for rows that are carried out at the same time.
 constexpr unsigned maxRowJobs = 4;
@@ -91,6 +93,21 @@
             { "took_ms", milliseconds(plan.took) } });
 }
 
+/// Ranks the hosts by a hash of their ids, which mixes those of all failure domains.
+routing::even_load evenLoadOf(const host_id& self, const std::vector<membership::member>& live)
+{
+    const auto own = std::pair(hashKey(self.value()), self);
+    routing::even_load shared;
+    for (const auto& each : live) {
+        if (each.id == self)
+            continue;
+        ++shared.hosts;
+        if (std::pair(hashKey(each.id.value()), each.id) < own)
+            ++shared.rank;
+    }
+    return shared;
+}
+
 /// Returns the started component. If it did not start, throws the failure with the setting of its
 /// address.
 template <class Component>
@@ -114,6 +131,7 @@
     , m_directory(m_incarnation, values.ownership.targetLeaseMs)
     , m_rowJobs(
           { maxRowJobs }, [this](const row_job& job) { job.reply(m_store.answer(job.request)); })
+    , m_speed(values.host.id, m_incarnation)
     , m_announcingStore(m_store,
           [this](config_version version, const std::string& value) {
               m_gossip->announce(version, value);
@@ -179,8 +197,9 @@
         { [this](auto table) { putTable(std::move(table)); },
             [this](const auto& newer, const auto& host) { putAssignment(newer, host); },
             [this] { return m_dispatch->crashes(); }, [this] { return m_dispatch->crashesHash(); },
-            [this](const auto& records) {
-                m_dispatch->applyPeerCrashes(records);
+            [this](const auto& records) { m_dispatch->applyPeerCrashes(records); },
+            [this](const auto& sender, const auto& speeds) {
+                m_speed.receive(monotonic_clock::now(), sender, speeds);
             } }).value();
 
     coordinator_driver_options driverOptions;
@@ -236,6 +255,7 @@
     stage_timer timer(monotonic_clock::now());
     m_directory.putTable(table);
     m_proxy->setTable(table);
+    m_speed.applyTable(*table);
     m_dispatch->applyTable(*table);
     timer.endStage("requests", monotonic_clock::now());
     m_coordinators->applyTable(*table);
@@ -275,6 +295,7 @@
         m_proxy->setHealthy(currentHealth().accepting);
         timer.endStage("routing", monotonic_clock::now());
         m_roundWatch.enter("load");
+        shareSpeed(now);
         if (now >= nextLoad)
             nextLoad = now
                 + reportInterval(reportLoads(now), m_peerRegistry->connectionSharers(now),
@@ -311,17 +332,40 @@
         report.set_host(m_values.host.id.value());
         *report.add_loads() = std::move(load);
     }
+    if (m_values.targets.shareSpeed) {
+        if (const auto samples = m_dispatch->takeSpeedSamples(); !samples.empty()) {
+            auto& report = reports[m_gossip->designatedHost()];
+            report.set_host(m_values.host.id.value());
+            addSamples(samples, report);
+        }
+    }
     std::size_t sent = 0;
     for (const auto& [host, report] : reports) {
         sent += report.ByteSizeLong();
         if (host == m_values.host.id)
-            m_placement->addLoad(host, report);
+            (void)reportLoad(report);
         else if (const auto peer = m_peerRegistry->find(host))
             peer->reportLoad(report, loadTimeoutMs, [](const auto&) {});
     }
     return sent;
 }
 
+void node::shareSpeed(instant now)
+{
+    if (!m_values.targets.shareSpeed)
+        return;
+    m_speed.setCollector(now, m_gossip->designatedHost());
+    if (const auto speeds = m_speed.tick(now))
+        m_gossip->publish(*speeds);
+    if (now < m_nextSpeed)
+        return;
+    m_nextSpeed = now + speedIntervalS;
+    auto shared = evenLoadOf(m_values.host.id, m_peerRegistry->live(now));
+    shared.factors = m_speed.factors(now);
+    m_dispatch->applyEvenLoad(shared);
+    m_placement->setSpeedFactors(shared.factors);
+}
+
 bool node::markedLeaving() const
 {
     const auto table = m_directory.currentTable();
--- a/src/serve/node.h
+++ b/src/serve/node.h
@@ -17,6 +17,7 @@
 #include "relaying_store.h"
 #include "request_log.h"
 #include "round_watch.h"
+#include "speed_sharing.h"
 
 #include <atomic>
 #include <memory>
@@ -86,6 +87,8 @@
     std::size_t reportLoads(instant now);
     /// Passes the list of hosts to the router if it changed. Called by one thread.
     void applyListedHosts();
+    /// Sends and applies the speed of targets, if hosts share it.
+    void shareSpeed(instant now);
     void updateMetrics();
     [[nodiscard]] bool markedLeaving() const;
     /// Returns how old the tables may be; 0 if they come from the operators' row.
@@ -105,6 +108,9 @@
     relaying_store m_store;
     std::atomic<std::size_t> m_nextRelay { 0 };
     directory m_directory;
+    speed_sharing m_speed;
+    /// When the speed of targets is applied again. Used by the control timer only.
+    instant m_nextSpeed {};
     std::unique_ptr<peer_registry> m_peerRegistry;
     /// Carries out other hosts' requests for rows, each of which blocks for a call to the store.
     worker_pool<row_job> m_rowJobs;
--- a/src/serve/status.cc
+++ b/src/serve/status.cc
@@ -40,6 +40,7 @@
     object->set("window", target.window);
     object->set("ejected", target.ejected);
     object->set("cold", target.cold);
+    object->set("speed_factor", target.speedFactor);
     return object;
 }
 
--- a/src/telemetry/telemetry.cc
+++ b/src/telemetry/telemetry.cc
@@ -40,6 +40,8 @@
         "Targets that are cold and get a limited number of requests." },
     family { metric::WarmupDelays, kind::Counter, "pimentomast_warmup_delays_total", "",
         "Requests that waited because a cold target could not take more." },
+    family { metric::TargetSpeed, kind::Gauge, "pimentomast_target_speed_percent", "which",
+        "Lowest and highest speed of a target relative to its service, in percent." },
     family { metric::AdminRequests, kind::Counter, "pimentomast_admin_requests_total", "status",
         "Requests to the administration API by HTTP status." },
     family { metric::RelayedRows, kind::Counter, "pimentomast_relayed_rows_total", "",
