--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -129,9 +129,9 @@
     , m_environment(env)
     , m_store(env.storeServices(), makeRelay())
     , m_directory(m_incarnation, values.ownership.targetLeaseMs)
+    , m_speed(values.host.id, m_incarnation)
     , m_rowJobs(
           { maxRowJobs }, [this](const row_job& job) { job.reply(m_store.answer(job.request)); })
-    , m_speed(values.host.id, m_incarnation)
     , m_announcingStore(m_store,
           [this](config_version version, const std::string& value) {
               m_gossip->announce(version, value);
