Read the era of the platform's store

The store can come back from an older copy: what was written since is gone, and its versions are given to other content. A store without the header has era 0, and all versions stay as they were.

--- a/include/pimentomast/store.h
+++ b/include/pimentomast/store.h
@@ -14,6 +14,23 @@
 /// whether the write took effect.
 using write_id = strong<struct write_id_tag, std::string>;
 
+/// Number of low bits of a version that count the writes of the store. The bits above them are the
+/// era: the store raises it each time it comes back from an older copy of its data, so that every
+/// version of a later era is higher, although the count went back.
+inline constexpr unsigned versionBits = 48;
+
+[[nodiscard]] constexpr std::uint64_t eraOf(row_version version) noexcept
+{
+    return version.value() >> versionBits;
+}
+
+/// The era of the store as known here.
+struct era_state {
+    std::uint64_t era = 0;
+    /// How often a later era was found.
+    std::uint64_t rises = 0;
+};
+
 struct row {
     std::string key;
     std::string value;
@@ -71,6 +88,8 @@
     virtual result<std::optional<std::string>> getObject(const std::string& name) = 0;
     /// Returns the platform's list of hosts.
     virtual result<std::vector<listed_host>> hosts() = 0;
+    /// Returns the newest era known; does not block. Stays 0 for a store without eras.
+    [[nodiscard]] virtual era_state era() const { return {}; }
 };
 
 struct client_options {
--- a/src/serve/announcing_store.h
+++ b/src/serve/announcing_store.h
@@ -49,6 +49,7 @@
     }
 
     result<std::vector<store::listed_host>> hosts() override { return m_store.hosts(); }
+    [[nodiscard]] store::era_state era() const override { return m_store.era(); }
 
 private:
     void announce(row_version version, const std::string& value) const
