--- a/include/pimentomast/membership.h
+++ b/include/pimentomast/membership.h
@@ -217,6 +217,9 @@
 public:
     /// Records that the store answered this host or a peer at this time.
     void recordStoreAnswer(instant at);
+    /// Records that the store came back from an older copy of its data: what is missing may have
+    /// been lost, also where most of its group is there, and gets the grace period.
+    void recordRestore(instant at);
     /// Records that the store has the entry.
     void markPresent(const std::string& name) { m_missing.erase(name); }
     /// Records that the store does not have the entry, or no longer. Returns whether this was not
@@ -239,6 +242,8 @@
     std::map<std::string, instant> m_missing;
     std::optional<instant> m_lastAnswer;
     instant m_graceUntil {};
+    /// Until when each missing entry may have been lost by the store.
+    instant m_restoreGraceUntil {};
 };
 
 struct poll_options {
--- a/src/membership/removal_filter.cc
+++ b/src/membership/removal_filter.cc
@@ -24,6 +24,12 @@
     m_lastAnswer = m_lastAnswer ? std::max(*m_lastAnswer, at) : at;
 }
 
+void removal_filter::recordRestore(instant at)
+{
+    m_restoreGraceUntil = at + reregistrationGrace;
+    m_graceUntil = std::max(m_graceUntil, m_restoreGraceUntil);
+}
+
 void removal_filter::classifyMissing(instant now, const std::vector<grouped_entry>& known)
 {
     std::map<service_id, group_count> groups;
@@ -37,7 +43,7 @@
         if (found == m_missing.end())
             continue;
         const auto& count = groups[each.group];
-        const bool expired = 2 * count.missing > count.known;
+        const bool expired = now < m_restoreGraceUntil || 2 * count.missing > count.known;
         found->second = expired ? m_graceUntil : now;
     }
 }
