--- a/include/pimentomast/telemetry.h
+++ b/include/pimentomast/telemetry.h
@@ -40,6 +40,7 @@
     TargetsInUse,
     EvacuatedTargets,
     AdminRequests,
+    StoreEraRises,
 };
 
 /// Name, meaning and label of a metric. An empty label name means one value without a label.
--- a/src/serve/metrics.cc
+++ b/src/serve/metrics.cc
@@ -85,6 +85,7 @@
     exposeTargets(m_metrics, m_dispatch->targets());
     if (const auto table = m_directory.currentTable())
         exposeEvacuations(m_metrics, *table);
+    raiseTo(m_metrics.counterFor(metric::StoreEraRises), m_store.era().rises);
     m_metrics.gaugeFor(metric::ConfigVersion)
         .set(static_cast<std::int64_t>(m_gossip->version().value()));
     for (const auto& service : m_coordinators->status()) {
--- a/src/telemetry/telemetry.cc
+++ b/src/telemetry/telemetry.cc
@@ -38,6 +38,8 @@
         "Targets in an evacuated failure domain, which get no requests." },
     family { metric::AdminRequests, kind::Counter, "pimentomast_admin_requests_total", "status",
         "Requests to the administration API by HTTP status." },
+    family { metric::StoreEraRises, kind::Counter, "pimentomast_store_era_rises_total", "",
+        "How often this host found that the store came back from an older copy." },
 };
 
 constexpr std::size_t maxLabelValues = 1000;
