--- a/include/pimentomast/telemetry.h
+++ b/include/pimentomast/telemetry.h
@@ -39,8 +39,8 @@
     MovesRunning,
     TargetsInUse,
     EvacuatedTargets,
-    AdminRequests,
     StoreEraRises,
+    AdminRequests,
 };
 
 /// Name, meaning and label of a metric. An empty label name means one value without a label.
--- a/src/telemetry/telemetry.cc
+++ b/src/telemetry/telemetry.cc
@@ -36,10 +36,10 @@
         "Targets that this host has not ejected as failing." },
     family { metric::EvacuatedTargets, kind::Gauge, "pimentomast_evacuated_targets", "domain",
         "Targets in an evacuated failure domain, which get no requests." },
-    family { metric::AdminRequests, kind::Counter, "pimentomast_admin_requests_total", "status",
-        "Requests to the administration API by HTTP status." },
     family { metric::StoreEraRises, kind::Counter, "pimentomast_store_era_rises_total", "",
         "How often this host found that the store came back from an older copy." },
+    family { metric::AdminRequests, kind::Counter, "pimentomast_admin_requests_total", "status",
+        "Requests to the administration API by HTTP status." },
 };
 
 constexpr std::size_t maxLabelValues = 1000;
