--- a/include/pimentomast/telemetry.h
+++ b/include/pimentomast/telemetry.h
@@ -42,8 +42,9 @@
     ColdTargets,
     WarmupDelays,
     TargetSpeed,
-    AdminRequests,
+    StoreEraRises,
     RelayedRows,
+    AdminRequests,
 };
 
 /// Name, meaning and label of a metric. An empty label name means one value without a label.
--- a/src/serve/relaying_store.h
+++ b/src/serve/relaying_store.h
@@ -36,6 +36,7 @@
         return m_own.getObject(name);
     }
     result<std::vector<store::listed_host>> hosts() override { return m_own.hosts(); }
+    [[nodiscard]] store::era_state era() const override { return m_own.era(); }
 
     /// Carries out another host's request, which is not relayed further.
     [[nodiscard]] peers::wire::RowReply answer(const peers::wire::RowRequest& request);
--- a/src/telemetry/telemetry.cc
+++ b/src/telemetry/telemetry.cc
@@ -42,10 +42,12 @@
         "Requests that waited because a cold target could not take more." },
     family { metric::TargetSpeed, kind::Gauge, "pimentomast_target_speed_percent", "which",
         "Lowest and highest speed of a target relative to its service, in percent." },
-    family { metric::AdminRequests, kind::Counter, "pimentomast_admin_requests_total", "status",
-        "Requests to the administration API by HTTP status." },
+    family { metric::StoreEraRises, kind::Counter, "pimentomast_store_era_rises_total", "",
+        "How often this host found that the store came back from an older copy." },
     family { metric::RelayedRows, kind::Counter, "pimentomast_relayed_rows_total", "",
         "Reads and writes of rows that other hosts carried out for this one." },
+    family { metric::AdminRequests, kind::Counter, "pimentomast_admin_requests_total", "status",
+        "Requests to the administration API by HTTP status." },
 };
 
 constexpr std::size_t maxLabelValues = 1000;
