Budget for bodies: settings, reason, metrics

Hosts with 120 to 160 MB accept uploads of up to 360 KB, and nothing bounded what they hold. It is set by limits.body_memory_bytes or derived from limits.memory_mb, since the deployment's template cannot compute; without either there is no bound, as before.

--- a/include/pimentomast/dispatch.h
+++ b/include/pimentomast/dispatch.h
@@ -67,6 +67,8 @@
     TargetDraining,
     AttemptAbandoned,
     BodyNotReplayable,
+    /// The host holds as many body bytes as it may.
+    BodyMemory,
     /// This host stops and could not have finished the request.
     HostStopping,
     /// This host stops and ended a request that a target may have been running.
--- a/include/pimentomast/proxy.h
+++ b/include/pimentomast/proxy.h
@@ -129,6 +129,13 @@
     std::size_t waiting = 0;
     std::size_t running = 0;
     std::size_t targetConnections = 0;
+    /// Bytes of bodies and held responses in memory, and their limit; a limit of 0 is none.
+    std::size_t bodyBytes = 0;
+    std::size_t bodyBytesLimit = 0;
+    /// Responses whose attempt has ended and whose callers have not read them completely.
+    std::size_t deliveries = 0;
+    /// Responses handed over for delivery since the start.
+    std::uint64_t delivered = 0;
 };
 
 struct options {
@@ -161,6 +168,11 @@
     /// Body bytes that must arrive before a request with a Content-Length is submitted, or the
     /// whole body if it is shorter. Keeps a slow sender of a short body from occupying a target.
     std::size_t bodyPrefetchBytes = 4096;
+    /// As bodyPrefetchBytes, for routes with table::route_row::buffersBody, also for bodies in
+    /// chunks. What was received before submission can be sent again on a retry.
+    std::size_t uploadPrefetchBytes = 524288;
+    /// Limit of the bytes of bodies and held responses in memory; 0: no limit.
+    std::size_t bodyMemoryBytes = 0;
     /// Idle time after which a pooled target connection is closed.
     std::chrono::milliseconds pooledIdleTimeout { 20000 };
     proxy::contract contract {};
--- a/include/pimentomast/settings.h
+++ b/include/pimentomast/settings.h
@@ -65,6 +65,27 @@
         return descriptors == 0 ? connections : std::min(connections, descriptors / 2);
     }
 
+    /// Bytes of an upload that are received before it is submitted.
+    unsigned uploadPrefetchBytes = 524288;
+    /// Limit of the bodies in memory; 0: derived from memoryMb.
+    unsigned bodyMemoryBytes = 0;
+    /// Memory that the process may use, in MB; 0 if it is not known.
+    unsigned memoryMb = 0;
+
+    /// Returns the limit of the bodies in memory in bytes; 0: no limit. Of the process's memory, 48
+    /// MB are left to everything else, and of the rest three quarters to buffers of connections in
+    /// the process and in the kernel.
+    [[nodiscard]] std::size_t bodyMemory() const noexcept
+    {
+        constexpr std::size_t megabyte = 1048576;
+        constexpr std::size_t otherMb = 48;
+        constexpr std::size_t share = 4;
+        if (bodyMemoryBytes > 0 || memoryMb == 0)
+            return bodyMemoryBytes;
+        const std::size_t memory = std::max<std::size_t>(memoryMb, otherMb + share);
+        return (memory - otherMb) * megabyte / share;
+    }
+
     unsigned headBytes = 32768;
     milliseconds headTimeoutMs { 10000 };
     milliseconds bodyTimeoutMs { 30000 };
--- a/include/pimentomast/telemetry.h
+++ b/include/pimentomast/telemetry.h
@@ -39,6 +39,10 @@
     MovesRunning,
     TargetsInUse,
     EvacuatedTargets,
+    BodyBytes,
+    BodyBytesLimit,
+    Deliveries,
+    Delivered,
     AdminRequests,
 };
 
--- a/src/serve/metrics.cc
+++ b/src/serve/metrics.cc
@@ -53,6 +53,14 @@
         metrics.gaugeFor(metric::TargetsInUse, service.value()).set(count);
 }
 
+void exposeBodies(telemetry::registry& metrics, const proxy::gauges& state)
+{
+    metrics.gaugeFor(metric::BodyBytes).set(static_cast<std::int64_t>(state.bodyBytes));
+    metrics.gaugeFor(metric::BodyBytesLimit).set(static_cast<std::int64_t>(state.bodyBytesLimit));
+    metrics.gaugeFor(metric::Deliveries).set(static_cast<std::int64_t>(state.deliveries));
+    raiseTo(metrics.counterFor(metric::Delivered), state.delivered);
+}
+
 /// Domains that were evacuated earlier are exposed with 0.
 void exposeEvacuations(telemetry::registry& metrics, const table::table& rows)
 {
@@ -82,6 +90,7 @@
         .set(static_cast<std::int64_t>(state.targetConnections));
     m_metrics.gaugeFor(metric::Running).set(static_cast<std::int64_t>(state.running));
     m_metrics.gaugeFor(metric::Queued).set(static_cast<std::int64_t>(state.waiting));
+    exposeBodies(m_metrics, state);
     exposeTargets(m_metrics, m_dispatch->targets());
     if (const auto table = m_directory.currentTable())
         exposeEvacuations(m_metrics, *table);
--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -71,6 +71,8 @@
     options.idleTimeout = values.limits.idleTimeoutMs;
     options.bodyTimeout = values.limits.bodyTimeoutMs;
     options.connectTimeout = values.limits.connectTimeoutMs;
+    options.uploadPrefetchBytes = values.limits.uploadPrefetchBytes;
+    options.bodyMemoryBytes = values.limits.bodyMemory();
     options.pooledIdleTimeout = values.limits.pooledIdleMs;
     options.drainIdleTimeout = values.drain.idleMs;
     return options;
--- a/test/platform-settings-test.cc
+++ b/test/platform-settings-test.cc
@@ -38,12 +38,14 @@
         { { "node", "front-kalimati-1" }, { "zone", "kalimati" }, { "ip", "10.1.0.34" },
             { "listen.front", "10.1.0.34:8548" }, { "listen.ready", "10.1.0.34:8542" },
             { "portRange.0", "7540" }, { "provider.address", "10.200.1.7:8541" },
-            { "limits.maxFds", "4100" }, { "limits.cpuShare", "0.2" }, { "bounds", terms } });
+            { "limits.maxFds", "4100" }, { "limits.cpuShare", "0.2" }, { "limits.memoryMb", "160" },
+            { "bounds", terms } });
     cr_assert(text.find("{{") == std::string::npos, "%s", text.c_str());
     const auto values = settings::parse(text);
     cr_assert(values.has_value(), "%s", values.has_error() ? values.error().reason.c_str() : "");
     cr_assert(values.value().store.interface == settings::store_interface::Platform);
     cr_assert(values.value().admin.token.empty());
     cr_assert_eq(values.value().limits.callerConnections(), 2050);
+    cr_assert_eq(values.value().limits.bodyMemory(), (160 - 48) * 1048576 / 4);
     cr_assert_eq(values.value().store.terms, terms);
 }
