Receive uploads before submission; deliver responses to slow readers

On routes with buffersBody, the poller receives the body, or upload_prefetch_bytes of it, before the request is submitted, also in chunks and for senders that expect a 100. A refusal by a full target is followed by another one with the whole body.

A response that was whole on the host kept its worker and its target's connection until its caller had read it. Now the attempt ends, and one thread sends the rest of all such responses, also of those that were held for their turn. Their connections end with a reset until all is sent, so that a part cannot look whole.

Bodies, replay buffers and held responses are reserved in the budget.

--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "arrival-times.h"
+#include "body-budget.h"
 #include "head.h"
 #include "io.h"
 #include "pimentomast/proxy.h"
@@ -14,6 +15,24 @@
 
 namespace pimentomast::proxy::detail {
 
+/// A body that is received before its request is submitted.
+struct body_collection {
+    std::string bytes;
+    body_reservation reservation;
+    /// Maximum number of bytes to receive before submission.
+    std::size_t limit = 0;
+    bool isWhole = false;
+    /// The request cannot be answered after this time.
+    instant deadline;
+    instant started;
+    instant lastProgress;
+    /// Time in which reading was paused for lack of memory.
+    duration paused { 0 };
+    std::optional<instant> pausedSince {};
+
+    [[nodiscard]] bool isComplete() const { return isWhole || bytes.size() >= limit; }
+};
+
 /// A caller's connection. Its poller reads requests, also while earlier ones run. Only a request
 /// whose body has not been read takes the input over, until the body is read. Responses are sent
 /// by whoever has the turn in `responses`.
@@ -23,6 +42,8 @@
         Idle,
         /// Part of a request head has arrived.
         Head,
+        /// Part of a request body that is received before submission has arrived.
+        Body,
         /// A request that owns the input is waiting for dispatch.
         Waiting,
         /// The last response was sent; further input is discarded until the caller closes.
@@ -33,6 +54,8 @@
     std::string peerIp;
     /// Index of its poller.
     std::size_t poller = 0;
+    /// Declared before the reservations that count in it.
+    connection_bytes bodyBytes;
     std::string input;
     arrival_times arrivals;
     std::size_t scanned = 0;
@@ -52,6 +75,8 @@
     /// the connection to end.
     std::optional<checked_head> pendingHead;
     instant pendingArrived;
+    /// The body of pendingHead, if it is received before submission.
+    std::optional<body_collection> collection;
 };
 
 /// Framing of the response body towards the caller.
@@ -86,8 +111,14 @@
     bool ownsInput = false;
     checked_head head;
     unsigned attempts = 0;
-    /// Body bytes received so far; empty once they exceed maxReplayBytes.
+    /// Body bytes received so far; empty once they exceed maxReplayBytes and what was received
+    /// before submission.
     std::string replayBuffer;
+    std::size_t replayLimit = 0;
+    /// Memory of replayBuffer.
+    body_reservation bodyBytes {};
+    /// Memory of the part of the response that is held in the process.
+    body_reservation responseBytes {};
     bool replayable = true;
     bool bodyDone = false;
     bool continueSent = false;
--- a/src/proxy/io.cc
+++ b/src/proxy/io.cc
@@ -67,6 +67,12 @@
     return got == 0 ? io_state::EndOfStream : stateFromErrno(errno);
 }
 
+bool hasPeerClosed(const Poco::Net::Socket& socket)
+{
+    pollfd watched { descriptor(socket), POLLRDHUP, 0 };
+    return ::poll(&watched, 1, 0) > 0;
+}
+
 bool hasPendingConnection(const Poco::Net::Socket& listener)
 {
     pollfd watched { descriptor(listener), POLLIN, 0 };
@@ -109,6 +115,12 @@
     ::setsockopt(descriptor(socket), SOL_SOCKET, SO_LINGER, &immediate, sizeof immediate);
 }
 
+void finishOnClose(Poco::Net::StreamSocket& socket) noexcept
+{
+    const linger off { 0, 0 };
+    ::setsockopt(descriptor(socket), SOL_SOCKET, SO_LINGER, &off, sizeof off);
+}
+
 void closeConnection(Poco::Net::StreamSocket& socket) noexcept
 {
     try {
--- a/src/proxy/io.h
+++ b/src/proxy/io.h
@@ -40,6 +40,10 @@
 /// Returns whether data, end of stream or an error is pending, without consuming any data.
 io_state peekState(const Poco::Net::Socket& socket);
 
+/// Returns whether the peer has closed the connection or its sending side, also behind data that
+/// has not been received.
+bool hasPeerClosed(const Poco::Net::Socket& socket);
+
 /// Returns whether accept() on the listener would return a connection without blocking.
 bool hasPendingConnection(const Poco::Net::Socket& listener);
 
@@ -61,6 +65,9 @@
 /// truncated message.
 void resetOnClose(Poco::Net::StreamSocket& socket) noexcept;
 
+/// Reverts resetOnClose().
+void finishOnClose(Poco::Net::StreamSocket& socket) noexcept;
+
 /// Closes the connection. Never throws.
 void closeConnection(Poco::Net::StreamSocket& socket) noexcept;
 
--- a/src/proxy/poller.cc
+++ b/src/proxy/poller.cc
@@ -11,6 +11,7 @@
 /// A poll that returns within this time did not wait.
 constexpr std::chrono::milliseconds atOnce { 1 };
 constexpr std::size_t receiveBytes = 16384;
+constexpr std::size_t receiveBodyBytes = 65536;
 constexpr std::size_t maxLingerBytes = 4194304;
 
 using phase = caller_connection::phase;
@@ -168,6 +169,7 @@
         return handleWaiting(connection);
     case phase::Idle:
     case phase::Head:
+    case phase::Body:
         return handleInput(connection);
     }
 }
@@ -202,7 +204,8 @@
 {
     if (!unwatch(connection))
         return;
-    const auto got = receiveInto(connection->socket, connection->input, receiveBytes);
+    const std::size_t limit = connection->state == phase::Body ? receiveBodyBytes : receiveBytes;
+    const auto got = receiveInto(connection->socket, connection->input, limit);
     if (got.state == io_state::WouldBlock)
         return watch(connection);
     if (got.state != io_state::Ready)
@@ -251,6 +254,16 @@
     }
 }
 
+bool poller::bodyExpired(const body_collection& body, instant now) const
+{
+    if (now >= body.deadline || now >= body.lastProgress + m_timeouts.body)
+        return true;
+    const duration waited = now - body.started - body.paused;
+    const std::chrono::duration<double> seconds = waited;
+    return waited > m_timeouts.body
+        && double(body.bytes.size()) < seconds.count() * double(m_timeouts.minBodyBytesPerSecond);
+}
+
 bool poller::expired(const caller_connection& connection, instant now) const
 {
     const bool reads = connection.state == phase::Idle || connection.state == phase::Head;
@@ -264,6 +277,8 @@
             || now >= started + (m_closesIdle ? m_timeouts.idleWhileDraining : m_timeouts.idle);
     case phase::Head:
         return mustEnd || now >= started + m_timeouts.head;
+    case phase::Body:
+        return mustEnd || bodyExpired(*connection.collection, now);
     case phase::Lingering:
         return now >= connection.phaseStarted + m_timeouts.linger;
     case phase::Waiting:
@@ -291,7 +306,7 @@
 {
     if (!unwatch(connection))
         return;
-    if (connection->state == phase::Head)
+    if (connection->state == phase::Head || connection->state == phase::Body)
         m_events.headTimedOut(connection);
     else if (connection->state == phase::Idle)
         shutdownIdle(connection);
--- a/src/proxy/poller.h
+++ b/src/proxy/poller.h
@@ -39,6 +39,10 @@
     /// Replaces idle after closeIdle().
     duration idleWhileDraining;
     duration linger;
+    /// Longest pause in a body that is received before its request is submitted.
+    duration body {};
+    /// Minimum rate of such a body once it has taken longer than that.
+    std::size_t minBodyBytesPerSecond = 0;
 };
 
 /// Polls a set of connections on a thread of its own. Public methods are thread-safe.
@@ -85,6 +89,8 @@
     void drop(const caller_pointer& connection);
     void wake();
     [[nodiscard]] caller_pointer find(const Poco::Net::Socket& socket);
+    /// Returns whether the sender of a body is too slow.
+    [[nodiscard]] bool bodyExpired(const body_collection& body, instant now) const;
     [[nodiscard]] bool expired(const caller_connection& connection, instant now) const;
 
     poller_events m_events;
--- a/src/proxy/relay-response.cc
+++ b/src/proxy/relay-response.cc
@@ -234,7 +234,9 @@
 
 bool relay::hasRoom() const
 {
-    return m_download.size() < bufferBytes || (awaitsTurn() && m_download.size() < heldBytes);
+    return m_download.size() < bufferBytes
+        || (awaitsTurn() && m_download.size() < heldBytes
+            && m_request.responseBytes.growTo(m_download.size() + bufferBytes));
 }
 
 io_state relay::sendToCaller()
@@ -247,19 +249,36 @@
             = m_request.responseStarted || m_responseState != response_state::Awaited;
     }
     m_download.erase(0, sent.bytes);
+    m_request.responseBytes.shrinkTo(m_download.size());
     return sent.state;
 }
 
+void relay::deliverRest()
+{
+    if (!m_request.responseBytes.growTo(m_download.size()))
+        return;
+    const bool isKeptOpen = m_request.bodyDone && !m_closesCaller;
+    m_request.caller->responses.deliver(m_request.position, m_download,
+        std::move(m_request.responseBytes),
+        isKeptOpen ? connection_fate::KeptOpen : connection_fate::Closes, m_request.caller->socket);
+    m_request.responseStarted = true;
+    m_isDelivered = true;
+    m_download.clear();
+}
+
 std::optional<attempt_result> relay::flushToCaller()
 {
     const bool isWhole = m_responseState == response_state::Done;
     response_order& order = m_request.caller->responses;
-    if (isWhole && !m_download.empty() && order.hold(m_request.position, m_download)) {
+    if (isWhole && !m_download.empty()
+        && order.hold(m_request.position, m_download, std::move(m_request.responseBytes))) {
         m_isHeld = true;
         m_download.clear();
     }
     if (!m_download.empty() && maySend() && hasEnded(sendToCaller()))
         return attempt_cancelled {};
+    if (isWhole && !m_download.empty() && maySend())
+        deliverRest();
     if (m_download.empty() && m_continueUnsent) {
         m_request.continueSent = true;
         m_continueUnsent = false;
--- a/src/proxy/relay.cc
+++ b/src/proxy/relay.cc
@@ -72,12 +72,24 @@
         m_download = std::move(m_request.pendingContinuation->unsent);
     }
     m_upload = requestHead(m_request, m_to, m_context.settings.contract, id, m_started);
-    const std::string bodyToReplay = std::move(m_request.replayBuffer);
-    m_request.replayBuffer.clear();
-    appendToUpload(bodyToReplay);
+    m_replayEnd = m_request.replayBuffer.size();
     if (!m_request.head.hasBody)
         m_request.bodyDone = true;
-    else if (m_request.bodyDone && m_request.head.parser->chunked())
+    replayMore();
+}
+
+// The body stays in the replay buffer, so that a large one is not in memory twice.
+void relay::replayMore()
+{
+    const std::size_t bytes = std::min(m_replayEnd - m_replayed, bufferBytes);
+    m_upload.erase(0, m_uploadOffset);
+    m_uploadOffset = 0;
+    appendToUpload(std::string_view(m_request.replayBuffer).substr(m_replayed, bytes));
+    m_replayed += bytes;
+    if (isReplayed())
+        keepForReplay({});
+    const bool isLast = isReplayed() && m_request.bodyDone;
+    if (isLast && m_request.head.hasBody && m_request.head.parser->chunked())
         appendLastChunk(m_upload);
 }
 
@@ -87,24 +99,36 @@
         appendChunk(m_upload, piece);
     else
         m_upload += piece;
-    if (m_request.replayBuffer.size() + piece.size() > m_context.settings.maxReplayBytes) {
-        m_request.replayable = false;
-        m_request.replayBuffer.clear();
-    }
-    if (m_request.replayable)
+}
+
+void relay::keepForReplay(std::string_view piece)
+{
+    if (!m_request.replayable)
+        return;
+    const std::size_t bytes = m_request.replayBuffer.size() + piece.size();
+    const std::size_t limit = std::max(m_request.replayLimit, m_context.settings.maxReplayBytes);
+    m_request.replayable = bytes <= limit && m_request.bodyBytes.growTo(bytes);
+    if (m_request.replayable) {
         m_request.replayBuffer += piece;
+        return;
+    }
+    std::string().swap(m_request.replayBuffer);
+    m_request.bodyBytes.shrinkTo(0);
 }
 
 bool relay::uploadComplete() const
 {
-    return m_request.bodyDone && m_uploadOffset == m_upload.size();
+    return m_request.bodyDone && isReplayed() && m_uploadOffset == m_upload.size();
 }
 
 std::optional<attempt_result> relay::pumpUpload()
 {
     if (m_uploadFailed)
         return std::nullopt;
-    if (!m_request.bodyDone && m_upload.size() - m_uploadOffset < bufferBytes) {
+    const bool hasUploadRoom = m_upload.size() - m_uploadOffset < bufferBytes;
+    if (hasUploadRoom && !isReplayed()) {
+        replayMore();
+    } else if (hasUploadRoom && !m_request.bodyDone) {
         if (const auto result = readFromCaller())
             return result;
     }
@@ -130,6 +154,7 @@
     m_upload.erase(0, m_uploadOffset);
     m_uploadOffset = 0;
     appendToUpload(piece);
+    keepForReplay(piece);
     m_request.bodyDone = state == body_state::Done;
     if (m_request.bodyDone && m_request.head.parser->chunked())
         appendLastChunk(m_upload);
@@ -168,8 +193,8 @@
 
 std::optional<attempt_result> relay::wait()
 {
-    const bool wantsCaller
-        = !m_request.bodyDone && !m_uploadFailed && m_upload.size() - m_uploadOffset < bufferBytes;
+    const bool wantsCaller = !m_request.bodyDone && !m_uploadFailed && isReplayed()
+        && m_upload.size() - m_uploadOffset < bufferBytes;
     const bool wantsTarget = m_responseState != response_state::Done && hasRoom() && !m_targetEnded;
     std::array<pollfd, 2> watched { {
         { descriptor(m_request.caller->socket), POLLRDHUP, 0 },
@@ -182,7 +207,7 @@
         watched[0].events |= POLLOUT;
     if (wantsTarget)
         watched[1].events |= POLLIN;
-    if (!m_uploadFailed && m_uploadOffset < m_upload.size())
+    if (!m_uploadFailed && (m_uploadOffset < m_upload.size() || !isReplayed()))
         watched[1].events |= POLLOUT;
     if (watched[1].events == 0)
         watched[1].fd = -1;
@@ -238,7 +263,8 @@
         return requestFault(m_requestBytesSent == 0 && !m_request.mayHaveRun ? reason::HostStopping
                                                                              : reason::HostStopped);
     if (transferActive() && now >= m_lastProgress + m_context.settings.bodyTimeout) {
-        const bool callerStalled = (!m_request.bodyDone && m_upload.empty()) || !m_download.empty();
+        const bool callerStalled
+            = (!m_request.bodyDone && isReplayed() && m_upload.empty()) || !m_download.empty();
         return callerStalled ? requestFault(reason::BodyTimeout) : failed(reason::TargetTimeout);
     }
     if (isTargetSilent(now))
@@ -306,6 +332,7 @@
     const bool answered = std::holds_alternative<attempt_answered>(result);
     ended.callerReusable = answered && m_request.bodyDone && !m_closesCaller;
     ended.isHeld = m_isHeld;
+    ended.isDelivered = m_isDelivered;
     return ended;
 }
 
--- a/src/proxy/relay.h
+++ b/src/proxy/relay.h
@@ -40,6 +40,8 @@
     bool continues = false;
     /// The whole response waits for its turn on the caller's connection.
     bool isHeld = false;
+    /// The rest of the whole response was handed over for delivery: the caller reads slowly.
+    bool isDelivered = false;
 };
 
 /// Streams the request and response bodies until the response is complete or the attempt has
@@ -66,6 +68,11 @@
     [[nodiscard]] std::optional<attempt_result> checkBeforeSending();
     [[nodiscard]] std::optional<attempt_result> step();
     void startUpload();
+    /// Appends the next piece of the body that was received before this attempt.
+    void replayMore();
+    [[nodiscard]] bool isReplayed() const { return m_replayed == m_replayEnd; }
+    /// Keeps a piece of the body for a later attempt, if it may still be kept.
+    void keepForReplay(std::string_view piece);
     [[nodiscard]] std::optional<attempt_result> readFromCaller();
     [[nodiscard]] std::optional<attempt_result> sendUpload();
     [[nodiscard]] std::optional<attempt_result> requestFault(reason why);
@@ -87,6 +94,8 @@
     /// is known.
     [[nodiscard]] bool hasWholeLength() const;
     [[nodiscard]] std::optional<attempt_result> flushToCaller();
+    /// Hands the rest of the whole response over, if there is memory for it.
+    void deliverRest();
     /// Returns whether received bytes of the response may be sent to the caller now.
     [[nodiscard]] bool maySend() const;
     [[nodiscard]] bool awaitsTurn() const { return !m_download.empty() && !maySend(); }
@@ -122,6 +131,10 @@
 
     std::string m_upload;
     std::size_t m_uploadOffset = 0;
+    /// Part of the replay buffer, as it was at the start of the attempt, that was appended to
+    /// m_upload.
+    std::size_t m_replayed = 0;
+    std::size_t m_replayEnd = 0;
     std::size_t m_requestBytesSent = 0;
     bool m_uploadFailed = false;
     /// The caller's input holds an incomplete chunk header or trailer.
@@ -149,6 +162,7 @@
     bool m_targetFailed = false;
     std::string m_download;
     bool m_isHeld = false;
+    bool m_isDelivered = false;
 
     std::uint64_t m_bodyBytesReceived = 0;
     duration m_callerWait { 0 };
--- a/src/proxy/response-order.cc
+++ b/src/proxy/response-order.cc
@@ -23,7 +23,11 @@
 {
     const std::lock_guard lock(m_mutex);
     const turn number { ++m_lastTurn };
-    m_entries.push_back({ number, id, runsConcurrently, false, {} });
+    entry added;
+    added.number = number;
+    added.request = id;
+    added.runsConcurrently = runsConcurrently;
+    m_entries.push_back(std::move(added));
     return number;
 }
 
@@ -59,7 +63,7 @@
     return true;
 }
 
-bool response_order::hold(turn of, std::string_view response)
+bool response_order::hold(turn of, std::string_view response, body_reservation&& memory)
 {
     const std::lock_guard lock(m_mutex);
     if (m_entries.front().number == of)
@@ -67,12 +71,35 @@
     entry& held = find(of);
     held.isHeld = true;
     held.held = response;
+    held.memory = std::move(memory);
+    held.memory.growAlways(response.size());
     return true;
 }
 
+void response_order::deliver(turn of, std::string_view rest, body_reservation memory,
+    connection_fate fate, Poco::Net::StreamSocket caller)
+{
+    const std::lock_guard lock(m_mutex);
+    entry& delivered = find(of);
+    delivered.isHeld = true;
+    delivered.isDelivered = true;
+    delivered.held = rest;
+    delivered.memory = std::move(memory);
+    setFate(fate);
+    resetOnClose(caller);
+}
+
+std::size_t response_order::unsentBytes(turn of) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = std::find_if(
+        m_entries.begin(), m_entries.end(), [of](const entry& each) { return each.number == of; });
+    return found == m_entries.end() ? 0 : found->held.size();
+}
+
 void response_order::setFate(connection_fate fate) { m_fate = std::max(m_fate, fate); }
 
-void response_order::sendDue(const Poco::Net::StreamSocket& caller, progress& now)
+void response_order::sendDue(Poco::Net::StreamSocket& caller, progress& now)
 {
     while (!m_entries.empty() && m_entries.front().isHeld) {
         entry& due = m_entries.front();
@@ -86,6 +113,9 @@
             now.unsent = due.number;
             return;
         }
+        if (due.isDelivered && m_fate != connection_fate::Broken)
+            finishOnClose(caller);
+        m_isStreaming = false;
         m_entries.erase(m_entries.begin());
     }
 }
@@ -124,11 +154,12 @@
 std::optional<response_order::progress> response_order::sendHeld(
     turn of, const Poco::Net::StreamSocket& caller)
 {
+    Poco::Net::StreamSocket socket = caller;
     const std::lock_guard lock(m_mutex);
     if (m_entries.empty() || m_entries.front().number != of)
         return progress {};
     progress now;
-    sendDue(caller, now);
+    sendDue(socket, now);
     if (now.unsent == of)
         return std::nullopt;
     return proceed(caller);
--- a/src/proxy/response-order.h
+++ b/src/proxy/response-order.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "body-budget.h"
 #include "io.h"
 #include "pimentomast/dispatch.h"
 
@@ -56,7 +57,15 @@
     [[nodiscard]] bool closeAfter(turn of);
     /// Takes over a whole response whose turn has not come. Returns false if it has come: then the
     /// caller of this function sends it.
-    [[nodiscard]] bool hold(turn of, std::string_view response);
+    /// The memory is only moved from if it is taken over.
+    [[nodiscard]] bool hold(turn of, std::string_view response, body_reservation&& memory = {});
+    /// Takes over the rest of a whole response whose turn has come and of which the caller's socket
+    /// takes no more; sendHeld() sends it. Until it is sent, the connection ends with a reset, so
+    /// that the caller does not take a part for the whole. The fate is as for end().
+    void deliver(turn of, std::string_view rest, body_reservation memory, connection_fate fate,
+        Poco::Net::StreamSocket caller);
+    /// Returns the number of bytes of a held response that are left to be sent.
+    [[nodiscard]] std::size_t unsentBytes(turn of) const;
 
     /// Removes the request, whose response was sent or will not be, and sends held responses whose
     /// turn has come. Shuts the connection down if it closes and nothing is left, or if it is
@@ -82,11 +91,14 @@
         request_id request;
         bool runsConcurrently = false;
         bool isHeld = false;
-        std::string held;
+        /// A part was sent already; the connection ends with a reset until all is sent.
+        bool isDelivered = false;
+        std::string held {};
+        body_reservation memory {};
     };
 
     [[nodiscard]] entry& find(turn of);
-    void sendDue(const Poco::Net::StreamSocket& caller, progress& now);
+    void sendDue(Poco::Net::StreamSocket& caller, progress& now);
     void setFate(connection_fate fate);
     [[nodiscard]] progress proceed(Poco::Net::StreamSocket caller);
 
--- a/src/proxy/server-dispatch.cc
+++ b/src/proxy/server-dispatch.cc
@@ -4,14 +4,10 @@
 #include "probe.h"
 
 #include <algorithm>
-#include <poll.h>
 
 namespace pimentomast::proxy::detail {
 namespace {
 
-/// Interval at which a worker that sends a held response looks whether the server ends.
-constexpr std::chrono::milliseconds sendCheckInterval { 100 };
-
 std::string outcomeOf(const attempt_result& ended)
 {
     const overloaded names {
@@ -150,27 +146,23 @@
 {
     if (auto* forwarded = std::get_if<forward_job>(&work))
         return runForward(*forwarded);
-    if (const auto* held = std::get_if<send_job>(&work))
-        return runSend(*held);
     const probe_job& requested = std::get<probe_job>(work);
     m_dispatcher.probed(
         probeHealth(requested.target, requested.at, m_options.probeTimeout, m_options.contract),
         *this);
 }
 
-void server_impl::runSend(const send_job& work)
+void server_impl::onDeliveryEnded(
+    delivery& ended, delivery_end how, const response_order::progress& now)
 {
-    const instant end = monotonic_clock::now() + m_options.bodyTimeout;
-    auto now = work.caller->responses.sendHeld(work.position, work.caller->socket);
-    while (!now && monotonic_clock::now() < end && !m_aborting) {
-        pollfd writable { descriptor(work.caller->socket), POLLOUT, 0 };
-        ::poll(&writable, 1, static_cast<int>(sendCheckInterval.count()));
-        now = work.caller->responses.sendHeld(work.position, work.caller->socket);
+    if (ended.request && how == delivery_end::Sent) {
+        complete(*ended.request, { ended.status });
+    } else if (ended.request) {
+        const reason why = how == delivery_end::Stalled ? reason::BodyTimeout : reason::CallerGone;
+        m_counts.add(why);
+        complete(*ended.request, { 0, std::string(name(why)) });
     }
-    if (!now)
-        now = work.caller->responses.end(
-            work.position, connection_fate::Broken, work.caller->socket);
-    proceed(work.caller, *now);
+    proceed(ended.caller, now);
 }
 
 void server_impl::runForward(forward_job& work)
@@ -240,12 +232,10 @@
     const bool abandoned = m_registry.detachConnection(finished.id);
     const overloaded steps {
         [&](const attempt_answered& answered) {
-            complete(*work.request, { answered.status });
+            if (!ended.isDelivered)
+                complete(*work.request, { answered.status });
             finishRequest(work, finished);
-            if (ended.isHeld)
-                return;
-            endResponse(*work.request,
-                ended.callerReusable ? connection_fate::KeptOpen : connection_fate::Closes);
+            endAnswered(work, ended, answered.status);
         },
         [&](const attempt_not_run& refused) {
             m_counts.add(refused.why);
@@ -274,6 +264,26 @@
     std::visit(steps, ended.result);
 }
 
+void server_impl::endAnswered(forward_job& work, const relay_result& ended, int status)
+{
+    exchange& request = *work.request;
+    if (ended.isHeld)
+        return;
+    if (!ended.isDelivered)
+        return endResponse(
+            request, ended.callerReusable ? connection_fate::KeptOpen : connection_fate::Closes);
+    std::string().swap(request.replayBuffer);
+    request.bodyBytes.shrinkTo(0);
+    if (request.ownsInput) {
+        request.ownsInput = false;
+        returnInput(request);
+    }
+    const caller_pointer caller = request.caller;
+    const turn position = request.position;
+    ++m_delivered;
+    m_deliveries.add({ caller, position, std::move(work.request), status });
+}
+
 void server_impl::finishRequest(const forward_job& work, attempt finished)
 {
     const unsigned last = m_registry.finish(work.request->facts.id);
--- a/src/proxy/server-impl.cc
+++ b/src/proxy/server-impl.cc
@@ -12,13 +12,20 @@
 /// Delay after a failed accept (no descriptors left), so that the poller does not spin.
 constexpr std::chrono::milliseconds acceptRetryDelay { 10 };
 
+duration retryAfterOf(reason why)
+{
+    if (why == reason::HostStopping)
+        return stopRetryAfter;
+    return why == reason::BodyMemory ? bodyMemoryRetryAfter : duration::zero();
+}
+
 std::string refusalText(reason why, bool withBody, const contract& fields)
 {
     local_response response;
     response.status = statusOf(why);
     response.reason = name(why);
     response.step = "accept request";
-    response.retryAfter = why == reason::HostStopping ? stopRetryAfter : duration::zero();
+    response.retryAfter = retryAfterOf(why);
     response.fractionalRetryAfter = fields.fractionalRetryAfter;
     response.withBody = withBody;
     return formatLocalResponse(response);
@@ -29,10 +36,15 @@
 server_impl::server_impl(const options& settings, dispatcher& requestDispatcher,
     observer& requestObserver, const Poco::Net::ServerSocket& listener)
     : m_options(settings)
+    , m_budget(settings.bodyMemoryBytes)
     , m_dispatcher(requestDispatcher)
     , m_observer(requestObserver)
     , m_listener(listener)
     , m_targets(settings.connectTimeout, settings.pooledIdleTimeout)
+    , m_deliveries(settings.bodyTimeout,
+          [this](delivery& ended, delivery_end how, const response_order::progress& now) {
+              onDeliveryEnded(ended, how, now);
+          })
 {
     const poller_events events {
         [this](const caller_pointer& caller) { onInput(caller); },
@@ -46,6 +58,8 @@
         settings.idleTimeout,
         settings.drainIdleTimeout,
         lingerTime,
+        settings.bodyTimeout,
+        settings.minBodyBytesPerSecond,
     };
     m_workers = std::make_unique<worker_pool<job>>(
         worker_pool_options { settings.workers }, [this](job work) { run(std::move(work)); });
@@ -61,6 +75,7 @@
     for (const auto& callerPoller : m_pollers)
         callerPoller->stop();
     m_workers.reset();
+    m_deliveries.stop();
 }
 
 endpoint server_impl::address() const
@@ -88,6 +103,10 @@
     now.waiting = m_registry.waiting();
     now.running = m_running;
     now.targetConnections = m_targets.size();
+    now.bodyBytes = m_budget.held();
+    now.bodyBytesLimit = m_budget.limit();
+    now.deliveries = m_deliveries.size();
+    now.delivered = m_delivered;
     return now;
 }
 
@@ -126,6 +145,7 @@
 
 void server_impl::onSweep(instant now)
 {
+    resumePaused();
     if (now - m_lastPoolSweep < poolSweepInterval)
         return;
     m_lastPoolSweep = now;
@@ -246,7 +266,7 @@
 void server_impl::proceed(const caller_pointer& caller, const response_order::progress& now)
 {
     if (now.unsent)
-        m_workers->push(send_job { caller, *now.unsent });
+        m_deliveries.add({ caller, *now.unsent });
     if (now.fate == connection_fate::Broken && !now.isEmpty)
         cancelWaiting(caller);
     const bool ends = now.isEmpty && now.fate != connection_fate::KeptOpen;
@@ -268,6 +288,8 @@
 
 void server_impl::releaseCaller(const caller_pointer& caller, connection_fate fate)
 {
+    clearPaused(caller);
+    caller->collection.reset();
     if (fate == connection_fate::Broken || m_aborting) {
         caller->isClosed = true;
         closeConnection(caller->socket);
--- a/src/proxy/server-impl.h
+++ b/src/proxy/server-impl.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "classify.h"
+#include "delivery.h"
 #include "drain-schedule.h"
 #include "pimentomast/workers.h"
 #include "poller.h"
@@ -22,13 +23,11 @@
     target_id target;
     probe_address at;
 };
-/// A held response that the caller's socket did not take at once.
-struct send_job {
-    caller_pointer caller;
-    turn position;
-};
-using job = std::variant<forward_job, probe_job, send_job>;
+using job = std::variant<forward_job, probe_job>;
 
+/// Retry-After of requests that are refused for lack of memory for bodies: about the time after
+/// which others have ended.
+constexpr std::chrono::milliseconds bodyMemoryRetryAfter { 500 };
 /// Retry-After of requests that a stopping host refuses: other hosts take them at once.
 constexpr std::chrono::milliseconds stopRetryAfter { 100 };
 
@@ -117,7 +116,27 @@
     /// Returns whether nothing of the request is left to be read from the connection.
     [[nodiscard]] static bool hasWholeBody(
         const caller_connection& caller, const checked_head& head);
+    /// Returns the received bytes at the start of the body that identify a request.
+    [[nodiscard]] std::string_view bodyStart(
+        const caller_connection& caller, const checked_head& head) const;
+    /// Takes the whole body of a request from the input, or what was received before submission.
     static void takeBody(exchange& request);
+    /// Begins to receive the body of the request before it is submitted.
+    [[nodiscard]] input_step startCollection(const caller_pointer& caller, checked_head head,
+        instant arrived, const table::classified_request& found);
+    /// Takes body bytes from the input. Returns nothing once the request can be submitted.
+    [[nodiscard]] std::optional<input_step> collectBody(const caller_pointer& caller);
+    /// Makes room for more of the body. Returns false if there is no memory for it.
+    [[nodiscard]] static bool growCollection(const caller_pointer& caller);
+    /// Stops reading from the sender until there is memory. Only one sender pauses at a time, the
+    /// one whose request came first; others are refused.
+    [[nodiscard]] input_step pauseCollection(const caller_pointer& caller);
+    [[nodiscard]] input_step refusePending(const caller_pointer& caller, reason why);
+    /// Lets the paused sender look for memory again.
+    void resumePaused();
+    /// Makes this the paused sender. Returns false if another one came before it.
+    [[nodiscard]] bool takePause(const caller_pointer& caller);
+    void clearPaused(const caller_pointer& caller);
     [[nodiscard]] duration requestTimeout(
         const checked_head& head, const table::classified_request& found) const;
     void enqueue(std::unique_ptr<exchange> request);
@@ -141,7 +160,9 @@
     void sendRefusal(const exchange& request, const refusal& details);
     void run(job work);
     void runForward(forward_job& work);
-    void runSend(const send_job& work);
+    void onDeliveryEnded(delivery& ended, delivery_end how, const response_order::progress& now);
+    /// Ends the turn of an attempt whose response was sent, is held or is being delivered.
+    void endAnswered(forward_job& work, const relay_result& ended, int status);
     [[nodiscard]] relay_result runAttempt(forward_job& work, target_connection& connection);
     /// Runs the attempt; an exception ends the request, not the host.
     [[nodiscard]] relay_result tryAttempt(forward_job& work, target_connection& connection);
@@ -171,6 +192,8 @@
     [[nodiscard]] std::shared_ptr<const table::table> currentTable() const;
 
     options m_options;
+    /// Outlives all connections and exchanges.
+    body_budget m_budget;
     dispatcher& m_dispatcher;
     observer& m_observer;
     Poco::Net::ServerSocket m_listener;
@@ -195,6 +218,12 @@
     target_pool m_targets;
     std::vector<std::unique_ptr<poller>> m_pollers;
     std::unique_ptr<worker_pool<job>> m_workers;
+    delivery_loop m_deliveries;
+    std::atomic<std::uint64_t> m_delivered { 0 };
+    std::mutex m_pausedMutex;
+    /// The sender that waits for memory, if any.
+    caller_pointer m_paused;
+    instant m_pausedArrived;
 };
 
 } // namespace pimentomast::proxy::detail
--- a/src/proxy/server-input.cc
+++ b/src/proxy/server-input.cc
@@ -9,6 +9,11 @@
 /// Bytes that are read ahead of a connection's requests in progress, beside a head and the start of
 /// its body.
 constexpr std::size_t readAheadBytes = 32768;
+/// Memory that a body in chunks is given at first; it doubles when it is used up.
+constexpr std::size_t firstCollectionBytes = 65536;
+/// Longest head of a chunk, or trailer section, in a body that is received before submission.
+constexpr std::size_t maxChunkHeadBytes = 65536;
+constexpr std::string_view continueHead = "HTTP/1.1 100 Continue\r\n\r\n";
 
 } // namespace
 
@@ -42,6 +47,10 @@
 
 input_step server_impl::takeNext(const caller_pointer& caller)
 {
+    if (caller->collection) {
+        if (const auto step = collectBody(caller))
+            return *step;
+    }
     if (caller->pendingHead) {
         checked_head head = std::move(*caller->pendingHead);
         caller->pendingHead.reset();
@@ -97,7 +106,7 @@
 {
     const http::verb method = head.parser->get().method();
     const bool isSafe = method == http::verb::get || method == http::verb::head;
-    return isSafe && found.repeatable && head.keepAlive && !head.http10
+    return isSafe && found.repeatable && head.keepAlive && !head.http10 && !caller.collection
         && hasWholeBody(caller, head);
 }
 
@@ -113,12 +122,155 @@
 void server_impl::takeBody(exchange& request)
 {
     caller_connection& caller = *request.caller;
+    if (caller.collection) {
+        request.replayBuffer = std::move(caller.collection->bytes);
+        request.replayLimit = request.replayBuffer.size();
+        request.bodyBytes = std::move(caller.collection->reservation);
+        request.bodyDone = caller.collection->isWhole;
+        // The proxy has asked for the body itself.
+        request.continueSent = request.head.expectsContinue;
+        caller.collection.reset();
+        // The buffer grew with the body and would keep its size on an idle connection.
+        if (caller.input.empty())
+            std::string().swap(caller.input);
+        return;
+    }
     const std::size_t before = caller.input.size();
     const auto state = decodeBody(*request.head.parser, caller.input, request.replayBuffer, before);
     request.bodyDone = state == body_state::Done;
     (void)caller.arrivals.consume(before - caller.input.size());
 }
 
+input_step server_impl::startCollection(const caller_pointer& caller, checked_head head,
+    instant arrived, const table::classified_request& found)
+{
+    if (!caller->responses.admits(false))
+        return keepHead(caller, std::move(head), arrived);
+    const instant now = monotonic_clock::now();
+    const auto deadline = schedule().deadlineFor(now, arrived + requestTimeout(head, found));
+    if (!deadline)
+        return refuseInTurn(caller, std::move(head), arrived, reason::HostStopping);
+    body_collection body;
+    body.reservation = body_reservation(m_budget, body_kind::Upload, caller->bodyBytes);
+    body.limit = m_options.uploadPrefetchBytes;
+    body.deadline = *deadline;
+    body.started = now;
+    body.lastProgress = now;
+    const std::uint64_t length
+        = head.parser->chunked() ? firstCollectionBytes : *head.parser->content_length();
+    const std::size_t bytes = std::min<std::uint64_t>(length, body.limit);
+    if (!body.reservation.growTo(bytes))
+        return refuseInTurn(caller, std::move(head), arrived, reason::BodyMemory);
+    body.bytes.reserve(bytes);
+    if (head.expectsContinue && caller->input.empty()
+        && sendSome(caller->socket, continueHead).bytes != continueHead.size()) {
+        releaseCaller(caller, connection_fate::Broken);
+        return input_step::HandedOver;
+    }
+    caller->collection = std::move(body);
+    caller->state = phase::Body;
+    caller->phaseStarted = now;
+    (void)keepHead(caller, std::move(head), arrived);
+    return input_step::Taken;
+}
+
+bool server_impl::growCollection(const caller_pointer& caller)
+{
+    body_collection& body = *caller->collection;
+    const std::size_t bytes = std::min(body.limit, 2 * body.reservation.bytes());
+    if (!body.reservation.growTo(bytes))
+        return false;
+    body.bytes.reserve(bytes);
+    return true;
+}
+
+std::optional<input_step> server_impl::collectBody(const caller_pointer& caller)
+{
+    body_collection& body = *caller->collection;
+    request_parser& parser = *caller->pendingHead->parser;
+    while (!body.isComplete() && !caller->input.empty()) {
+        const std::size_t room = body.reservation.bytes() - body.bytes.size();
+        if (room == 0 && !growCollection(caller))
+            return pauseCollection(caller);
+        if (room == 0)
+            continue;
+        const std::size_t before = caller->input.size();
+        const auto state = decodeBody(parser, caller->input, body.bytes, room);
+        const std::size_t taken = before - caller->input.size();
+        (void)caller->arrivals.consume(taken);
+        const bool isChunkHeadTooLong = taken == 0 && caller->input.size() >= maxChunkHeadBytes;
+        if (state == body_state::Bad || isChunkHeadTooLong)
+            return refusePending(caller, reason::MalformedBody);
+        body.isWhole = state == body_state::Done;
+        if (taken == 0)
+            break;
+        body.lastProgress = monotonic_clock::now();
+    }
+    clearPaused(caller);
+    return body.isComplete() ? std::nullopt : std::optional(input_step::Waits);
+}
+
+input_step server_impl::refusePending(const caller_pointer& caller, reason why)
+{
+    const checked_head head = std::move(*caller->pendingHead);
+    refuseRequest(caller, head, why);
+    return input_step::HandedOver;
+}
+
+// A paused connection is not watched, so its sender may have left meanwhile.
+input_step server_impl::pauseCollection(const caller_pointer& caller)
+{
+    const instant now = monotonic_clock::now();
+    body_collection& body = *caller->collection;
+    if (hasPeerClosed(caller->socket)) {
+        onCallerDisconnected(caller);
+        return input_step::HandedOver;
+    }
+    if (now >= schedule().lastDeadline)
+        return refusePending(caller, reason::HostStopping);
+    const bool willFit = m_budget.held() > body.reservation.bytes();
+    if (!willFit || now >= body.deadline || !takePause(caller))
+        return refusePending(caller, reason::BodyMemory);
+    if (!body.pausedSince)
+        body.pausedSince = now;
+    return input_step::HandedOver;
+}
+
+// A sender that came later and is paused already looks for memory again, and is refused then.
+bool server_impl::takePause(const caller_pointer& caller)
+{
+    const std::lock_guard lock(m_pausedMutex);
+    if (m_paused == caller)
+        return true;
+    if (m_paused && m_pausedArrived <= caller->pendingArrived)
+        return false;
+    if (m_paused)
+        pollerOf(*m_paused).resume(m_paused);
+    m_paused = caller;
+    m_pausedArrived = caller->pendingArrived;
+    return true;
+}
+
+void server_impl::resumePaused()
+{
+    const std::lock_guard lock(m_pausedMutex);
+    if (m_paused)
+        pollerOf(*m_paused).resume(m_paused);
+}
+
+void server_impl::clearPaused(const caller_pointer& caller)
+{
+    if (caller->collection && caller->collection->pausedSince) {
+        const instant now = monotonic_clock::now();
+        caller->collection->paused += now - *caller->collection->pausedSince;
+        caller->collection->pausedSince.reset();
+        caller->collection->lastProgress = now;
+    }
+    const std::lock_guard lock(m_pausedMutex);
+    if (m_paused == caller)
+        m_paused.reset();
+}
+
 input_step server_impl::keepHead(const caller_pointer& caller, checked_head head, instant arrived)
 {
     caller->pendingHead = std::move(head);
@@ -149,9 +301,13 @@
     const auto found = classify(*current, head);
     if (const auto* why = std::get_if<reason>(&found))
         return refuseInTurn(caller, std::move(head), arrived, *why);
-    if (needsBodyPrefetch(*caller, head))
-        return keepHead(caller, std::move(head), arrived);
     const auto& classification = std::get<table::classified_request>(found);
+    if (!caller->collection) {
+        if (head.hasBody && classification.route && classification.route->buffersBody)
+            return startCollection(caller, std::move(head), arrived, classification);
+        if (needsBodyPrefetch(*caller, head))
+            return keepHead(caller, std::move(head), arrived);
+    }
     const bool joins = !m_draining && runsConcurrently(*caller, head, classification);
     if (!caller->responses.admits(joins))
         return keepHead(caller, std::move(head), arrived);
@@ -175,6 +331,18 @@
     return std::min(allowed, callerTimeout(head, m_options.contract.deadline).value_or(allowed));
 }
 
+std::string_view server_impl::bodyStart(
+    const caller_connection& caller, const checked_head& head) const
+{
+    const std::size_t limit = m_options.bodyPrefetchBytes;
+    if (caller.collection)
+        return std::string_view(caller.collection->bytes).substr(0, limit);
+    if (!head.hasBody || head.expectsContinue || head.parser->chunked())
+        return {};
+    return std::string_view(caller.input)
+        .substr(0, std::min<std::uint64_t>(*head.parser->content_length(), limit));
+}
+
 input_step server_impl::submit(const caller_pointer& caller, checked_head head, instant arrived,
     const table::classified_request& found)
 {
@@ -182,6 +350,13 @@
     const auto deadline = schedule().deadlineFor(now, arrived + requestTimeout(head, found));
     if (!deadline)
         return refuseInTurn(caller, std::move(head), arrived, reason::HostStopping);
+    const bool isCollected = caller->collection.has_value();
+    const bool hasBodyLeft
+        = isCollected ? !caller->collection->isWhole : !hasWholeBody(*caller, head);
+    body_reservation memory(m_budget, body_kind::Replay, caller->bodyBytes);
+    const bool takesBody = !isCollected && head.hasBody && !hasBodyLeft;
+    if (takesBody && !memory.growTo(*head.parser->content_length()))
+        return refuseInTurn(caller, std::move(head), arrived, reason::BodyMemory);
     auto request = std::make_unique<exchange>();
     request_facts& facts = request->facts;
     facts.id = request_id { m_nextId.fetch_add(1, std::memory_order_relaxed) };
@@ -193,12 +368,7 @@
     }
     facts.caller = found.caller;
     facts.repeatable = found.repeatable;
-    const bool bodyPrefetched = head.hasBody && !head.expectsContinue && !head.parser->chunked();
-    const std::size_t fingerprintBytes = bodyPrefetched
-        ? std::min<std::uint64_t>(*head.parser->content_length(), m_options.bodyPrefetchBytes)
-        : 0;
-    facts.fingerprint
-        = fingerprint(head, std::string_view(caller->input).substr(0, fingerprintBytes));
+    facts.fingerprint = fingerprint(head, bodyStart(*caller, head));
     facts.arrived = arrived;
     facts.deadline = *deadline;
     if (found.route)
@@ -206,9 +376,11 @@
     request->readDelay = now - arrived;
     request->caller = caller;
     request->position = caller->responses.add(facts.id, runsConcurrently(*caller, head, found));
-    request->ownsInput = !hasWholeBody(*caller, head);
+    request->ownsInput = hasBodyLeft;
+    request->bodyBytes = std::move(memory);
+    request->responseBytes = body_reservation(m_budget, body_kind::Response, caller->bodyBytes);
     request->head = std::move(head);
-    if (request->head.hasBody && !request->ownsInput)
+    if (isCollected || takesBody)
         takeBody(*request);
     const bool ownsInput = request->ownsInput;
     caller->state = phase::Idle;
