--- a/review/installation.h
+++ b/review/installation.h
@@ -125,7 +125,8 @@
                 { "listen.front", hosts.back() }, { "ip", "127.0.0.1" },
                 { "portRange.0", std::to_string(peers.port()) }, { "listen.ready", freeAddress() },
                 { "limits.cpuShare", "0.2" }, { "limits.maxFds", "4100" },
-                { "provider.address", store }, { "bounds", bounds } });
+                { "limits.memoryMb", "160" }, { "provider.address", store },
+                { "bounds", bounds } });
     }
     std::ofstream(folder + "/ready") << "ready\n";
     return hosts;
