--- a/include/pimentomast/telemetry.h
+++ b/include/pimentomast/telemetry.h
@@ -44,6 +44,10 @@
     TargetSpeed,
     StoreEraRises,
     RelayedRows,
+    BodyBytes,
+    BodyBytesLimit,
+    Deliveries,
+    Delivered,
     AdminRequests,
 };
 
--- a/src/serve/metrics.cc
+++ b/src/serve/metrics.cc
@@ -74,6 +74,14 @@
     metrics.gaugeFor(metric::TargetSpeed, "highest").set(std::lround(highest * percent));
 }
 
+void exposeBodies(telemetry::registry& metrics, const proxy::gauges& state)
+{
+    metrics.gaugeFor(metric::BodyBytes).set(static_cast<std::int64_t>(state.bodyBytes));
+    metrics.gaugeFor(metric::BodyBytesLimit).set(static_cast<std::int64_t>(state.bodyBytesLimit));
+    metrics.gaugeFor(metric::Deliveries).set(static_cast<std::int64_t>(state.deliveries));
+    raiseTo(metrics.counterFor(metric::Delivered), state.delivered);
+}
+
 /// Domains that were evacuated earlier are exposed with 0.
 void exposeEvacuations(telemetry::registry& metrics, const table::table& rows)
 {
@@ -104,6 +112,7 @@
         .set(static_cast<std::int64_t>(state.targetConnections));
     m_metrics.gaugeFor(metric::Running).set(static_cast<std::int64_t>(state.running));
     m_metrics.gaugeFor(metric::Queued).set(static_cast<std::int64_t>(state.waiting));
+    exposeBodies(m_metrics, state);
     const auto targets = m_dispatch->targets();
     exposeTargets(m_metrics, targets);
     if (m_values.targets.shareSpeed)
--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -5,6 +5,7 @@
 #include "stage_timer.h"
 
 #include <random>
+#include <unistd.h>
 
 namespace pimentomast::serve::detail {
 namespace {
@@ -64,6 +65,15 @@
     return times;
 }
 
+/// Returns 0 if the system does not tell.
+unsigned machineMemoryMb()
+{
+    constexpr long megabyte = 1048576;
+    const long pages = ::sysconf(_SC_PHYS_PAGES);
+    const long pageBytes = ::sysconf(_SC_PAGESIZE);
+    return pages > 0 && pageBytes > 0 ? static_cast<unsigned>(pages / (megabyte / pageBytes)) : 0;
+}
+
 proxy::options proxyOptions(const settings::settings& values)
 {
     proxy::options options;
@@ -75,6 +85,11 @@
     options.idleTimeout = values.limits.idleTimeoutMs;
     options.bodyTimeout = values.limits.bodyTimeoutMs;
     options.connectTimeout = values.limits.connectTimeoutMs;
+    options.uploadPrefetchBytes = values.limits.uploadPrefetchBytes;
+    auto limits = values.limits;
+    if (limits.memoryMb == 0 && limits.detectMemory)
+        limits.memoryMb = machineMemoryMb();
+    options.bodyMemoryBytes = limits.bodyMemory();
     options.pooledIdleTimeout = values.limits.pooledIdleMs;
     options.drainIdleTimeout = values.drain.idleMs;
     return options;
--- a/test/platform-settings-test.cc
+++ b/test/platform-settings-test.cc
@@ -45,5 +45,18 @@
     cr_assert(values.value().store.interface == settings::store_interface::Platform);
     cr_assert(values.value().admin.token.empty());
     cr_assert_eq(values.value().limits.callerConnections(), 2050);
+    cr_assert(values.value().limits.detectMemory);
     cr_assert_eq(values.value().store.terms, terms);
 }
+
+Test(platform_settings, bodies_may_take_a_quarter_of_what_the_process_has_above_its_own_needs)
+{
+    settings::limit_settings limits;
+    cr_assert_eq(limits.bodyMemory(), 0);
+    limits.memoryMb = 160;
+    cr_assert_eq(limits.bodyMemory(), (160 - 48) * 1048576 / 4);
+    limits.memoryMb = 20;
+    cr_assert_eq(limits.bodyMemory(), 1048576);
+    limits.bodyMemoryBytes = 5000;
+    cr_assert_eq(limits.bodyMemory(), 5000);
+}
