--- a/bench/shared/baseline.cc
+++ b/bench/shared/baseline.cc
@@ -24,6 +24,12 @@
     }
     actions applyLiveHosts(instant, std::optional<unsigned>) override { return {}; }
     actions applyTableConfirmed(instant, bool) override { return {}; }
+    actions applyListedHosts(instant, const host_id&, const std::vector<host_id>&) override
+    {
+        return {};
+    }
+    actions applyEvenLoad(instant, const even_load&) override { return {}; }
+    [[nodiscard]] std::vector<speed_sample> takeSpeedSamples() override { return {}; }
     actions ownersChanged(instant, const service_id&) override { return {}; }
     actions arrive(instant now, const request& incoming) override
     {
