Let windows recover where nothing is learned; no slow start after a warm-up

A host that sends a target a request each few seconds learned from one slow answer to send it less for minutes, while others found it idle. With shared speeds, a window below 1 comes half as near to 1 in 2 s. A warm-up replaces the slow start of a target instead of preceding it.

--- a/src/routing/attempts.cc
+++ b/src/routing/attempts.cc
@@ -31,7 +31,7 @@
             target->health.onAnswered(self.m_now, result);
             engine::countAnswer(*target, result);
             if (!self.m_settings.targetsReportLoad)
-                target->window.onLatency(result.total);
+                target->window.onLatency(self.m_now, result.total);
             else
                 self.adaptWindow(*target, ended.submitted, false);
             target->reportTrust = std::min(1.0, target->reportTrust + trustGain);
@@ -100,7 +100,7 @@
                 self.m_unresolvedLosses[ended.submitted.requestFingerprint]
                     = { target->row.id, self.m_now };
             else if (!ended.responded)
-                target->window.onShed(false);
+                target->window.onShed(self.m_now, false);
         }
         const bool mayRepeat = ended.submitted.repeatable && !ended.responded
             && ended.attempt.value() < self.m_settings.attemptsMax;
@@ -128,7 +128,7 @@
     {
         const bool isSilent = ended.wasSent && !ended.responded && self.isOverdue(ended);
         if (target != nullptr && isSilent && !self.m_settings.targetsReportLoad)
-            target->window.onShed(false);
+            target->window.onShed(self.m_now, false);
     }
 
     void operator()(const timed_out&) const
@@ -250,9 +250,9 @@
         return;
     const bool floods = service.shares.floods(submitted.caller);
     if (wasShed)
-        target.window.onShed(floods);
+        target.window.onShed(m_now, floods);
     else
-        target.window.onAnswered(floods);
+        target.window.onAnswered(m_now, floods);
 }
 
 void engine::recordLatency(const request& submitted, const answered& result)
--- a/src/routing/engine.cc
+++ b/src/routing/engine.cc
@@ -22,7 +22,7 @@
 window::limits windowLimits(const options& settings)
 {
     return { settings.windowGrowth, settings.windowDecrease, settings.floodGrowth,
-        settings.floodDecrease, settings.windowMin, 1 };
+        settings.floodDecrease, settings.windowMin, 1, settings.windowHalfLife };
 }
 
 quarantine::limits quarantineLimits(const options& settings)
@@ -294,7 +294,7 @@
         view.service = target.row.service;
         view.outstanding = static_cast<unsigned>(target.inFlight.size());
         view.queued = static_cast<unsigned>(target.waiting.size());
-        view.window = target.window.size();
+        view.window = target.window.size(m_now);
         view.ejected = target.health.ejected();
         view.slowStartShare = target.health.slowStartShare(m_now);
         view.cold = isCold(target);
--- a/src/routing/target_health.h
+++ b/src/routing/target_health.h
@@ -41,12 +41,6 @@
     [[nodiscard]] bool ejected() const noexcept { return m_ejectedUntil.has_value(); }
     /// Begins a slow start: the target's share grows from now on.
     void restart(instant now) noexcept { m_slowStartBegin = now; }
-    /// A slow start does not begin before this time, which may lie in the future.
-    void delaySlowStart(instant until) noexcept
-    {
-        m_slowStartBegin = std::max(m_slowStartBegin, until);
-    }
-
     /// Whether probes or requests indicate that the target does not serve.
     [[nodiscard]] bool failing() const noexcept;
     /// Smoothed share of answers that are server errors, from 0 to 1.
--- a/src/routing/tick.cc
+++ b/src/routing/tick.cc
@@ -118,7 +118,7 @@
         return instant::max();
     const auto outstanding = static_cast<unsigned>(target.inFlight.size());
     const duration latency = target.health.latency().smoothed(initialLatency);
-    const instant window = target.window.nextFraction(outstanding, latency);
+    const instant window = target.window.nextFraction(m_now, outstanding, latency);
     const instant opens = std::max({ window, target.shedUntil, warmupOpensAt(target) });
     return std::max(opens, m_now + std::chrono::milliseconds(1));
 }
--- a/src/routing/waiting.cc
+++ b/src/routing/waiting.cc
@@ -62,13 +62,13 @@
     const target_state& target, std::size_t ahead) const
 {
     const auto outstanding = static_cast<double>(target.inFlight.size());
-    const double size = std::max(target.window.size(), windowFloor);
+    const double size = std::max(target.window.size(m_now), windowFloor);
     const duration latency = target.health.latency().smoothed(initialLatency);
     const auto perRequest = std::chrono::duration<double, std::micro>(latency) / size;
     const auto pause = std::max(target.shedUntil - m_now, duration {});
     // Below a window of 1 the next dispatch is due a certain time after the last one.
     const bool isPaced = size < 1;
-    const auto opens = isPaced ? target.window.nextFraction(0, latency) : m_now;
+    const auto opens = isPaced ? target.window.nextFraction(m_now, 0, latency) : m_now;
     const double excess = isPaced ? static_cast<double>(ahead)
                                   : static_cast<double>(ahead) + outstanding + 1 - size;
     const auto queued = std::chrono::duration_cast<duration>(perRequest * std::max(excess, 0.0));
@@ -88,7 +88,7 @@
             continue;
         const std::chrono::duration<double> latency(
             target.health.latency().smoothed(initialLatency));
-        const double size = std::max(target.window.size(), windowFloor);
+        const double size = std::max(target.window.size(m_now), windowFloor);
         perSecond += size / latency.count();
         room += std::max(size - static_cast<double>(target.inFlight.size()), 0.0);
     }
--- a/src/routing/warming.cc
+++ b/src/routing/warming.cc
@@ -58,7 +58,6 @@
     target.quota.setLimit(isLimited ? service->warmup->requestsPerSecond : 0);
     if (!isCold(target))
         return;
-    target.health.delaySlowStart(coldUntil(target));
     updateSender(target);
 }
 
@@ -69,7 +68,6 @@
         return;
     const bool wasCold = isCold(target);
     target.probedColdUntil = m_now + coldFor;
-    target.health.delaySlowStart(coldUntil(target));
     updateSender(target);
     if (!wasCold)
         refuseWarming();
--- a/src/routing/window.cc
+++ b/src/routing/window.cc
@@ -1,6 +1,7 @@
 #include "window.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace pimentomast::routing {
 
@@ -31,14 +32,29 @@
     m_size = std::clamp(m_size, m_limits.min, m_limits.max);
 }
 
+double window::size(instant now) const noexcept
+{
+    if (m_limits.halfLife <= duration::zero() || m_size >= 1 || now <= m_learnedAt)
+        return m_size;
+    const double age = std::chrono::duration<double>(now - m_learnedAt)
+        / std::chrono::duration<double>(m_limits.halfLife);
+    return std::min(m_limits.max, 1 - (1 - m_size) * std::exp2(-age));
+}
+
+void window::learn(instant now, double size) noexcept
+{
+    m_size = std::clamp(size, m_limits.min, m_limits.max);
+    m_learnedAt = now;
+}
+
 bool window::allows(instant now, unsigned outstanding, duration latency) const noexcept
 {
-    return now >= nextFraction(outstanding, latency);
+    return now >= nextFraction(now, outstanding, latency);
 }
 
-instant window::nextFraction(unsigned outstanding, duration latency) const noexcept
+instant window::nextFraction(instant now, unsigned outstanding, duration latency) const noexcept
 {
-    const double room = m_size - outstanding;
+    const double room = size(now) - outstanding;
     if (room >= 1)
         return instant {};
     if (room <= 0 || (outstanding > 0 && room < m_limits.min))
@@ -49,17 +65,17 @@
 
 void window::onDispatch(instant now, unsigned outstanding) noexcept
 {
-    if (m_size - outstanding < 1)
+    if (size(now) - outstanding < 1)
         m_lastFraction = now;
 }
 
-void window::onAnswered(bool flooding) noexcept
+void window::onAnswered(instant now, bool flooding) noexcept
 {
     const double growth = flooding ? m_limits.floodGrowth : m_limits.growth;
-    m_size = std::min(m_limits.max, m_size * (1 + growth) + additiveGrowth);
+    learn(now, size(now) * (1 + growth) + additiveGrowth);
 }
 
-void window::onLatency(duration latency) noexcept
+void window::onLatency(instant now, duration latency) noexcept
 {
     const auto us = static_cast<double>(latency.count());
     if (m_lowQuantileUs == 0) {
@@ -71,15 +87,15 @@
     m_lowQuantileUs += us < m_lowQuantileUs ? -quantileStep * 9 * m_lowQuantileUs
                                             : quantileStep * m_lowQuantileUs;
     if (m_meanUs < growBelowRatio * m_lowQuantileUs)
-        m_size = std::min(m_limits.max, m_size + latencyGrowth);
+        learn(now, size(now) + latencyGrowth);
     else if (m_meanUs > shrinkAboveRatio * m_lowQuantileUs)
-        m_size = std::max(m_limits.min, m_size * latencyDecrease);
+        learn(now, size(now) * latencyDecrease);
 }
 
-void window::onShed(bool flooding) noexcept
+void window::onShed(instant now, bool flooding) noexcept
 {
     const double factor = flooding ? m_limits.floodDecrease : m_limits.decrease;
-    m_size = std::max(m_limits.min, m_size * factor);
+    learn(now, size(now) * factor);
 }
 
 } // namespace pimentomast::routing
--- a/src/routing/window.h
+++ b/src/routing/window.h
@@ -21,6 +21,9 @@
         double floodDecrease = 0.5;
         double min = 0.1;
         double max = 4;
+        /// Time in which a window below 1 comes half as near to 1 if nothing is learned; 0: it
+        /// stays. What a host that sends little to a target knows of its queue is soon outdated.
+        duration halfLife {};
     };
 
     explicit window(const limits& bounds);
@@ -31,21 +34,27 @@
     [[nodiscard]] bool allows(instant now, unsigned outstanding, duration latency) const noexcept;
     /// Returns when one more request may start if none ends before; instant::max() if only the end
     /// of a request makes room.
-    [[nodiscard]] instant nextFraction(unsigned outstanding, duration latency) const noexcept;
+    [[nodiscard]] instant nextFraction(
+        instant now, unsigned outstanding, duration latency) const noexcept;
     void onDispatch(instant now, unsigned outstanding) noexcept;
     /// flooding: the request's caller sends far more than others.
-    void onAnswered(bool flooding) noexcept;
-    void onShed(bool flooding) noexcept;
+    void onAnswered(instant now, bool flooding) noexcept;
+    void onShed(instant now, bool flooding) noexcept;
     /// Replaces onAnswered() for targets that do not report their load: the window grows while the
     /// latency is about that of an idle target and shrinks when requests queue there (L. Brakmo,
     /// S. O'Malley, L. Peterson, "TCP Vegas", SIGCOMM 1994, detects a queue in the same way).
-    void onLatency(duration latency) noexcept;
+    void onLatency(instant now, duration latency) noexcept;
 
-    [[nodiscard]] double size() const noexcept { return m_size; }
+    [[nodiscard]] double size(instant now) const noexcept;
 
 private:
+    /// Sets the size as learned now.
+    void learn(instant now, double size) noexcept;
+
     limits m_limits;
+    /// As of m_learnedAt.
     double m_size;
+    instant m_learnedAt {};
     /// Low quantile of the latency, and its mean; 0 while nothing is known.
     double m_lowQuantileUs = 0;
     double m_meanUs = 0;
--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -14,6 +14,8 @@
 
 constexpr std::chrono::milliseconds controlTickMs { 25 };
 constexpr std::chrono::milliseconds loadTimeoutMs { 500 };
+/// With shared speeds, a host prefers no target for what it saw of its queue seconds ago.
+constexpr std::chrono::milliseconds windowHalfLife { 2000 };
 /// Time after which the speed of targets is applied again; it changes once a second.
 constexpr std::chrono::seconds speedIntervalS { 1 };
 constexpr std::chrono::milliseconds handoverTimeoutMs { 3000 };
@@ -196,6 +198,8 @@
     routes.waitsForBudget = m_values.retries.wait;
     routes.budgetsShed = m_values.retries.countShed;
     routes.targetsReportLoad = m_values.targets.reportLoad;
+    if (m_values.targets.shareSpeed)
+        routes.windowHalfLife = windowHalfLife;
     routes.leavingGrace = m_values.targets.leavingGraceMs;
     routes.backgroundProbeInterval = m_values.probes.backgroundMs;
     m_dispatch = dispatch::create(routes, m_directory, [this](const auto& crash) {
--- a/src/serve/placement.cc
+++ b/src/serve/placement.cc
@@ -110,7 +110,7 @@
     const std::vector<ownership::target_view>& views, const std::vector<table::target_row>& rows)
 {
     updateTenures(now, committed);
-    updateReadyTimes(now, views, rows);
+    updateReadyTimes(now, views);
     const balancing::plan_input input { now, slices(now, committed, moving),
         targets(now, views, rows), m_load.hotKeys(now) };
     m_imbalance = balancing::imbalance(input.slices, input.targets);
@@ -133,16 +133,11 @@
     m_tenures = std::move(current);
 }
 
-void placement_planner::updateReadyTimes(instant now,
-    const std::vector<ownership::target_view>& targets, const std::vector<table::target_row>& rows)
+void placement_planner::updateReadyTimes(
+    instant now, const std::vector<ownership::target_view>& targets)
 {
-    std::set<target_id> cold;
-    for (const auto& row : rows) {
-        if (isCold(now, row))
-            cold.insert(row.id);
-    }
     for (const auto& view : targets) {
-        if (!view.reachable || cold.contains(view.id))
+        if (!view.reachable)
             m_readySince.erase(view.id);
         else
             m_readySince.try_emplace(view.id, now);
--- a/src/serve/placement.h
+++ b/src/serve/placement.h
@@ -40,8 +40,7 @@
 
     placement_planner(const balancing::planner& planner, std::uint64_t keyWidth);
     void updateTenures(instant now, const ownership::assignment& committed);
-    void updateReadyTimes(instant now, const std::vector<ownership::target_view>& targets,
-        const std::vector<table::target_row>& rows);
+    void updateReadyTimes(instant now, const std::vector<ownership::target_view>& targets);
     void countLoads(instant now, std::vector<balancing::placed_slice>& placed) const;
     /// Repeatedly halves the key ranges of slices with a high load, and sets the load of each part.
     [[nodiscard]] std::vector<balancing::placed_slice> splitBusySlices(
