--- a/src/ownership/coordinator_impl.h
+++ b/src/ownership/coordinator_impl.h
@@ -148,8 +148,6 @@
     bool isMoving(const target_id& target) const;
     bool isPostponed(instant now, const slice& range) const;
     bool canOwn(const target_id& id) const;
-    /// Determines which targets are spared because they are cold.
-    void updateSpared(instant now);
     std::map<target_id, double> sharesPerWeight() const;
     std::optional<target_id> chooseNewOwner(
         const slice& range, const target_id& from, const std::map<target_id, double>& shares) const;
--- a/src/ownership/coordinator_state.h
+++ b/src/ownership/coordinator_state.h
@@ -21,8 +21,6 @@
 struct target_state {
     table::target_row row;
     bool inTable = false;
-    /// It is cold and gets no slices, since other targets can take them.
-    bool spared = false;
     incarnation run;
     /// Acknowledged this epoch, and therefore refuses lower ones.
     bool adopted = false;
--- a/src/ownership/moves.cc
+++ b/src/ownership/moves.cc
@@ -21,7 +21,6 @@
     if (!hasAuthority(now))
         return;
     std::erase_if(m_postponed, [&](const auto& each) { return each.until <= now; });
-    updateSpared(now);
     handleLostOwners(now);
     planWanted(now);
     for (auto& each : m_moves)
@@ -72,19 +71,7 @@
         return false;
     const auto& state = found->second;
     const bool isActive = state.inTable && state.row.state == table::mark::Active;
-    return isActive && state.row.weight > 0 && !state.spared && isReachable(state);
-}
-
-void coordinator::impl::updateSpared(instant now)
-{
-    for (auto& [id, state] : m_targets)
-        state.spared = state.row.coldUntil && now < *state.row.coldUntil;
-    const bool othersCan = std::any_of(
-        m_targets.begin(), m_targets.end(), [&](const auto& each) { return canOwn(each.first); });
-    if (othersCan)
-        return;
-    for (auto& [id, state] : m_targets)
-        state.spared = false;
+    return isActive && state.row.weight > 0 && isReachable(state);
 }
 
 std::map<target_id, double> coordinator::impl::sharesPerWeight() const
--- a/src/serve/placement.cc
+++ b/src/serve/placement.cc
@@ -8,14 +8,13 @@
 /// Slices are split until each part carries at most a target's mean load divided by this number.
 constexpr double busyPartsPerMean = 4;
 
-balancing::target_state stateOf(
-    const ownership::target_view& view, const table::target_row& row, bool spared)
+balancing::target_state stateOf(const ownership::target_view& view, const table::target_row& row)
 {
     if (!view.reachable)
         return view.leaseExpired ? balancing::target_state::Lost : balancing::target_state::Suspect;
     if (row.state == table::mark::Leaving)
         return balancing::target_state::Leaving;
-    return spared ? balancing::target_state::Suspect : balancing::target_state::Ready;
+    return balancing::target_state::Ready;
 }
 
 const ownership::target_view* find(
@@ -31,17 +30,6 @@
     return row.coldUntil && now < *row.coldUntil;
 }
 
-/// Returns whether a target that is not cold can take slices.
-bool hasWarmTarget(instant now, const std::vector<ownership::target_view>& views,
-    const std::vector<table::target_row>& rows)
-{
-    return std::any_of(rows.begin(), rows.end(), [&](const auto& row) {
-        const auto* view = find(views, row.id);
-        return view && !isCold(now, row) && row.weight > 0
-            && stateOf(*view, row, false) == balancing::target_state::Ready;
-    });
-}
-
 struct proposal_visitor {
     ownership::placement_wanted& wanted;
 
@@ -110,9 +98,9 @@
     const std::vector<ownership::target_view>& views, const std::vector<table::target_row>& rows)
 {
     updateTenures(now, committed);
-    updateReadyTimes(now, views);
-    const balancing::plan_input input { now, slices(now, committed, moving),
-        targets(now, views, rows), m_load.hotKeys(now) };
+    updateReadyTimes(now, views, rows);
+    const balancing::plan_input input { now, slices(now, committed, moving), targets(views, rows),
+        m_load.hotKeys(now) };
     m_imbalance = balancing::imbalance(input.slices, input.targets);
     ownership::placement_wanted wanted;
     for (const auto& proposal : m_planner.plan(input))
@@ -133,9 +121,19 @@
     m_tenures = std::move(current);
 }
 
-void placement_planner::updateReadyTimes(
-    instant now, const std::vector<ownership::target_view>& targets)
+// A target that became cold gets load by slow start, as one that has just become reachable.
+void placement_planner::updateReadyTimes(instant now,
+    const std::vector<ownership::target_view>& targets, const std::vector<table::target_row>& rows)
 {
+    std::set<target_id> cold;
+    for (const auto& row : rows) {
+        if (!isCold(now, row))
+            continue;
+        cold.insert(row.id);
+        if (!m_cold.contains(row.id))
+            m_readySince.erase(row.id);
+    }
+    m_cold = std::move(cold);
     for (const auto& view : targets) {
         if (!view.reachable)
             m_readySince.erase(view.id);
@@ -210,11 +208,10 @@
         placed[i].load = rates[i];
 }
 
-std::vector<balancing::placement_target> placement_planner::targets(instant now,
+std::vector<balancing::placement_target> placement_planner::targets(
     const std::vector<ownership::target_view>& views,
     const std::vector<table::target_row>& rows) const
 {
-    const bool sparesCold = hasWarmTarget(now, views, rows);
     std::vector<balancing::placement_target> all;
     for (const auto& row : rows) {
         const auto* view = find(views, row.id);
@@ -225,7 +222,7 @@
         target.id = row.id;
         target.domain = row.domain;
         target.weight = row.weight;
-        target.state = stateOf(*view, row, sparesCold && isCold(now, row));
+        target.state = stateOf(*view, row);
         if (ready != m_readySince.end())
             target.readySince = ready->second;
         all.push_back(target);
--- a/src/serve/placement.h
+++ b/src/serve/placement.h
@@ -40,7 +40,8 @@
 
     placement_planner(const balancing::planner& planner, std::uint64_t keyWidth);
     void updateTenures(instant now, const ownership::assignment& committed);
-    void updateReadyTimes(instant now, const std::vector<ownership::target_view>& targets);
+    void updateReadyTimes(instant now, const std::vector<ownership::target_view>& targets,
+        const std::vector<table::target_row>& rows);
     void countLoads(instant now, std::vector<balancing::placed_slice>& placed) const;
     /// Repeatedly halves the key ranges of slices with a high load, and sets the load of each part.
     [[nodiscard]] std::vector<balancing::placed_slice> splitBusySlices(
@@ -50,7 +51,7 @@
     [[nodiscard]] std::vector<balancing::placed_slice> slices(instant now,
         const ownership::assignment& committed,
         const std::vector<ownership::wanted_slice>& moving) const;
-    [[nodiscard]] std::vector<balancing::placement_target> targets(instant now,
+    [[nodiscard]] std::vector<balancing::placement_target> targets(
         const std::vector<ownership::target_view>& views,
         const std::vector<table::target_row>& rows) const;
 
@@ -60,6 +61,8 @@
     load_aggregator m_load;
     std::map<key_hash, tenure> m_tenures;
     std::map<target_id, instant> m_readySince;
+    /// Targets that were cold at the last plan.
+    std::set<target_id> m_cold;
 };
 
 } // namespace pimentomast::serve::detail
