--- a/test/ownership-simulation.h
+++ b/test/ownership-simulation.h
@@ -361,7 +361,8 @@
         send(index, other, [=, this] {
             const auto query = ++m_query;
             m_pendingQueries[query] = { index, run, operation.request };
-            deliver(other, runOf(other), witness_asked { query, operation.asked, operation.takeOver });
+            deliver(
+                other, runOf(other), witness_asked { query, operation.asked, operation.takeOver });
         });
     }
 
