--- a/review/callers-2.cc
+++ b/review/callers-2.cc
@@ -15,8 +15,10 @@
 /// Clients of the platform, each with a connection of its own that it keeps open.
 /// Usage: callers-2 --hosts IP:PORT[,IP:PORT] --name HOST --path PATH --record FILE --seconds N
 ///   [--clients N] [--method GET] [--chunked 1] [--keys N] [--deadline-ms N] [--pause-ms N]
+///   [--retries N]
 ///
-/// Each request has an id and a body of its own. A request without an answer is recorded as
+/// Each request has an id and an order of its own. After 429 or 503, which promise that the request
+/// has not run, the order is sent again with a new id. A request without an answer is recorded as
 /// `unanswered`.
 namespace review {
 namespace {
@@ -33,6 +35,7 @@
         , keys(given.number("keys", 0))
         , deadlineMs(given.number("deadline-ms", 2000))
         , pauseMs(given.number("pause-ms", 0))
+        , retries(given.number("retries", 0))
         , endsAt(nowMs() + given.number("seconds", 1) * std::int64_t { 1000 })
         , events(given.text("record"))
     {
@@ -46,6 +49,7 @@
     const int keys;
     const int deadlineMs;
     const int pauseMs;
+    const int retries;
     const std::int64_t endsAt;
     record events;
 };
@@ -64,7 +68,7 @@
     void run()
     {
         while (nowMs() < m_load.endsAt) {
-            sendNext();
+            sendOrder();
             std::this_thread::sleep_for(std::chrono::milliseconds(m_load.pauseMs));
         }
     }
@@ -94,19 +98,29 @@
         m_session->sendRequest(request) << body << std::flush;
     }
 
-    void sendNext()
+    void sendOrder()
+    {
+        const std::string order
+            = "order-" + std::to_string(m_number) + "-" + std::to_string(++m_orders);
+        for (int i = 0; i <= m_load.retries && sendAttempt(order); ++i)
+            std::this_thread::sleep_for(retryPause);
+    }
+
+    /// Returns whether the client may send the order again.
+    bool sendAttempt(const std::string& order)
     {
         const std::string id = "c" + std::to_string(m_number) + "-" + std::to_string(++m_sent);
-        m_load.events.add("client sends " + id + " to " + m_host);
+        m_load.events.add("client sends " + id + " to " + m_host + " " + order);
         try {
-            exchange(id);
+            return exchange(id, order);
         } catch (const Poco::Exception& fault) {
             m_session.reset();
             m_load.events.add("client " + id + " unanswered " + fault.name());
+            return false;
         }
     }
 
-    void exchange(const std::string& id)
+    bool exchange(const std::string& id, const std::string& order)
     {
         constexpr int spareMs = 500;
         constexpr int microsecondsPerMs = 1000;
@@ -118,7 +132,7 @@
         }
         auto request = nextRequest(id);
         if (m_load.method == "POST")
-            sendBody(request, "order of " + id);
+            sendBody(request, order);
         else
             m_session->sendRequest(request);
         net::HTTPResponse response;
@@ -131,13 +145,18 @@
             + response.get("Server-Leaving", "no") + " body " + body.substr(0, end + 1));
         if (!response.getKeepAlive())
             m_session.reset();
+        return response.getStatus() == net::HTTPResponse::HTTP_TOO_MANY_REQUESTS
+            || response.getStatus() == net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE;
     }
 
+    static constexpr std::chrono::milliseconds retryPause { 20 };
+
     load& m_load;
     const unsigned m_number;
     const std::string m_host;
     std::minstd_rand m_random;
     unsigned m_sent = 0;
+    unsigned m_orders = 0;
     std::unique_ptr<net::HTTPClientSession> m_session;
 };
 
--- a/review/key-server.cc
+++ b/review/key-server.cc
@@ -25,10 +25,13 @@
 /// Stand-in for an upstream of the platform.
 /// Usage: key-server --address IP:PORT --id ID --service NAME --store IP:PORT --record FILE
 ///   [--capacity N] [--work-ms N] [--sharded 1] [--leave-ms N] [--zone NAME]
+///   [--fault KIND] [--fault-percent N]
 ///
 /// Registers itself in the store and keeps its entry fresh. On SIGUSR1 it leaves: it reports
 /// `draining`, says so in all its answers, and ends leave-ms after the store has accepted the
-/// report. SIGKILL is a crash.
+/// report. SIGKILL is a crash. SIGUSR2 begins and ends a fault of a share of the answers: `fails`
+/// answers 503 to a request that it has run, `stalls` sends half of the body and keeps the
+/// connection.
 namespace review {
 namespace {
 
@@ -37,6 +40,7 @@
 using status_code = net::HTTPResponse::HTTPStatus;
 
 std::atomic<bool> leaveRequested { false };
+std::atomic<bool> isFaulty { false };
 
 std::int64_t unixMs()
 {
@@ -92,6 +96,8 @@
         , capacity(given.number("capacity", 4))
         , workMs(given.number("work-ms", 100))
         , leaveMs(given.number("leave-ms", 4000))
+        , fault(given.text("fault"))
+        , faultPercent(static_cast<unsigned>(given.number("fault-percent", 0)))
         , isSharded(given.number("sharded", 0) != 0)
         , events(given.text("record"))
     {
@@ -105,11 +111,14 @@
     const int capacity;
     const int workMs;
     const int leaveMs;
+    const std::string fault;
+    const unsigned faultPercent;
     const bool isSharded;
     const std::int64_t born = unixMs();
     record events;
     held_keys keys;
     std::atomic<int> running { 0 };
+    std::atomic<unsigned> runs { 0 };
     std::atomic<bool> isLeaving { false };
 };
 
@@ -141,10 +150,12 @@
             return answer(response, 421, "");
         if (request.getURI() == "/grant" || request.getURI() == "/release")
             return order(request.getURI(), body, response);
-        serve(request, response);
+        serve(request, body, response);
     }
 
 private:
+    static constexpr unsigned percent = 100;
+
     static void answer(net::HTTPServerResponse& response, int status, const std::string& body)
     {
         response.setStatus(static_cast<status_code>(status));
@@ -171,7 +182,8 @@
         answer(response, taken ? 200 : 409, "");
     }
 
-    void serve(net::HTTPServerRequest& request, net::HTTPServerResponse& response)
+    void serve(
+        net::HTTPServerRequest& request, const std::string& body, net::HTTPServerResponse& response)
     {
         const std::string id = request.get("X-Request-Id", "");
         response.set("X-Request-Id", id);
@@ -183,11 +195,24 @@
             --m_state.running;
             return reject(response, 503);
         }
-        m_state.events.add(m_state.id + " runs " + id);
+        m_state.events.add(m_state.id + " runs " + id + " " + body);
         std::this_thread::sleep_for(std::chrono::milliseconds(m_state.workMs));
         --m_state.running;
         response.set("X-Response-Signature", m_state.id + "." + id);
-        answer(response, 200, "done " + id + "\n");
+        const std::string done = "done " + id + "\n";
+        if (isFaulty && m_state.runs++ % percent < m_state.faultPercent)
+            return answerWrongly(response, id, done);
+        answer(response, 200, done);
+    }
+
+    void answerWrongly(
+        net::HTTPServerResponse& response, const std::string& id, const std::string& done)
+    {
+        m_state.events.add(m_state.id + " " + m_state.fault + " " + id);
+        if (m_state.fault == "fails")
+            return answer(response, 503, "");
+        response.setContentLength64(static_cast<Poco::Int64>(done.size()));
+        response.send() << done.substr(0, done.size() / 2) << std::flush;
     }
 
     static void reject(net::HTTPServerResponse& response, int status)
@@ -285,6 +310,7 @@
 {
     constexpr int maxThreads = 256;
     std::signal(SIGUSR1, [](int) { leaveRequested = true; });
+    std::signal(SIGUSR2, [](int) { isFaulty = !isFaulty; });
     server_state state(given);
     Poco::ThreadPool threads(2, maxThreads);
     net::HTTPServerParams::Ptr params = new net::HTTPServerParams;
--- a/review/platform-store.cc
+++ b/review/platform-store.cc
@@ -23,8 +23,7 @@
 ///
 /// Beside the calls of the system's hosts: PUT and DELETE /row/TABLE/KEY, by which the operator and
 /// upstreams write a row of an empty part (the value is base64); PUT /outage/on or /outage/off,
-/// which makes the store answer the system's hosts with 503; PUT /copy/make, which copies all rows,
-/// and PUT /copy/restore, which goes back to that copy in the next era.
+/// which makes the store answer the system's hosts with 503.
 /// A row of `servers` that is not written again is removed after three heartbeats.
 namespace review {
 namespace {
@@ -63,9 +62,6 @@
     std::map<row_name, stored_row> rows;
     std::deque<change> changes;
     std::uint64_t version = 0;
-    std::map<row_name, stored_row> copiedRows;
-    std::uint64_t copiedVersion = 0;
-    std::atomic<std::uint64_t> era { 1 };
     std::atomic<bool> outage { false };
 
     // The methods need the mutex to be held.
@@ -82,23 +78,6 @@
         changes.push_back({ name, version });
     }
 
-    void makeCopy()
-    {
-        copiedRows = rows;
-        copiedVersion = version;
-    }
-
-    // History before the copy is gone, so that a feed from there is told so.
-    void restoreCopy()
-    {
-        rows = copiedRows;
-        version = copiedVersion;
-        changes.clear();
-        ++era;
-        for (auto& [name, row] : rows)
-            row.writtenMs = nowMs();
-    }
-
     [[nodiscard]] std::uint64_t versionOf(const row_name& name) const
     {
         const auto found = rows.find(name);
@@ -169,21 +148,12 @@
         std::vector<std::string> words;
         uri.getPathSegments(words);
         const std::string call = words.empty() ? "" : words.front();
-        response.set("Store-Era", std::to_string(m_state.era));
         if (call == "row" && words.size() == 3)
             return writeRow(request.getMethod(), { words[1], "", words[2] }, body, response);
         if (call == "outage" && words.size() == 2) {
             m_state.outage = words[1] == "on";
             return send(response, net::HTTPResponse::HTTP_OK, answerAt(0));
         }
-        if (call == "copy" && words.size() == 2) {
-            const std::lock_guard guard(m_state.mutex);
-            if (words[1] == "make")
-                m_state.makeCopy();
-            else
-                m_state.restoreCopy();
-            return send(response, net::HTTPResponse::HTTP_OK, answerAt(m_state.version));
-        }
         if (m_state.outage)
             return send(response, net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE, answerAt(0));
         if (call == "rows-tx")
@@ -294,8 +264,6 @@
         const auto after = std::stoull(query["after"]);
         const auto wait = std::chrono::milliseconds(std::stol(query["waitMs"]));
         std::unique_lock guard(m_state.mutex);
-        if (after > m_state.version || after < m_state.copiedVersion)
-            return send(response, net::HTTPResponse::HTTP_GONE, answerAt(m_state.version));
         Array rows;
         m_state.changed.wait_for(guard, wait, [&] {
             rows = changedRows(query["table"], after);
