--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Upstreams truncate a share of their answers and keep the connection open.
+# Upstreams send a share of their answers without end.
 set -uo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
 . "$here/../scene-2.sh"
@@ -10,7 +10,7 @@
  {"type":"services","metadata":{"name":"ledger"},"spec":{"healthPath":"/healthz","maxConns":130,"protocol":"h1","tls":false}},
  {"type":"limits","metadata":{},"spec":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeout":"3000ms","idleTimeout":"15000ms"}}]}'
 for i in $(seq 5); do
-  start_server "s$i" $((10 + i)) --service ledger --fault stalls --fault-percent 5
+  start_server "s$i" $((10 + i)) --service ledger --fault endless --fault-percent 5
 done
 sleep 1
 for i in 1 2 3; do start_host "h$i" $((i + 1)); done
--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Two of 14 upstreams crash at the same moment while clients send orders in chunks on one path.
+# Two of 14 upstreams crash at the same moment, twice, while clients send orders in chunks on one path.
 set -uo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
 . "$here/../scene-2.sh"
@@ -9,21 +9,25 @@
  {"type":"routes","metadata":{"name":"r-sale"},"spec":{"host":"sales.example","prefix":"/sales/","kind":"non_idempotent","timeout":"1000ms","slo":"300ms","priority":1,"service":"ledger","attempts":2}},
  {"type":"services","metadata":{"name":"ledger"},"spec":{"healthPath":"/healthz","maxConns":130,"protocol":"h1","tls":false}},
  {"type":"limits","metadata":{},"spec":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeout":"3000ms","idleTimeout":"15000ms"}}]}'
-for i in $(seq 14); do start_server "s$i" $((10 + i)) --service ledger; done
+for i in $(seq 14); do start_server "s$i" $((10 + i)) --service ledger --work-ms 150; done
 sleep 1
-for i in 1 2 3; do start_host "h$i" $((i + 1)); done
-for i in 2 3 4; do wait_ready "$i"; done
-note "the hosts are ready"
-callers sales --hosts "$net.2:7000,$net.3:7000,$net.4:7000" --name sales.example --path /sales/new --method POST \
-  --chunked 1 --clients 36 --pause-ms 60 --seconds 20
-sleep 6
-if [ "$trouble" != 0 ]; then send_signal KILL s3 s9; fi
-sleep 4.5
-if [ "$trouble" != 0 ]; then
+start_host h1 2
+wait_ready 2
+note "the host is ready"
+callers sales --hosts "$net.2:7000" --name sales.example --path /sales/new --method POST \
+  --chunked 1 --clients 56 --pause-ms 40 --jitter-ms 80 --seconds 22
+crash_two() {
+  [ "$trouble" = 0 ] && return
+  send_signal KILL "$1" "$2"
+  sleep 4.5
   note "two upstreams start in their places"
-  start_server t3 13 --service ledger
-  start_server t9 19 --service ledger
-fi
+  start_server "t$1" "$3" --service ledger --work-ms 150
+  start_server "t$2" "$4" --service ledger --work-ms 150
+}
+sleep 4
+crash_two s3 s9 13 19
+sleep 3
+crash_two s5 s12 15 22
 wait "${pids[sales]}"
 write_record "$here"
 awk '$2 == "client" && $4 == "gets" { all++; if ($5 ~ /^4/ && $5 !~ /^(408|421|429)$/ && $7 == "none") own++; count[$5]++ }
--- a/review/callers-2.cc
+++ b/review/callers-2.cc
@@ -5,7 +5,6 @@
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
-#include <Poco/StreamCopier.h>
 #include <Poco/StringTokenizer.h>
 #include <memory>
 #include <random>
@@ -15,7 +14,7 @@
 /// Clients of the platform, each with a connection of its own that it keeps open.
 /// Usage: callers-2 --hosts IP:PORT[,IP:PORT] --name HOST --path PATH --record FILE --seconds N
 ///   [--clients N] [--method GET] [--chunked 1] [--keys N] [--deadline-ms N] [--pause-ms N]
-///   [--retries N]
+///   [--retries N] [--jitter-ms N]
 ///
 /// Each request has an id and an order of its own. After 429 or 503, which promise that the request
 /// has not run, the order is sent again with a new id. A request without an answer is recorded as
@@ -35,6 +34,7 @@
         , keys(given.number("keys", 0))
         , deadlineMs(given.number("deadline-ms", 2000))
         , pauseMs(given.number("pause-ms", 0))
+        , jitterMs(static_cast<unsigned>(given.number("jitter-ms", 0)))
         , retries(given.number("retries", 0))
         , endsAt(nowMs() + given.number("seconds", 1) * std::int64_t { 1000 })
         , events(given.text("record"))
@@ -49,6 +49,7 @@
     const int keys;
     const int deadlineMs;
     const int pauseMs;
+    const unsigned jitterMs;
     const int retries;
     const std::int64_t endsAt;
     record events;
@@ -61,7 +62,7 @@
         : m_load(shared)
         , m_number(number)
         , m_host(shared.hosts[number % shared.hosts.count()])
-        , m_random(number)
+        , m_random(number + 1)
     {
     }
 
@@ -69,7 +70,8 @@
     {
         while (nowMs() < m_load.endsAt) {
             sendOrder();
-            std::this_thread::sleep_for(std::chrono::milliseconds(m_load.pauseMs));
+            const auto jitter = m_random() % (m_load.jitterMs + 1);
+            std::this_thread::sleep_for(std::chrono::milliseconds(m_load.pauseMs + jitter));
         }
     }
 
@@ -135,10 +137,15 @@
             sendBody(request, order);
         else
             m_session->sendRequest(request);
+        const auto leavesAt = nowMs() + m_load.deadlineMs;
         net::HTTPResponse response;
         auto& in = m_session->receiveResponse(response);
         std::string body;
-        Poco::StreamCopier::copyToString(in, body);
+        for (int next = in.get(); next != std::istream::traits_type::eof(); next = in.get()) {
+            body += static_cast<char>(next);
+            if (nowMs() > leavesAt)
+                throw Poco::TimeoutException("no end of the answer");
+        }
         const auto end = body.find_last_not_of("\r\n");
         m_load.events.add("client " + id + " gets " + std::to_string(response.getStatus())
             + " signature " + response.get("X-Response-Signature", "none") + " leaving "
--- a/review/key-server.cc
+++ b/review/key-server.cc
@@ -11,6 +11,7 @@
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/HTTPServer.h>
 #include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/NullStream.h>
 #include <Poco/StreamCopier.h>
@@ -25,7 +26,7 @@
 /// Stand-in for an upstream of the platform.
 /// Usage: key-server --address IP:PORT --id ID --service NAME --store IP:PORT --record FILE
 ///   [--capacity N] [--work-ms N] [--sharded 1] [--leave-ms N] [--zone NAME]
-///   [--fault KIND] [--fault-percent N]
+///   [--fault KIND] [--fault-percent N] [--kilobytes N]
 ///
 /// Registers itself in the store and keeps its entry fresh. On SIGUSR1 it leaves: it reports
 /// `draining`, says so in all its answers, and ends leave-ms after the store has accepted the
@@ -97,6 +98,7 @@
         , workMs(given.number("work-ms", 100))
         , leaveMs(given.number("leave-ms", 4000))
         , fault(given.text("fault"))
+        , kilobytes(static_cast<std::size_t>(given.number("kilobytes", 0)))
         , faultPercent(static_cast<unsigned>(given.number("fault-percent", 0)))
         , isSharded(given.number("sharded", 0) != 0)
         , events(given.text("record"))
@@ -112,6 +114,7 @@
     const int workMs;
     const int leaveMs;
     const std::string fault;
+    const std::size_t kilobytes;
     const unsigned faultPercent;
     const bool isSharded;
     const std::int64_t born = unixMs();
@@ -155,6 +158,7 @@
 
 private:
     static constexpr unsigned percent = 100;
+    static constexpr std::size_t kilobyte = 1024;
 
     static void answer(net::HTTPServerResponse& response, int status, const std::string& body)
     {
@@ -199,20 +203,33 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(m_state.workMs));
         --m_state.running;
         response.set("X-Response-Signature", m_state.id + "." + id);
-        const std::string done = "done " + id + "\n";
+        const std::string done
+            = "done " + id + " " + std::string(m_state.kilobytes * kilobyte, '.');
         if (isFaulty && m_state.runs++ % percent < m_state.faultPercent)
-            return answerWrongly(response, id, done);
+            return answerWrongly(request, response, id, done);
         answer(response, 200, done);
     }
 
-    void answerWrongly(
-        net::HTTPServerResponse& response, const std::string& id, const std::string& done)
+    void answerWrongly(net::HTTPServerRequest& request, net::HTTPServerResponse& response,
+        const std::string& id, const std::string& done)
     {
         m_state.events.add(m_state.id + " " + m_state.fault + " " + id);
         if (m_state.fault == "fails")
             return answer(response, 503, "");
+        if (m_state.fault == "endless")
+            return sendWithoutEnd(response);
         response.setContentLength64(static_cast<Poco::Int64>(done.size()));
-        response.send() << done.substr(0, done.size() / 2) << std::flush;
+        response.send() << done.substr(0, done.size() / 4 * 3) << std::flush;
+        dynamic_cast<net::HTTPServerRequestImpl&>(request).socket().shutdown();
+    }
+
+    static void sendWithoutEnd(net::HTTPServerResponse& response)
+    {
+        constexpr std::chrono::milliseconds interval { 50 };
+        response.setChunkedTransferEncoding(true);
+        auto& out = response.send();
+        while (out << std::string(kilobyte, '.') << std::flush)
+            std::this_thread::sleep_for(interval);
     }
 
     static void reject(net::HTTPServerResponse& response, int status)
--- a/review/scene-2.sh
+++ b/review/scene-2.sh
@@ -11,7 +11,7 @@
 declare -A pids=()
 mkdir "$scratch/events"
 
-for program in "$top/target/pimentomast" "$stand_ins"/{platform-store,key-server,callers-2}; do
+for program in "$top/target/pimentomast" "$stand_ins"/{platform-store,key-server,callers-2,pipeline-2}; do
   [ -x "$program" ] || { echo "$program is missing"; exit 2; }
 done
 
