--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
 # Upstreams send a share of their answers without end.
+# With TROUBLE=0 (see scene-2.sh) there is no disruption.
 set -uo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
 . "$here/../scene-2.sh"
--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
 # Two of 14 upstreams crash at the same moment, twice, while clients send orders in chunks on one path.
+# With TROUBLE=0 (see scene-2.sh) there is no disruption.
 set -uo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
 . "$here/../scene-2.sh"
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
 # One of eight upstreams fails half of its requests with 503 after it has run them.
+# With TROUBLE=0 (see scene-2.sh) there is no disruption.
 set -uo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
 . "$here/../scene-2.sh"
