Proxy: a reset that the upload's send met breaks an unframed answer

Cause: the kernel reports a socket's error to one call only. relay::sendUpload() took the reset and kept only the fact that the upload had failed; the next recv() returned 0, which completeUnframedResponse() reads as the orderly end that completes an answer without a length.

Ruled out: framed answers.

Change: the target connection remembers how a send found it lost and reports that in place of the end of the stream. All reads of a target's answer go through it, so that the relay's one conclusion from the end of the stream is drawn only if no send has failed before. The reason of a connection that has gone silent is kept in the same way.

--- a/src/proxy/relay-response.cc
+++ b/src/proxy/relay-response.cc
@@ -23,7 +23,7 @@
 
 std::optional<attempt_result> relay::readTarget()
 {
-    const auto got = receiveInto(m_target.socket, m_targetInput, bufferBytes);
+    const auto got = m_target.receive(m_targetInput, bufferBytes);
     if (hasEnded(got.state))
         m_targetEnded = true;
     if (const auto result = skipStaleResponse())
@@ -117,7 +117,8 @@
     return std::nullopt;
 }
 
-// A response without a length is complete when the target closes the connection in an orderly way.
+// A response without a length is complete when the target ends the connection in order. A reset may
+// have been reported to the send of the request's body.
 void relay::completeUnframedResponse()
 {
     if (m_responseState != response_state::Body || m_notRun || !m_response->need_eof()
--- a/src/proxy/relay.cc
+++ b/src/proxy/relay.cc
@@ -165,7 +165,7 @@
 
 std::optional<attempt_result> relay::sendUpload()
 {
-    const auto sent = sendSome(m_target.socket, std::string_view(m_upload).substr(m_uploadOffset));
+    const auto sent = m_target.send(std::string_view(m_upload).substr(m_uploadOffset));
     if (hasEnded(sent.state)) {
         m_uploadFailed = true;
         if (m_requestBytesSent == 0)
--- a/src/proxy/target-pool.cc
+++ b/src/proxy/target-pool.cc
@@ -22,6 +22,22 @@
     m_pool.release(m_address);
 }
 
+io_result target_connection::send(std::string_view bytes)
+{
+    const auto sent = sendSome(socket, bytes);
+    if (hasEnded(sent.state) && !m_loss)
+        m_loss = sent.state;
+    return sent;
+}
+
+io_result target_connection::receive(std::string& buffer, std::size_t limit)
+{
+    auto got = receiveInto(socket, buffer, limit);
+    if (got.state == io_state::EndOfStream)
+        got.state = m_loss.value_or(got.state);
+    return got;
+}
+
 void target_connection::returnToPool()
 {
     m_returned = true;
--- a/src/proxy/target-pool.h
+++ b/src/proxy/target-pool.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -29,6 +30,11 @@
     /// Time at which opening the connection began.
     instant opened;
 
+    /// Like sendSome(). Remembers how the connection was lost.
+    io_result send(std::string_view bytes);
+    /// Like receiveInto(), but a connection that a send found lost does not end in order: the
+    /// kernel reports an error to one call only, and each later read returns the end of the stream.
+    io_result receive(std::string& buffer, std::size_t limit);
     /// Makes the connection available to later attempts. Precondition: no data of this exchange is
     /// left on it.
     void returnToPool();
@@ -38,6 +44,8 @@
     target_pool& m_pool;
     endpoint m_address;
     bool m_returned = false;
+    /// Failed or Silent once a send has found the connection lost.
+    std::optional<io_state> m_loss;
 };
 
 using acquire_result = std::variant<std::unique_ptr<target_connection>, reason>;
--- a/test/helper/fixed-dispatcher.h
+++ b/test/helper/fixed-dispatcher.h
@@ -3,6 +3,7 @@
 #include "pimentomast/proxy.h"
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <vector>
@@ -69,7 +70,11 @@
     }
 
     void sent(proxy::request_id, unsigned, instant, proxy::dispatch_sink&) override { }
-    void responded(proxy::request_id, unsigned, proxy::dispatch_sink&) override { }
+    void responded(proxy::request_id, unsigned, proxy::dispatch_sink&) override
+    {
+        if (whenResponded)
+            whenResponded();
+    }
     void probed(const proxy::probe_report&, proxy::dispatch_sink&) override { }
 
     /// Returns the facts of requests that have not ended.
@@ -91,6 +96,9 @@
     std::atomic<bool> recordsAttempts { true };
     /// Requests are not forwarded unless the test does so itself.
     std::atomic<bool> holdsRequests { false };
+    /// Called on the attempt's thread once it has read the head of a response, before it reads or
+    /// sends anything else. Set before requests arrive.
+    std::function<void()> whenResponded;
     std::vector<proxy::attempt> results;
     std::vector<proxy::request_id> cancelledRequests;
 
