Proxy: an abandoned attempt's unframed answer is not whole

Callers saw part of an answer as a whole one also without any fault of the target: when a host gave an attempt up just as an answer without a length arrived, the part that had arrived was passed on and ended with a last chunk.

Cause: registry::supersede() shuts down the receiving side of the abandoned attempt's connection to wake its thread. What has arrived is still read; then recv() returns 0 although the target has not ended its sending, and completeUnframedResponse() takes that for an orderly end.

Evidence: proxy-reset-test lets the answer's start arrive first, then abandons the attempt.

Change: target_connection::receive() reports the end of the stream only if transport::hasPeerFinished(), which asks the kernel for the connection's state: CLOSE_WAIT after the peer's FIN, ESTABLISHED after a shutdown of our own, CLOSE after any failure, whichever call was told of it. What a send met is kept for the reason (target-silent or target-closed). transport-test checks the four states.

--- a/include/pimentomast/transport.h
+++ b/include/pimentomast/transport.h
@@ -44,6 +44,13 @@
 /// nothing was sent in that time. Thread-safe for different connections.
 [[nodiscard]] bool isSilent(const Poco::Net::StreamSocket& connection) noexcept;
 
+/// Returns whether the peer has ended its sending in order and the connection has not failed since.
+/// A read that returns the end of the stream doesn't show that: it returns it too once an error was
+/// reported to another call, or once the receiving side was shut down here. False if the kernel
+/// does not tell. Precondition: the sending side was not shut down here. Thread-safe for different
+/// connections.
+[[nodiscard]] bool hasPeerFinished(const Poco::Net::StreamSocket& connection) noexcept;
+
 /// Ends a prepared connection with a reset, which drops what has not arrived. Does nothing if it is
 /// closed already. Thread-safe for different connections.
 void reset(Poco::Net::StreamSocket& connection) noexcept;
--- a/src/proxy/target-pool.cc
+++ b/src/proxy/target-pool.cc
@@ -33,8 +33,8 @@
 io_result target_connection::receive(std::string& buffer, std::size_t limit)
 {
     auto got = receiveInto(socket, buffer, limit);
-    if (got.state == io_state::EndOfStream)
-        got.state = m_loss.value_or(got.state);
+    if (got.state == io_state::EndOfStream && !transport::hasPeerFinished(socket))
+        got.state = m_loss.value_or(io_state::Failed);
     return got;
 }
 
--- a/src/proxy/target-pool.h
+++ b/src/proxy/target-pool.h
@@ -32,8 +32,9 @@
 
     /// Like sendSome(). Remembers how the connection was lost.
     io_result send(std::string_view bytes);
-    /// Like receiveInto(), but a connection that a send found lost does not end in order: the
-    /// kernel reports an error to one call only, and each later read returns the end of the stream.
+    /// Like receiveInto(), but returns the end of the stream only if the target ended its sending
+    /// and the connection has not failed. A socket alone does not tell: the kernel reports an error
+    /// to one call only, and the registry shuts down the receiving side of abandoned attempts.
     io_result receive(std::string& buffer, std::size_t limit);
     /// Makes the connection available to later attempts. Precondition: no data of this exchange is
     /// left on it.
--- a/src/transport/transport.cc
+++ b/src/transport/transport.cc
@@ -25,14 +25,21 @@
     return ::ioctl(socket, SIOCOUTQ, &bytes) == 0 && bytes > 0;
 }
 
-/// Returns the time since the peer last acknowledged anything; nothing if the kernel does not tell.
-std::optional<std::chrono::milliseconds> timeSinceAcknowledgement(int socket) noexcept
+/// Returns what the kernel knows of the connection; nothing if it does not tell.
+std::optional<tcp_info> infoOf(int socket) noexcept
 {
     tcp_info info {};
     socklen_t size = sizeof info;
     if (::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
         return std::nullopt;
-    return std::chrono::milliseconds(info.tcpi_last_ack_recv);
+    return info;
+}
+
+/// Returns the time since the peer last acknowledged anything; 0 if the kernel does not tell.
+std::chrono::milliseconds timeSinceAcknowledgement(int socket) noexcept
+{
+    const auto info = infoOf(socket);
+    return std::chrono::milliseconds(info ? info->tcpi_last_ack_recv : 0);
 }
 
 } // namespace
@@ -56,8 +63,13 @@
 bool isSilent(const Poco::Net::StreamSocket& connection) noexcept
 {
     const int socket = descriptor(connection);
-    return awaitsAcknowledgement(socket)
-        && timeSinceAcknowledgement(socket).value_or(std::chrono::milliseconds(0)) >= silenceLimit;
+    return awaitsAcknowledgement(socket) && timeSinceAcknowledgement(socket) >= silenceLimit;
+}
+
+bool hasPeerFinished(const Poco::Net::StreamSocket& connection) noexcept
+{
+    const auto info = infoOf(descriptor(connection));
+    return info && info->tcpi_state == TCP_CLOSE_WAIT;
 }
 
 void reset(Poco::Net::StreamSocket& connection) noexcept
--- a/test/helper/fixed-dispatcher.h
+++ b/test/helper/fixed-dispatcher.h
@@ -69,7 +69,11 @@
         cancelledRequests.push_back(id);
     }
 
-    void sent(proxy::request_id, unsigned, instant, proxy::dispatch_sink&) override { }
+    void sent(proxy::request_id id, unsigned attempt, instant, proxy::dispatch_sink& sink) override
+    {
+        if (whenSent)
+            whenSent(id, attempt, sink);
+    }
     void responded(proxy::request_id, unsigned, proxy::dispatch_sink&) override
     {
         if (whenResponded)
@@ -96,6 +100,9 @@
     std::atomic<bool> recordsAttempts { true };
     /// Requests are not forwarded unless the test does so itself.
     std::atomic<bool> holdsRequests { false };
+    /// Called on the attempt's thread before it sends or reads anything. Set before requests
+    /// arrive.
+    std::function<void(proxy::request_id, unsigned attempt, proxy::dispatch_sink&)> whenSent;
     /// Called on the attempt's thread once it has read the head of a response, before it reads or
     /// sends anything else. Set before requests arrive.
     std::function<void()> whenResponded;
--- a/test/proxy-reset-test.cc
+++ b/test/proxy-reset-test.cc
@@ -222,3 +222,32 @@
         cr_expect_eq(parseAnswers(received.bytes).back().body, partOfBody);
     }
 }
+
+// Closing an attempt's connection shuts down its receiving side, after which the host reads the end
+// of the stream although the target has not ended its answer.
+Test(proxy_reset, unframed_answer_that_arrives_as_its_attempt_is_abandoned_is_broken)
+{
+    for (const std::string start : { "GET /weights/a", "POST /ledger/a" }) {
+        std::promise<void> written;
+        std::promise<void> finish;
+        const auto finished = finish.get_future().share();
+        scripted_server server([&](auto& socket, int) {
+            write(socket, unframed + partOfBody);
+            written.set_value();
+            finished.wait();
+        });
+        proxy_fixture host(
+            { { target_id { "t" }, server.address(), std::nullopt, 8 } }, 1, callersChooseIds());
+        host.dispatcher.whenSent = [&](auto id, unsigned attempt, auto& sink) {
+            written.get_future().wait();
+            sink.abandon(id, attempt);
+        };
+        raw_connection caller(host.address());
+        caller.send(start
+            + " HTTP/1.1\r\nHost: h\r\nX-Id: up\r\nContent-Length: 0\r\nConnection: "
+              "close\r\n\r\n");
+        const received_answer received { caller.readAll(), caller.wasReset() };
+        finish.set_value();
+        cr_expect_not(looksWhole(received, 200), "%s: %s", start.c_str(), received.start().c_str());
+    }
+}
--- a/test/transport-test.cc
+++ b/test/transport-test.cc
@@ -157,3 +157,31 @@
     sendText(quiet.peer, "done");
     cr_assert_eq(receive(quiet.own, test::waitTimeout).value_or(""), "done");
 }
+
+// Each of these reads returns 0. A broken answer without a length was taken for a whole one.
+Test(transport, end_of_stream_shows_an_orderly_end_only_if_the_peer_finished)
+{
+    connection_pair finished;
+    finished.peer.shutdownSend();
+    cr_assert_eq(receive(finished.own, cutTime).value(), "");
+    cr_expect(transport::hasPeerFinished(finished.own));
+
+    connection_pair resetByPeer;
+    resetByPeer.peer.setLinger(true, 0);
+    resetByPeer.peer.close();
+    try {
+        sendText(resetByPeer.own, "a");
+        cr_assert_fail("the send did not meet the reset");
+    } catch (const Poco::Exception&) {
+        cr_assert_eq(receive(resetByPeer.own, cutTime).value(), "");
+    }
+    cr_expect_not(transport::hasPeerFinished(resetByPeer.own));
+
+    connection_pair shutDownHere;
+    shutDownHere.own.shutdownReceive();
+    cr_assert_eq(receive(shutDownHere.own, cutTime).value(), "");
+    cr_expect_not(transport::hasPeerFinished(shutDownHere.own));
+
+    const connection_pair open;
+    cr_expect_not(transport::hasPeerFinished(open.own));
+}
