Proxy: an HTTP/1.0 caller sees a reset however its answer is broken off

A caller of HTTP/1.0, which knows no chunks, took part of an answer without a length for a whole one when the host itself ended in the middle of it.

Cause: the end of the connection ends such a body. Only abortResponse() made the connection end with a reset; an attempt that ends because the server is destroyed, or because of an exception, goes through sendFault(), which closed the connection in order.

Change: a connection whose body ends with it is reset on close from the head of the answer until its last byte is passed to the kernel, as responses that are handed over for delivery are already. That holds for each way in which the request or the process can end.

--- a/src/proxy/relay-response.cc
+++ b/src/proxy/relay-response.cc
@@ -153,6 +153,10 @@
     m_framing = responseFraming(*m_response, m_request.head);
     m_closesCaller = !m_request.head.keepAlive || m_framing == framing::Close || !m_request.bodyDone
         || m_context.shouldClose();
+    // The end of the connection ends such a body, so it must look broken until all of it is sent,
+    // however the request, the host or its process ends.
+    if (m_framing == framing::Close)
+        resetOnClose(m_request.caller->socket);
     m_download += responseHead(*m_response, m_request.head, m_framing, m_closesCaller);
     m_responseState = m_response->is_done() ? response_state::Done : response_state::Body;
     if (m_responseState == response_state::Done && m_framing == framing::Chunked)
@@ -284,9 +288,11 @@
         m_request.continueSent = true;
         m_continueUnsent = false;
     }
-    if (isWhole && m_download.empty())
-        return attempt_answered { static_cast<int>(m_response->get().result_int()) };
-    return std::nullopt;
+    if (!isWhole || !m_download.empty())
+        return std::nullopt;
+    if (m_framing == framing::Close && !m_isDelivered)
+        finishOnClose(m_request.caller->socket);
+    return attempt_answered { static_cast<int>(m_response->get().result_int()) };
 }
 
 } // namespace pimentomast::proxy::detail
--- a/test/proxy-reset-test.cc
+++ b/test/proxy-reset-test.cc
@@ -251,3 +251,24 @@
         cr_expect_not(looksWhole(received, 200), "%s: %s", start.c_str(), received.start().c_str());
     }
 }
+
+// An end in order would make the part a whole answer for a caller of HTTP/1.0.
+Test(proxy_reset, caller_of_an_older_version_sees_a_reset_when_the_host_ends)
+{
+    std::promise<void> finish;
+    const auto finished = finish.get_future().share();
+    scripted_server server([&](auto& socket, int) {
+        readRequest(socket);
+        write(socket, unframed + partOfBody);
+        finished.wait();
+    });
+    proxy_fixture host(
+        { { target_id { "t" }, server.address(), std::nullopt, 8 } }, 1, callersChooseIds());
+    raw_connection caller(host.address());
+    caller.send("GET /weights/a HTTP/1.0\r\nHost: h\r\nX-Id: up\r\n\r\n");
+    caller.readUntil(partOfBody);
+    host.server.reset();
+    const received_answer received { caller.readAll(), caller.wasReset() };
+    finish.set_value();
+    cr_expect(received.wasReset, "%s", received.start().c_str());
+}
