Tests: broken answers that were handled already

- a reset that the send of a large request body meets, in the client for the host's own calls (store, grants, probes): a failed send ends the call before anything is read;
- a status that is not one of HTTP's (000 and others) after a stale answer; the other paths had tests before;
- an HTTP/1 answer where another host should speak gRPC.

--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -330,6 +330,22 @@
     cr_assert_throw(takesAll(), Poco::Exception);
 }
 
+// The send of a body takes the reset, after which a read would look like an orderly end.
+Test(http, answer_whose_reset_is_met_by_the_send_is_no_answer)
+{
+    for (const std::string answer : { "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\n{}" }) {
+        scripted_server server([&](auto& socket, int) {
+            readRequest(socket);
+            write(socket, answer);
+            socket.setLinger(true, 0);
+            socket.close();
+        });
+        http::client client({ server.address(), test::waitTimeout });
+        const http::request put { "PUT", "/", "", std::string(socketBytes, 'x') };
+        cr_expect(isNoAnswer(client.sendOnce(put)), "%s", answer.c_str());
+    }
+}
+
 Test(http, interim_answers_without_end_are_given_up_at_the_deadline)
 {
     scripted_server server([](auto& socket, int) {
--- a/test/peers-test.cc
+++ b/test/peers-test.cc
@@ -135,6 +135,24 @@
         failed.error().text().c_str());
 }
 
+// Hosts speak HTTP/2 among each other: an answer of HTTP/1, whole or broken off, is none.
+Test(peers, answer_of_another_protocol_is_an_error)
+{
+    for (const std::string status : { "200", "000" }) {
+        for (const bool isReset : { false, true }) {
+            test::scripted_server odd([&](auto& socket, int) {
+                test::write(socket, "HTTP/1.1 " + status + " Odd\r\nX Odd: 1\r\n\r\n");
+                socket.setLinger(isReset, 0);
+                socket.close();
+            });
+            const auto client = peers::client::create(odd.address());
+            waiter<peers::wire::Update> reply;
+            client->exchange({}, replyTimeoutMs, reply.handler());
+            cr_expect(reply.wait().has_error(), "status %s", status.c_str());
+        }
+    }
+}
+
 Test(peers, refusal_names_step_and_peer)
 {
     echo_handler receiver;
--- a/test/proxy-status-test.cc
+++ b/test/proxy-status-test.cc
@@ -114,6 +114,16 @@
     }
 }
 
+Test(proxy_status, stale_response_before_it)
+{
+    for (const auto& status : invalidStatuses) {
+        scripted_target target(
+            { { response("200", "old", "old") + response(status, "a", "odd") } });
+        proxy_fixture host({ target.destination() }, 1, callersChooseIds());
+        expectBadGateway(answersTo(host, get("a", closing)), status);
+    }
+}
+
 Test(proxy_status, pipelined_requests_beside_it_get_their_own_responses)
 {
     for (const auto& status : invalidStatuses) {
