Cutter: pass a reset on as a reset

The fault-injection proxy of the failure tests gave hosts an orderly end where a target had reset its connection: the thread of one direction sends while that of the other reads, the send is told of the reset, and the read returns 0.

Evidence: the new test in cutter-test resets a server's connection while its caller sends.

Change: an end is passed on as an orderly one only if the kernel says that the peer has finished (transport::hasPeerFinished), unless the other end had finished before.

--- a/test/cutter-test.cc
+++ b/test/cutter-test.cc
@@ -9,8 +9,9 @@
 using namespace pimentomast;
 using namespace pimentomast::test;
 
-/// Bytes that the fault-injection proxy injects reach the open connections of a link even if the
-/// caller of another connection has reset it.
+/// The fault-injection proxy passes on what its connections meet: bytes that it injects reach the
+/// open connections of a link even if the caller of another one has reset it, and a reset stays a
+/// reset.
 namespace {
 
 using Poco::Net::SocketAddress;
@@ -51,6 +52,32 @@
         return got;
     }
 
+    /// Connects once more and returns whether the caller, which sends all the time, sees a reset
+    /// after the server has reset the connection. Precondition: the link passes bytes.
+    bool passesReset()
+    {
+        StreamSocket caller = connect();
+        auto accepted = m_accepted.back();
+        std::thread server([&accepted] {
+            std::this_thread::sleep_for(milliseconds(2));
+            accepted.setLinger(true, 0);
+            accepted.close();
+        });
+        const std::string piece(16384, 'u');
+        bool isReset = false;
+        try {
+            while (!caller.poll({}, Poco::Net::Socket::SELECT_READ))
+                caller.sendBytes(piece.data(), static_cast<int>(piece.size()));
+            char byte = 0;
+            isReset = caller.receiveBytes(&byte, 1) < 0;
+        } catch (const Poco::Exception&) {
+            isReset = true;
+        }
+        server.join();
+        return isReset;
+    }
+    void pass() { put(m_control, "/control", R"({"link":"link","mode":"pass"})"); }
+
 private:
     StreamSocket connect()
     {
@@ -91,6 +118,16 @@
     cr_assert(link.injectAndReceive("stray") == "stray");
 }
 
+// The send of one direction took the reset, and the other direction passed on an orderly end.
+Test(cutter, reset_of_a_server_is_passed_on_while_its_caller_sends)
+{
+    constexpr int rounds = 50;
+    silent_link link;
+    link.pass();
+    for (int round = 0; round < rounds; ++round)
+        cr_expect(link.passesReset(), "round %d", round);
+}
+
 namespace {
 
 /// A connection to a loopback port; from an IPv6 socket as gRPC's are, or from an IPv4 socket.
--- a/test/stand-ins/cutter-link.h
+++ b/test/stand-ins/cutter-link.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cutter-sources.h"
+#include "pimentomast/transport.h"
 
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/ServerSocket.h>
@@ -51,6 +52,8 @@
     std::atomic<pid_t> source = -1;
     std::atomic<bool> silenced = false;
     std::atomic<bool> ended = false;
+    /// One end has finished sending, and the other's sending side was shut down.
+    std::atomic<bool> isHalfClosed = false;
     std::mutex resetMutex {};
     std::optional<reset_rule> pendingReset {};
 
@@ -231,13 +234,24 @@
             return true;
         const int received = from.receiveBytes(buffer.data(), bufferBytes);
         if (received <= 0) {
-            to.shutdownSend();
+            passEnd(open, from, to);
             return false;
         }
         return send(
             open, dir, to, std::string_view(buffer.data(), static_cast<std::size_t>(received)));
     }
 
+    /// The other direction's send may have been told of a reset, after which this read looks like
+    /// an orderly end.
+    static void passEnd(connection& open, const StreamSocket& from, StreamSocket& to)
+    {
+        const bool isFinished = pimentomast::transport::hasPeerFinished(from) || open.isHalfClosed;
+        if (!isFinished)
+            return open.reset();
+        open.isHalfClosed = true;
+        to.shutdownSend();
+    }
+
     bool send(connection& open, direction dir, StreamSocket& to, std::string_view bytes)
     {
         if (dir == direction::Forward)
