Tests: early answers that are reset during an upload, between processes

The incident as it was seen: targets answer uploads of 1 MB, sent at some 30 MB/s, at once with a 200 without a length, send half of a body and reset the connection.

--- a/test/failure-answers-test.cc
+++ b/test/failure-answers-test.cc
@@ -48,6 +48,48 @@
     return answer;
 }
 
+constexpr std::size_t uploadBytes = 1'000'000;
+constexpr std::size_t uploadPieceBytes = 16'384;
+/// About 30 MB/s.
+constexpr std::chrono::microseconds uploadPause { 500 };
+
+/// Sends a body until the host no longer takes it.
+void sendUpload(Poco::Net::StreamSocket& socket)
+{
+    const std::string piece(uploadPieceBytes, 'u');
+    try {
+        for (std::size_t sent = 0; sent < uploadBytes; sent += piece.size()) {
+            const auto size = std::min(piece.size(), uploadBytes - sent);
+            socket.sendBytes(piece.data(), static_cast<int>(size));
+            std::this_thread::sleep_for(uploadPause);
+        }
+    } catch (const Poco::Exception&) {
+        return;
+    }
+}
+
+/// Returns all bytes that the host sends for an upload until it closes the connection.
+std::string answerToUpload(const endpoint& host, const std::string& path)
+{
+    Poco::Net::StreamSocket socket;
+    socket.connect(Poco::Net::SocketAddress(host.ip, host.port));
+    socket.setReceiveTimeout(Poco::Timespan(60, 0));
+    const auto head = "POST " + path + " HTTP/1.1\r\nHost: a\r\nX-Caller: a\r\nContent-Length: "
+        + std::to_string(uploadBytes) + "\r\n\r\n";
+    socket.sendBytes(head.data(), static_cast<int>(head.size()));
+    std::thread sender([&] { sendUpload(socket); });
+    std::string answer;
+    std::string buffer(65536, '\0');
+    try {
+        while (const int count = socket.receiveBytes(buffer.data(), 65536))
+            answer.append(buffer, 0, static_cast<std::size_t>(count));
+    } catch (const Poco::Exception& reset) {
+        answer += reset.className();
+    }
+    sender.join();
+    return answer;
+}
+
 /// An answer that claims to be complete holds the pattern from its first byte to its last.
 void expectCompleteOrVisiblyIncomplete(const http_reply& reply)
 {
@@ -147,3 +189,25 @@
     std::this_thread::sleep_for(seconds(2));
     run.finish();
 }
+
+// Issue 51: the part that had arrived reached the caller as a whole answer.
+Test(failure_answers, unframed_answer_that_is_reset_during_its_upload_never_looks_whole)
+{
+    constexpr int rounds = 30;
+    auto options = exportsAndWeights();
+    // The fault-injection proxy delays a reset until the host has no more to send.
+    options.useCutter = false;
+    cluster system(options);
+    for (const auto* id : { "e1", "e2" })
+        system.targetFault(
+            id, R"({"early_answer":true,"unframed":true,"reset":"during","reset_count":1000})");
+    int begun = 0;
+    for (int round = 0; round < rounds; ++round) {
+        const auto answer = answerToUpload(system.hosts()[round % 2].callerAddress,
+            "/export/season?request=up" + std::to_string(round));
+        begun += answer.starts_with("HTTP/1.1 200") ? 1 : 0;
+        cr_expect(!answer.starts_with("HTTP/1.1 200") || !answer.ends_with("\r\n0\r\n\r\n"),
+            "round %d: %s", round, answer.c_str());
+    }
+    cr_expect_gt(begun, 0, "no answer reached a caller");
+}
--- a/test/stand-ins/target-run.h
+++ b/test/stand-ins/target-run.h
@@ -220,13 +220,16 @@
         answer.set("checksum", hex16(received.checksum));
         const std::string text = toJsonLine(answer);
         response.setContentType("application/json");
-        if (m_state.controls.takeReset("during")) {
+        const bool resets = m_state.controls.takeReset("during");
+        if (now.unframed)
+            response.setKeepAlive(false);
+        else if (resets)
             response.setContentLength64(static_cast<Poco::Int64>(text.size()));
+        if (resets) {
             response.send() << text.substr(0, text.size() / 2) << std::flush;
             throw reset_requested {};
         }
         if (now.unframed) {
-            response.setKeepAlive(false);
             response.send() << text << std::flush;
             return;
         }
