Commands: a cut answer of a host is an error

Cause: the commands read answers with POCO's HTTP reader, which takes the end of the connection for the end of a head, of a body with a length, and of a body in chunks.

Evidence: the new test in command-test cuts answers with a length and in chunks at every byte. Before, the list was shown as whole after 61 of the cuts, and so was a pardon reported as done; now each cut ends with exit code 1 and the reason.

Change: the commands use http::client, which the host's own calls go through and which refuses what is cut, has no valid status or an invalid field name.

--- a/src/command/host_commands.cc
+++ b/src/command/host_commands.cc
@@ -1,27 +1,20 @@
 #include "subcommands.h"
 
+#include "pimentomast/http.h"
 #include "pimentomast/serve.h"
 #include "platform.h"
 
-#include <Poco/Exception.h>
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
-#include <Poco/Net/HTTPClientSession.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
 #include <Poco/NumberParser.h>
-#include <Poco/StreamCopier.h>
-#include <Poco/Timespan.h>
 #include <sstream>
 
 /// Subcommands for a single entry host.
 namespace pimentomast::command::detail {
 namespace {
 
-namespace net = Poco::Net;
-
-constexpr long adminTimeoutSeconds = 5;
+constexpr std::chrono::seconds adminTimeout { 5 };
 
 /// A request to the administration API of the host that the settings describe.
 struct admin_call {
@@ -32,29 +25,23 @@
     std::string body;
 };
 
-struct admin_response {
-    int status = 0;
-    std::string body;
-};
-
-admin_response sendAdminRequest(const settings::settings& values, const admin_call& adminCall)
+/// Returns the host's whole answer. Throws failure if there is none.
+http::answer sendAdminRequest(const settings::settings& values, const admin_call& adminCall)
 {
     const auto& address = values.host.admin;
-    try {
-        net::HTTPClientSession session(address.ip, address.port);
-        session.setTimeout(Poco::Timespan(adminTimeoutSeconds, 0));
-        net::HTTPRequest request(adminCall.method, adminCall.path, net::HTTPMessage::HTTP_1_1);
-        request.set("Authorization", "Bearer " + values.admin.token);
-        request.setContentLength64(static_cast<Poco::Int64>(adminCall.body.size()));
-        session.sendRequest(request) << adminCall.body;
-        net::HTTPResponse response;
-        admin_response adminResponse;
-        Poco::StreamCopier::copyToString(session.receiveResponse(response), adminResponse.body);
-        adminResponse.status = response.getStatus();
-        return adminResponse;
-    } catch (const Poco::Exception& caught) {
-        throw failure({ adminCall.step, address.text(), caught.displayText() });
-    }
+    http::client connection({ address, adminTimeout });
+    http::request request { adminCall.method, adminCall.path, "", adminCall.body };
+    request.fields = { { "Authorization", "Bearer " + values.admin.token } };
+    request.ownConnection = true;
+    const auto fail = [&](const error& cause) -> http::answer {
+        throw failure({ adminCall.step, address.text(), cause.reason });
+    };
+    const overloaded outcomes {
+        [](const http::answer& whole) { return whole; },
+        [&](const http::not_sent& unsent) { return fail(unsent.cause); },
+        [&](const http::no_answer& lost) { return fail(lost.cause); },
+    };
+    return std::visit(outcomes, connection.sendOnce(request));
 }
 
 Poco::JSON::Object::Ptr parseObject(const std::string& body)
@@ -63,7 +50,7 @@
 }
 
 /// Returns ": " and the reason from an error response, or an empty string if there is none.
-std::string refusalReason(const admin_response& refusal)
+std::string refusalReason(const http::answer& refusal)
 {
     const auto reason = parseObject(refusal.body)->optValue<std::string>("reason", "");
     return reason.empty() ? "" : ": " + reason;
@@ -72,12 +59,11 @@
 /// Returns the body of a response with status 200. Throws failure on any other status.
 std::string fetchBody(const settings::settings& values, const admin_call& adminCall)
 {
-    const auto adminResponse = sendAdminRequest(values, adminCall);
-    if (adminResponse.status == net::HTTPResponse::HTTP_OK)
-        return adminResponse.body;
-    const auto status = "the host responded with status " + std::to_string(adminResponse.status);
-    throw failure(
-        { adminCall.step, values.host.admin.text(), status + refusalReason(adminResponse) });
+    const auto response = sendAdminRequest(values, adminCall);
+    if (response.status == Poco::Net::HTTPResponse::HTTP_OK)
+        return response.body;
+    const auto status = "the host responded with status " + std::to_string(response.status);
+    throw failure({ adminCall.step, values.host.admin.text(), status + refusalReason(response) });
 }
 
 void printSuspectedRequest(std::ostream& out, const Poco::JSON::Object& request)
--- a/test/command-test.cc
+++ b/test/command-test.cc
@@ -1,6 +1,7 @@
 #include "pimentomast/command.h"
 
 #include "helper.h"
+#include "helper/scripted-server.h"
 
 #include <Poco/JSON/Parser.h>
 #include <Poco/Net/ServerSocket.h>
@@ -84,6 +85,23 @@
     }
 };
 
+/// Runs the command against a host that sends these bytes as its answer, then closes the
+/// connection.
+command_result runWithHostAnswer(argument_list arguments, const std::string& answer)
+{
+    const test::scripted_server host([&](auto& socket, int) {
+        test::readRequest(socket);
+        test::write(socket, answer);
+        socket.close();
+    });
+    const auto path = writeFile("host.ini",
+        "[host]\nid = k1\ndomain = d\ncallers = 127.0.0.1:8000\npeers = 127.0.0.1:8001\nadmin = "
+            + host.address().text() + "\n[store]\naddress = 127.0.0.1:9\n[admin]\ntoken = " + secret
+            + "\n");
+    arguments.insert(arguments.end(), { "--settings", path, "--format", "json" });
+    return run(arguments);
+}
+
 } // namespace
 
 Test(command, every_subcommand_has_help)
@@ -304,6 +322,28 @@
     cr_assert(f.runWithStore({ "table", "show" }).code == 1);
 }
 
+// Part of a host's answer was shown as the whole one, and a cut answer to a pardon as a success.
+Test(command, broken_answer_of_a_host_exits_with_1)
+{
+    const std::string body = R"({"requests":[]})";
+    const std::vector<std::string> wholeAnswers {
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body,
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nf\r\n" + body + "\r\n0\r\n\r\n",
+    };
+    const std::vector<argument_list> commands { { "crash", "list" }, { "crash", "pardon", "1a" } };
+    for (const auto& whole : wholeAnswers) {
+        cr_assert_eq(runWithHostAnswer({ "crash", "list" }, whole).out, body + "\n");
+        for (const auto& arguments : commands) {
+            for (std::size_t bytes = 0; bytes < whole.size(); ++bytes) {
+                const auto shown = runWithHostAnswer(arguments, whole.substr(0, bytes));
+                cr_expect(shown.code == 1 && shown.out.empty() && !shown.err.empty(),
+                    "%s, %zu bytes: %d %s", arguments[1].c_str(), bytes, shown.code,
+                    shown.out.c_str());
+            }
+        }
+    }
+}
+
 Test(command, serve_fails_if_an_address_is_in_use)
 {
     for (const std::string key : { "callers", "peers", "admin" }) {
