Proxy: mark an HTTP/1.0 caller's connection only once its answer has begun

A connection was made to end with a reset when the head of an answer without a length was read. If the attempt then failed before a byte went to the caller, a later answer with a length left the connection like that. The mark is set with responseStarted now, after which every failure breaks the answer off. Found by reading; proxy-reset-test passes as before.

transport-test waits for the reset before it sends: on a busy machine the send could have come first.

--- a/src/proxy/relay-response.cc
+++ b/src/proxy/relay-response.cc
@@ -153,10 +153,6 @@
     m_framing = responseFraming(*m_response, m_request.head);
     m_closesCaller = !m_request.head.keepAlive || m_framing == framing::Close || !m_request.bodyDone
         || m_context.shouldClose();
-    // The end of the connection ends such a body, so it must look broken until all of it is sent,
-    // however the request, the host or its process ends.
-    if (m_framing == framing::Close)
-        resetOnClose(m_request.caller->socket);
     m_download += responseHead(*m_response, m_request.head, m_framing, m_closesCaller);
     m_responseState = m_response->is_done() ? response_state::Done : response_state::Body;
     if (m_responseState == response_state::Done && m_framing == framing::Chunked)
@@ -250,14 +246,23 @@
     if (sent.bytes > 0) {
         if (responseBegun())
             m_lastProgress = monotonic_clock::now();
-        m_request.responseStarted
-            = m_request.responseStarted || m_responseState != response_state::Awaited;
+        if (m_responseState != response_state::Awaited)
+            markStarted();
     }
     m_download.erase(0, sent.bytes);
     m_request.responseBytes.shrinkTo(m_download.size());
     return sent.state;
 }
 
+// The end of the connection ends a body without a length or chunks, so it must look broken until
+// all of the body is sent, however the request, the host or its process ends.
+void relay::markStarted()
+{
+    if (!m_request.responseStarted && m_framing == framing::Close)
+        resetOnClose(m_request.caller->socket);
+    m_request.responseStarted = true;
+}
+
 void relay::deliverRest()
 {
     if (!m_request.responseBytes.growTo(m_download.size()))
--- a/src/proxy/relay.h
+++ b/src/proxy/relay.h
@@ -104,6 +104,8 @@
     /// Returns whether more of the response may be read from the target.
     [[nodiscard]] bool hasRoom() const;
     [[nodiscard]] io_state sendToCaller();
+    /// Notes that the caller has got a part of the final response.
+    void markStarted();
     [[nodiscard]] std::optional<attempt_result> wait();
     [[nodiscard]] std::optional<attempt_result> checkTimeouts(instant now);
     [[nodiscard]] attempt_result failed(reason why);
--- a/test/transport-test.cc
+++ b/test/transport-test.cc
@@ -169,6 +169,7 @@
     connection_pair resetByPeer;
     resetByPeer.peer.setLinger(true, 0);
     resetByPeer.peer.close();
+    cr_assert(resetByPeer.own.poll(Poco::Timespan(10, 0), Poco::Net::Socket::SELECT_READ));
     try {
         sendText(resetByPeer.own, "a");
         cr_assert_fail("the send did not meet the reset");
