--- a/src/proxy/relay-response.cc
+++ b/src/proxy/relay-response.cc
@@ -117,8 +117,8 @@
     return std::nullopt;
 }
 
-// A response without a length is complete when the target ends the connection in order. A reset may
-// have been reported to the send of the request's body.
+// A response without a length is complete when the target ends the connection in order, which
+// target_connection::receive() tells apart from other ends of the stream.
 void relay::completeUnframedResponse()
 {
     if (m_responseState != response_state::Body || m_notRun || !m_response->need_eof()
