Proxy: a route's timeout holds for the whole answer

Callers of a route got an answer without end for as long as they stayed, long past the route's timeout: targets in trouble sent bodies in chunks that did not end, and the host passed them on. An answer that paused was held for 30 s.

Cause: the relay compared the deadline with the clock only until the head of the answer had arrived; a body was limited by pauses alone. That is the rule of a service without routes, whose deadline is for the head. A route's timeout is for the whole request, and both went through the same field.

Change: request_facts tells whether the deadline covers the body, which it does for requests of a route, and the relay breaks the answer off then, with the reason `deadline`. The caller sees an end short of the length, no last chunk, or a reset with HTTP/1.0. Time spent waiting for the caller's body counts as little as before; time spent waiting for the caller to read is given back only to answers that state their length, since a slow reader and an answer without end look alike otherwise.

--- a/include/pimentomast/dispatch.h
+++ b/include/pimentomast/dispatch.h
@@ -110,6 +110,8 @@
     std::uint64_t fingerprint = 0;
     instant arrived;
     instant deadline;
+    /// The answer must be complete by the deadline; otherwise only its head must have arrived.
+    bool deadlineCoversBody = false;
 };
 
 /// Where an attempt of a request is sent.
--- a/src/proxy/relay.cc
+++ b/src/proxy/relay.cc
@@ -223,6 +223,8 @@
         return attempt_cancelled {};
     const instant now = monotonic_clock::now();
     addCallerWait(before, now, wantsCaller && m_upload.empty());
+    if (waitsForReader())
+        m_readerWait += now - before;
     return checkTimeouts(now);
 }
 
@@ -232,6 +234,11 @@
         m_callerWait += now - before;
 }
 
+bool relay::waitsForReader() const
+{
+    return m_responseState == response_state::Body && !awaitsTurn() && !hasRoom();
+}
+
 bool relay::responseBegun() const
 {
     return m_responseState == response_state::Body || m_responseState == response_state::Done;
@@ -247,6 +254,14 @@
     return std::min(m_request.facts.deadline, m_to.deadline) + m_callerWait;
 }
 
+instant relay::bodyDeadline() const
+{
+    if (!m_request.facts.deadlineCoversBody)
+        return instant::max();
+    const duration readerWait = m_total ? m_readerWait : duration::zero();
+    return m_request.facts.deadline + m_callerWait + readerWait;
+}
+
 instant relay::nextTimeout() const
 {
     instant next = m_context.end();
@@ -254,6 +269,8 @@
         next = std::min(next, m_lastProgress + m_context.settings.bodyTimeout);
     if (!responseBegun() || isStuck())
         next = std::min(next, answerDeadline());
+    if (m_responseState == response_state::Body)
+        next = std::min(next, bodyDeadline());
     return next;
 }
 
@@ -275,6 +292,11 @@
             < waited.count() * double(m_context.settings.minBodyBytesPerSecond);
     if (!m_request.bodyDone && tooSlow)
         return requestFault(reason::BodyTimeout);
+    if (m_responseState == response_state::Body && now >= bodyDeadline()) {
+        if (m_request.responseStarted)
+            return attempt_broken { reason::Deadline };
+        return failed(reason::Deadline);
+    }
     const bool isDue = !responseBegun() || isStuck();
     return isDue && now >= answerDeadline() ? std::optional(failed(reason::Deadline))
                                             : std::nullopt;
--- a/src/proxy/relay.h
+++ b/src/proxy/relay.h
@@ -114,6 +114,8 @@
     [[nodiscard]] std::optional<attempt_result> beginContinuation();
     [[nodiscard]] bool saveContinuation();
     void addCallerWait(instant before, instant now, bool waitsForCaller);
+    /// Returns whether the next step depends on the caller's reading alone.
+    [[nodiscard]] bool waitsForReader() const;
     [[nodiscard]] bool uploadComplete() const;
     [[nodiscard]] bool reusableTarget() const;
     /// Returns whether the head of the final response to this request has been received.
@@ -123,6 +125,10 @@
     /// Time by which the response head must arrive: later by the time spent waiting for the
     /// caller's body.
     [[nodiscard]] instant answerDeadline() const;
+    /// Time by which the response must have been received completely: later by the time spent
+    /// waiting for the caller, of which the reading counts only if the response states its length.
+    /// Without a length it might have no end.
+    [[nodiscard]] instant bodyDeadline() const;
     [[nodiscard]] instant nextTimeout() const;
     [[nodiscard]] relay_result finish(const attempt_result& result);
 
@@ -167,7 +173,10 @@
     bool m_isDelivered = false;
 
     std::uint64_t m_bodyBytesReceived = 0;
+    /// Time spent waiting for the caller's body.
     duration m_callerWait { 0 };
+    /// Time spent waiting for the caller to read the response.
+    duration m_readerWait { 0 };
     instant m_started;
     instant m_lastProgress;
     duration m_firstByte { 0 };
--- a/src/proxy/server-input.cc
+++ b/src/proxy/server-input.cc
@@ -372,6 +372,7 @@
     facts.fingerprint = fingerprint(head, bodyStart(*caller, head));
     facts.arrived = arrived;
     facts.deadline = *deadline;
+    facts.deadlineCoversBody = found.route != nullptr;
     if (found.route)
         facts.objective = facts.arrived + found.route->objective;
     request->readDelay = now - arrived;
