Proxy: a status promises that a request has not run only if the target states it

Callers of requests that may not be repeated got a target's 503 after it had run the request. From a host 408, 421, 429 and 503 promise that the request has not run, so they sent the order again, and it ran twice.

Cause: whatever the target did not state to be a refusal was passed on as an answer, with any status, whether or not the request may be repeated.

Change: such a status without the statement ends an unrepeatable request as `refusal-unproved`, 502 with outcome unknown, which promises nothing. Routing gets a result of its own for it: it counts as an error that the target answered, not as a lost connection, which would blame the request if the target ended soon after. Repeatable requests get the status as before, and stated refusals are handled as before.

--- a/include/pimentomast/dispatch.h
+++ b/include/pimentomast/dispatch.h
@@ -57,6 +57,9 @@
     TargetSilent,
     TargetAnswerMalformed,
     TargetAnswerUnframed,
+    /// The status of the answer promises that the request has not run, but the target does not
+    /// state it, and the request may not run again.
+    RefusalUnproved,
     /// Not a refusal: the target's load report is ignored.
     LoadReportMalformed,
     /// Not a refusal: the target's remaining warm-up time is ignored.
--- a/include/pimentomast/routing.h
+++ b/include/pimentomast/routing.h
@@ -100,8 +100,9 @@
     TableUnconfirmed,
     WaitTooLong,
     TargetWarming,
+    RefusalUnproved,
 };
-inline constexpr std::size_t refusalReasonCount = 19;
+inline constexpr std::size_t refusalReasonCount = 20;
 
 /// Why a request was attempted again.
 enum class retry_reason {
@@ -126,6 +127,11 @@
     duration firstByte {};
     duration total {};
 };
+/// The target answered a request that may not be repeated with a status that promises that it has
+/// not run, but did not state it.
+struct refusal_unproved {
+    answered answer {};
+};
 /// The target refused the request before executing it because of overload.
 struct shed {
     std::optional<duration> retryAfter;
@@ -150,8 +156,8 @@
 struct timed_out { };
 /// The caller disconnected; the connection has been closed.
 struct cancelled { };
-using attempt_result = std::variant<answered, shed, token_refused, draining, connect_failed, broken,
-    timed_out, cancelled>;
+using attempt_result = std::variant<answered, refusal_unproved, shed, token_refused, draining,
+    connect_failed, broken, timed_out, cancelled>;
 
 /// Load reported by a target. May be out of date or wrong.
 struct load_report {
--- a/src/dispatch/reason.cc
+++ b/src/dispatch/reason.cc
@@ -47,6 +47,7 @@
     { "target-silent", 504 },
     { "target-answer-malformed", 502 },
     { "target-answer-unframed", 502 },
+    { "refusal-unproved", 502 },
     { "load-report-malformed", 502 },
     { "warmup-report-malformed", 502 },
     { "answer-broken", 502 },
--- a/src/dispatch/router-results.cc
+++ b/src/dispatch/router-results.cc
@@ -21,8 +21,10 @@
     }
 }
 
-routing::attempt_result unknownResult(reason why)
+routing::attempt_result unknownResult(const attempt& finished, reason why)
 {
+    if (why == reason::RefusalUnproved)
+        return routing::refusal_unproved { { notRunStatus, finished.firstByte, finished.total } };
     if (why == reason::Deadline || why == reason::TargetTimeout)
         return routing::timed_out {};
     return routing::broken { why == reason::TargetSilent };
@@ -61,7 +63,7 @@
             return routing::answered { answer.status, finished.firstByte, finished.total };
         },
         [](const attempt_not_run& refused) { return notRunResult(refused); },
-        [](const attempt_unknown& lost) { return unknownResult(lost.why); },
+        [&](const attempt_unknown& lost) { return unknownResult(finished, lost.why); },
         [](const attempt_broken&) -> routing::attempt_result { return routing::broken {}; },
         [](const attempt_cancelled&) -> routing::attempt_result { return routing::cancelled {}; },
     };
--- a/src/proxy/message.cc
+++ b/src/proxy/message.cc
@@ -239,6 +239,19 @@
     }
 }
 
+bool isUnprovedRefusal(const response_parser& response, const contract& fields)
+{
+    switch (response.get().result_int()) {
+    case 408:
+    case 421:
+    case 429:
+    case 503:
+        return !refusedBeforeRunning(response, fields);
+    default:
+        return false;
+    }
+}
+
 std::optional<duration> retryAfter(const response_parser& response)
 {
     constexpr double maxSeconds = 86400;
--- a/src/proxy/message.h
+++ b/src/proxy/message.h
@@ -28,6 +28,10 @@
 [[nodiscard]] std::optional<reason> notRunReason(
     const response_parser& response, const contract& fields);
 
+/// Returns whether the status promises callers that the request has not run and never will,
+/// although the response does not state that the target refused it.
+[[nodiscard]] bool isUnprovedRefusal(const response_parser& response, const contract& fields);
+
 /// Returns whether the status code is one of HTTP's (RFC 9110, section 15) and is expected here: no
 /// request asks to switch protocols.
 [[nodiscard]] bool isValidStatus(unsigned status) noexcept;
--- a/src/proxy/relay-response.cc
+++ b/src/proxy/relay-response.cc
@@ -145,6 +145,8 @@
         return failed(reason::TargetAnswerMalformed);
     if (const auto why = notRunReason(*m_response, m_context.settings.contract))
         return completeNotRun(*why);
+    if (!m_request.facts.repeatable && isUnprovedRefusal(*m_response, m_context.settings.contract))
+        return completeUnprovedRefusal();
     if (m_request.pendingContinuation)
         return beginContinuation();
     m_etag = continuationEtag(*m_response, m_request);
@@ -185,12 +187,24 @@
 attempt_result relay::completeNotRun(reason why)
 {
     m_notRun = true;
+    discardBody();
+    return attempt_not_run { why, retryAfter(*m_response) };
+}
+
+// Callers send a request again after such a status, so it may reach them only if it is true.
+attempt_result relay::completeUnprovedRefusal()
+{
+    discardBody();
+    return attempt_unknown { reason::RefusalUnproved };
+}
+
+void relay::discardBody()
+{
     m_responseState = response_state::Body;
     std::string ignored;
     if (m_response->is_done()
         || decodeBody(*m_response, m_targetInput, ignored, bufferBytes) == body_state::Done)
         m_responseState = response_state::Done;
-    return attempt_not_run { why, retryAfter(*m_response) };
 }
 
 std::optional<attempt_result> relay::decodeResponseBody()
--- a/src/proxy/relay.h
+++ b/src/proxy/relay.h
@@ -88,6 +88,10 @@
     void completeUnframedResponse();
     void sendInterim();
     [[nodiscard]] attempt_result completeNotRun(reason why);
+    [[nodiscard]] attempt_result completeUnprovedRefusal();
+    /// Discards the response's body. Its connection can be used again if the whole body has
+    /// arrived.
+    void discardBody();
     [[nodiscard]] std::optional<attempt_result> decodeResponseBody();
     void appendToDownload(std::string_view piece);
     /// Returns whether all bytes of the complete representation are delivered, as far as its length
--- a/src/routing/attempts.cc
+++ b/src/routing/attempts.cc
@@ -25,7 +25,7 @@
     pending_request& ended;
     target_state* target;
 
-    void operator()(const answered& result) const
+    void recordAnswer(const answered& result) const
     {
         if (target != nullptr) {
             target->health.onAnswered(self.m_now, result);
@@ -39,10 +39,21 @@
         }
         self.recordLatency(ended.submitted, result);
         self.clearSuspect(ended);
+    }
+
+    void operator()(const answered& result) const
+    {
+        recordAnswer(result);
         ++self.m_counts.answered;
         self.forget(ended.submitted.number);
     }
 
+    void operator()(const refusal_unproved& result) const
+    {
+        recordAnswer(result.answer);
+        self.end(ended, outcome::Unknown, refusal_reason::RefusalUnproved);
+    }
+
     void operator()(const shed& result) const
     {
         ended.retryAfter = result.retryAfter.value_or(duration {});
--- a/src/routing/names.cc
+++ b/src/routing/names.cc
@@ -8,7 +8,7 @@
     "no-target", "no-owner", "queue-full", "deadline-before-dispatch", "deadline-unreachable",
     "deadline-after-dispatch", "target-shed", "token-refused", "target-draining", "connect-failed",
     "retry-budget", "connection-broken", "connection-silent", "quarantined", "host-stopping",
-    "table-unconfirmed", "wait-too-long", "target-warming" };
+    "table-unconfirmed", "wait-too-long", "target-warming", "refusal-unproved" };
 
 constexpr std::array<std::string_view, retryReasonCount> retryNames { "target-shed",
     "token-refused", "target-draining", "connect-failed", "connection-broken", "connection-silent",
