Proxy: the fingerprint of a request covers its caller and its whole body

Callers that sent orders in chunks to one path were all refused with 422 `quarantined`, for ten minutes, after two targets had crashed at the same moment.

Cause: the fingerprint by which a request that crashes targets is known was a hash of method, path and the first 4 KB of a body with a length. Of a body in chunks it held nothing, and never the caller. So all orders in chunks on one path were one request, which was in flight at both targets.

Change: the fingerprint covers method, path, query, caller, the host by which the request was routed, and the whole body, hashed as it passes. A request whose body has not ended is submitted with a fingerprint that no other has, so it is blamed for nothing and refuses nobody. When its body ends, before its last bytes are sent, the router gets the real one; if that is quarantined, the attempt is abandoned and the caller gets 422, unknown. So a request that does crash targets is still stopped after two: a target that runs whole requests does not get the whole of it.

--- a/bench/shared/baseline.cc
+++ b/bench/shared/baseline.cc
@@ -40,6 +40,7 @@
     actions cancel(instant, request_number) override { return {}; }
     actions sent(instant, request_number, attempt_number, instant) override { return {}; }
     actions responded(instant, request_number, attempt_number) override { return {}; }
+    actions identify(instant, request_number, fingerprint) override { return {}; }
     actions finish(
         instant now, request_number number, attempt_number, const attempt_result& ended) override
     {
--- a/include/pimentomast/dispatch.h
+++ b/include/pimentomast/dispatch.h
@@ -109,7 +109,8 @@
     unsigned priority = 0;
     /// An answer after this time is worth little to the caller.
     instant objective = instant::max();
-    /// Hash of method, path, query and the start of the body; the same when a request is resent.
+    /// Hash of method, host, path, query, caller and body; the same when a request is resent. Until
+    /// the whole body is known it is a hash that no other request has.
     std::uint64_t fingerprint = 0;
     instant arrived;
     instant deadline;
@@ -242,6 +243,11 @@
     virtual void sent(request_id id, unsigned attempt, instant opened, dispatch_sink& sink) = 0;
     /// The first byte of an attempt's answer arrived.
     virtual void responded(request_id id, unsigned attempt, dispatch_sink& sink) = 0;
+    /// The body of a request that was submitted before is known, and so is its fingerprint. Returns
+    /// false if the request is refused; the attempt must then end without sending the rest of it.
+    [[nodiscard]] virtual bool identified(
+        request_id id, std::uint64_t fingerprint, dispatch_sink& sink)
+        = 0;
     /// An attempt has ended. After attempt_not_run or attempt_unknown the request waits for another
     /// decision; otherwise it has ended too.
     virtual void ended(const attempt& finished, dispatch_sink& sink) = 0;
--- a/include/pimentomast/routing.h
+++ b/include/pimentomast/routing.h
@@ -417,6 +417,11 @@
         = 0;
     /// The first byte of the answer arrived. From now on the request is not retried.
     virtual actions responded(instant now, request_number number, attempt_number attempt) = 0;
+    /// Replaces the fingerprint of a request whose body was not known when it arrived. Refuses the
+    /// request, and abandons its attempt, if it is quarantined and no answer has begun. Ignored if
+    /// the request has ended.
+    virtual actions identify(instant now, request_number number, fingerprint requestFingerprint)
+        = 0;
     /// Ends an attempt. Ignored if the request or this attempt has already ended.
     virtual actions finish(
         instant now, request_number number, attempt_number attempt, const attempt_result& ended)
--- a/src/dispatch/routed-dispatcher.cc
+++ b/src/dispatch/routed-dispatcher.cc
@@ -80,6 +80,22 @@
             sink);
     }
 
+    bool identified(request_id id, std::uint64_t fingerprint, dispatch_sink& sink) override
+    {
+        bool isRefused = false;
+        run(
+            [&](instant now, routing::router& router) {
+                auto todo = router.identify(now, routing::request_number { id.value() },
+                    routing::fingerprint { fingerprint });
+                isRefused = std::ranges::any_of(todo, [](const routing::action& step) {
+                    return std::holds_alternative<routing::refuse>(step);
+                });
+                return todo;
+            },
+            sink);
+        return !isRefused;
+    }
+
     void ended(const attempt& finished, dispatch_sink& sink) override
     {
         recordUnreplayable(finished);
--- a/src/proxy/classify.cc
+++ b/src/proxy/classify.cc
@@ -93,11 +93,4 @@
     return std::chrono::milliseconds(timeoutMs);
 }
 
-std::uint64_t fingerprint(const checked_head& head, std::string_view body)
-{
-    std::string text = methodOf(head) + " " + head.target + "\n";
-    text += body;
-    return hashKey(text).value();
-}
-
 } // namespace pimentomast::proxy::detail
--- a/src/proxy/classify.h
+++ b/src/proxy/classify.h
@@ -22,8 +22,4 @@
 [[nodiscard]] std::optional<duration> callerTimeout(
     const checked_head& head, const std::string& field);
 
-/// Returns a hash of the method, the target and the given first bytes of the body. Resending a
-/// request yields the same hash, from any caller.
-[[nodiscard]] std::uint64_t fingerprint(const checked_head& head, std::string_view body);
-
 } // namespace pimentomast::proxy::detail
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -2,6 +2,7 @@
 
 #include "arrival-times.h"
 #include "body-budget.h"
+#include "fingerprint.h"
 #include "head.h"
 #include "io.h"
 #include "pimentomast/proxy.h"
@@ -121,6 +122,8 @@
     body_reservation responseBytes {};
     bool replayable = true;
     bool bodyDone = false;
+    /// Set until the whole body has been read, if it was not when the request was submitted.
+    std::optional<fingerprint_builder> openFingerprint {};
     bool continueSent = false;
     /// Set if the next attempt requests the remaining bytes of an interrupted response.
     std::optional<continuation> pendingContinuation;
--- a/src/proxy/relay.cc
+++ b/src/proxy/relay.cc
@@ -155,12 +155,25 @@
     m_uploadOffset = 0;
     appendToUpload(piece);
     keepForReplay(piece);
+    if (m_request.openFingerprint)
+        m_request.openFingerprint->addBody(piece);
     m_request.bodyDone = state == body_state::Done;
-    if (m_request.bodyDone && m_request.head.parser->chunked())
+    return m_request.bodyDone ? endOfBody() : std::nullopt;
+}
+
+// The last bytes are still unsent, so a target that runs whole requests has not begun this one.
+std::optional<attempt_result> relay::endOfBody()
+{
+    if (m_request.head.parser->chunked())
         appendLastChunk(m_upload);
-    if (m_request.bodyDone)
-        m_context.bodyRead();
-    return std::nullopt;
+    m_context.bodyRead();
+    if (!m_request.openFingerprint)
+        return std::nullopt;
+    const std::uint64_t fingerprint = m_request.openFingerprint->value();
+    m_request.openFingerprint.reset();
+    if (m_context.identified(fingerprint))
+        return std::nullopt;
+    return attempt_unknown { reason::AttemptAbandoned };
 }
 
 std::optional<attempt_result> relay::sendUpload()
--- a/src/proxy/relay.h
+++ b/src/proxy/relay.h
@@ -20,6 +20,9 @@
     std::function<bool()> shouldClose;
     /// Called once the request's body has been read from the caller.
     std::function<void()> bodyRead;
+    /// Called after that with the fingerprint of a request that was submitted before. Returns
+    /// whether the rest of the request may be sent.
+    std::function<bool(std::uint64_t fingerprint)> identified;
     /// Returns the time at which the attempt must have ended.
     std::function<instant()> end;
     /// Set when the server is destroyed.
@@ -74,6 +77,8 @@
     /// Keeps a piece of the body for a later attempt, if it may still be kept.
     void keepForReplay(std::string_view piece);
     [[nodiscard]] std::optional<attempt_result> readFromCaller();
+    /// Returns a result if the request, whose body is now known, must not be sent completely.
+    [[nodiscard]] std::optional<attempt_result> endOfBody();
     [[nodiscard]] std::optional<attempt_result> sendUpload();
     [[nodiscard]] std::optional<attempt_result> requestFault(reason why);
     void appendToUpload(std::string_view piece);
--- a/src/proxy/server-dispatch.cc
+++ b/src/proxy/server-dispatch.cc
@@ -137,6 +137,8 @@
             request.ownsInput = false;
             returnInput(request);
         },
+        [this, id](
+            std::uint64_t fingerprint) { return m_dispatcher.identified(id, fingerprint, *this); },
         [this] { return schedule().end; },
         m_aborting,
     };
--- a/src/proxy/server-impl.h
+++ b/src/proxy/server-impl.h
@@ -116,9 +116,8 @@
     /// Returns whether nothing of the request is left to be read from the connection.
     [[nodiscard]] static bool hasWholeBody(
         const caller_connection& caller, const checked_head& head);
-    /// Returns the received bytes at the start of the body that identify a request.
-    [[nodiscard]] std::string_view bodyStart(
-        const caller_connection& caller, const checked_head& head) const;
+    /// Sets the request's fingerprint, which is a provisional one unless its body is known.
+    void beginFingerprint(exchange& request, const table::classified_request& found) const;
     /// Takes the whole body of a request from the input, or what was received before submission.
     static void takeBody(exchange& request);
     /// Begins to receive the body of the request before it is submitted.
--- a/src/proxy/server-input.cc
+++ b/src/proxy/server-input.cc
@@ -332,16 +332,19 @@
     return std::min(allowed, callerTimeout(head, m_options.contract.deadline).value_or(allowed));
 }
 
-std::string_view server_impl::bodyStart(
-    const caller_connection& caller, const checked_head& head) const
+void server_impl::beginFingerprint(exchange& request, const table::classified_request& found) const
 {
-    const std::size_t limit = m_options.bodyPrefetchBytes;
-    if (caller.collection)
-        return std::string_view(caller.collection->bytes).substr(0, limit);
-    if (!head.hasBody || head.expectsContinue || head.parser->chunked())
-        return {};
-    return std::string_view(caller.input)
-        .substr(0, std::min<std::uint64_t>(*head.parser->content_length(), limit));
+    const std::string_view routedHost
+        = found.route ? std::string_view(found.route->host) : std::string_view();
+    fingerprint_builder builder(request.head, routedHost, found.caller);
+    builder.addBody(request.replayBuffer);
+    if (!request.head.hasBody || request.bodyDone) {
+        request.facts.fingerprint = builder.value();
+        return;
+    }
+    request.facts.fingerprint
+        = hashKey(m_options.requestIdPrefix + std::to_string(request.facts.id.value())).value();
+    request.openFingerprint = std::move(builder);
 }
 
 input_step server_impl::submit(const caller_pointer& caller, checked_head head, instant arrived,
@@ -369,7 +372,6 @@
     }
     facts.caller = found.caller;
     facts.repeatable = found.repeatable;
-    facts.fingerprint = fingerprint(head, bodyStart(*caller, head));
     facts.arrived = arrived;
     facts.deadline = *deadline;
     facts.deadlineCoversBody = found.route != nullptr;
@@ -384,6 +386,7 @@
     request->head = std::move(head);
     if (isCollected || takesBody)
         takeBody(*request);
+    beginFingerprint(*request, found);
     const bool ownsInput = request->ownsInput;
     caller->state = phase::Idle;
     caller->phaseStarted = now;
--- a/src/routing/attempts.cc
+++ b/src/routing/attempts.cc
@@ -202,6 +202,28 @@
     return takeActions();
 }
 
+actions engine::identify(instant now, request_number number, fingerprint requestFingerprint)
+{
+    m_now = now;
+    pending_request* known = find(number);
+    if (known == nullptr)
+        return takeActions();
+    const bool isInFlight = known->currentPhase == phase::InFlight;
+    if (isInFlight) {
+        decrement(m_inFlightFingerprints, known->submitted.requestFingerprint);
+        ++m_inFlightFingerprints[requestFingerprint];
+    }
+    known->submitted.requestFingerprint = requestFingerprint;
+    const bool isRefused
+        = m_quarantine.verdictOf(requestFingerprint) == quarantine::verdict::Refused;
+    if (!isRefused || (isInFlight && known->responded))
+        return takeActions();
+    if (isInFlight)
+        abandonAttempt(*known);
+    end(*known, outcome::NotRun, refusal_reason::Quarantined);
+    return takeActions();
+}
+
 actions engine::finish(
     instant now, request_number number, attempt_number attempt, const attempt_result& ended)
 {
--- a/src/routing/engine.h
+++ b/src/routing/engine.h
@@ -198,6 +198,7 @@
     actions sent(instant now, request_number number, attempt_number attempt,
         instant connectionOpened) override;
     actions responded(instant now, request_number number, attempt_number attempt) override;
+    actions identify(instant now, request_number number, fingerprint requestFingerprint) override;
     actions finish(instant now, request_number number, attempt_number attempt,
         const attempt_result& ended) override;
     actions report(instant now, const target_id& target, const load_report& load) override;
--- a/src/serve/dispatch.cc
+++ b/src/serve/dispatch.cc
@@ -50,6 +50,13 @@
     m_routedDispatcher->responded(id, attempt, tracked);
 }
 
+bool dispatch::identified(
+    proxy::request_id id, std::uint64_t fingerprint, proxy::dispatch_sink& sink)
+{
+    tracking_sink tracked(m_forwards, *this, sink);
+    return m_routedDispatcher->identified(id, fingerprint, tracked);
+}
+
 void dispatch::ended(const proxy::attempt& finished, proxy::dispatch_sink& sink)
 {
     m_forwards.end(finished);
--- a/src/serve/dispatch.h
+++ b/src/serve/dispatch.h
@@ -28,6 +28,8 @@
     void sent(proxy::request_id id, unsigned attempt, instant opened,
         proxy::dispatch_sink& sink) override;
     void responded(proxy::request_id id, unsigned attempt, proxy::dispatch_sink& sink) override;
+    bool identified(
+        proxy::request_id id, std::uint64_t fingerprint, proxy::dispatch_sink& sink) override;
     void ended(const proxy::attempt& finished, proxy::dispatch_sink& sink) override;
     void cancelled(proxy::request_id id, proxy::dispatch_sink& sink) override;
     void probed(const proxy::probe_report& report, proxy::dispatch_sink& sink) override;
--- a/test/helper/fixed-dispatcher.h
+++ b/test/helper/fixed-dispatcher.h
@@ -79,6 +79,15 @@
         if (whenResponded)
             whenResponded();
     }
+    bool identified(
+        proxy::request_id id, std::uint64_t fingerprint, proxy::dispatch_sink& sink) override
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            identifiedRequests.push_back(fingerprint);
+        }
+        return !whenIdentified || whenIdentified(id, sink);
+    }
     void probed(const proxy::probe_report&, proxy::dispatch_sink&) override { }
 
     /// Returns the facts of requests that have not ended.
@@ -107,6 +116,11 @@
     /// sends anything else. Set before requests arrive.
     std::function<void()> whenResponded;
     std::vector<proxy::attempt> results;
+    /// Returns whether the request may be sent completely. Called on the attempt's thread. Set
+    /// before requests arrive.
+    std::function<bool(proxy::request_id, proxy::dispatch_sink&)> whenIdentified;
+    /// Fingerprints of requests that were submitted before their body was known.
+    std::vector<std::uint64_t> identifiedRequests;
     std::vector<proxy::request_id> cancelledRequests;
 
 private:
--- a/test/routing-fixture.h
+++ b/test/routing-fixture.h
@@ -76,6 +76,14 @@
     {
         record(host->sent(now, attempt.number, attempt.attempt, opened));
     }
+    void responded(const dispatch& attempt)
+    {
+        record(host->responded(now, attempt.number, attempt.attempt));
+    }
+    void identify(request_number number, std::uint64_t requestFingerprint)
+    {
+        record(host->identify(now, number, fingerprint { requestFingerprint }));
+    }
     void probed(const std::string& target, const probe_result& ended)
     {
         record(host->probed(now, target_id { target }, ended));
--- a/test/routing-health-test.cc
+++ b/test/routing-health-test.cc
@@ -91,6 +91,56 @@
     cr_assert(test.refusal(number)->reason == refusal_reason::Quarantined);
 }
 
+// The body of a long request is known only while it is in flight.
+Test(routing_health, request_is_blamed_for_a_crash_by_the_fingerprint_of_its_whole_body)
+{
+    driver test = makeDriver(4);
+    for (const incarnation next : { secondRun, incarnation { 3 } }) {
+        const auto number = test.arrive(test.make());
+        const dispatch attempt = test.lastDispatch(number);
+        test.sent(attempt, test.now);
+        test.identify(number, 5);
+        test.finish(attempt, broken {});
+        test.probed(attempt.target.value(), healthyAnswer(next));
+        test.run(100ms);
+        test.identify(number, 5);
+    }
+    cr_assert(refusedAsQuarantined(test, 5));
+}
+
+Test(routing_health, request_is_refused_in_flight_once_it_is_known_to_be_quarantined)
+{
+    driver test = makeDriver(4);
+    for (const char* target : { "t1", "t2" })
+        (void)test.host->applyCrashes(
+            test.now, { { fingerprint { 5 }, target_id { target }, firstRun, test.now, false } });
+    const auto number = test.arrive(test.make());
+    const dispatch attempt = test.lastDispatch(number);
+    test.sent(attempt, test.now);
+    test.identify(number, 5);
+    cr_assert_eq(test.all<abandon>().size(), 1);
+    cr_assert(test.refusal(number)->reason == refusal_reason::Quarantined);
+    cr_assert(test.refusal(number)->requestOutcome == outcome::Unknown);
+    const auto other = test.arrive(test.make());
+    test.identify(other, 6);
+    cr_assert_not(test.refusal(other));
+}
+
+Test(routing_health, answer_that_has_begun_goes_on_when_its_request_is_quarantined)
+{
+    driver test = makeDriver(4);
+    for (const char* target : { "t1", "t2" })
+        (void)test.host->applyCrashes(
+            test.now, { { fingerprint { 5 }, target_id { target }, firstRun, test.now, false } });
+    const auto number = test.arrive(test.make());
+    const dispatch attempt = test.lastDispatch(number);
+    test.sent(attempt, test.now);
+    test.responded(attempt);
+    test.identify(number, 5);
+    cr_assert_not(test.refusal(number));
+    cr_assert(test.all<abandon>().empty());
+}
+
 Test(routing_health, crashes_reported_by_other_hosts_count_once_per_run)
 {
     driver test = makeDriver(4);
