Routing: targets that end at the same time count as one crash

Look-ups of many callers for one path share a fingerprint where requests name no caller. When two targets ended together, each such look-up that was in flight at both was refused with 422 for ten minutes.

Cause: a fingerprint was refused after two crashes, however they lay in time. A request that crashes its targets comes again after the first crash; targets that end together have some other cause. And a complete answer cleared a suspect only, not a fingerprint that was refused already.

Change: a crash record states when the request was in flight at the target, also between hosts, and a fingerprint's crashes count only as far as these times do not overlap. Records without times, from hosts of the version before, count as they did. An answer below 400 clears a refused fingerprint: only a target that has run the request gives it.

--- a/include/pimentomast/routing.h
+++ b/include/pimentomast/routing.h
@@ -3,6 +3,7 @@
 #include "pimentomast/core.h"
 #include "pimentomast/table.h"
 
+#include <algorithm>
 #include <array>
 #include <map>
 #include <memory>
@@ -208,6 +209,19 @@
 /// Number of a clearing, by which it is known again however old its age makes it look.
 using clearing_id = strong<struct clearing_id_tag, std::uint64_t>;
 
+/// Time in which a request was in flight at a target.
+struct flight_time {
+    instant from;
+    instant until;
+
+    /// Includes the other time, and what lies between them.
+    void extend(const flight_time& other) noexcept
+    {
+        from = std::min(from, other.from);
+        until = std::max(until, other.until);
+    }
+};
+
 /// Record that a request was in flight when a run of a target ended or, if forgiven is set, that
 /// the request is cleared of all crashes up to this time.
 struct crash {
@@ -218,6 +232,8 @@
     bool forgiven = false;
     /// Set if and only if forgiven is.
     clearing_id clearing {};
+    /// When the request was in flight; unknown in records of hosts that do not state it.
+    std::optional<flight_time> inFlight {};
 };
 
 /// A fingerprint suspected of crashing targets, and the crashes at which it was in flight.
--- a/src/routing/attempts.cc
+++ b/src/routing/attempts.cc
@@ -8,6 +8,7 @@
 
 constexpr duration drainingPause = std::chrono::milliseconds(200);
 constexpr double trustGain = 0.01;
+constexpr int firstClientError = 400;
 
 template <class Map, class Key>
 void decrement(Map& counts, const Key& key)
@@ -38,7 +39,7 @@
             self.ejectErrorOutlier(*target);
         }
         self.recordLatency(ended.submitted, result);
-        self.clearSuspect(ended);
+        self.clearSuspect(ended, result);
     }
 
     void operator()(const answered& result) const
@@ -298,11 +299,15 @@
     service->callerLatency[submitted.caller].add(result.total);
 }
 
-// A request that got a complete answer does not crash targets.
-void engine::clearSuspect(const pending_request& ended)
+// A request that got a complete answer does not crash targets. To clear one that is refused
+// already, the answer must be that of a target that has run it.
+void engine::clearSuspect(const pending_request& ended, const answered& result)
 {
     const fingerprint requestFingerprint = ended.submitted.requestFingerprint;
-    if (m_quarantine.verdictOf(requestFingerprint) == quarantine::verdict::Suspected)
+    const auto verdict = m_quarantine.verdictOf(requestFingerprint);
+    const bool isRefusedWrongly
+        = verdict == quarantine::verdict::Refused && result.status < firstClientError;
+    if (verdict == quarantine::verdict::Suspected || isRefusedWrongly)
         clear(requestFingerprint);
 }
 
--- a/src/routing/engine.h
+++ b/src/routing/engine.h
@@ -77,12 +77,16 @@
     duration expectedWait {};
     instant notBefore;
     instant heldUntil;
+
+    /// Start of the last attempt.
+    [[nodiscard]] instant sentOrDispatched() const noexcept { return wasSent ? sent : dispatched; }
 };
 
 /// A request that was in flight on a run of a target when its connection broke.
 struct lost_attempt {
     fingerprint requestFingerprint;
     incarnation run;
+    instant sent;
     instant at;
 };
 
@@ -336,7 +340,7 @@
     [[nodiscard]] duration shedBackoff(const pending_request& failed) const;
     void awaitProbe(pending_request& failed);
     bool awaitCrashCheck(pending_request& waiting);
-    void clearSuspect(const pending_request& ended);
+    void clearSuspect(const pending_request& ended, const answered& result);
     void adaptWindow(target_state& target, const request& submitted, bool wasShed);
     void recordLatency(const request& submitted, const answered& result);
 
--- a/src/routing/health.cc
+++ b/src/routing/health.cc
@@ -112,7 +112,8 @@
 void engine::recordLoss(const pending_request& lost, target_state& target)
 {
     target.addLostAttempt(
-        { lost.submitted.requestFingerprint, lost.run, m_now }, lostAttemptRetention);
+        { lost.submitted.requestFingerprint, lost.run, lost.sentOrDispatched(), m_now },
+        lostAttemptRetention);
 }
 
 // It is now known whether the target's run survived these losses.
@@ -127,20 +128,26 @@
 // shortly before.
 void engine::attributeCrash(target_state& target, incarnation run)
 {
-    std::set<fingerprint> suspects;
+    std::map<fingerprint, flight_time> suspects;
+    const auto addSuspect = [&](fingerprint requestFingerprint, const flight_time& inFlight) {
+        auto [found, isNew] = suspects.try_emplace(requestFingerprint, inFlight);
+        if (!isNew)
+            found->second.extend(inFlight);
+    };
     for (const lost_attempt& each : target.lost)
         if (each.run == run)
-            suspects.insert(each.requestFingerprint);
+            addSuspect(each.requestFingerprint, { each.sent, each.at });
     for (const request_number number : target.inFlight) {
         const pending_request& inFlight = m_requests.at(number);
         if (inFlight.run == run)
-            suspects.insert(inFlight.submitted.requestFingerprint);
+            addSuspect(
+                inFlight.submitted.requestFingerprint, { inFlight.sentOrDispatched(), m_now });
     }
     m_quarantine.addUnattributed(m_now, target.row.id, run);
     std::vector<crash> records;
     records.reserve(suspects.size());
-    for (const fingerprint requestFingerprint : suspects)
-        records.push_back({ requestFingerprint, target.row.id, run, m_now, false });
+    for (const auto& [requestFingerprint, inFlight] : suspects)
+        records.push_back({ requestFingerprint, target.row.id, run, m_now, false, {}, inFlight });
     for (const crash& record : m_quarantine.add(records))
         m_actions.emplace_back(broadcast_crash { record });
     refuseQuarantined();
--- a/src/routing/quarantine.cc
+++ b/src/routing/quarantine.cc
@@ -53,7 +53,14 @@
     auto [found, isFirst] = m_runs.try_emplace(run_id { record.target, record.run });
     ended_run& ended = found->second;
     ended.at = isFirst ? record.at : std::min(ended.at, record.at);
-    return ended.suspects.insert(record.requestFingerprint).second;
+    const auto [known, isNew]
+        = ended.suspects.try_emplace(record.requestFingerprint, record.inFlight);
+    flight& inFlight = known->second;
+    if (!inFlight)
+        inFlight = record.inFlight;
+    else if (record.inFlight)
+        inFlight->extend(*record.inFlight);
+    return isNew;
 }
 
 bool quarantine::addClearing(const crash& record)
@@ -123,8 +130,9 @@
 {
     std::vector<crash> known;
     for (const auto& [id, ended] : m_runs)
-        for (const fingerprint requestFingerprint : ended.suspects)
-            known.push_back({ requestFingerprint, id.target, id.run, ended.at, false });
+        for (const auto& [requestFingerprint, inFlight] : ended.suspects)
+            known.push_back(
+                { requestFingerprint, id.target, id.run, ended.at, false, {}, inFlight });
     for (const auto& [requestFingerprint, by] : m_cleared)
         known.push_back(
             { requestFingerprint, target_id {}, incarnation {}, by.at, true, by.number });
@@ -178,12 +186,37 @@
     return others;
 }
 
-bool quarantine::isCulprit(const run_set& own, const run_set& attributed) const
+std::size_t quarantine::successiveRuns(fingerprint requestFingerprint, const run_set& own) const
+{
+    std::size_t count = 0;
+    std::vector<flight_time> flights;
+    for (const run_id& id : own) {
+        if (const flight& known = m_runs.at(id).suspects.at(requestFingerprint))
+            flights.push_back(*known);
+        else
+            ++count;
+    }
+    // The largest set of disjoint intervals: always the one that ends first.
+    std::sort(flights.begin(), flights.end(),
+        [](const flight_time& a, const flight_time& b) { return a.until < b.until; });
+    std::optional<instant> lastEnd;
+    for (const flight_time& each : flights) {
+        if (lastEnd && each.from < *lastEnd)
+            continue;
+        lastEnd = each.until;
+        ++count;
+    }
+    return count;
+}
+
+bool quarantine::isCulprit(
+    fingerprint requestFingerprint, const run_set& own, const run_set& attributed) const
 {
     if (own.size() < m_limits.crashes)
         return false;
     const bool hasBackgroundCrashes = backgroundOf(own, attributed) >= m_limits.backgroundCrashes;
-    return own.size() >= m_limits.crashes + (hasBackgroundCrashes ? 1 : 0);
+    return successiveRuns(requestFingerprint, own)
+        >= m_limits.crashes + (hasBackgroundCrashes ? 1 : 0);
 }
 
 bool quarantine::hasEqualSuspect(
@@ -197,7 +230,7 @@
     return std::any_of(own.begin(), own.end(), [&](const run_id& id) {
         const auto& suspects = m_runs.at(id).suspects;
         return std::any_of(suspects.begin(), suspects.end(),
-            [&](fingerprint other) { return isEqual(id, other); });
+            [&](const auto& other) { return isEqual(id, other.first); });
     });
 }
 
@@ -205,7 +238,7 @@
     fingerprint requestFingerprint) const
 {
     const auto found = unattributed.find(requestFingerprint);
-    return found != unattributed.end() && isCulprit(found->second, attributed)
+    return found != unattributed.end() && isCulprit(requestFingerprint, found->second, attributed)
         && !hasEqualSuspect(unattributed, requestFingerprint, found->second);
 }
 
@@ -221,7 +254,7 @@
 std::optional<fingerprint> quarantine::findCulpritOf(
     const run_id& id, const suspicion_map& unattributed, const run_set& attributed) const
 {
-    for (const fingerprint each : m_runs.at(id).suspects)
+    for (const auto& [each, inFlight] : m_runs.at(id).suspects)
         if (isFoundCulprit(unattributed, attributed, each))
             return each;
     return std::nullopt;
@@ -262,14 +295,13 @@
     const run_id& id, suspicion_map& unattributed, run_set& attributed) const
 {
     const ended_run& ended = m_runs.at(id);
-    const auto isCulprit = [&](fingerprint requestFingerprint) {
-        return verdictOf(requestFingerprint) == verdict::Refused;
-    };
-    if (std::any_of(ended.suspects.begin(), ended.suspects.end(), isCulprit)) {
+    const auto isKnownCulprit
+        = [&](const auto& each) { return verdictOf(each.first) == verdict::Refused; };
+    if (std::any_of(ended.suspects.begin(), ended.suspects.end(), isKnownCulprit)) {
         attributed.insert(id);
         return;
     }
-    for (const fingerprint requestFingerprint : ended.suspects)
+    for (const auto& [requestFingerprint, inFlight] : ended.suspects)
         if (!forgiven(requestFingerprint, ended.at))
             unattributed[requestFingerprint].insert(id);
 }
--- a/src/routing/quarantine.h
+++ b/src/routing/quarantine.h
@@ -10,8 +10,10 @@
 /// Identifies requests that crash targets.
 ///
 /// Each ended run of a target is one crash; the fingerprints in flight at its end are its suspects.
-/// A fingerprint is the culprit if it was in flight at limits::crashes crashes or more, and at more
-/// of them than any other suspect of them; these crashes then count against no other fingerprint.
+/// A fingerprint is the culprit if it was in flight at limits::crashes crashes or more, one after
+/// another, and at more of them than any other suspect of them; these crashes then count against no
+/// other fingerprint. Crashes of targets at which it was in flight at the same time count as one:
+/// they may have a common cause.
 /// Suspects that share a crash and have equally many cannot be distinguished: none is the culprit
 /// until one is in flight at another crash. If at least backgroundCrashes other crashes happened
 /// within backgroundWindow without the fingerprint, targets also crash for other reasons, and one
@@ -58,9 +60,10 @@
         incarnation run;
         auto operator<=>(const run_id&) const = default;
     };
+    using flight = std::optional<flight_time>;
     struct ended_run {
         instant at;
-        std::set<fingerprint> suspects;
+        std::map<fingerprint, flight> suspects;
     };
     struct cleared {
         instant at;
@@ -79,7 +82,11 @@
     void addSuspects(const run_id& id, suspicion_map& unattributed, run_set& attributed) const;
     void markCulprit(fingerprint culprit, suspicion_map& unattributed, run_set& attributed);
     [[nodiscard]] std::size_t backgroundOf(const run_set& own, const run_set& attributed) const;
-    [[nodiscard]] bool isCulprit(const run_set& own, const run_set& attributed) const;
+    /// Returns at how many of the runs' ends the fingerprint was in flight one after another.
+    [[nodiscard]] std::size_t successiveRuns(
+        fingerprint requestFingerprint, const run_set& own) const;
+    [[nodiscard]] bool isCulprit(
+        fingerprint requestFingerprint, const run_set& own, const run_set& attributed) const;
     [[nodiscard]] bool hasEqualSuspect(const suspicion_map& unattributed,
         fingerprint requestFingerprint, const run_set& own) const;
     [[nodiscard]] bool isFoundCulprit(const suspicion_map& unattributed, const run_set& attributed,
--- a/src/serve/wire.cc
+++ b/src/serve/wire.cc
@@ -123,14 +123,27 @@
         message.removed() };
 }
 
+namespace {
+
+std::uint64_t ageMs(instant at, instant now)
+{
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - at);
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(age.count(), 0));
+}
+
+} // namespace
+
 wire::Crash toWire(const routing::crash& crash, instant now)
 {
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - crash.at);
     wire::Crash message;
     message.set_fingerprint(crash.requestFingerprint.value());
     message.set_target(crash.target.value());
     message.set_target_incarnation(crash.run.value());
-    message.set_age_ms(static_cast<std::uint64_t>(std::max<std::int64_t>(age.count(), 0)));
+    message.set_age_ms(ageMs(crash.at, now));
+    if (crash.inFlight) {
+        message.set_sent_age_ms(ageMs(crash.inFlight->from, now));
+        message.set_ended_age_ms(ageMs(crash.inFlight->until, now));
+    }
     message.set_forgiven(crash.forgiven);
     message.set_clearing(crash.clearing.value());
     return message;
@@ -145,6 +158,11 @@
     crash.at = now - std::chrono::milliseconds(message.age_ms());
     crash.forgiven = message.forgiven();
     crash.clearing = routing::clearing_id { message.clearing() };
+    if (message.has_sent_age_ms() && message.has_ended_age_ms())
+        crash.inFlight = routing::flight_time {
+            now - std::chrono::milliseconds(message.sent_age_ms()),
+            now - std::chrono::milliseconds(message.ended_age_ms()),
+        };
     return crash;
 }
 
--- a/test/routing-health-test.cc
+++ b/test/routing-health-test.cc
@@ -91,6 +91,39 @@
     cr_assert(test.refusal(number)->reason == refusal_reason::Quarantined);
 }
 
+// Two targets that were lost at once took each look-up with them that was in flight at both.
+Test(routing_health, request_in_flight_at_targets_that_end_together_is_not_refused)
+{
+    driver test = makeDriver(4);
+    const std::array<dispatch, 2> attempts { test.lastDispatch(test.arrive(test.make("c", 5))),
+        test.lastDispatch(test.arrive(test.make("c", 5))) };
+    cr_assert_neq(attempts[0].target, attempts[1].target);
+    for (const dispatch& each : attempts)
+        test.sent(each, test.now);
+    test.now += 50ms;
+    for (const dispatch& each : attempts)
+        test.finish(each, broken {});
+    for (const dispatch& each : attempts)
+        test.probed(each.target.value(), healthyAnswer(secondRun));
+    cr_assert_eq(test.all<broadcast_crash>().size(), 2);
+    cr_assert_not(refusedAsQuarantined(test, 5));
+}
+
+Test(routing_health, answer_clears_a_request_that_is_refused_wrongly)
+{
+    for (const int status : { 200, 404, 503 }) {
+        driver test = makeDriver(4);
+        const dispatch attempt = test.lastDispatch(test.arrive(test.make("c", 5)));
+        for (const char* target : { "t1", "t2" })
+            (void)test.host->applyCrashes(test.now,
+                { { fingerprint { 5 }, target_id { target }, firstRun, test.now, false } });
+        cr_assert(refusedAsQuarantined(test, 5));
+        test.now += 1ms;
+        test.finish(attempt, answered { status, 1ms, 1ms });
+        cr_assert_eq(refusedAsQuarantined(test, 5), status != 200, "status %d", status);
+    }
+}
+
 // The body of a long request is known only while it is in flight.
 Test(routing_health, request_is_blamed_for_a_crash_by_the_fingerprint_of_its_whole_body)
 {
--- a/test/routing-quarantine-test.cc
+++ b/test/routing-quarantine-test.cc
@@ -26,6 +26,8 @@
     record.run = incarnation { 1 };
     // All hosts date the end of a run alike but for the transit of messages.
     record.at = start + std::chrono::seconds(std::hash<std::string> {}(record.target.value()) % 20);
+    if (random() % 2 == 0)
+        record.inFlight = { record.at - std::chrono::milliseconds(random() % 5000), record.at };
     return record;
 }
 
@@ -38,6 +40,20 @@
     return verdicts;
 }
 
+/// The record of a request that was in flight at the end of a target's run, in milliseconds.
+crash crashOf(const char* target, int from, int until)
+{
+    crash record { fingerprint { 5 }, target_id { target }, incarnation { 1 },
+        start + std::chrono::milliseconds(until) };
+    record.inFlight = { start + std::chrono::milliseconds(from), record.at };
+    return record;
+}
+
+bool isRefused(const quarantine& host)
+{
+    return host.verdictOf(fingerprint { 5 }) == quarantine::verdict::Refused;
+}
+
 } // namespace
 
 Test(quarantine, batches_and_single_records_give_the_same_verdicts)
@@ -93,3 +109,33 @@
     cr_assert(host.suspects().empty());
     cr_assert_gt(again.clearing.value(), 900);
 }
+
+// Look-ups of many callers for one path share a fingerprint. When two targets ended at once, all of
+// them were refused for ten minutes.
+Test(quarantine, targets_that_end_at_the_same_time_count_as_one_crash)
+{
+    quarantine host({});
+    (void)host.add({ crashOf("t1", 0, 100), crashOf("t2", 50, 110), crashOf("t3", 90, 300) });
+    cr_assert_not(isRefused(host));
+    (void)host.add({ crashOf("t4", 300, 400) });
+    cr_assert(isRefused(host));
+}
+
+// The other side: a request that crashes its targets is sent again after each crash.
+Test(quarantine, crashes_one_after_another_count)
+{
+    quarantine host({});
+    (void)host.add({ crashOf("t2", 101, 200) });
+    cr_assert_not(isRefused(host));
+    (void)host.add({ crashOf("t1", 0, 100) });
+    cr_assert(isRefused(host));
+}
+
+Test(quarantine, crash_without_times_counts)
+{
+    quarantine host({});
+    crash untimed = crashOf("t1", 0, 100);
+    untimed.inFlight.reset();
+    (void)host.add({ untimed, crashOf("t2", 50, 100) });
+    cr_assert(isRefused(host));
+}
