--- a/include/pimentomast/dispatch.h
+++ b/include/pimentomast/dispatch.h
@@ -243,8 +243,9 @@
     virtual void sent(request_id id, unsigned attempt, instant opened, dispatch_sink& sink) = 0;
     /// The first byte of an attempt's answer arrived.
     virtual void responded(request_id id, unsigned attempt, dispatch_sink& sink) = 0;
-    /// The body of a request that was submitted before is known, and so is its fingerprint. Returns
-    /// false if the request is refused; the attempt must then end without sending the rest of it.
+    /// The body of a request has been read completely, and with it its fingerprint is known, after
+    /// the request was submitted with a provisional one. Returns false if the request is refused;
+    /// the attempt must then end without sending the rest of it.
     [[nodiscard]] virtual bool identified(
         request_id id, std::uint64_t fingerprint, dispatch_sink& sink)
         = 0;
