Measure the delay of a host's link and what fills it

Cause: nothing told a full link from slow work on the host, nor callers' bytes from those of messages between hosts. Change: the delay of the link from the round trips of exchanges, the least of the last four; bytes of callers and targets, and of calls between hosts by kind; the wait of peers' tables on the host; the line link-delayed. No decision depends on them yet.

--- a/include/pimentomast/peers.h
+++ b/include/pimentomast/peers.h
@@ -3,12 +3,39 @@
 #include "peers.pb.h"
 #include "pimentomast/core.h"
 
+#include <array>
+#include <atomic>
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <string_view>
 
 /// gRPC between entry hosts: one server and one client for each other host.
 namespace pimentomast::peers {
 
+enum class call_kind {
+    Exchange,
+    Publish,
+    Witness,
+    Hold,
+    RenewRoute,
+    ReportLoad,
+    RelayRow,
+};
+inline constexpr std::size_t callKindCount = 7;
+
+/// Returns the name as used in metrics and errors, such as "renew route". Thread-safe.
+[[nodiscard]] std::string_view name(call_kind kind) noexcept;
+
+/// Bytes of messages, without framing, since the start of the process. Thread-safe.
+struct message_bytes {
+    std::atomic<std::uint64_t> received { 0 };
+    std::atomic<std::uint64_t> sent { 0 };
+};
+
+/// Returns the bytes of the requests and replies of a kind of call. Thread-safe.
+[[nodiscard]] message_bytes& bytesOf(call_kind kind) noexcept;
+
 /// Receives the reply or an error. Called once, from a gRPC thread; must not block.
 template <class Reply>
 using reply_handler = std::function<void(result<Reply>)>;
--- a/include/pimentomast/proxy.h
+++ b/include/pimentomast/proxy.h
@@ -142,6 +142,9 @@
     std::size_t deliveries = 0;
     /// Responses handed over for delivery since the start.
     std::uint64_t delivered = 0;
+    /// Bytes received from and sent to callers and targets since the start of the process.
+    std::uint64_t receivedBytes = 0;
+    std::uint64_t sentBytes = 0;
 };
 
 struct options {
--- a/include/pimentomast/telemetry.h
+++ b/include/pimentomast/telemetry.h
@@ -48,6 +48,13 @@
     BodyBytesLimit,
     Deliveries,
     Delivered,
+    ExchangeTime,
+    ExchangeTimeouts,
+    PeerMessageWait,
+    LinkDelay,
+    ForwardedBytes,
+    PeerBytesReceived,
+    PeerBytesSent,
     AdminRequests,
 };
 
--- a/src/peers/client.cc
+++ b/src/peers/client.cc
@@ -86,18 +86,22 @@
 
 struct client::state {
     /// Starts one call; invoke passes context, reply and the completion handler to the stub.
-    template <class Reply, class Invoke>
-    void call(const char* step, std::chrono::milliseconds timeout, reply_handler<Reply> done,
-        const Invoke& invoke)
+    template <class Reply, class Request, class Invoke>
+    void call(call_kind kind, const Request& request, std::chrono::milliseconds timeout,
+        reply_handler<Reply> done, const Invoke& invoke)
     {
+        bytesOf(kind).sent += request.ByteSizeLong();
         auto pending = std::make_shared<pending_call<Reply>>(running);
         pending->context->set_deadline(std::chrono::system_clock::now() + timeout);
         pending->done = std::move(done);
-        auto complete = [this, pending, step](const grpc::Status& status) {
-            if (status.ok())
-                pending->done(std::move(pending->reply));
-            else
-                pending->done(error { step, address.text(), status.error_message() });
+        auto complete = [this, pending, kind](const grpc::Status& status) {
+            if (!status.ok()) {
+                pending->done(
+                    error { std::string(name(kind)), address.text(), status.error_message() });
+                return;
+            }
+            bytesOf(kind).received += pending->reply.ByteSizeLong();
+            pending->done(std::move(pending->reply));
         };
         invoke(&*pending->context, &pending->reply, std::move(complete));
     }
@@ -132,7 +136,7 @@
     auto invoke = [&](auto* context, auto* reply, auto complete) {
         m_state->stub->async()->Exchange(context, &digest, reply, std::move(complete));
     };
-    m_state->call<wire::Update>("exchange", timeout, std::move(done), invoke);
+    m_state->call<wire::Update>(call_kind::Exchange, digest, timeout, std::move(done), invoke);
 }
 
 void client::publish(const wire::Notice& notice, std::chrono::milliseconds timeout,
@@ -141,7 +145,7 @@
     auto invoke = [&](auto* context, auto* reply, auto complete) {
         m_state->stub->async()->Publish(context, &notice, reply, std::move(complete));
     };
-    m_state->call<wire::NoticeReply>("publish", timeout, std::move(done), invoke);
+    m_state->call<wire::NoticeReply>(call_kind::Publish, notice, timeout, std::move(done), invoke);
 }
 
 void client::witness(const wire::WitnessRequest& request, std::chrono::milliseconds timeout,
@@ -150,7 +154,8 @@
     auto invoke = [&](auto* context, auto* reply, auto complete) {
         m_state->stub->async()->Witness(context, &request, reply, std::move(complete));
     };
-    m_state->call<wire::WitnessReply>("witness", timeout, std::move(done), invoke);
+    m_state->call<wire::WitnessReply>(
+        call_kind::Witness, request, timeout, std::move(done), invoke);
 }
 
 void client::hold(const wire::HoldRequest& request, std::chrono::milliseconds timeout,
@@ -159,7 +164,7 @@
     auto invoke = [&](auto* context, auto* reply, auto complete) {
         m_state->stub->async()->Hold(context, &request, reply, std::move(complete));
     };
-    m_state->call<wire::HoldReply>("hold", timeout, std::move(done), invoke);
+    m_state->call<wire::HoldReply>(call_kind::Hold, request, timeout, std::move(done), invoke);
 }
 
 void client::renewRoute(const wire::RouteRenewal& renewal, std::chrono::milliseconds timeout,
@@ -168,7 +173,8 @@
     auto invoke = [&](auto* context, auto* reply, auto complete) {
         m_state->stub->async()->RenewRoute(context, &renewal, reply, std::move(complete));
     };
-    m_state->call<wire::RouteRenewalReply>("renew route", timeout, std::move(done), invoke);
+    m_state->call<wire::RouteRenewalReply>(
+        call_kind::RenewRoute, renewal, timeout, std::move(done), invoke);
 }
 
 void client::reportLoad(const wire::LoadReport& report, std::chrono::milliseconds timeout,
@@ -177,7 +183,7 @@
     auto invoke = [&](auto* context, auto* reply, auto complete) {
         m_state->stub->async()->ReportLoad(context, &report, reply, std::move(complete));
     };
-    m_state->call<wire::LoadReply>("report load", timeout, std::move(done), invoke);
+    m_state->call<wire::LoadReply>(call_kind::ReportLoad, report, timeout, std::move(done), invoke);
 }
 
 void client::relayRow(const wire::RowRequest& request, std::chrono::milliseconds timeout,
@@ -186,7 +192,7 @@
     auto invoke = [&](auto* context, auto* reply, auto complete) {
         m_state->stub->async()->RelayRow(context, &request, reply, std::move(complete));
     };
-    m_state->call<wire::RowReply>("relay row", timeout, std::move(done), invoke);
+    m_state->call<wire::RowReply>(call_kind::RelayRow, request, timeout, std::move(done), invoke);
 }
 
 } // namespace pimentomast::peers
--- a/src/peers/server.cc
+++ b/src/peers/server.cc
@@ -22,27 +22,32 @@
     grpc::ServerUnaryReactor* Exchange(grpc::CallbackServerContext* context,
         const wire::Digest* request, wire::Update* reply) override
     {
-        return answer(context, [&] { *reply = m_receiver.exchange(*request); });
+        return answer(context, call_kind::Exchange, *request, *reply,
+            [&] { *reply = m_receiver.exchange(*request); });
     }
 
     grpc::ServerUnaryReactor* Publish(grpc::CallbackServerContext* context,
         const wire::Notice* request, wire::NoticeReply* reply) override
     {
-        return answer(context, [&] { *reply = m_receiver.publish(*request); });
+        return answer(context, call_kind::Publish, *request, *reply,
+            [&] { *reply = m_receiver.publish(*request); });
     }
 
     grpc::ServerUnaryReactor* Witness(grpc::CallbackServerContext* context,
         const wire::WitnessRequest* request, wire::WitnessReply* reply) override
     {
-        return answer(context, [&] { *reply = m_receiver.witness(*request); });
+        return answer(context, call_kind::Witness, *request, *reply,
+            [&] { *reply = m_receiver.witness(*request); });
     }
 
     grpc::ServerUnaryReactor* Hold(grpc::CallbackServerContext* context,
         const wire::HoldRequest* request, wire::HoldReply* reply) override
     {
         grpc::ServerUnaryReactor* reactor = context->DefaultReactor();
+        bytesOf(call_kind::Hold).received += request->ByteSizeLong();
         m_receiver.hold(*request, [reactor, reply](wire::HoldReply made) {
             *reply = std::move(made);
+            bytesOf(call_kind::Hold).sent += reply->ByteSizeLong();
             reactor->Finish(grpc::Status::OK);
         });
         return reactor;
@@ -51,33 +56,40 @@
     grpc::ServerUnaryReactor* RenewRoute(grpc::CallbackServerContext* context,
         const wire::RouteRenewal* request, wire::RouteRenewalReply* reply) override
     {
-        return answer(context, [&] { *reply = m_receiver.renewRoute(*request); });
+        return answer(context, call_kind::RenewRoute, *request, *reply,
+            [&] { *reply = m_receiver.renewRoute(*request); });
     }
 
     grpc::ServerUnaryReactor* ReportLoad(grpc::CallbackServerContext* context,
         const wire::LoadReport* request, wire::LoadReply* reply) override
     {
-        return answer(context, [&] { *reply = m_receiver.reportLoad(*request); });
+        return answer(context, call_kind::ReportLoad, *request, *reply,
+            [&] { *reply = m_receiver.reportLoad(*request); });
     }
 
     grpc::ServerUnaryReactor* RelayRow(grpc::CallbackServerContext* context,
         const wire::RowRequest* request, wire::RowReply* reply) override
     {
         grpc::ServerUnaryReactor* reactor = context->DefaultReactor();
+        bytesOf(call_kind::RelayRow).received += request->ByteSizeLong();
         m_receiver.relayRow(*request, [reactor, reply](wire::RowReply made) {
             *reply = std::move(made);
+            bytesOf(call_kind::RelayRow).sent += reply->ByteSizeLong();
             reactor->Finish(grpc::Status::OK);
         });
         return reactor;
     }
 
 private:
-    template <class Call>
-    static grpc::ServerUnaryReactor* answer(grpc::CallbackServerContext* context, const Call& call)
+    template <class Request, class Reply, class Call>
+    static grpc::ServerUnaryReactor* answer(grpc::CallbackServerContext* context, call_kind kind,
+        const Request& request, const Reply& reply, const Call& call)
     {
         grpc::ServerUnaryReactor* reactor = context->DefaultReactor();
+        bytesOf(kind).received += request.ByteSizeLong();
         try {
             call();
+            bytesOf(kind).sent += reply.ByteSizeLong();
             reactor->Finish(grpc::Status::OK);
         } catch (const std::exception& caught) {
             reactor->Finish(grpc::Status(grpc::StatusCode::INVALID_ARGUMENT, caught.what()));
--- a/src/proxy/io.cc
+++ b/src/proxy/io.cc
@@ -33,6 +33,12 @@
 
 } // namespace
 
+byte_counts& forwardedBytes() noexcept
+{
+    static byte_counts counts;
+    return counts;
+}
+
 io_result receiveInto(const Poco::Net::Socket& socket, std::string& buffer, std::size_t limit)
 {
     // Allocated on first use: a thread_local array would have its pages written at the start of
@@ -42,6 +48,8 @@
     const ssize_t got = ::recv(descriptor(socket), scratch->data(), room, MSG_DONTWAIT);
     if (got > 0) {
         buffer.append(scratch->data(), static_cast<std::size_t>(got));
+        forwardedBytes().received.fetch_add(
+            static_cast<std::uint64_t>(got), std::memory_order_relaxed);
         return { io_state::Ready, static_cast<std::size_t>(got) };
     }
     if (got == 0)
@@ -53,8 +61,11 @@
 {
     const ssize_t sent
         = ::send(descriptor(socket), bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
-    if (sent >= 0)
+    if (sent >= 0) {
+        forwardedBytes().sent.fetch_add(
+            static_cast<std::uint64_t>(sent), std::memory_order_relaxed);
         return { io_state::Ready, static_cast<std::size_t>(sent) };
+    }
     return { stateFromErrno(errno), 0 };
 }
 
--- a/src/proxy/io.h
+++ b/src/proxy/io.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <Poco/Net/StreamSocket.h>
+#include <atomic>
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -31,6 +33,13 @@
     std::size_t bytes = 0;
 };
 
+/// Bytes that the proxy received and sent since the start of the process. Thread-safe.
+struct byte_counts {
+    std::atomic<std::uint64_t> received { 0 };
+    std::atomic<std::uint64_t> sent { 0 };
+};
+byte_counts& forwardedBytes() noexcept;
+
 /// Receives at most limit bytes and appends them to the buffer.
 io_result receiveInto(const Poco::Net::Socket& socket, std::string& buffer, std::size_t limit);
 
--- a/src/proxy/server-impl.cc
+++ b/src/proxy/server-impl.cc
@@ -107,6 +107,8 @@
     now.bodyBytesLimit = m_budget.limit();
     now.deliveries = m_deliveries.size();
     now.delivered = m_delivered;
+    now.receivedBytes = forwardedBytes().received;
+    now.sentBytes = forwardedBytes().sent;
     return now;
 }
 
--- a/src/serve/gossip.cc
+++ b/src/serve/gossip.cc
@@ -128,7 +128,7 @@
     electStorePoller(now);
     const auto message = digest(now);
     for (const auto& peer : peersToCall(now))
-        exchangeWith({ peer, {} }, message, now, gossipTimeoutMs);
+        probeWith(peer, message, now);
 }
 
 // The host that polls the store is called in each round.
@@ -251,17 +251,61 @@
                     m_pool, [=, this] { exchangeWithEach(others, *relayed, sentAt, timeout); });
             return;
         }
-        const auto& update = reply.value();
-        if (m_options.tableSource && update.has_standing())
-            applyPeerTables(standingIn(update, sentAt), rowsIn(update));
-        m_peerRegistry.recordSighting(monotonic_clock::now(),
-            { host_id { update.host() }, incarnation { update.incarnation() }, address,
-                update.leaving() });
-        m_peerRegistry.recordRelayed(monotonic_clock::now(), heardIn(update));
-        boost::asio::post(m_pool, [this, sentAt, update] { applyUpdate(sentAt, update); });
+        takeReply(address, sentAt, reply.value());
     });
 }
 
+void gossip::probeWith(
+    const peer_registry::client_pointer& peer, const wire::Digest& message, instant sentAt)
+{
+    link::call_number call;
+    {
+        const std::lock_guard guard(m_linkLock);
+        call = m_linkDelay.begin(sentAt, peer->address());
+    }
+    peer->exchange(
+        message, gossipTimeoutMs, [this, call, sentAt, address = peer->address()](auto reply) {
+            recordProbe(call, sentAt, reply);
+            if (reply)
+                takeReply(address, sentAt, reply.value());
+        });
+}
+
+void gossip::recordProbe(link::call_number call, instant sentAt, const result<wire::Update>& reply)
+{
+    const auto now = monotonic_clock::now();
+    const auto roundTrip = now - sentAt;
+    const bool isTimeout = !reply && roundTrip >= gossipTimeoutMs;
+    {
+        const std::lock_guard guard(m_linkLock);
+        if (reply)
+            m_linkDelay.answered(now, call);
+        else
+            m_linkDelay.failed(call, isTimeout, now);
+    }
+    if (reply)
+        m_callbacks.exchanged(roundTrip);
+    else if (isTimeout)
+        m_callbacks.exchanged({});
+}
+
+void gossip::takeReply(const endpoint& address, instant sentAt, const wire::Update& update)
+{
+    if (m_options.tableSource && update.has_standing())
+        applyPeerTables(standingIn(update, sentAt), rowsIn(update));
+    m_peerRegistry.recordSighting(monotonic_clock::now(),
+        { host_id { update.host() }, incarnation { update.incarnation() }, address,
+            update.leaving() });
+    m_peerRegistry.recordRelayed(monotonic_clock::now(), heardIn(update));
+    boost::asio::post(m_pool, [this, sentAt, update] { applyUpdate(sentAt, update); });
+}
+
+duration gossip::linkDelay(instant now) const
+{
+    const std::lock_guard guard(m_linkLock);
+    return m_linkDelay.current(now);
+}
+
 void gossip::exchangeWithEach(const std::vector<endpoint>& peers, const wire::Digest& message,
     instant sentAt, std::chrono::milliseconds timeout)
 {
--- a/src/serve/gossip.h
+++ b/src/serve/gossip.h
@@ -3,6 +3,7 @@
 #include "crash_spread.h"
 #include "directory.h"
 #include "peer_registry.h"
+#include "pimentomast/link.h"
 #include "pimentomast/membership.h"
 #include "pimentomast/peers.h"
 #include "pimentomast/serve.h"
@@ -50,6 +51,11 @@
         std::function<void(const std::vector<routing::crash>&)> applyCrashes;
         /// Takes the speed of targets that a host sent.
         std::function<void(const host_id& sender, const wire::SpeedFactors&)> applySpeeds;
+        /// An exchange of a round has ended; the round trip is not set if it was not answered in
+        /// time.
+        std::function<void(std::optional<duration> roundTrip)> exchanged;
+        /// Another host's tables were put in force this long after they had arrived.
+        std::function<void(duration)> tablesWaited;
     };
 
     /// Fails if a time is not positive. store, peerRegistry and routes must outlive the object.
@@ -88,6 +94,8 @@
     /// Whether the version in force was recently confirmed by the store or by a majority of peers.
     [[nodiscard]] bool confirmed(instant now) const;
     [[nodiscard]] config_version version() const;
+    /// Returns how long bytes wait on this host's network link.
+    [[nodiscard]] duration linkDelay(instant now) const;
 
 private:
     gossip(const gossip_options& options, membership::freshness freshness, store::services& store,
@@ -95,6 +103,11 @@
 
     void readConfig();
     void readHosts();
+    /// Sends a digest without rows, and measures the link by the round trip.
+    void probeWith(
+        const peer_registry::client_pointer& peer, const wire::Digest& message, instant sentAt);
+    void recordProbe(link::call_number call, instant sentAt, const result<wire::Update>& reply);
+    void takeReply(const endpoint& address, instant sentAt, const wire::Update& update);
     /// If the relay does not answer, the other hosts of its route are called by this one.
     void exchangeWith(const peer_registry::relay_route& to, const wire::Digest& message,
         instant sentAt, std::chrono::milliseconds timeout);
@@ -156,6 +169,8 @@
     mutable std::mutex m_lock;
     membership::freshness m_freshness;
     wire::Table m_table;
+    mutable std::mutex m_linkLock;
+    link::queueing_delay m_linkDelay;
     std::map<service_id, std::optional<ownership::assignment>> m_published;
     instant m_started;
     boost::asio::thread_pool m_pool;
--- a/src/serve/gossip_tables.cc
+++ b/src/serve/gossip_tables.cc
@@ -50,9 +50,11 @@
 {
     if (rows.empty())
         return m_options.tableSource->receivePeerStanding(standing);
-    boost::asio::post(m_pool, [this, standing, rows] {
+    const auto arrived = monotonic_clock::now();
+    boost::asio::post(m_pool, [this, standing, rows, arrived] {
         m_options.tableSource->receivePeerRows(rows);
         m_options.tableSource->receivePeerStanding(standing);
+        m_callbacks.tablesWaited(monotonic_clock::now() - arrived);
     });
 }
 
--- a/src/serve/metrics.cc
+++ b/src/serve/metrics.cc
@@ -80,6 +80,18 @@
     metrics.gaugeFor(metric::BodyBytesLimit).set(static_cast<std::int64_t>(state.bodyBytesLimit));
     metrics.gaugeFor(metric::Deliveries).set(static_cast<std::int64_t>(state.deliveries));
     raiseTo(metrics.counterFor(metric::Delivered), state.delivered);
+    raiseTo(metrics.counterFor(metric::ForwardedBytes, "received"), state.receivedBytes);
+    raiseTo(metrics.counterFor(metric::ForwardedBytes, "sent"), state.sentBytes);
+}
+
+void exposePeers(telemetry::registry& metrics)
+{
+    for (std::size_t i = 0; i < peers::callKindCount; ++i) {
+        const auto kind = static_cast<peers::call_kind>(i);
+        const auto& bytes = peers::bytesOf(kind);
+        raiseTo(metrics.counterFor(metric::PeerBytesReceived, peers::name(kind)), bytes.received);
+        raiseTo(metrics.counterFor(metric::PeerBytesSent, peers::name(kind)), bytes.sent);
+    }
 }
 
 /// Every domain that is or was in the table is exposed, with 0 if it is not evacuated.
@@ -116,6 +128,7 @@
     m_metrics.gaugeFor(metric::Running).set(static_cast<std::int64_t>(state.running));
     m_metrics.gaugeFor(metric::Queued).set(static_cast<std::int64_t>(state.waiting));
     exposeBodies(m_metrics, state);
+    exposePeers(m_metrics);
     const auto targets = m_dispatch->targets();
     exposeTargets(m_metrics, targets);
     if (m_values.targets.shareSpeed)
--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -18,6 +18,9 @@
 constexpr std::chrono::milliseconds windowHalfLife { 2000 };
 /// Time after which the speed of targets is applied again; it changes once a second.
 constexpr std::chrono::seconds speedIntervalS { 1 };
+constexpr std::chrono::seconds linkWatchIntervalS { 1 };
+/// A link on which bytes wait longer is logged.
+constexpr std::chrono::milliseconds loggedLinkDelayMs { 250 };
 constexpr std::chrono::milliseconds handoverTimeoutMs { 3000 };
 /// Requests of other hosts for rows that are carried out at the same time.
 constexpr unsigned maxRowJobs = 4;
@@ -125,6 +128,17 @@
     return shared;
 }
 
+link_bytes peerBytes()
+{
+    link_bytes sum;
+    for (std::size_t i = 0; i < peers::callKindCount; ++i) {
+        const auto& bytes = peers::bytesOf(static_cast<peers::call_kind>(i));
+        sum.received += bytes.received;
+        sum.sent += bytes.sent;
+    }
+    return sum;
+}
+
 /// Returns the started component. If it did not start, throws the failure with the setting of its
 /// address.
 template <class Component>
@@ -218,6 +232,10 @@
             [this](const auto& records) { m_dispatch->applyPeerCrashes(records); },
             [this](const auto& sender, const auto& speeds) {
                 m_speed.receive(monotonic_clock::now(), sender, speeds);
+            },
+            [this](const auto& roundTrip) { countExchange(roundTrip); },
+            [this](duration waited) {
+                m_metrics.latencyFor(telemetry::metric::PeerMessageWait).observe(waited);
             } }).value();
 
     coordinator_driver_options driverOptions;
@@ -313,6 +331,7 @@
         m_proxy->setHealthy(currentHealth().accepting);
         timer.endStage("routing", monotonic_clock::now());
         m_roundWatch.enter("load");
+        watchLink(now);
         shareSpeed(now);
         if (now >= nextLoad)
             nextLoad = now
@@ -325,6 +344,40 @@
     }
 }
 
+void node::countExchange(const std::optional<duration>& roundTrip)
+{
+    if (roundTrip)
+        m_metrics.latencyFor(telemetry::metric::ExchangeTime).observe(*roundTrip);
+    else
+        m_metrics.counterFor(telemetry::metric::ExchangeTimeouts).add();
+}
+
+// Tells a full link from slow work on this host: both make news late.
+void node::watchLink(instant now)
+{
+    if (now < m_nextLinkWatch)
+        return;
+    m_nextLinkWatch = now + linkWatchIntervalS;
+    const auto delay = m_gossip->linkDelay(now);
+    m_metrics.gaugeFor(telemetry::metric::LinkDelay)
+        .set(std::chrono::duration_cast<std::chrono::milliseconds>(delay).count());
+    const auto state = m_proxy->state();
+    const link_bytes forwarded { state.receivedBytes, state.sentBytes };
+    const auto ofCallers = forwarded - std::exchange(m_forwardedBytes, forwarded);
+    const auto all = peerBytes();
+    const auto ofPeers = all - std::exchange(m_peerBytes, all);
+    if (delay < loggedLinkDelayMs)
+        return;
+    telemetry::log(telemetry::severity::Warning, "link-delayed",
+        { { "delay_ms", milliseconds(delay) },
+            { "received_bytes", std::to_string(ofCallers.received) },
+            { "sent_bytes", std::to_string(ofCallers.sent) },
+            { "peer_received_bytes", std::to_string(ofPeers.received) },
+            { "peer_sent_bytes", std::to_string(ofPeers.sent) },
+            { "running", std::to_string(state.running) },
+            { "deliveries", std::to_string(state.deliveries) } });
+}
+
 void node::applyListedHosts()
 {
     auto listed = m_peerRegistry->listed();
--- a/src/serve/node.h
+++ b/src/serve/node.h
@@ -27,6 +27,17 @@
 
 namespace pimentomast::serve::detail {
 
+/// Bytes that passed this host's link.
+struct link_bytes {
+    std::uint64_t received = 0;
+    std::uint64_t sent = 0;
+
+    link_bytes operator-(const link_bytes& other) const noexcept
+    {
+        return { received - other.received, sent - other.sent };
+    }
+};
+
 /// Owns and connects the components of one entry host. Its own thread is a timer; all other work
 /// runs on the thread pools of the components. The methods that implement an interface are
 /// thread-safe.
@@ -94,6 +105,9 @@
     /// Sends and applies the speed of targets, if hosts share it.
     void shareSpeed(instant now);
     void updateMetrics();
+    void countExchange(const std::optional<duration>& roundTrip);
+    /// Exposes the delay of this host's network link, and logs it if it is long, once a second.
+    void watchLink(instant now);
     [[nodiscard]] bool markedLeaving() const;
     /// Returns how old the tables may be; 0 if they come from the operators' row.
     [[nodiscard]] duration tablesAge() const;
@@ -118,6 +132,10 @@
     speed_sharing m_speed;
     /// When the speed of targets is applied again. Used by the control timer only.
     instant m_nextSpeed {};
+    /// The following are used by the control timer only.
+    instant m_nextLinkWatch {};
+    link_bytes m_forwardedBytes;
+    link_bytes m_peerBytes;
     std::unique_ptr<peer_registry> m_peerRegistry;
     /// Carries out other hosts' requests for rows, each of which blocks for a call to the store.
     worker_pool<row_job> m_rowJobs;
