Send a host only the rows that it lacks, and none in answer to a call of all hosts

Cause: an exchange was answered with every recent row above the version that the caller stated. The rows themselves did not raise that version, only a read of the store or equal contents did; while targets change, contents are rarely equal. So each host sent each other one the same rows, up to 128, in every round. The host that polls for all calls all of them after each new table, and got the same rows from each; they made a new table, so it called again. The messages grew with the lag that they made. Change: a list of rows states between which versions of the store it is complete, and the receiver that lacks nothing before takes the later one. The call of all hosts is answered without rows. Ruled out: work on the host. In the traced cases requests wait some ms there.

--- a/include/pimentomast/membership.h
+++ b/include/pimentomast/membership.h
@@ -286,6 +286,9 @@
     void recordPoll(instant sentAt, const row_state& read);
     /// Records what this host has. The version is 0 for rows that it has not read from the store.
     void recordRows(const row_state& now);
+    /// Records that a peer sent every change above the first version, up to the second one, and
+    /// that recordRows() was told of them. Ignored if this host lacks earlier changes.
+    void recordChanges(row_version after, row_version until);
     /// Records a peer's state, and when the store was last known to match it; `instant {}` if that
     /// is not known.
     void recordPeerState(instant now, const row_state& peer, instant confirmedAt);
--- a/include/pimentomast/serve.h
+++ b/include/pimentomast/serve.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 /// Runs an entry host, which forwards callers' requests and coordinates some of the services.
 namespace pimentomast::serve {
@@ -38,6 +39,18 @@
     bool removed = false;
 };
 
+/// Versions of the store between which a list of changed rows is complete for the targets.
+struct row_span {
+    row_version after;
+    row_version until;
+};
+
+struct row_changes {
+    std::vector<changed_row> rows;
+    /// Not set if changes of the targets may be missing.
+    std::optional<row_span> complete {};
+};
+
 /// Supplies tables that do not come from the operators' CSV row. Thread-safe.
 class table_source {
 public:
@@ -52,10 +65,11 @@
     virtual void receivePeerStanding(const table_standing& peer) = 0;
     /// Returns the latest rows that a host with this standing may lack; a bounded number of them,
     /// and not all if it is far behind.
-    [[nodiscard]] virtual std::vector<changed_row> changesAfter(
-        const table_standing& known) const = 0;
-    /// Puts rows in force that a peer has, unless this host has newer ones.
-    virtual void receivePeerRows(const std::vector<changed_row>& rows) = 0;
+    [[nodiscard]] virtual row_changes changesAfter(const table_standing& known) const = 0;
+    /// Puts rows in force that a peer has, unless this host has newer ones. If they are all that
+    /// this host lacks up to a version, its standing has that version from then on, so that no
+    /// other host sends them again.
+    virtual void receivePeerRows(const row_changes& changes) = 0;
     /// Sets whether this host polls the store on behalf of all hosts.
     virtual void setDesignatedPoller(bool designated) = 0;
     /// Stops the source. When it returns, no call of receive is running and none will follow.
--- a/src/membership/poll_schedule.cc
+++ b/src/membership/poll_schedule.cc
@@ -20,6 +20,14 @@
     dropReachedPeer();
 }
 
+void poll_schedule::recordChanges(row_version after, row_version until)
+{
+    if (m_rows.version < after || until <= m_rows.version)
+        return;
+    m_rows.version = until;
+    dropReachedPeer();
+}
+
 void poll_schedule::recordPeerState(instant now, const row_state& peer, instant confirmedAt)
 {
     if (peer.content == m_rows.content) {
--- a/src/serve/gossip.cc
+++ b/src/serve/gossip.cc
@@ -292,7 +292,7 @@
 void gossip::takeReply(const endpoint& address, instant sentAt, const wire::Update& update)
 {
     if (m_options.tableSource && update.has_standing())
-        applyPeerTables(standingIn(update, sentAt), rowsIn(update));
+        applyPeerTables(standingIn(update, sentAt), changesIn(update));
     m_peerRegistry.recordSighting(monotonic_clock::now(),
         { host_id { update.host() }, incarnation { update.incarnation() }, address,
             update.leaving() });
@@ -321,6 +321,9 @@
     auto message = digest(now);
     *message.mutable_crashes() = received.crashes();
     *message.mutable_rows() = received.rows();
+    if (received.has_span())
+        *message.mutable_span() = received.span();
+    message.set_wants_no_rows(true);
     exchangeWithEach(forwardIn(received), message, now, pushTimeoutMs);
 }
 
--- a/src/serve/gossip.h
+++ b/src/serve/gossip.h
@@ -115,7 +115,7 @@
         instant sentAt, std::chrono::milliseconds timeout);
     void relay(const wire::Digest& received, instant now);
     /// Puts a peer's changed rows in force, then records its standing.
-    void applyPeerTables(const table_standing& standing, const std::vector<changed_row>& rows);
+    void applyPeerTables(const table_standing& standing, const row_changes& changes);
     void applyUpdate(instant sentAt, const wire::Update& update);
     void applyTable(config_version version, const std::string& value);
     void applyAssignment(const wire::Assignment& message);
--- a/src/serve/gossip_tables.cc
+++ b/src/serve/gossip_tables.cc
@@ -40,19 +40,20 @@
     if (!m_isStorePoller)
         return;
     auto message = digest(now);
-    addRows(m_options.tableSource->changesAfter(pushed), message);
+    addChanges(m_options.tableSource->changesAfter(pushed), message);
+    message.set_wants_no_rows(true);
     for (const auto& each : m_peerRegistry.relayRoutes(now))
         exchangeWith(each, message, now, pushTimeoutMs);
 }
 
 // A new table waits for locks of the router, so it is not put in force on the thread of a call.
-void gossip::applyPeerTables(const table_standing& standing, const std::vector<changed_row>& rows)
+void gossip::applyPeerTables(const table_standing& standing, const row_changes& changes)
 {
-    if (rows.empty())
+    if (changes.rows.empty() && !changes.complete)
         return m_options.tableSource->receivePeerStanding(standing);
     const auto arrived = monotonic_clock::now();
-    boost::asio::post(m_pool, [this, standing, rows, arrived] {
-        m_options.tableSource->receivePeerRows(rows);
+    boost::asio::post(m_pool, [this, standing, changes, arrived] {
+        m_options.tableSource->receivePeerRows(changes);
         m_options.tableSource->receivePeerStanding(standing);
         m_callbacks.tablesWaited(monotonic_clock::now() - arrived);
     });
@@ -66,13 +67,13 @@
     auto standing = standingIn(digest, now);
     standing.targets.confirmedAt = {};
     standing.configuration.confirmedAt = {};
-    applyPeerTables(standing, rowsIn(digest));
+    applyPeerTables(standing, changesIn(digest));
 }
 
 void gossip::addChangedRows(const wire::Digest& digest, instant now, wire::Update& update)
 {
-    if (m_options.tableSource && digest.has_standing())
-        addRows(m_options.tableSource->changesAfter(standingIn(digest, now)), update);
+    if (m_options.tableSource && digest.has_standing() && !digest.wants_no_rows())
+        addChanges(m_options.tableSource->changesAfter(standingIn(digest, now)), update);
 }
 
 } // namespace pimentomast::serve::detail
--- a/src/serve/wire.h
+++ b/src/serve/wire.h
@@ -35,12 +35,15 @@
 /// The next four are for messages that state the tables of their sender: wire::Digest and
 /// wire::Update.
 template <class Message>
-[[nodiscard]] std::vector<changed_row> rowsIn(const Message& from)
+[[nodiscard]] row_changes changesIn(const Message& from)
 {
-    std::vector<changed_row> rows;
+    row_changes changes;
     for (const auto& each : from.rows())
-        rows.push_back(fromWire(each));
-    return rows;
+        changes.rows.push_back(fromWire(each));
+    if (from.has_span())
+        changes.complete
+            = row_span { row_version { from.span().after() }, row_version { from.span().until() } };
+    return changes;
 }
 
 template <class Message>
@@ -57,10 +60,14 @@
 }
 
 template <class Message>
-void addRows(const std::vector<changed_row>& rows, Message& to)
+void addChanges(const row_changes& changes, Message& to)
 {
-    for (const auto& each : rows)
+    for (const auto& each : changes.rows)
         *to.add_rows() = toWire(each);
+    if (!changes.complete)
+        return;
+    to.mutable_span()->set_after(changes.complete->after.value());
+    to.mutable_span()->set_until(changes.complete->until.value());
 }
 
 /// For messages that their receiver passes on to other hosts.
--- a/test/membership-polling-test.cc
+++ b/test/membership-polling-test.cc
@@ -257,3 +257,17 @@
     schedule.recordPeerState(start + 4ms, { 9, row_version { 15 } }, start);
     cr_assert(schedule.nextPollAt() <= start + 4ms + options.newerPeerDelayMs);
 }
+
+// A host that lacks earlier changes must not take the version of later ones: it would not be sent
+// what it lacks.
+Test(membership_polling, changes_of_a_peer_raise_the_version_only_if_none_lies_between)
+{
+    poll_schedule schedule { {} };
+    schedule.recordPoll(start, { 1, row_version { 10 } });
+    schedule.recordChanges(row_version { 12 }, row_version { 20 });
+    cr_assert_eq(schedule.rows().version.value(), 10);
+    schedule.recordChanges(row_version { 9 }, row_version { 20 });
+    cr_assert_eq(schedule.rows().version.value(), 20);
+    schedule.recordChanges(row_version { 9 }, row_version { 15 });
+    cr_assert_eq(schedule.rows().version.value(), 20);
+}
--- a/test/platform-tables-test.cc
+++ b/test/platform-tables-test.cc
@@ -260,17 +260,41 @@
     following_host cutOff(silent.address());
     following_host peer(sound.address());
     cr_assert(test::waitUntil([&] { return cutOff.knowsTarget() && peer.seesLeaving(); }, 5s));
-    const auto rows = peer.feed().changesAfter(cutOff.feed().standing());
-    cr_assert_eq(rows.size(), 1);
-    cutOff.feed().receivePeerRows(rows);
+    const auto changes = peer.feed().changesAfter(cutOff.feed().standing());
+    cr_assert_eq(changes.rows.size(), 1);
+    cutOff.feed().receivePeerRows(changes);
     cr_assert(cutOff.seesLeaving());
     cr_assert_eq(
         cutOff.feed().standing().targets.rows.content, peer.feed().standing().targets.rows.content);
     cutOff.feed().receivePeerRows(
-        { { "servers", "i-1", test::registrationText("ready"), row_version { 2 }, false } });
+        { { { "servers", "i-1", test::registrationText("ready"), row_version { 2 }, false } } });
     cr_assert(cutOff.seesLeaving(), "an older row replaced a newer one");
 }
 
+// Rows that a host has must not be sent to it by each host that it exchanges with: they fill its
+// link.
+Test(platform_tables, host_that_took_all_changes_is_not_sent_them_again)
+{
+    test::scripted_server silent([](auto& socket, int) { serveListsOnly(socket); });
+    test::scripted_server sound([](auto& socket, int) {
+        serveStore(
+            socket, [](auto& to) { test::write(to, test::answer(R"({"ver":3,"rows":[]})")); });
+    });
+    following_host cutOff(silent.address());
+    following_host peer(sound.address());
+    cr_assert(test::waitUntil([&] { return cutOff.knowsTarget() && peer.seesLeaving(); }, 5s));
+    const auto before = cutOff.feed().standing();
+    const auto changes = peer.feed().changesAfter(before);
+    cr_assert(changes.complete.has_value());
+    cutOff.feed().receivePeerRows(changes);
+    // A target that only one of them knows: their contents differ from now on.
+    cutOff.feed().receivePeerRows(
+        { { { "servers", "i-2", test::registrationText("ready"), row_version { 9 }, false } } });
+    cr_assert_eq(cutOff.feed().standing().targets.rows.version.value(), 3);
+    cr_assert(peer.feed().changesAfter(cutOff.feed().standing()).rows.empty());
+    cr_assert_eq(peer.feed().changesAfter(before).rows.size(), 1);
+}
+
 Test(platform_tables, edit_of_the_configuration_reaches_a_host_as_a_small_message_of_a_peer)
 {
     const auto first = test::answer(test::page(10, "config", manyRoutes(10)));
@@ -288,12 +312,12 @@
     peer.start([&](const auto& table) { atPeer = table->routes[0].maxAttempts; });
     host.start([&](const auto& table) { atHost = table->routes[0].maxAttempts; });
     cr_assert(test::waitUntil([&] { return atPeer == 11 && atHost == 10; }, test::waitTimeout));
-    const auto rows = peer.changesAfter(host.standing());
-    cr_assert_eq(rows.size(), 1);
-    cr_assert_lt(rows[0].value.size(), manyRoutes(11).size() / 5);
-    host.receivePeerRows(rows);
+    const auto changes = peer.changesAfter(host.standing());
+    cr_assert_eq(changes.rows.size(), 1);
+    cr_assert_lt(changes.rows[0].value.size(), manyRoutes(11).size() / 5);
+    host.receivePeerRows(changes);
     cr_assert_eq(atHost, 11);
-    cr_assert(peer.changesAfter(host.standing()).empty());
+    cr_assert(peer.changesAfter(host.standing()).rows.empty());
     host.stop();
     peer.stop();
 }
