Refuse what would move more bytes while the link delays the hosts' messages

Cause: nothing bounds the bytes under way to a host. 64 workers may have a window of 64 KB each, 4 MB, 3.4 s of 10 Mbit/s; news waits behind them in both directions. Change: the delay of the link is measured by the exchanges that are sent anyway. Above 0.35 s the bytes of requests in progress are limited, in the proportion in which the delay has to fall; below 0.175 s the limit rises, until it restricts nothing. A request that does not fit is refused at once, with link-full and a Retry-After of 0.1 s. Sizes are the mean of the service or the stated length, so downloads and uploads go first. The estimate counts calls that wait, the longest if four in a row have no answer.

--- a/include/pimentomast/dispatch.h
+++ b/include/pimentomast/dispatch.h
@@ -74,6 +74,8 @@
     BodyNotReplayable,
     /// The host holds as many body bytes as it may.
     BodyMemory,
+    /// Bytes wait on the host's network link for long.
+    LinkFull,
     /// This host stops and could not have finished the request.
     HostStopping,
     /// This host stops and ended a request that a target may have been running.
--- a/include/pimentomast/proxy.h
+++ b/include/pimentomast/proxy.h
@@ -145,6 +145,8 @@
     /// Bytes received from and sent to callers and targets since the start of the process.
     std::uint64_t receivedBytes = 0;
     std::uint64_t sentBytes = 0;
+    /// Limit of the bytes that requests in progress move over the link; 0: none.
+    std::uint64_t linkLimitBytes = 0;
 };
 
 struct options {
@@ -204,6 +206,9 @@
     /// Sets whether GET /pimentomast/health returns 200 or 503 to the load balancer. A draining
     /// server always returns 503. Thread-safe.
     virtual void setHealthy(bool healthy) = 0;
+    /// Sets how long bytes wait on this host's network link. While that is long, requests are
+    /// refused that would move more. Call at least every 100 ms. Thread-safe.
+    virtual void setLinkDelay(instant now, duration delay) = 0;
     /// Keeps accepting for the given time, with responses closing their connections, then stops
     /// accepting. Blocks until every exchange has ended and every caller connection is closed; idle
     /// ones are closed after drainIdleTimeout. Call at most once.
--- a/src/dispatch/reason.cc
+++ b/src/dispatch/reason.cc
@@ -58,6 +58,7 @@
     { "attempt-abandoned", 504 },
     { "body-not-replayable", 503 },
     { "body-memory", 503 },
+    { "link-full", 503 },
     { "host-stopping", 503 },
     { "host-stopped", 504 },
     { "internal", 500 },
--- a/src/link/queueing_delay.cc
+++ b/src/link/queueing_delay.cc
@@ -9,8 +9,6 @@
 constexpr std::chrono::milliseconds callWindow { 1500 };
 /// Number of recent calls of which the least delayed one counts.
 constexpr unsigned comparedCalls = 4;
-/// A call that has run for a shorter time says nothing yet.
-constexpr std::chrono::milliseconds minRunning { 100 };
 /// Shortest round trips are those of the last one to two periods, since routes change.
 constexpr std::chrono::seconds basePeriod { 30 };
 
@@ -46,18 +44,24 @@
 duration queueing_delay::current(instant now) const
 {
     std::optional<duration> least;
-    unsigned compared = 0;
-    for (auto each = m_calls.rbegin(); each != m_calls.rend() && compared < comparedCalls; ++each) {
-        const duration running = now - each->sentAt;
-        if (running > callWindow)
+    unsigned ended = 0;
+    unsigned running = 0;
+    duration longestRunning {};
+    for (auto each = m_calls.rbegin(); each != m_calls.rend() && ended < comparedCalls; ++each) {
+        if (now - each->sentAt > callWindow)
             break;
-        if (!each->roundTrip && running < minRunning)
-            continue;
-        const duration delay = each->roundTrip.value_or(running) - baseOf(each->peer);
-        least = std::min(least.value_or(delay), delay);
-        ++compared;
+        const duration delay = each->roundTrip.value_or(now - each->sentAt) - baseOf(each->peer);
+        if (each->roundTrip) {
+            least = std::min(least.value_or(delay), delay);
+            ++ended;
+        } else if (ended == 0) {
+            longestRunning = delay;
+            ++running;
+        }
     }
-    return std::max(least.value_or(duration {}), duration {});
+    // None of so many calls since then was answered, so it is not one peer that is silent.
+    const duration ofRunning = running >= comparedCalls ? longestRunning : duration {};
+    return std::max({ least.value_or(duration {}), ofRunning, duration {} });
 }
 
 queueing_delay::call* queueing_delay::find(call_number number)
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -5,6 +5,7 @@
 #include "fingerprint.h"
 #include "head.h"
 #include "io.h"
+#include "link-budget.h"
 #include "pimentomast/proxy.h"
 #include "response-order.h"
 
@@ -20,6 +21,7 @@
 struct body_collection {
     std::string bytes;
     body_reservation reservation;
+    link_reservation link;
     /// Maximum number of bytes to receive before submission.
     std::size_t limit = 0;
     bool isWhole = false;
@@ -118,6 +120,7 @@
     std::size_t replayLimit = 0;
     /// Memory of replayBuffer.
     body_reservation bodyBytes {};
+    link_reservation link {};
     /// Memory of the part of the response that is held in the process.
     body_reservation responseBytes {};
     bool replayable = true;
--- a/src/proxy/relay.cc
+++ b/src/proxy/relay.cc
@@ -366,6 +366,7 @@
         m_request.pendingContinuation->unsent = std::move(m_download);
     const bool answered = std::holds_alternative<attempt_answered>(result);
     ended.callerReusable = answered && m_request.bodyDone && !m_closesCaller;
+    ended.bytes = m_requestBytesSent + m_delivered;
     ended.isHeld = m_isHeld;
     ended.isDelivered = m_isDelivered;
     return ended;
--- a/src/proxy/relay.h
+++ b/src/proxy/relay.h
@@ -39,6 +39,8 @@
     duration firstByte { 0 };
     /// Load that the target reported with its response.
     load_field load {};
+    /// Bytes of the request and of the response's body.
+    std::uint64_t bytes = 0;
     /// The response was interrupted, and the request holds the state needed to continue it.
     bool continues = false;
     /// The whole response waits for its turn on the caller's connection.
--- a/src/proxy/server-dispatch.cc
+++ b/src/proxy/server-dispatch.cc
@@ -236,6 +236,7 @@
     const bool abandoned = m_registry.detachConnection(finished.id);
     const overloaded steps {
         [&](const attempt_answered& answered) {
+            m_link.recordSize(work.request->facts.service, ended.bytes);
             if (!ended.isDelivered)
                 complete(*work.request, { answered.status });
             finishRequest(work, finished);
--- a/src/proxy/server-impl.cc
+++ b/src/proxy/server-impl.cc
@@ -16,6 +16,8 @@
 {
     if (why == reason::HostStopping)
         return stopRetryAfter;
+    if (why == reason::LinkFull)
+        return linkFullRetryAfter;
     return why == reason::BodyMemory ? bodyMemoryRetryAfter : duration::zero();
 }
 
@@ -109,6 +111,7 @@
     now.delivered = m_delivered;
     now.receivedBytes = forwardedBytes().received;
     now.sentBytes = forwardedBytes().sent;
+    now.linkLimitBytes = m_link.limit();
     return now;
 }
 
--- a/src/proxy/server-impl.h
+++ b/src/proxy/server-impl.h
@@ -28,6 +28,8 @@
 /// Retry-After of requests that are refused for lack of memory for bodies: about the time after
 /// which others have ended.
 constexpr std::chrono::milliseconds bodyMemoryRetryAfter { 500 };
+/// Other hosts may have room at once: balancers send retries elsewhere.
+constexpr std::chrono::milliseconds linkFullRetryAfter { 100 };
 /// Retry-After of requests that a stopping host refuses: other hosts take them at once.
 constexpr std::chrono::milliseconds stopRetryAfter { 100 };
 
@@ -64,6 +66,7 @@
     [[nodiscard]] endpoint address() const override;
     void setTable(std::shared_ptr<const table::table> rows) override;
     void setHealthy(bool healthy) override;
+    void setLinkDelay(instant now, duration delay) override { m_link.recordDelay(now, delay); }
     using server::drain;
     void drain(duration accepting, instant end) override;
     [[nodiscard]] const counters& counts() const override { return m_counts; }
@@ -193,6 +196,7 @@
     options m_options;
     /// Outlives all connections and exchanges.
     body_budget m_budget;
+    link_budget m_link;
     dispatcher& m_dispatcher;
     observer& m_observer;
     Poco::Net::ServerSocket m_listener;
--- a/src/proxy/server-input.cc
+++ b/src/proxy/server-input.cc
@@ -15,6 +15,13 @@
 constexpr std::size_t maxChunkHeadBytes = 65536;
 constexpr std::string_view continueHead = "HTTP/1.1 100 Continue\r\n\r\n";
 
+/// Returns the length of the body; 0 if there is none or it is not stated.
+std::uint64_t statedLength(const checked_head& head)
+{
+    const auto length = head.hasBody ? head.parser->content_length() : boost::none;
+    return length ? *length : 0;
+}
+
 } // namespace
 
 void server_impl::onInput(const caller_pointer& caller)
@@ -152,6 +159,7 @@
         return refuseInTurn(caller, std::move(head), arrived, reason::HostStopping);
     body_collection body;
     body.reservation = body_reservation(m_budget, body_kind::Upload, caller->bodyBytes);
+    body.link = m_link.begin(found.service->id, statedLength(head));
     body.limit = m_options.uploadPrefetchBytes;
     body.deadline = *deadline;
     body.started = now;
@@ -304,6 +312,8 @@
         return refuseInTurn(caller, std::move(head), arrived, *why);
     const auto& classification = std::get<table::classified_request>(found);
     if (!caller->collection) {
+        if (!m_link.admits(classification.service->id, statedLength(head)))
+            return refuseInTurn(caller, std::move(head), arrived, reason::LinkFull);
         if (head.hasBody && classification.route && classification.route->buffersBody)
             return startCollection(caller, std::move(head), arrived, classification);
         if (needsBodyPrefetch(*caller, head))
@@ -382,6 +392,8 @@
     request->position = caller->responses.add(facts.id, runsConcurrently(*caller, head, found));
     request->ownsInput = hasBodyLeft;
     request->bodyBytes = std::move(memory);
+    request->link = isCollected ? std::move(caller->collection->link)
+                                : m_link.begin(found.service->id, statedLength(head));
     request->responseBytes = body_reservation(m_budget, body_kind::Response, caller->bodyBytes);
     request->head = std::move(head);
     if (isCollected || takesBody)
--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -331,6 +331,7 @@
         m_proxy->setHealthy(currentHealth().accepting);
         timer.endStage("routing", monotonic_clock::now());
         m_roundWatch.enter("load");
+        m_proxy->setLinkDelay(now, m_gossip->linkDelay(now));
         watchLink(now);
         shareSpeed(now);
         if (now >= nextLoad)
@@ -374,6 +375,7 @@
             { "sent_bytes", std::to_string(ofCallers.sent) },
             { "peer_received_bytes", std::to_string(ofPeers.received) },
             { "peer_sent_bytes", std::to_string(ofPeers.sent) },
+            { "limit_bytes", std::to_string(state.linkLimitBytes) },
             { "running", std::to_string(state.running) },
             { "deliveries", std::to_string(state.deliveries) } });
 }
