--- a/src/proxy/link-budget.h
+++ b/src/proxy/link-budget.h
@@ -60,8 +60,6 @@
             m_budget->end(m_bytes);
     }
 
-    [[nodiscard]] bool holds() const noexcept { return m_budget != nullptr; }
-
 private:
     void swap(link_reservation& other) noexcept
     {
--- a/src/serve/gossip.h
+++ b/src/serve/gossip.h
@@ -103,7 +103,7 @@
 
     void readConfig();
     void readHosts();
-    /// Sends a digest without rows, and measures the link by the round trip.
+    /// Sends the digest of a round, and measures the link by the round trip.
     void probeWith(
         const peer_registry::client_pointer& peer, const wire::Digest& message, instant sentAt);
     void recordProbe(link::call_number call, instant sentAt, const result<wire::Update>& reply);
