--- a/include/pimentomast/serve.h
+++ b/include/pimentomast/serve.h
@@ -8,6 +8,7 @@
 #include "pimentomast/store.h"
 #include "pimentomast/table.h"
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -51,6 +52,24 @@
     std::optional<row_span> complete {};
 };
 
+/// The latest changes of the targets, by which hosts that lack some of them are brought up to date.
+/// Not thread-safe.
+class change_log {
+public:
+    /// Records a change, in the order in which this host learned of them.
+    void add(const changed_row& row);
+    /// Records that changes up to this version may be missing from the log.
+    void startAfter(row_version version);
+    /// Returns the latest change of each target above the version, oldest first; a bounded number.
+    /// own is the version of the store up to which this host knows all changes.
+    [[nodiscard]] row_changes after(row_version version, row_version own) const;
+
+private:
+    std::deque<changed_row> m_rows;
+    /// All changes above this version are in m_rows.
+    row_version m_after;
+};
+
 /// Supplies tables that do not come from the operators' CSV row. Thread-safe.
 class table_source {
 public:
--- a/test/platform-registrations-test.cc
+++ b/test/platform-registrations-test.cc
@@ -86,11 +86,11 @@
 Test(platform_registrations, host_that_is_behind_gets_what_it_lacks)
 {
     auto known = threeTargets();
-    cr_assert(known.changesAfter({}, {}).rows.empty(), "the first reading is no change");
+    cr_assert(known.recent().after({}, {}).rows.empty(), "the first reading is no change");
     known.applyPeerRows(start, { changeOf("i-1", 12, "draining") }, start);
     known.applyPeerRows(start, { removalOf("i-2", 13) }, start);
-    cr_assert_eq(known.changesAfter(row_version { 10 }, {}).rows.size(), 2);
-    const auto lacking = known.changesAfter(row_version { 12 }, {}).rows;
+    cr_assert_eq(known.recent().after(row_version { 10 }, {}).rows.size(), 2);
+    const auto lacking = known.recent().after(row_version { 12 }, {}).rows;
     cr_assert_eq(lacking.size(), 1);
     cr_assert(lacking[0].key == "i-2" && lacking[0].removed);
 }
@@ -101,15 +101,16 @@
     auto known = threeTargets();
     known.applyPeerRows(start, { changeOf("i-1", 12, "draining") }, start);
     const row_version own { 20 };
-    cr_assert(known.changesAfter(row_version { 11 }, own).complete.has_value());
-    cr_assert_not(known.changesAfter(row_version { 1 }, own).complete.has_value(),
+    cr_assert(known.recent().after(row_version { 11 }, own).complete.has_value());
+    cr_assert_not(known.recent().after(row_version { 1 }, own).complete.has_value(),
         "before the first reading");
-    cr_assert_not(known.changesAfter(row_version { 21 }, own).complete.has_value());
+    cr_assert_not(known.recent().after(row_version { 21 }, own).complete.has_value());
     for (unsigned i = 0; i < 200; ++i)
         known.applyPeerRows(start, { changeOf("j-" + std::to_string(i), 100 + i, "ready") }, start);
-    cr_assert_not(known.changesAfter(row_version { 11 }, row_version { 400 }).complete.has_value(),
+    cr_assert_not(
+        known.recent().after(row_version { 11 }, row_version { 400 }).complete.has_value(),
         "more than a message holds");
-    cr_assert(known.changesAfter(row_version { 200 }, row_version { 400 }).complete.has_value());
+    cr_assert(known.recent().after(row_version { 200 }, row_version { 400 }).complete.has_value());
 }
 
 // A target that changes often must not fill the message with its earlier rows.
@@ -119,7 +120,7 @@
     known.applyPeerRows(start, { changeOf("i-1", 12, "ready") }, start);
     known.applyPeerRows(start, { changeOf("i-1", 13, "draining") }, start);
     known.applyPeerRows(start, { changeOf("i-1", 14, "draining") }, start);
-    const auto changes = known.changesAfter(row_version { 11 }, row_version { 14 });
+    const auto changes = known.recent().after(row_version { 11 }, row_version { 14 });
     cr_assert_eq(changes.rows.size(), 1);
     cr_assert_eq(changes.rows[0].version.value(), 13, "the last one changed nothing");
 }
@@ -166,13 +167,13 @@
     known.applyPage(start, { { coldRow("3s", 2) }, row_version { 2 } }, true, {});
     const row_page late { { coldRow("2s", 3) }, row_version { 3 } };
     cr_assert_eq(known.applyPage(start + 2s, late, false, start + 1100ms).set, 1);
-    cr_assert(known.changesAfter(row_version { 2 }, row_version { 9 }).rows.empty());
+    cr_assert(known.recent().after(row_version { 2 }, row_version { 9 }).rows.empty());
     const row_page timely { { coldRow("5s", 4) }, row_version { 4 } };
     cr_assert_eq(known.applyPage(start + 3s, timely, false, start + 2700ms).set, 1);
-    cr_assert_eq(known.changesAfter(row_version { 2 }, row_version { 9 }).rows.size(), 1);
+    cr_assert_eq(known.recent().after(row_version { 2 }, row_version { 9 }).rows.size(), 1);
     const row_page warm { { coldRow("0ms", 5) }, row_version { 5 } };
     known.applyPage(start + 4s, warm, false, start + 3100ms);
-    cr_assert_eq(known.changesAfter(row_version { 4 }, row_version { 9 }).rows.size(), 1);
+    cr_assert_eq(known.recent().after(row_version { 4 }, row_version { 9 }).rows.size(), 1);
 }
 
 Test(platform_registrations, target_that_is_warm_or_cold_again_changes)
--- a/test/platform-tables-test.cc
+++ b/test/platform-tables-test.cc
@@ -248,51 +248,54 @@
     }
 }
 
+/// A host that the store does not answer any more, and one that has read that the target leaves.
+struct host_pair {
+    host_pair()
+    {
+        cr_assert(
+            test::waitUntil([this] { return cutOff.knowsTarget() && peer.seesLeaving(); }, 5s));
+    }
+
+    test::scripted_server silent { [](auto& socket, int) { serveListsOnly(socket); } };
+    test::scripted_server sound { [](auto& socket, int) {
+        serveStore(
+            socket, [](auto& to) { test::write(to, test::answer(R"({"ver":3,"rows":[]})")); });
+    } };
+    following_host cutOff { silent.address() };
+    following_host peer { sound.address() };
+};
+
 } // namespace
 
 Test(platform_tables, leaving_reaches_a_host_through_its_peers_while_the_store_does_not_answer_it)
 {
-    test::scripted_server silent([](auto& socket, int) { serveListsOnly(socket); });
-    test::scripted_server sound([](auto& socket, int) {
-        serveStore(
-            socket, [](auto& to) { test::write(to, test::answer(R"({"ver":3,"rows":[]})")); });
-    });
-    following_host cutOff(silent.address());
-    following_host peer(sound.address());
-    cr_assert(test::waitUntil([&] { return cutOff.knowsTarget() && peer.seesLeaving(); }, 5s));
-    const auto changes = peer.feed().changesAfter(cutOff.feed().standing());
+    host_pair hosts;
+    const auto changes = hosts.peer.feed().changesAfter(hosts.cutOff.feed().standing());
     cr_assert_eq(changes.rows.size(), 1);
-    cutOff.feed().receivePeerRows(changes);
-    cr_assert(cutOff.seesLeaving());
-    cr_assert_eq(
-        cutOff.feed().standing().targets.rows.content, peer.feed().standing().targets.rows.content);
-    cutOff.feed().receivePeerRows(
+    hosts.cutOff.feed().receivePeerRows(changes);
+    cr_assert(hosts.cutOff.seesLeaving());
+    cr_assert_eq(hosts.cutOff.feed().standing().targets.rows.content,
+        hosts.peer.feed().standing().targets.rows.content);
+    hosts.cutOff.feed().receivePeerRows(
         { { { "servers", "i-1", test::registrationText("ready"), row_version { 2 }, false } } });
-    cr_assert(cutOff.seesLeaving(), "an older row replaced a newer one");
+    cr_assert(hosts.cutOff.seesLeaving(), "an older row replaced a newer one");
 }
 
 // Rows that a host has must not be sent to it by each host that it exchanges with: they fill its
 // link.
 Test(platform_tables, host_that_took_all_changes_is_not_sent_them_again)
 {
-    test::scripted_server silent([](auto& socket, int) { serveListsOnly(socket); });
-    test::scripted_server sound([](auto& socket, int) {
-        serveStore(
-            socket, [](auto& to) { test::write(to, test::answer(R"({"ver":3,"rows":[]})")); });
-    });
-    following_host cutOff(silent.address());
-    following_host peer(sound.address());
-    cr_assert(test::waitUntil([&] { return cutOff.knowsTarget() && peer.seesLeaving(); }, 5s));
-    const auto before = cutOff.feed().standing();
-    const auto changes = peer.feed().changesAfter(before);
+    host_pair hosts;
+    const auto before = hosts.cutOff.feed().standing();
+    const auto changes = hosts.peer.feed().changesAfter(before);
     cr_assert(changes.complete.has_value());
-    cutOff.feed().receivePeerRows(changes);
+    hosts.cutOff.feed().receivePeerRows(changes);
     // A target that only one of them knows: their contents differ from now on.
-    cutOff.feed().receivePeerRows(
+    hosts.cutOff.feed().receivePeerRows(
         { { { "servers", "i-2", test::registrationText("ready"), row_version { 9 }, false } } });
-    cr_assert_eq(cutOff.feed().standing().targets.rows.version.value(), 3);
-    cr_assert(peer.feed().changesAfter(cutOff.feed().standing()).rows.empty());
-    cr_assert_eq(peer.feed().changesAfter(before).rows.size(), 1);
+    cr_assert_eq(hosts.cutOff.feed().standing().targets.rows.version.value(), 3);
+    cr_assert(hosts.peer.feed().changesAfter(hosts.cutOff.feed().standing()).rows.empty());
+    cr_assert_eq(hosts.peer.feed().changesAfter(before).rows.size(), 1);
 }
 
 Test(platform_tables, edit_of_the_configuration_reaches_a_host_as_a_small_message_of_a_peer)
