Log how long another host's tables waited, beside the delay of the link

link-delayed tells what waits on the link; without tables_wait_ms it could not be told from tables that wait on this host, since records hold no metrics. Names and comments say change and message instead of news.

--- a/src/link/admission.cc
+++ b/src/link/admission.cc
@@ -5,8 +5,8 @@
 namespace pimentomast::link {
 namespace {
 
-/// Delay of the link above which less is admitted: news has 2 to 2.5 s to reach a host, to be put
-/// in force and for the last request before it to reach its target.
+/// Delay of the link above which less is admitted. A change of the targets has 2 to 2.5 s to reach
+/// a host, to be put in force, and for the last request before that to reach its target.
 constexpr std::chrono::milliseconds maxDelay { 350 };
 /// Delay below which the limit rises.
 constexpr std::chrono::milliseconds lowDelay { 175 };
--- a/src/serve/gossip.cc
+++ b/src/serve/gossip.cc
@@ -129,15 +129,14 @@
     const auto peers = peersToCall(now);
     auto message = digest(now);
     for (const auto& peer : peers) {
-        message.set_versions_only(!isAskedForNews(peer, peers));
+        message.set_versions_only(!isAskedForChanges(peer, peers));
         probeWith(peer, message, now);
     }
 }
 
-// All peers of a round would send the same rows and assignments. The host that polls the store
-// sends its rows unasked, but may have missed this host, and another one has news while it has
-// none.
-bool gossip::isAskedForNews(const peer_registry::client_pointer& peer,
+// All peers of a round would send the same rows and assignments. The poller sends its rows unasked,
+// but that call may have been lost; another host has changes while the store turns the poller away.
+bool gossip::isAskedForChanges(const peer_registry::client_pointer& peer,
     const std::vector<peer_registry::client_pointer>& round)
 {
     return peer == round.front() || peer == m_peerRegistry.find(m_storePoller);
--- a/src/serve/gossip.h
+++ b/src/serve/gossip.h
@@ -144,7 +144,7 @@
     void receiveTables(const wire::Digest& digest, instant now);
     void addChangedRows(const wire::Digest& digest, instant now, wire::Update& update);
     [[nodiscard]] std::vector<peer_registry::client_pointer> peersToCall(instant now);
-    [[nodiscard]] bool isAskedForNews(const peer_registry::client_pointer& peer,
+    [[nodiscard]] bool isAskedForChanges(const peer_registry::client_pointer& peer,
         const std::vector<peer_registry::client_pointer>& round);
     [[nodiscard]] bool due(instant& next, instant now, duration interval) const;
 
--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -235,7 +235,7 @@
             },
             [this](const auto& roundTrip) { countExchange(roundTrip); },
             [this](duration waited) {
-                m_metrics.latencyFor(telemetry::metric::PeerMessageWait).observe(waited);
+                recordTablesWait(waited);
             } }).value();
 
     coordinator_driver_options driverOptions;
@@ -353,7 +353,14 @@
         m_metrics.counterFor(telemetry::metric::ExchangeTimeouts).add();
 }
 
-// Tells a full link from slow work on this host: both make news late.
+void node::recordTablesWait(duration waited)
+{
+    m_metrics.latencyFor(telemetry::metric::PeerMessageWait).observe(waited);
+    for (auto longest = m_longestTablesWait.load();
+         waited > longest && !m_longestTablesWait.compare_exchange_weak(longest, waited);) { }
+}
+
+// Tells a full link from slow work on this host: both make tables late.
 void node::watchLink(instant now)
 {
     if (now < m_nextLinkWatch)
@@ -367,10 +374,11 @@
     const auto ofCallers = forwarded - std::exchange(m_forwardedBytes, forwarded);
     const auto all = peerBytes();
     const auto ofPeers = all - std::exchange(m_peerBytes, all);
+    const auto tablesWait = m_longestTablesWait.exchange({});
     if (delay < loggedLinkDelayMs)
         return;
     telemetry::log(telemetry::severity::Warning, "link-delayed",
-        { { "delay_ms", milliseconds(delay) },
+        { { "delay_ms", milliseconds(delay) }, { "tables_wait_ms", milliseconds(tablesWait) },
             { "received_bytes", std::to_string(ofCallers.received) },
             { "sent_bytes", std::to_string(ofCallers.sent) },
             { "peer_received_bytes", std::to_string(ofPeers.received) },
--- a/src/serve/node.h
+++ b/src/serve/node.h
@@ -106,6 +106,8 @@
     void shareSpeed(instant now);
     void updateMetrics();
     void countExchange(const std::optional<duration>& roundTrip);
+    /// Records how long another host's tables waited on this host.
+    void recordTablesWait(duration waited);
     /// Exposes the delay of this host's network link, and logs it if it is long, once a second.
     void watchLink(instant now);
     [[nodiscard]] bool markedLeaving() const;
@@ -136,6 +138,8 @@
     instant m_nextLinkWatch {};
     link_bytes m_forwardedBytes;
     link_bytes m_peerBytes;
+    /// Of the current interval of watchLink().
+    std::atomic<duration> m_longestTablesWait { duration {} };
     std::unique_ptr<peer_registry> m_peerRegistry;
     /// Carries out other hosts' requests for rows, each of which blocks for a call to the store.
     worker_pool<row_job> m_rowJobs;
--- a/test/link-admission-test.cc
+++ b/test/link-admission-test.cc
@@ -203,9 +203,9 @@
 
 } // namespace
 
-// Fails if news waits behind forwarded bytes for so long that requests still go to targets that
-// have left: it arrives late, and so does at its target what was decided before.
-Test(link_admission, news_over_a_full_link_arrives_within_the_bound)
+// Fails if messages between hosts wait behind forwarded bytes for so long that requests still reach
+// targets that have left: the message is late, and so is the last request before it.
+Test(link_admission, control_messages_over_a_full_link_arrive_within_the_bound)
 {
     for (const auto& each :
         std::vector<scenario> { { fastLink, 1.0 }, { fastLink, 1.3 }, { fastLink, 1.7 },
