--- a/review/stand-ins-3/upstream.cc
+++ b/review/stand-ins-3/upstream.cc
@@ -54,7 +54,7 @@
     : m_options(std::move(options))
     , m_store(store)
     , m_record(seen)
-    , m_listener(listenOn({}))
+    , m_listener(listenOn({ "127.0.0.1", m_options.port }))
     , m_port(portOf(m_listener))
     , m_born(std::chrono::duration_cast<milliseconds>(
           std::chrono::system_clock::now().time_since_epoch())
@@ -215,6 +215,8 @@
         each.fence = wanted.fence;
         each.until = until;
     });
+    if (m_options.onGrant)
+        m_options.onGrant(wanted.from, wanted.to, wanted.fence);
     return plain(200, "OK");
 }
 
--- a/review/stand-ins-3/upstream.h
+++ b/review/stand-ins-3/upstream.h
@@ -17,6 +17,10 @@
     unsigned queue = 16;
     milliseconds work { 50 };
     bool isKeyed = false;
+    /// 0 takes a free one.
+    std::uint16_t port = 0;
+    /// Called with each grant that is accepted.
+    std::function<void(std::size_t from, std::size_t to, std::uint64_t fence)> onGrant {};
     /// Bytes sent where the answer to a request is expected, before it, if the connection has
     /// carried an answer. The argument is the number of answers that the upstream has given.
     std::function<std::string(std::size_t answers)> extraBytes {};
@@ -39,6 +43,7 @@
     /// Stops answering, as a crashed one: connections are reset and the entry stays.
     void crash();
 
+    [[nodiscard]] std::uint16_t port() const noexcept { return m_port; }
     [[nodiscard]] const upstream_options& options() const noexcept { return m_options; }
     /// Number of keys that it holds.
     [[nodiscard]] std::size_t heldKeys() const;
