--- a/review/stand-ins-3/clients.cc
+++ b/review/stand-ins-3/clients.cc
@@ -29,9 +29,11 @@
     const std::string& authority, milliseconds deadline)
 {
     ending how;
+    const auto begun = steady::now();
     how.wasSent = sendAll(connection, requestText(sent, authority, deadline));
     message reply;
-    const auto got = reader.read(connection, reply, steady::now() + deadline);
+    const auto got = reader.read(connection, reply, begun + deadline);
+    how.took = std::chrono::duration_cast<milliseconds>(steady::now() - begun);
     if (got == read_state::Closed)
         how.failure = "closed";
     else if (got == read_state::Broken)
@@ -44,8 +46,6 @@
     how.signature = reply.field("X-Response-Signature");
     how.answeredId = reply.field("X-Request-Id");
     how.body = reply.body;
-    if (reply.field("Connection") == "close")
-        how.failure = "";
     return how;
 }
 
--- a/review/stand-ins-3/record.cc
+++ b/review/stand-ins-3/record.cc
@@ -58,7 +58,7 @@
 void record::addEnding(const std::string& id, const ending& how)
 {
     note("got " + id + ' ' + (how.failure.empty() ? std::to_string(how.status) : how.failure)
-        + " at " + how.host);
+        + " at " + how.host + " after " + std::to_string(how.took.count()) + " ms");
     const std::lock_guard guard(m_lock);
     auto kept = how;
     kept.body = shortened(how.body);
@@ -170,6 +170,16 @@
     return found;
 }
 
+std::size_t record::unansweredAfter(milliseconds time) const
+{
+    const std::lock_guard guard(m_lock);
+    return static_cast<std::size_t>(
+        std::count_if(m_endings.begin(), m_endings.end(), [time](const auto& each) {
+            const auto& how = each.second;
+            return how.took > time || (how.failure == "timeout" && how.took >= time);
+        }));
+}
+
 void record::write(const std::string& path) const
 {
     const std::lock_guard guard(m_lock);
--- a/review/stand-ins-3/record.h
+++ b/review/stand-ins-3/record.h
@@ -31,6 +31,8 @@
     bool wasKept = false;
     /// At least one byte of the request was sent.
     bool wasSent = false;
+    /// From the sending to the end of the response, or until the client gave up.
+    milliseconds took {};
 };
 
 struct run_of_request {
@@ -67,6 +69,9 @@
     /// LOST: a kept connection closed without an answer to a request that an upstream began to run.
     [[nodiscard]] std::vector<std::string> lost() const;
 
+    /// Counts the requests that had no whole response this long after they were sent.
+    [[nodiscard]] std::size_t unansweredAfter(milliseconds time) const;
+
     /// Writes everything to the file.
     void write(const std::string& path) const;
 
--- a/review/stand-ins-3/upstream.cc
+++ b/review/stand-ins-3/upstream.cc
@@ -3,6 +3,7 @@
 #include <Poco/JSON/Parser.h>
 #include <Poco/JSONString.h>
 #include <algorithm>
+#include <sys/socket.h>
 
 namespace review {
 namespace {
@@ -10,6 +11,7 @@
 using Poco::JSON::Object;
 
 constexpr milliseconds heartbeat { 870 };
+constexpr int heartbeatsMissed = 3;
 constexpr milliseconds pollStep { 20 };
 constexpr milliseconds idleTime { 10000 };
 constexpr milliseconds defaultDeadline { 10000 };
@@ -96,6 +98,19 @@
     m_record.note("crashed " + m_options.id);
 }
 
+void upstream_stand_in::goDark()
+{
+    constexpr int fillers = 3;
+    m_darkSince = steady::now();
+    m_dark = true;
+    m_record.note("dark " + m_options.id);
+    // The acceptor may still take one.
+    std::this_thread::sleep_for(2 * pollStep);
+    ::listen(m_listener.get(), 0);
+    for (int i = 0; i < fillers; ++i)
+        m_queued.push_back(connectTo({ "127.0.0.1", m_port }, pollStep));
+}
+
 std::size_t upstream_stand_in::heldKeys() const
 {
     const std::lock_guard guard(m_lock);
@@ -130,7 +145,9 @@
     auto next = steady::now() + heartbeat;
     while (!m_stopped) {
         std::this_thread::sleep_for(pollStep);
-        if (steady::now() < next)
+        if (m_dark && steady::now() >= m_darkSince.load() + heartbeatsMissed * heartbeat)
+            leaveStore();
+        if (m_dark || steady::now() < next)
             continue;
         next += heartbeat;
         registerNow();
@@ -140,6 +157,10 @@
 void upstream_stand_in::accept()
 {
     while (!m_stopped) {
+        if (m_dark) {
+            std::this_thread::sleep_for(pollStep);
+            continue;
+        }
         auto accepted = acceptFrom(m_listener, pollStep);
         if (m_crashed)
             m_listener.close();
@@ -159,10 +180,14 @@
     while (!m_stopped && !m_crashed && steady::now() < idleUntil) {
         if (!reader.waitForMessage(connection, pollStep))
             continue;
+        while (m_dark && !m_stopped)
+            std::this_thread::sleep_for(pollStep);
         if (reader.read(connection, request, steady::now() + idleTime) != read_state::Whole)
             return;
         const auto made = answer(request, connection);
-        if (m_crashed)
+        while (m_dark && !m_stopped)
+            std::this_thread::sleep_for(pollStep);
+        if (m_crashed || m_stopped)
             break;
         if (made.startLine.empty())
             return;
--- a/review/stand-ins-3/upstream.h
+++ b/review/stand-ins-3/upstream.h
@@ -45,6 +45,10 @@
 
     [[nodiscard]] std::uint16_t port() const noexcept { return m_port; }
     [[nodiscard]] const upstream_options& options() const noexcept { return m_options; }
+    /// Goes dark, as one whose machine has lost power: nothing answers, no connection is made. The
+    /// store removes the entry after three heartbeats.
+    void goDark();
+
     /// Number of keys that it holds.
     [[nodiscard]] std::size_t heldKeys() const;
     [[nodiscard]] bool holds(unsigned key) const;
@@ -80,6 +84,10 @@
     std::atomic<bool> m_registered = true;
     std::atomic<bool> m_draining = false;
     std::atomic<bool> m_crashed = false;
+    std::atomic<bool> m_dark = false;
+    std::atomic<steady::time_point> m_darkSince {};
+    /// Fill the queue of the listener of a dark upstream, so that the kernel drops what comes.
+    std::vector<socket_handle> m_queued;
     std::atomic<unsigned> m_sequence = 0;
     std::atomic<std::size_t> m_answers = 0;
     mutable std::mutex m_lock;
