--- a/review/11/case.cc
+++ b/review/11/case.cc
@@ -1,7 +1,7 @@
 /// A service with keys is added to the configuration. The entry of its first upstream is removed
 /// less than a second after it was written, and the hosts are restarted one after the other.
 /// Upstreams that come then and stay never get a key.
-#include "../stand-ins-3/deployment.h"
+#include "stand-ins/deployment.h"
 
 #include <csignal>
 #include <iostream>
--- a/review/13/case.cc
+++ b/review/13/case.cc
@@ -1,6 +1,6 @@
 /// Two of fourteen upstreams go dark. Orders that a host sends to them wait for a connection for a
 /// second, whatever their route's timeout and their client's deadline are.
-#include "../stand-ins-3/deployment.h"
+#include "../11/stand-ins/deployment.h"
 
 #include <iostream>
 
